Lay out the workspace, the error table and the design

Cause: the project starts empty. The design page fixes the packages, the owners of state, the messages and the behaviour on each fault before code depends on them.

Ruled out: a central counter for limits, a fixed division of rates and a lease in the platform's table alone; the reasons are in sections 6.4 and 8 of docs/design.md.

Conclusion: modules can be written side by side against these headers.

--- /dev/null
+++ b/include/fuchsiagw/core/time.hpp
@@ -0,0 +1,28 @@
+/// @file
+/// @brief Time as the decisions see it: points on a clock that only the caller can read.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace fuchsiagw::core {
+
+/// Clock of all decisions. It has no `now()`: the current time is always an argument, so that the
+/// same events give the same decisions in the daemon and in virtual time.
+struct decision_clock
+{
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<decision_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = decision_clock::duration;
+using time_point = decision_clock::time_point;
+
+/// A deadline that is never reached.
+inline constexpr time_point noDeadline = time_point::max();
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter. With --fix it formats in place. Needs a configured build directory.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build="${BUILD_DIR:-build}"
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.cc' '*.hpp')
+if [[ "${1:-}" == "--fix" ]]; then
+    clang-format -i "${sources[@]}"
+    exit 0
+fi
+echo "lint: clang-format on ${#sources[@]} files"
+clang-format --dry-run --Werror "${sources[@]}"
+mapfile -t units < <(git ls-files --cached --others --exclude-standard 'src/*.cpp')
+echo "lint: clang-tidy on ${#units[@]} files"
+printf '%s\0' "${units[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p "$build" 2>/dev/null
+echo "lint: clean"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds and runs every test. BUILD_DIR and CMAKE_ARGS may be set.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build="${BUILD_DIR:-build}"
+jobs="$(nproc)"
+scripts/bootstrap.sh
+echo "test: configuring $build"
+# shellcheck disable=SC2086
+cmake -S . -B "$build" -G Ninja ${CMAKE_ARGS:-} >"/tmp/fuchsiagw-configure.$$" || { cat "/tmp/fuchsiagw-configure.$$"; exit 1; }
+rm -f "/tmp/fuchsiagw-configure.$$"
+echo "test: building with $jobs jobs (a first build takes several minutes)"
+cmake --build "$build" -j "$jobs"
+echo "test: running the tests"
+ctest --test-dir "$build" --output-on-failure -j "$((jobs / 2 + 1))"
