Add the HTTP server, the HTTP client connection and the bounded channel

Cause: callers, operators, upstreams and the platform speak HTTP; duties need bounded rings.

Ruled out: a hand-written HTTP client (Beast is one), and reusing a kept connection without watching it while idle, which would report a write as unknown although the peer had already closed. boost::lockfree::spsc_queue can't move elements in 1.74; a slot type whose copy moves does it.

--- a/include/fuchsiagw/core/time.hpp
+++ b/include/fuchsiagw/core/time.hpp
@@ -16,7 +16,7 @@
     using period = std::micro;
     using duration = std::chrono::duration<rep, period>;
     using time_point = std::chrono::time_point<decision_clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 using duration = decision_clock::duration;
--- /dev/null
+++ b/include/fuchsiagw/net/channel.hpp
@@ -0,0 +1,87 @@
+/// @file
+/// @brief A bounded ring from one duty's thread to another's.
+
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <atomic>
+#include <functional>
+#include <utility>
+
+namespace fuchsiagw::net {
+
+/// One thread pushes, the thread that runs the consumer's context handles.
+/// Invariant: messages are handled in the order in which they were pushed.
+/// The channel must outlive its consumer's context.
+template <typename message>
+class channel
+{
+public:
+    using handler = std::function<void(message &)>;
+
+    /// @param consumer context whose thread calls @p handle
+    /// @param capacity number of messages that can wait
+    channel(boost::asio::io_context &consumer, std::size_t capacity, handler handle)
+        : consumer_(consumer)
+        , queue_(capacity)
+        , handle_(std::move(handle))
+    { }
+
+    /// @brief Hands a message over without waiting.
+    /// @return false if the ring is full; the message is then unchanged
+    /// @complexity constant
+    [[nodiscard]] bool push(message &&value)
+    {
+        const slot carrier{ std::move(value) };
+        if (!queue_.push(carrier)) {
+            value = std::move(carrier.value);
+            return false;
+        }
+        if (!scheduled_.exchange(true, std::memory_order_acq_rel))
+            boost::asio::post(consumer_, [this] { drain(); });
+        return true;
+    }
+
+private:
+    /// spsc_queue can only copy; copying a slot moves its message, as each slot is read once.
+    struct slot
+    {
+        mutable message value;
+
+        slot() = default;
+        explicit slot(message &&from)
+            : value(std::move(from))
+        { }
+        slot(const slot &other)
+            : value(std::move(other.value))
+        { }
+        slot &operator=(const slot &other) // NOLINT(bugprone-unhandled-self-assignment)
+        {
+            value = std::move(other.value);
+            return *this;
+        }
+    };
+
+    void drain()
+    {
+        scheduled_.store(false, std::memory_order_release);
+        // A fixed number a turn, so that one busy channel does not keep the others waiting.
+        constexpr std::size_t messagesPerTurn = 256;
+        for (std::size_t i = 0; i < messagesPerTurn; ++i) {
+            if (!queue_.consume_one([this](const slot &each) { handle_(each.value); }))
+                return;
+        }
+        if (!scheduled_.exchange(true, std::memory_order_acq_rel))
+            boost::asio::post(consumer_, [this] { drain(); });
+    }
+
+    boost::asio::io_context &consumer_;
+    boost::lockfree::spsc_queue<slot> queue_;
+    handler handle_;
+    std::atomic<bool> scheduled_{ false };
+};
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/include/fuchsiagw/net/clock.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// @brief The one place that reads the clock.
+
+#pragma once
+
+#include <fuchsiagw/core/time.hpp>
+
+#include <chrono>
+
+namespace fuchsiagw::net {
+
+/// @return the current time; it never goes backwards
+[[nodiscard]] inline core::time_point currentTime()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return core::time_point(std::chrono::duration_cast<core::duration>(sinceStart));
+}
+
+/// @return the same moment on the clock that Asio's timers use
+[[nodiscard]] inline std::chrono::steady_clock::time_point toSteady(core::time_point time)
+{
+    if (time == core::noDeadline)
+        return std::chrono::steady_clock::time_point::max();
+    return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/include/fuchsiagw/net/http_message.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief HTTP requests and answers as plain values, free of any library's types.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fuchsiagw::net {
+
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+struct http_request
+{
+    std::string method; ///< upper case
+    std::string target; ///< path and query
+    http_headers headers;
+    std::string body;
+};
+
+struct http_response
+{
+    int status = 0;
+    http_headers headers;
+    std::string body;
+};
+
+/// @brief Finds a header by name, without regard to case.
+/// @return empty if there is none
+/// @complexity linear in the number of headers
+[[nodiscard]] std::string_view findHeader(const http_headers &headers, std::string_view name);
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/include/fuchsiagw/net/http_server.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// @brief An HTTP/1.1 server whose answers may be given later and from any thread.
+
+#pragma once
+
+#include <fuchsiagw/net/endpoint.hpp>
+#include <fuchsiagw/net/http_message.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace fuchsiagw::net {
+
+using connection_number = std::uint64_t;
+
+/// @brief The right to answer one request, once, from any thread.
+///
+/// A request whose reply is destroyed unused has its connection closed by the server's timeout.
+class http_reply
+{
+public:
+    /// Sends the response; @p close ends the connection after it.
+    using sender = std::function<void(const http_response &, bool close)>;
+
+    http_reply() = default;
+    explicit http_reply(sender send)
+        : send_(std::move(send))
+    { }
+
+    /// @brief Answers the request; further calls do nothing.
+    void send(const http_response &response, bool close = false)
+    {
+        const sender once = std::exchange(send_, nullptr);
+        if (once)
+            once(response, close);
+    }
+
+private:
+    sender send_;
+};
+
+struct http_server_options
+{
+    endpoint listenAt; ///< port 0: the kernel chooses
+    std::size_t maxBody = 0; ///< bytes; a larger body closes the connection
+    std::chrono::seconds idleLimit{ 60 }; ///< for a connection that sends nothing, or a slow caller
+    std::chrono::seconds handleLimit{ 75 }; ///< for the handler of a request
+    std::size_t maxConnections = 0;
+};
+
+/// Runs on the context given to it; handlers are called on that context's thread.
+class http_server
+{
+public:
+    using request_handler = std::function<void(http_request &&request, connection_number connection,
+                                               http_reply &&reply)>;
+    using closed_handler = std::function<void(connection_number connection)>;
+
+    http_server(boost::asio::io_context &context, http_server_options options,
+                request_handler onRequest, closed_handler onClosed = {});
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    /// @brief Binds and starts to accept; call it before the context runs or on its thread.
+    /// @return the system's error if the address can't be bound
+    [[nodiscard]] std::error_code start();
+
+    /// @return the port that is bound; 0 before start()
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// @brief Stops accepting; open connections live on. Call it on the context's thread.
+    void stopAccepting();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,66 @@
+/// @file
+/// @brief Reuse of connections between single calls.
+
+#include <utility>
+
+#include <fuchsiagw/net/http_client.hpp>
+
+namespace fuchsiagw::net {
+
+namespace {
+
+constexpr std::size_t idlePerPeer = 2; // connections
+
+} // namespace
+
+void http_client::call(const endpoint &peer, const http_request &request, core::time_point deadline,
+                       http_connection::exchange_handler done)
+{
+    const std::string name = toString(peer);
+    auto &kept = idle_[name];
+    while (!kept.empty()) {
+        const auto connection = kept.back();
+        kept.pop_back();
+        if (connection->isOpen()) {
+            run(name, connection, request, deadline, std::move(done));
+            return;
+        }
+    }
+    const auto connection = http_connection::create(context_, peer);
+    connection->connect(deadline, [this, name, connection, request, deadline,
+                                   done = std::move(done)](std::error_code error) {
+        if (error)
+            done({ error, false, {} });
+        else
+            run(name, connection, request, deadline, done);
+    });
+}
+
+void http_client::run(const std::string &name, const std::shared_ptr<http_connection> &connection,
+                      const http_request &request, core::time_point deadline,
+                      http_connection::exchange_handler done)
+{
+    connection->exchange(request, deadline,
+                         [this, name, connection, done = std::move(done)](http_exchange &&result) {
+                             auto &kept = idle_[name];
+                             if (connection->isOpen() && kept.size() < idlePerPeer)
+                                 kept.push_back(connection);
+                             done(std::move(result));
+                         });
+}
+
+http_exchange callAndWait(const endpoint &peer, const http_request &request,
+                          core::time_point deadline)
+{
+    boost::asio::io_context context;
+    http_client client(context);
+    http_exchange outcome;
+    client.call(peer, request, deadline, [&](http_exchange &&result) {
+        outcome = std::move(result);
+        client.closeIdle();
+    });
+    context.run();
+    return outcome;
+}
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/src/net/http_connection.cpp
@@ -0,0 +1,201 @@
+/// @file
+/// @brief The client connection on Boost.Beast.
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/net/http_connection.hpp>
+
+#include <cassert>
+#include <optional>
+
+namespace fuchsiagw::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::uint64_t maxResponseBody = 16 * 1024 * 1024; // bytes
+
+std::error_code toStd(const boost::system::error_code &code)
+{
+    if (!code)
+        return {};
+    if (code == boost::beast::error::timeout)
+        return std::make_error_code(std::errc::timed_out);
+    if (code.category() == boost::system::system_category())
+        return { code.value(), std::system_category() };
+    return std::make_error_code(std::errc::connection_reset);
+}
+
+http_response toPlain(http::response<http::string_body> &&from)
+{
+    http_response response;
+    response.status = static_cast<int>(from.result_int());
+    for (const auto &field : from) {
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    response.body = std::move(from.body());
+    return response;
+}
+
+} // namespace
+
+struct http_connection::implementation
+{
+    endpoint peer;
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+    exchange_handler done; ///< set exactly while an exchange is under way
+    closed_handler closedWhileIdle;
+    bool open = false;
+    std::uint64_t idleWatch = 0; ///< tells an outdated idle watch from the current one
+};
+
+std::shared_ptr<http_connection> http_connection::create(boost::asio::io_context &context,
+                                                         endpoint peer)
+{
+    auto state = std::unique_ptr<implementation>(new implementation{
+            std::move(peer), boost::beast::tcp_stream(context), {}, {}, {}, {}, {}, false, 0 });
+    return std::shared_ptr<http_connection>(new http_connection(std::move(state)));
+}
+
+http_connection::http_connection(std::unique_ptr<implementation> state)
+    : implementation_(std::move(state))
+{ }
+
+http_connection::~http_connection() = default;
+
+void http_connection::connect(core::time_point deadline, connect_handler done)
+{
+    implementation &self = *implementation_;
+    self.stream.expires_at(toSteady(deadline));
+    const tcp::endpoint target(self.peer.address, self.peer.port);
+    self.stream.async_connect(target, [keep = shared_from_this(), done = std::move(done)](
+                                              const boost::system::error_code &error) {
+        implementation &state = *keep->implementation_;
+        if (!error) {
+            boost::system::error_code ignored;
+            state.stream.socket().set_option(tcp::no_delay(true), ignored);
+            state.open = true;
+            state.stream.expires_never();
+            keep->watchIdle();
+        }
+        done(toStd(error));
+    });
+}
+
+void http_connection::exchange(const http_request &request, core::time_point deadline,
+                               exchange_handler done)
+{
+    implementation &self = *implementation_;
+    assert(!self.done);
+    self.done = std::move(done);
+    ++self.idleWatch;
+    if (!self.open) {
+        finish({ std::make_error_code(std::errc::not_connected), false, {} });
+        return;
+    }
+    boost::system::error_code ignored;
+    self.stream.socket().cancel(ignored);
+
+    self.request = {};
+    self.request.version(11);
+    self.request.method_string(request.method);
+    self.request.target(request.target);
+    self.request.set(http::field::host, toString(self.peer));
+    for (const auto &[name, value] : request.headers)
+        self.request.set(name, value);
+    self.request.body() = request.body;
+    self.request.prepare_payload();
+    self.parser.emplace();
+    self.parser->body_limit(maxResponseBody);
+    self.stream.expires_at(toSteady(deadline));
+
+    http::async_write(
+            self.stream, self.request,
+            [keep = shared_from_this()](const boost::system::error_code &writeError, std::size_t) {
+                implementation &state = *keep->implementation_;
+                if (writeError) {
+                    keep->finish({ toStd(writeError), true, {} });
+                    return;
+                }
+                http::async_read(state.stream, state.buffer, *state.parser,
+                                 [keep](const boost::system::error_code &readError, std::size_t) {
+                                     if (readError) {
+                                         keep->finish({ toStd(readError), true, {} });
+                                         return;
+                                     }
+                                     keep->finish(
+                                             { {},
+                                               true,
+                                               toPlain(keep->implementation_->parser->release()) });
+                                 });
+            });
+}
+
+void http_connection::finish(http_exchange &&result)
+{
+    implementation &self = *implementation_;
+    if (!self.done)
+        return;
+    const exchange_handler done = std::exchange(self.done, nullptr);
+    const bool keepAlive = !result.error && self.buffer.size() == 0
+                           && findHeader(result.response.headers, "Connection") != "close";
+    if (keepAlive) {
+        self.stream.expires_never();
+        watchIdle();
+    } else {
+        close();
+    }
+    done(std::move(result));
+}
+
+void http_connection::onClosedWhileIdle(closed_handler closed)
+{
+    implementation_->closedWhileIdle = std::move(closed);
+}
+
+// A connection that the peer has closed while idle would make the next write's outcome unknown;
+// noticing it here keeps such a connection from being used.
+void http_connection::watchIdle()
+{
+    implementation &self = *implementation_;
+    const std::uint64_t watch = ++self.idleWatch;
+    self.stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [weak = weak_from_this(), watch](const boost::system::error_code &error) {
+                const auto keep = weak.lock();
+                if (!keep || error == boost::asio::error::operation_aborted
+                    || keep->implementation_->idleWatch != watch)
+                    return;
+                keep->close();
+                if (keep->implementation_->closedWhileIdle)
+                    keep->implementation_->closedWhileIdle();
+            });
+}
+
+void http_connection::close()
+{
+    implementation &self = *implementation_;
+    if (!self.open)
+        return;
+    self.open = false;
+    boost::system::error_code ignored;
+    self.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    self.stream.close();
+}
+
+bool http_connection::isOpen() const
+{
+    return implementation_->open;
+}
+
+} // namespace fuchsiagw::net
--- /dev/null
+++ b/tests/unit-http.cpp
@@ -0,0 +1,183 @@
+/// @file
+/// @brief Tests of the HTTP server and client over loopback.
+
+#include <utility>
+
+#include <fuchsiagw/net/channel.hpp>
+#include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/net/http_client.hpp>
+#include <fuchsiagw/net/http_server.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+#include <vector>
+
+using namespace fuchsiagw;
+using namespace std::chrono_literals;
+
+namespace {
+
+net::endpoint loopback(std::uint16_t port)
+{
+    return { boost::asio::ip::make_address("127.0.0.1"), port };
+}
+
+} // namespace
+
+TEST_GROUP(http)
+{
+    boost::asio::io_context context;
+    std::vector<net::connection_number> closed;
+    std::vector<net::http_reply> unanswered;
+
+    void serve(net::http_server & server)
+    {
+        CHECK_FALSE(server.start());
+    }
+
+    net::http_server_options options() const
+    {
+        net::http_server_options result;
+        result.listenAt = loopback(0);
+        result.maxBody = 1024;
+        result.maxConnections = 10;
+        return result;
+    }
+
+    net::http_exchange call(net::http_client & client, std::uint16_t port,
+                            net::http_request request, std::chrono::milliseconds limit)
+    {
+        net::http_exchange outcome;
+        bool finished = false;
+        client.call(loopback(port), request, net::currentTime() + limit,
+                    [&](net::http_exchange &&result) {
+                        outcome = std::move(result);
+                        finished = true;
+                    });
+        while (!finished)
+            context.run_one();
+        return outcome;
+    }
+};
+
+TEST(http, carriesHeadersBodyAndStatusBothWays)
+{
+    net::http_server server(
+            context, options(), [](net::http_request &&request, auto, net::http_reply &&reply) {
+                const std::string header(net::findHeader(request.headers, "x-test"));
+                reply.send({ 201,
+                             { { "X-Back", header } },
+                             request.method + request.target + request.body });
+            });
+    serve(server);
+    net::http_client client(context);
+    const auto result =
+            call(client, server.port(), { "POST", "/a?b=c", { { "X-Test", "1" } }, "body" }, 5s);
+    CHECK_FALSE(result.error);
+    CHECK_TRUE(result.sent);
+    CHECK_EQUAL(201, result.response.status);
+    CHECK_EQUAL(std::string("POST/a?b=cbody"), result.response.body);
+    CHECK_EQUAL(std::string("1"), std::string(net::findHeader(result.response.headers, "x-back")));
+}
+
+// Guards against calling a request sent that never left: its outcome would be reported as unknown.
+TEST(http, refusedConnectionCountsAsNotSent)
+{
+    net::http_client client(context);
+    const auto result = call(client, 1, { "GET", "/", {}, {} }, 5s);
+    CHECK_TRUE(static_cast<bool>(result.error));
+    CHECK_FALSE(result.sent);
+}
+
+// Guards against waiting for ever on a connection that went silent.
+TEST(http, silentServerEndsAtTheDeadlineAsSent)
+{
+    net::http_server server(context, options(), [this](auto &&, auto, net::http_reply &&reply) {
+        unanswered.push_back(std::move(reply));
+    });
+    serve(server);
+    net::http_client client(context);
+    const auto result = call(client, server.port(), { "GET", "/", {}, {} }, 100ms);
+    CHECK_TRUE(result.error == std::errc::timed_out);
+    CHECK_TRUE(result.sent);
+}
+
+// Guards against using a kept connection that the server has closed meanwhile.
+TEST(http, closedIdleConnectionIsNotUsedAgain)
+{
+    int served = 0;
+    net::http_server server(
+            context, options(),
+            [&](auto &&, auto, net::http_reply &&reply) {
+                ++served;
+                reply.send({ 200, {}, "x" }, true);
+            },
+            [this](net::connection_number number) { closed.push_back(number); });
+    serve(server);
+    net::http_client client(context);
+    for (int i = 0; i < 3; ++i)
+        CHECK_EQUAL(200, call(client, server.port(), { "GET", "/", {}, {} }, 5s).response.status);
+    CHECK_EQUAL(3, served);
+    while (closed.size() < 3)
+        context.run_one();
+}
+
+// Guards against two servers on one port, which would split the callers between them.
+TEST(http, reportsAnAddressInUse)
+{
+    net::http_server first(context, options(), [](auto &&, auto, auto &&) {});
+    serve(first);
+    auto taken = options();
+    taken.listenAt = loopback(first.port());
+    net::http_server second(context, taken, [](auto &&, auto, auto &&) {});
+    CHECK_TRUE(static_cast<bool>(second.start()));
+}
+
+TEST_GROUP(channel){};
+
+// Guards against lost, doubled or reordered messages between two threads, and against a ring
+// without a bound.
+TEST(channel, deliversInOrderAndRefusesWhenFull)
+{
+    boost::asio::io_context consumer;
+    std::vector<int> received;
+    net::channel<std::unique_ptr<int>> channel(
+            consumer, 8, [&](std::unique_ptr<int> &value) { received.push_back(*value); });
+    constexpr int count = 10000;
+    auto work = boost::asio::make_work_guard(consumer);
+    std::thread producer([&] {
+        for (int i = 0; i < count; ++i) {
+            auto value = std::make_unique<int>(i);
+            while (!channel.push(std::move(value)))
+                std::this_thread::yield();
+        }
+        boost::asio::post(consumer, [&work] { work.reset(); });
+    });
+    consumer.run();
+    producer.join();
+    CHECK_EQUAL(count, static_cast<int>(received.size()));
+    for (int i = 0; i < count; ++i)
+        CHECK_EQUAL(i, received[static_cast<std::size_t>(i)]);
+
+    boost::asio::io_context stopped;
+    net::channel<int> full(stopped, 2, [](int &) {});
+    CHECK_TRUE(full.push(1));
+    CHECK_TRUE(full.push(2));
+    CHECK_FALSE(full.push(3));
+}
+
+TEST_GROUP(endpoint){};
+
+// Guards against a settings mistake that is only noticed when the first connection fails.
+TEST(endpoint, acceptsNumbersOnly)
+{
+    net::endpoint value;
+    CHECK_FALSE(net::parseEndpoint("127.0.0.1:80", value));
+    CHECK_EQUAL(std::string("127.0.0.1:80"), net::toString(value));
+    CHECK_FALSE(net::parseEndpoint("[::1]:8080", value));
+    CHECK_EQUAL(std::string("[::1]:8080"), net::toString(value));
+    for (const char *wrong : { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536",
+                               "::1:80", "1.2.3.4:8x" })
+        CHECK_TRUE(static_cast<bool>(net::parseEndpoint(wrong, value)));
+}
