Add sessions, their tokens, key checks and the configuration's JSON form

Cause: the daemon needs these before it can accept a caller's request.

A session keeps 16 groups. Beyond that the least recently written group is dropped and the session is marked as partial, so that reads of any group without an entry go to the primary. A merge treats a dropped position as greater than any known one. A token of 16 groups with names of 63 characters has 1,840 characters.

The configuration gains retired keys, so that the key of a withdrawn workspace can't become valid again, and findProblem(), which checks every stated invariant. JSON documents are read strictly: repeated names, unknown fields and wrong types are refused with the path of the field.

A key check without a freshness proof refuses unknown keys as unproven, because the key may have been issued since; a withdrawn key is refused without a proof.

Ruled out: positions as variable-length integers, which save 12 bytes per group at most but make the bound on the token harder to state.

--- a/include/fuchsiagw/core/configuration.hpp
+++ b/include/fuchsiagw/core/configuration.hpp
@@ -17,6 +17,12 @@
 
 using configuration_version = std::uint64_t;
 
+/// Bound on the length of every name in the configuration; a session token relies on it.
+inline constexpr std::size_t maxNameLength = 63;
+
+/// Characters of a key hash.
+inline constexpr std::size_t keyHashLength = 64;
+
 /// BLAKE2b-256 of a caller's key in lower-case hexadecimal; the key itself is never kept.
 using key_hash = std::string;
 
@@ -40,7 +46,7 @@
 {
     double rate = 0; ///< statements per second over all instances together
     double burst = 0; ///< statements
-    std::vector<group_id> groups; ///< groups that it may use
+    std::vector<group_id> groups; ///< groups that it may use; ascending, each once
     std::map<std::string, read_class> readClasses;
     std::map<key_hash, key_state> keys; ///< a withdrawn key never becomes valid again
 
@@ -85,6 +91,8 @@
     std::map<workspace_id, workspace_settings> workspaces;
     std::map<group_id, group_settings> groups;
     std::map<automatic_action, bool> switches; ///< missing: on
+    std::map<key_hash, workspace_id> retiredKeys; ///< keys of workspaces that no longer exist;
+                                                  ///< never valid again
 
     friend bool operator==(const configuration &, const configuration &) = default;
 };
@@ -93,4 +101,18 @@
 /// @complexity logarithmic in the number of switches
 [[nodiscard]] bool isAutomatic(const configuration &config, automatic_action action);
 
+/// @brief Tells whether @p text may name a workspace, group, member, zone or read class: 1 to
+/// maxNameLength letters, digits, '-', '_' or '.'.
+/// @complexity linear in the size of @p text
+[[nodiscard]] bool isName(std::string_view text);
+
+/// @return whether @p text has the form of a key hash
+/// @complexity linear in the size of @p text
+[[nodiscard]] bool isKeyHash(std::string_view text);
+
+/// @brief Checks every invariant that a configuration states.
+/// @return the first problem with the path of its field; empty if there is none
+/// @complexity linear in the size of the configuration, times the logarithm of its keys
+[[nodiscard]] std::string findProblem(const configuration &config);
+
 } // namespace fuchsiagw::core
--- /dev/null
+++ b/include/fuchsiagw/detail/strict_json.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// @brief Reads JSON documents of operators strictly, with problems that name the field's path.
+
+#pragma once
+
+#include <fuchsiagw/core/error_kind.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace fuchsiagw::detail {
+
+/// The first problem of a document.
+struct json_problem
+{
+    std::error_code error;
+    std::string text; ///< path of the field, then what is wrong with it
+
+    [[nodiscard]] bool exists() const { return static_cast<bool>(error); }
+    /// Keeps the first problem only.
+    void set(core::error_kind kind, const std::string &path, const std::string &what);
+};
+
+/// @brief Parses one JSON document of at most 1 MiB without repeated names in an object.
+/// @return whether it succeeded; otherwise @p problem is set
+/// @complexity linear in the size of @p text
+bool parseStrict(std::string_view text, nlohmann::json &document, json_problem &problem);
+
+/// Reads the fields of one object. Every name that is not asked for is an unknown field.
+class object_reader
+{
+public:
+    object_reader(const nlohmann::json &value, std::string path, json_problem &problem);
+
+    /// @return the field, or nullptr if it is missing
+    [[nodiscard]] const nlohmann::json *find(std::string_view name);
+    /// @return the field, or nullptr after a problem
+    [[nodiscard]] const nlohmann::json *require(std::string_view name);
+
+    void text(std::string_view name, std::string &out);
+    void number(std::string_view name, double &out);
+    void integer(std::string_view name, std::uint64_t &out);
+    void integer(std::string_view name, std::uint32_t &out);
+    void boolean(std::string_view name, bool &out);
+    /// Calls @p each with the name, value and path of every field of a required object.
+    void objectOf(std::string_view name,
+                  const std::function<void(const std::string &, const nlohmann::json &,
+                                           const std::string &)> &each);
+    /// Calls @p each with the value and path of every element of a required array.
+    void arrayOf(std::string_view name,
+                 const std::function<void(const nlohmann::json &, const std::string &)> &each);
+
+    [[nodiscard]] std::string pathOf(std::string_view name) const;
+    /// Refuses every field that was not asked for.
+    void finish();
+
+private:
+    const nlohmann::json &mValue;
+    std::string mPath;
+    json_problem &mProblem;
+    std::set<std::string, std::less<>> mKnown;
+};
+
+} // namespace fuchsiagw::detail
--- /dev/null
+++ b/src/core/freshness.cpp
@@ -0,0 +1,56 @@
+/// @file
+/// @brief Freshness proofs.
+
+#include <fuchsiagw/core/freshness.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::core {
+
+void addProof(freshness &state, const freshness_proof &proof)
+{
+    freshness_proof &target = proof.version <= state.held ? state.usable : state.pending;
+    if (proof.at > target.at)
+        target = proof;
+}
+
+void setHeld(freshness &state, configuration_version version)
+{
+    assert(version >= state.held);
+    state.held = version;
+    if (state.pending.source != proof_source::None && state.pending.version <= version) {
+        if (state.pending.at > state.usable.at)
+            state.usable = state.pending;
+        state.pending = {};
+    }
+}
+
+void provePlatform(freshness &state, configuration_version version, time_point sentAt)
+{
+    addProof(state, { version, sentAt, proof_source::Platform });
+}
+
+void provePeer(freshness &state, configuration_version version, duration age, time_point sentAt)
+{
+    addProof(state, { version, sentAt - std::max(age, duration::zero()), proof_source::Peer });
+}
+
+void proveOperator(freshness &state, configuration_version version, time_point issuedAt)
+{
+    addProof(state, { version, issuedAt, proof_source::Operator });
+}
+
+time_point provenUntil(const freshness &state)
+{
+    if (state.held == 0 || state.usable.source == proof_source::None)
+        return time_point::min();
+    return state.usable.at + std::clamp(state.unprovenWait, minUnprovenWait, maxUnprovenWait);
+}
+
+bool isProven(const freshness &state, time_point now)
+{
+    return now < provenUntil(state);
+}
+
+} // namespace fuchsiagw::core
