Add group view, routing, exchanges and acknowledgement

Cause: the daemon needs the decisions about upstream groups as free functions over plain structs.

Ruled out: using the samples of a primary for read ages as soon as they arrive; a deposed primary that an owner can still reach would make replicas look young, so samples count only once a majority has answered under the primary's term. Reporting `not_run` for a statement whose last attempt was refused while an earlier one got no answer; the earlier one may have run.

--- /dev/null
+++ b/src/core/acknowledgement.cpp
@@ -0,0 +1,147 @@
+/// @file
+/// @brief When a write is acknowledged, and how an owner waits for that.
+
+#include <fuchsiagw/core/acknowledgement.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+/// Weight of a new value in the smoothed confirmation delay is 1 / smoothing.
+constexpr int smoothing = 8;
+
+bool isHeldByMajority(const group_view &view, term_number term, log_position position)
+{
+    const auto holders =
+            std::count_if(view.members.begin(), view.members.end(), [&](const auto &each) {
+                return holdsWrite(each.second, term, position);
+            });
+    return static_cast<std::size_t>(holders) >= majorityOf(view.members.size());
+}
+
+void learnDelay(pending_writes &pending, duration delay, time_point now)
+{
+    pending.confirmDelay =
+            pending.confirmDelayKnown
+                    ? pending.confirmDelay + (delay - pending.confirmDelay) / smoothing
+                    : delay;
+    pending.confirmDelayKnown = true;
+    pending.lastConfirmed = now;
+}
+
+std::optional<write_fate> fateOf(const pending_write &write, const group_view &view,
+                                 acknowledgement_policy policy, time_point now)
+{
+    if (acknowledgementOf(policy, view, write.term, write.position, now))
+        return write_fate::Acknowledged;
+    if (now >= write.deadline)
+        return write_fate::Expired;
+    if (view.highestTerm > write.term && view.primary)
+        return write_fate::Superseded;
+    return std::nullopt;
+}
+
+} // namespace
+
+bool holdsWrite(const member_view &member, term_number term, log_position position)
+{
+    if (member.acceptedTerm != term)
+        return false;
+    if (position.term == term)
+        return member.last >= position;
+    return position.term < term && member.last.term == term;
+}
+
+bool acknowledgementOf(acknowledgement_policy policy, const group_view &view, term_number term,
+                       log_position position, time_point now)
+{
+    switch (policy) {
+    case acknowledgement_policy::Majority:
+        return isHeldByMajority(view, term, position);
+    case acknowledgement_policy::Lease:
+        return view.highestTerm == term && now < view.leaseUntil;
+    case acknowledgement_policy::KnownPosition:
+        return view.highestTerm == term;
+    }
+    return false;
+}
+
+void addPendingWrite(pending_writes &pending, const pending_write &write)
+{
+    pending.writes.push_back(write);
+}
+
+std::vector<wait_request> openWaits(pending_writes &pending, const group_view &view, time_point now)
+{
+    std::vector<wait_request> opened;
+    std::erase_if(pending.openWaits, [now](const auto &each) { return now >= each.second; });
+    if (!view.primary)
+        return opened;
+    for (const auto &[id, member] : view.members) {
+        // A member under another term can't confirm, and the failover makes it follow first.
+        if (id == *view.primary || member.acceptedTerm != view.highestTerm
+            || pending.openWaits.contains(id))
+            continue;
+        std::optional<log_position> wanted;
+        for (const pending_write &each : pending.writes) {
+            if (each.term != view.highestTerm || holdsWrite(member, each.term, each.position))
+                continue;
+            if (!wanted || each.position < *wanted)
+                wanted = each.position;
+        }
+        if (!wanted)
+            continue;
+        // An entry of an earlier term is confirmed by any later entry of the term.
+        const log_position position{ view.highestTerm, wanted->index };
+        const time_point deadline = now + waitHeld + waitMargin;
+        pending.openWaits[id] = deadline;
+        opened.push_back({ id, position, waitHeld, deadline });
+    }
+    return opened;
+}
+
+void onWaitEnded(pending_writes &pending, const member_id &member)
+{
+    pending.openWaits.erase(member);
+}
+
+std::vector<settled_write> settleWrites(pending_writes &pending, group_view &view,
+                                        acknowledgement_policy policy, time_point now)
+{
+    std::vector<settled_write> settled;
+    std::erase_if(pending.writes, [&](const pending_write &each) {
+        const std::optional<write_fate> fate = fateOf(each, view, policy, now);
+        if (!fate)
+            return false;
+        settled.push_back({ each.number, *fate, each.position });
+        if (*fate == write_fate::Acknowledged) {
+            learnDelay(pending, now - each.since, now);
+            view.highestAcknowledged = std::max(view.highestAcknowledged, each.position);
+        }
+        return true;
+    });
+    return settled;
+}
+
+time_point nextExpiry(const pending_writes &pending)
+{
+    time_point earliest = noDeadline;
+    for (const pending_write &each : pending.writes)
+        earliest = std::min(earliest, each.deadline);
+    return earliest;
+}
+
+time_point oldestUnconfirmed(const pending_writes &pending, term_number term)
+{
+    time_point oldest = noDeadline;
+    for (const pending_write &each : pending.writes) {
+        if (each.term == term)
+            oldest = std::min(oldest, each.since);
+    }
+    return oldest;
+}
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,232 @@
+/// @file
+/// @brief Where a statement goes, and whether the answer may be given to the caller.
+
+#include <fuchsiagw/core/routing.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+/// A replica that may serve the read, with what it is compared by.
+struct ranked_replica
+{
+    std::size_t candidate = 0; ///< index in route_decision::candidates
+    bool isFull = false;
+    bool isOtherZone = false;
+    std::uint32_t load = 0; ///< work in flight; the slots are the same for all members
+    bool needsConnection = false;
+    std::uint64_t draw = 0;
+
+    [[nodiscard]] auto key() const
+    {
+        // Among full members a shorter queue saves more than the way to another zone costs.
+        return std::tuple(isFull, isFull ? load : 0, isOtherZone, load, needsConnection, draw);
+    }
+};
+
+bool mayUseReplica(const routing_request &request)
+{
+    return request.kind == statement_kind::Read && request.maxAge && !request.sessionUnusable
+           && !request.primaryOnly;
+}
+
+/// @return Chosen if nothing speaks against new work for the member
+pass_reason checkMember(const member_view &member, time_point now)
+{
+    if (member.leaving)
+        return pass_reason::Leaving;
+    if (member.catchUp)
+        return pass_reason::FarBehind;
+    if (isBackedOff(member.pause, now))
+        return pass_reason::BackedOff;
+    return pass_reason::Chosen;
+}
+
+pass_reason checkReplica(const group_view &view, const member_view &member,
+                         const routing_request &request, time_point now)
+{
+    if (const pass_reason reason = checkMember(member, now); reason != pass_reason::Chosen)
+        return reason;
+    if (member.lastHeard == time_point::min())
+        return pass_reason::NeverHeard;
+    if (member.acceptedTerm != view.highestTerm)
+        return pass_reason::OtherTerm;
+    if (member.applied < request.atLeast)
+        return pass_reason::PositionBehind;
+    const std::optional<duration> age = ageOf(view.ages, member.applied, now);
+    if (!age)
+        return pass_reason::AgeUnknown;
+    return *age > *request.maxAge ? pass_reason::TooOld : pass_reason::Chosen;
+}
+
+/// @return why @p other comes after @p best
+pass_reason compareReplicas(const ranked_replica &best, const ranked_replica &other)
+{
+    if (best.isFull != other.isFull)
+        return pass_reason::NoFreeSlot;
+    if (other.isFull && best.load != other.load)
+        return pass_reason::MoreLoaded;
+    if (best.isOtherZone != other.isOtherZone)
+        return pass_reason::OtherZone;
+    if (best.load != other.load)
+        return pass_reason::MoreLoaded;
+    return best.needsConnection != other.needsConnection ? pass_reason::NewConnection
+                                                         : pass_reason::Tie;
+}
+
+/// @return whether a replica was chosen
+bool chooseReplica(const group_view &view, const routing_request &request, time_point now,
+                   random_engine &random, route_decision &decision)
+{
+    std::vector<ranked_replica> allowed;
+    bool ownZoneIsAllowed = false;
+    for (const auto &[id, member] : view.members) {
+        if (view.primary == id) {
+            decision.candidates.push_back({ id, pass_reason::IsPrimary });
+            continue;
+        }
+        const pass_reason reason = checkReplica(view, member, request, now);
+        decision.candidates.push_back({ id, reason });
+        if (reason != pass_reason::Chosen)
+            continue;
+        ranked_replica each;
+        each.candidate = decision.candidates.size() - 1;
+        each.isFull = member.inFlight >= view.slots;
+        each.isOtherZone = member.zone != request.zone;
+        each.load = member.inFlight;
+        each.needsConnection = member.openConnections <= member.inFlight;
+        each.draw = random();
+        ownZoneIsAllowed = ownZoneIsAllowed || !each.isOtherZone;
+        allowed.push_back(each);
+    }
+    if (allowed.empty())
+        return false;
+    const auto best = std::min_element(
+            allowed.begin(), allowed.end(),
+            [](const auto &left, const auto &right) { return left.key() < right.key(); });
+    for (const ranked_replica &each : allowed) {
+        if (each.candidate != best->candidate)
+            decision.candidates[each.candidate].reason = compareReplicas(*best, each);
+    }
+    decision.member = decision.candidates[best->candidate].member;
+    decision.fromReplica = true;
+    decision.reason = !best->isOtherZone ? route_reason::OwnZone
+                      : ownZoneIsAllowed ? route_reason::LessLoaded
+                                         : route_reason::OtherZone;
+    return true;
+}
+
+void choosePrimary(const group_view &view, time_point now, route_reason reason,
+                   route_decision &decision)
+{
+    const member_view *primary = findPrimary(view);
+    const pass_reason checked =
+            primary == nullptr ? pass_reason::NotPrimary : checkMember(*primary, now);
+    if (decision.candidates.empty()) {
+        for (const auto &[id, member] : view.members)
+            decision.candidates.push_back({ id, pass_reason::NotPrimary });
+    }
+    for (route_candidate &each : decision.candidates) {
+        if (primary != nullptr && view.primary == each.member)
+            each.reason = checked;
+    }
+    if (primary != nullptr && checked == pass_reason::Chosen) {
+        decision.member = view.primary;
+        decision.reason = reason;
+    } else {
+        decision.reason = reason == route_reason::NoReplicaFits ? route_reason::NoMember
+                                                                : route_reason::NoPrimary;
+    }
+}
+
+} // namespace
+
+std::string_view toString(route_reason reason)
+{
+    return routeReasonNames.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view toString(pass_reason reason)
+{
+    return passReasonNames.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view toString(answer_verdict verdict)
+{
+    return answerVerdictNames.at(static_cast<std::size_t>(verdict));
+}
+
+routing_request routingRequestOf(const statement_request &statement, std::optional<duration> maxAge,
+                                 const zone_name &zone)
+{
+    routing_request request;
+    request.kind = statement.kind;
+    request.maxAge = maxAge;
+    request.atLeast = statement.atLeast;
+    request.sessionUnusable = statement.sessionUnusable;
+    request.zone = zone;
+    return request;
+}
+
+route_decision routeStatement(const group_view &view, const routing_request &request,
+                              time_point now, random_engine &random)
+{
+    route_decision decision;
+    decision.term = view.highestTerm;
+    decision.candidates.reserve(view.members.size());
+    if (mayUseReplica(request)) {
+        if (!chooseReplica(view, request, now, random, decision))
+            choosePrimary(view, now, route_reason::NoReplicaFits, decision);
+    } else {
+        choosePrimary(view, now,
+                      request.sessionUnusable ? route_reason::SessionUnusable
+                                              : route_reason::PrimaryRequired,
+                      decision);
+    }
+    assert(std::count_if(decision.candidates.begin(), decision.candidates.end(),
+                         [](const auto &each) { return each.reason == pass_reason::Chosen; })
+           == (decision.member ? 1 : 0));
+    return decision;
+}
+
+answer_verdict checkAnswer(const group_view &view, const routing_request &request,
+                           const request_id &sent, const execute_answer &answer, bool fromReplica,
+                           time_point now)
+{
+    if (answer.id != sent)
+        return answer_verdict::Drop;
+    if (answer.applied < request.atLeast)
+        return answer_verdict::AskPrimaryPosition;
+    if (!fromReplica)
+        return answer_verdict::Accept;
+    const std::optional<duration> age = ageOf(view.ages, answer.applied, now);
+    const bool isYoung = age && request.maxAge && *age <= *request.maxAge;
+    return isYoung ? answer_verdict::Accept : answer_verdict::AskPrimaryAge;
+}
+
+std::string describe(const route_decision &decision)
+{
+    std::string text = "member=";
+    text += decision.member ? decision.member->value : "none";
+    text += " reason=";
+    text += toString(decision.reason);
+    text += " term=" + std::to_string(decision.term) + " passed=";
+    bool isFirst = true;
+    for (const route_candidate &each : decision.candidates) {
+        if (each.reason == pass_reason::Chosen)
+            continue;
+        if (!isFirst)
+            text += ',';
+        isFirst = false;
+        text += each.member.value;
+        text += ':';
+        text += toString(each.reason);
+    }
+    return isFirst ? text + "none" : text;
+}
+
+} // namespace fuchsiagw::core
