Add the owner of a group: queue, connections, transactions and confirmation

Cause: the decisions on routing, exchanges, acknowledgement and queueing need one place that gives each statement its connection and its final answer.

Ruled out: sending statements of a transaction through the queue (they already hold a connection), and taking statements out of the queue for members that have no free connection, which would defeat the queue's order.

Conclusion: a statement ends with exactly one answer; a connection with an unknown fate is closed.

--- /dev/null
+++ b/include/fuchsiagw/core/owner_action.hpp
@@ -0,0 +1,129 @@
+/// @file
+/// @brief What the owner of a group asks its surroundings to do.
+
+#pragma once
+
+#include <fuchsiagw/core/connection_pool.hpp>
+#include <fuchsiagw/core/ids.hpp>
+#include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/member_protocol.hpp>
+#include <fuchsiagw/core/routing.hpp>
+#include <fuchsiagw/core/statement.hpp>
+#include <fuchsiagw/core/time.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace fuchsiagw::core {
+
+/// Open a data connection; report onConnected() until the deadline.
+struct open_connection
+{
+    connection_id id = 0;
+    member_id member;
+    std::string address;
+    time_point deadline;
+};
+
+/// Send a statement on an open connection; report onExecuted() until the deadline.
+struct send_statement
+{
+    connection_id id = 0;
+    execute_request request;
+    time_point deadline;
+};
+
+struct close_connection
+{
+    connection_id id = 0;
+};
+
+enum class control_kind : std::uint8_t {
+    Status,
+    Wait,
+    AcceptTerm,
+    Lead,
+    Follow,
+};
+
+inline constexpr std::array<std::string_view, 5> controlKindNames{ "status", "wait", "accept_term",
+                                                                   "lead", "follow" };
+
+/// Send a control request to a member; report onControlAnswer() until the deadline.
+struct control_call
+{
+    std::uint64_t number = 0;
+    control_kind kind = control_kind::Status;
+    member_id member;
+    std::string address;
+    log_position position; ///< Wait: what is waited for; otherwise `term` is the term
+    duration held{ 0 }; ///< Wait: how long the member may hold the answer back
+    member_id primary; ///< Follow: whose log is copied
+    std::string primaryAddress;
+    time_point sentAt;
+    time_point deadline;
+};
+
+/// A statement has its final answer.
+struct statement_done
+{
+    std::uint64_t handle = 0;
+    statement_answer answer;
+};
+
+/// One line for each routing decision.
+struct route_decided
+{
+    std::uint64_t handle = 0;
+    request_id request;
+    workspace_id workspace;
+    statement_kind kind = statement_kind::Read;
+    route_decision decision;
+};
+
+/// Events that deserve a log line of their own.
+enum class owner_event : std::uint8_t {
+    PromotionStarted,
+    PromotionEnded,
+    PrimaryChanged,
+    MemberFailed,
+    ForeignAnswer,
+    ConnectionLimit,
+};
+
+inline constexpr std::array<std::string_view, 6> ownerEventNames{
+    "promotion_started", "promotion_ended", "primary_changed",
+    "member_failed",     "foreign_answer",  "connection_limit",
+};
+
+struct owner_notice
+{
+    owner_event event = owner_event::MemberFailed;
+    member_id member;
+    term_number term = 0;
+    std::string_view detail; ///< from a table of names
+};
+
+/// Tell the owners of the group in other zones what this one knows.
+struct publish_to_owners
+{
+    published_view view;
+};
+
+/// Write the advisory claim `promotion/<group>`; promotion goes on without it.
+struct claim_promotion
+{
+    term_number term = 0;
+};
+
+using owner_action = std::variant<open_connection, send_statement, close_connection, control_call,
+                                  statement_done, route_decided, owner_notice, publish_to_owners,
+                                  claim_promotion>;
+
+using owner_actions = std::vector<owner_action>;
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/include/fuchsiagw/detail/owner_steps.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// @brief Steps shared by the source files of group_owner. For the core package only.
+
+#pragma once
+
+#include <fuchsiagw/core/group_owner.hpp>
+
+namespace fuchsiagw::detail {
+
+/// What every step of an owner needs.
+struct owner_turn
+{
+    core::group_owner &owner;
+    core::time_point now;
+    core::random_engine &random;
+    core::owner_actions &actions;
+};
+
+/// @brief Routes a statement that has no place and gives it one.
+void route(owner_turn &turn, std::uint64_t handle);
+
+/// @brief Sends a statement on an open connection.
+void send(owner_turn &turn, std::uint64_t handle, core::connection_id id);
+
+/// @brief Does what an exchange asks for after an event.
+void follow(owner_turn &turn, std::uint64_t handle, const core::exchange_action &action);
+
+/// @brief Gives the final answer and forgets the statement.
+void finish(owner_turn &turn, std::uint64_t handle, core::statement_answer answer);
+
+/// @brief Ends a statement with an error.
+void fail(owner_turn &turn, std::uint64_t handle, core::error_kind error, std::string problem = {});
+
+/// @brief Takes a statement out of the place where it waits.
+void leavePlace(owner_turn &turn, std::uint64_t handle);
+
+/// @brief Gives a connection that has become free to the next statement.
+void release(owner_turn &turn, core::connection_id id);
+
+/// @brief Counts the exchange on a connection as ended; the member may have left the configuration.
+void leaveMember(core::group_owner &owner, const core::pooled_connection &connection);
+
+/// @brief Closes a connection and forgets it.
+void drop(owner_turn &turn, core::connection_id id);
+
+/// @brief Starts waiting statements as long as there are connections for them.
+void pump(owner_turn &turn);
+
+/// @brief Opens the waits that the pending writes need and ends those that are settled.
+void settle(owner_turn &turn);
+
+/// @brief Starts a statement of an open transaction on the transaction's connection.
+void startInTransaction(owner_turn &turn, std::uint64_t handle);
+
+/// @brief Takes in the end of a statement of a transaction, or of a begin.
+/// @return the transaction's number if it goes on
+std::optional<std::uint64_t> endInTransaction(owner_turn &turn,
+                                              const core::owned_statement &statement,
+                                              core::connection_id id, bool succeeded);
+
+/// @brief Rolls back transactions whose caller has been silent for too long.
+void endIdleTransactions(owner_turn &turn);
+
+} // namespace fuchsiagw::detail
--- /dev/null
+++ b/src/core/owner_transaction.cpp
@@ -0,0 +1,110 @@
+/// @file
+/// @brief Transactions of an owner: each stays on one connection and ends with it.
+
+#include <fuchsiagw/core/group_owner.hpp>
+#include <fuchsiagw/detail/owner_steps.hpp>
+
+#include <cassert>
+
+namespace fuchsiagw::detail {
+
+using namespace core;
+
+namespace {
+
+/// Begin and end of transactions change who holds a connection.
+bool startsTransaction(const statement_request &request)
+{
+    return request.kind == statement_kind::Begin;
+}
+
+bool endsTransaction(const statement_request &request)
+{
+    return request.kind == statement_kind::Commit || request.kind == statement_kind::Rollback;
+}
+
+} // namespace
+
+void startInTransaction(owner_turn &turn, std::uint64_t handle)
+{
+    group_owner &owner = turn.owner;
+    owned_statement &statement = owner.statements.at(handle);
+    const transaction_id id = *statement.request.transaction;
+    const auto entry = owner.transactions.find(id.number);
+    if (id.owner != owner.incarnation || entry == owner.transactions.end()) {
+        fail(turn, handle, error_kind::TransactionUnknown);
+        return;
+    }
+    owned_transaction &transaction = entry->second;
+    if (transaction.workspace != statement.request.workspace) {
+        fail(turn, handle, error_kind::TransactionForeign);
+        return;
+    }
+    if (transaction.isBusy) {
+        fail(turn, handle, error_kind::TransactionBusy);
+        return;
+    }
+    transaction.isBusy = true;
+    // The transaction was begun under this term; a member that has accepted another one refuses.
+    statement.route.member = transaction.member;
+    statement.route.reason = route_reason::PrimaryRequired;
+    statement.route.term = transaction.term;
+    statement.route.fromReplica = false;
+    turn.actions.emplace_back(route_decided{ handle, statement.request.id,
+                                             statement.request.workspace, statement.request.kind,
+                                             statement.route });
+    send(turn, handle, transaction.connection);
+}
+
+std::optional<std::uint64_t> endInTransaction(owner_turn &turn, const owned_statement &statement,
+                                              connection_id id, bool succeeded)
+{
+    group_owner &owner = turn.owner;
+    const auto connection = owner.pool.connections.find(id);
+    if (connection == owner.pool.connections.end())
+        return std::nullopt;
+    const time_point idleUntil = turn.now + owner.limits.transactionIdle;
+    if (startsTransaction(statement.request)) {
+        if (!succeeded)
+            return std::nullopt;
+        const std::uint64_t number = owner.nextTransaction++;
+        owner.transactions[number] = {
+            statement.request.workspace, id,    connection->second.member,
+            statement.progress.term,     false, idleUntil
+        };
+        connection->second.transaction = number;
+    }
+    const std::uint64_t number = connection->second.transaction;
+    const auto transaction = owner.transactions.find(number);
+    if (transaction == owner.transactions.end())
+        return std::nullopt;
+    const bool goesOn = succeeded && !endsTransaction(statement.request);
+    if (!goesOn) {
+        owner.transactions.erase(transaction);
+        connection->second.transaction = 0;
+        // What is left of a transaction that failed is rolled back with its connection.
+        if (!succeeded)
+            drop(turn, id);
+        return std::nullopt;
+    }
+    assert(transaction->second.connection == id);
+    transaction->second.isBusy = false;
+    transaction->second.idleUntil = idleUntil;
+    leaveMember(owner, connection->second);
+    connection->second.state = connection_state::Reserved;
+    connection->second.statement = 0;
+    return number;
+}
+
+void endIdleTransactions(owner_turn &turn)
+{
+    std::vector<connection_id> overdue;
+    for (const auto &[number, transaction] : turn.owner.transactions) {
+        if (!transaction.isBusy && transaction.idleUntil <= turn.now)
+            overdue.push_back(transaction.connection);
+    }
+    for (const connection_id id : overdue)
+        drop(turn, id);
+}
+
+} // namespace fuchsiagw::detail
