Add the stand-in for a database group and the platform's model

Tests and the demo need a group that misbehaves on request: stopped or isolated members, silent connections, swapped, late and lost answers. The product's server answers each request once and in order on its connection, so the stand-ins have a small server of their own on Boost.Beast that can leave a request unanswered and come back on the same port.

The group's connections are counted over all members; the excess gets status refused with 503. During `isolate_callers` requests, answers and closed connections are held and delivered in order afterwards, as TCP does when a partition heals.

The fields that several messages share move to detail/member_fields.hpp.

Not covered by a test yet: the stand-in's ports and faults.

--- a/include/fuchsiagw/detail/json_value.hpp
+++ b/include/fuchsiagw/detail/json_value.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -52,12 +53,14 @@
         if (error)
             return;
         const auto found = object.find(name);
-        if (found == object.end()) {
+        if (found != object.end()) {
+            ++known;
+            error = json_value<type>::read(*found, value);
+        } else if constexpr (requires { value.reset(); }) {
+            value.reset();
+        } else {
             error = core::error_kind::MissingField;
-            return;
         }
-        ++known;
-        error = json_value<type>::read(*found, value);
     }
 
     /// @return the first error, or UnknownField if the object has more fields than were read
@@ -81,6 +84,10 @@
     template <typename type>
     void operator()(const char *name, const type &value)
     {
+        if constexpr (requires { value.has_value(); }) {
+            if (!value.has_value())
+                return;
+        }
         object[name] = json_value<type>::write(value);
     }
 
@@ -171,6 +178,20 @@
     static nlohmann::json write(const core::named_id<tag> &value) { return value.value; }
 };
 
+/// A field of this type may be missing; `null` has the wrong type.
+template <typename item>
+struct json_value<std::optional<item>>
+{
+    static std::error_code read(const nlohmann::json &source, std::optional<item> &value)
+    {
+        return json_value<item>::read(source, value.emplace());
+    }
+    static nlohmann::json write(const std::optional<item> &value)
+    {
+        return json_value<item>::write(*value);
+    }
+};
+
 /// 32 hexadecimal digits.
 template <>
 struct json_value<core::request_id>
@@ -221,7 +242,8 @@
                                                   nlohmann::json::error_handler_t::replace);
 }
 
-/// @brief Parses a message; every listed field must be there exactly once and no other.
+/// @brief Parses a message; every listed field must be there exactly once and no other;
+/// a std::optional may be missing.
 /// @param value unchanged on error
 /// @complexity linear in the size of @p text
 template <typename message>
--- /dev/null
+++ b/include/fuchsiagw/testing/fault_server.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// @brief An HTTP server that tests can make misbehave per connection.
+///
+/// The product's server answers each request once and keeps its connections in order. A stand-in
+/// must also leave requests unanswered for ever, give the answer of one connection to another, and
+/// go away and come back on the same port.
+
+#pragma once
+
+#include <fuchsiagw/net/endpoint.hpp>
+#include <fuchsiagw/net/http_message.hpp>
+#include <fuchsiagw/testing/connection_number.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace fuchsiagw::testing {
+
+/// Lives on one context's thread. A connection has at most one request in progress; the next one
+/// is read after answer().
+class fault_server
+{
+public:
+    using request_handler = std::function<void(net::http_request &&, connection_number)>;
+    using closed_handler = std::function<void(connection_number)>;
+
+    /// @param listenAt port 0: the kernel chooses, and start() keeps this port from then on
+    /// @param onClosed called once for each connection, whichever side closed it
+    fault_server(boost::asio::io_context &context, net::endpoint listenAt,
+                 request_handler onRequest, closed_handler onClosed);
+    ~fault_server();
+    fault_server(const fault_server &) = delete;
+    fault_server &operator=(const fault_server &) = delete;
+
+    /// @brief Binds and accepts.
+    /// @return the system's error if the address can't be bound
+    [[nodiscard]] std::error_code start();
+
+    /// @brief Closes all connections and refuses new ones until start().
+    void stop();
+
+    /// @return the address that start() bound
+    [[nodiscard]] net::endpoint address() const;
+
+    /// @brief Answers the connection's request; does nothing if it has none or is closed.
+    void answer(connection_number connection, const net::http_response &response);
+
+    void close(connection_number connection);
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace fuchsiagw::testing
--- a/include/fuchsiagw/testing/member_model.hpp
+++ b/include/fuchsiagw/testing/member_model.hpp
@@ -9,8 +9,8 @@
 
 #include <fuchsiagw/core/member_protocol.hpp>
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/testing/connection_number.hpp>
 
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,8 +19,6 @@
 
 namespace fuchsiagw::testing {
 
-using connection_number = std::uint64_t;
-
 /// A committed write, a committed transaction, or the first entry of a term, which has no changes.
 struct log_entry
 {
--- a/src/wire/member_json.cpp
+++ b/src/wire/member_json.cpp
@@ -3,7 +3,7 @@
 
 #include <fuchsiagw/wire/member_json.hpp>
 
-#include <fuchsiagw/detail/json_value.hpp>
+#include <fuchsiagw/detail/member_fields.hpp>
 
 #include <array>
 #include <charconv>
@@ -11,51 +11,6 @@
 
 namespace fuchsiagw::detail {
 
-template <>
-struct json_names<core::member_role>
-{
-    static constexpr const auto &table = core::memberRoleNames;
-};
-
-template <>
-struct json_names<core::statement_kind>
-{
-    static constexpr const auto &table = core::statementKindNames;
-};
-
-template <>
-struct json_names<core::execute_status>
-{
-    static constexpr const auto &table = core::executeStatusNames;
-};
-
-template <>
-struct json_fields<core::log_position>
-{
-    template <typename archive, typename record>
-    static void visit(archive &ar, record &position)
-    {
-        ar("term", position.term);
-        ar("index", position.index);
-    }
-};
-
-template <>
-struct json_fields<core::member_status>
-{
-    template <typename archive, typename record>
-    static void visit(archive &ar, record &status)
-    {
-        ar("member", status.member);
-        ar("group", status.group);
-        ar("role", status.role);
-        ar("term", status.term);
-        ar("last", status.last);
-        ar("applied", status.applied);
-        ar("leaving", status.leaving);
-    }
-};
-
 template <>
 struct json_fields<core::execute_request>
 {
--- /dev/null
+++ b/testing/fault_server.cpp
@@ -0,0 +1,223 @@
+/// @file
+/// @brief The stand-ins' server on Boost.Beast.
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fuchsiagw/testing/fault_server.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace fuchsiagw::testing {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::uint64_t maxBody = 16 * 1024 * 1024; // bytes
+
+/// One connection. `exchange` counts its requests, so that an outdated watch can be told apart.
+struct session
+{
+    explicit session(tcp::socket &&from)
+        : socket(std::move(from))
+    { }
+
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> response;
+    std::uint64_t exchange = 0;
+    bool isWaiting = false; ///< for the answer to its request
+};
+
+} // namespace
+
+struct fault_server::implementation : std::enable_shared_from_this<fault_server::implementation>
+{
+    implementation(boost::asio::io_context &context, net::endpoint at)
+        : acceptor(context)
+        , address(std::move(at))
+    { }
+
+    void accept()
+    {
+        acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted || !self->acceptor.is_open())
+                return;
+            if (!error) {
+                socket.set_option(tcp::no_delay(true), error);
+                socket.non_blocking(true, error);
+                const connection_number number = ++self->newest;
+                self->sessions[number] = std::make_shared<session>(std::move(socket));
+                self->read(number);
+            }
+            self->accept();
+        });
+    }
+
+    void read(connection_number number)
+    {
+        const auto each = sessions.at(number);
+        each->parser.emplace();
+        each->parser->body_limit(maxBody);
+        http::async_read(each->socket, each->buffer, *each->parser,
+                         [self = shared_from_this(), each, number](error_code error, std::size_t) {
+                             if (error)
+                                 self->drop(number);
+                             else if (self->sessions.contains(number))
+                                 self->handle(number, *each);
+                         });
+    }
+
+    void handle(connection_number number, session &each)
+    {
+        auto message = each.parser->release();
+        net::http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers.emplace_back(std::string(field.name_string()),
+                                         std::string(field.value()));
+        request.body = std::move(message.body());
+        ++each.exchange;
+        each.isWaiting = true;
+        watch(number, each.exchange);
+        onRequest(std::move(request), number);
+    }
+
+    /// Notices that the peer closes while its request is in progress, when nothing is read.
+    void watch(connection_number number, std::uint64_t exchange)
+    {
+        const auto each = sessions.at(number);
+        each->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), each, number,
+                                                         exchange](error_code error) {
+            if (error || !each->isWaiting || each->exchange != exchange)
+                return;
+            char byte = 0;
+            each->socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            if (error && error != boost::asio::error::would_block)
+                self->drop(number);
+        });
+    }
+
+    void answer(connection_number number, const net::http_response &response)
+    {
+        const auto found = sessions.find(number);
+        if (found == sessions.end() || !found->second->isWaiting)
+            return;
+        const auto each = found->second;
+        each->isWaiting = false;
+        each->response = {};
+        each->response.result(static_cast<unsigned>(response.status));
+        for (const auto &[name, value] : response.headers)
+            each->response.set(name, value);
+        each->response.body() = response.body;
+        each->response.prepare_payload();
+        http::async_write(each->socket, each->response,
+                          [self = shared_from_this(), each, number](error_code error, std::size_t) {
+                              if (error)
+                                  self->drop(number);
+                              else if (self->sessions.contains(number))
+                                  self->read(number);
+                          });
+    }
+
+    void drop(connection_number number)
+    {
+        const auto found = sessions.find(number);
+        if (found == sessions.end())
+            return;
+        const auto each = found->second;
+        sessions.erase(found);
+        error_code ignored;
+        each->socket.close(ignored);
+        if (onClosed)
+            onClosed(number);
+    }
+
+    void stop()
+    {
+        error_code ignored;
+        acceptor.close(ignored);
+        while (!sessions.empty())
+            drop(sessions.begin()->first);
+    }
+
+    tcp::acceptor acceptor;
+    net::endpoint address;
+    request_handler onRequest;
+    closed_handler onClosed;
+    std::map<connection_number, std::shared_ptr<session>> sessions;
+    connection_number newest = 0;
+};
+
+fault_server::fault_server(boost::asio::io_context &context, net::endpoint listenAt,
+                           request_handler onRequest, closed_handler onClosed)
+    : implementation_(std::make_shared<implementation>(context, std::move(listenAt)))
+{
+    implementation_->onRequest = std::move(onRequest);
+    implementation_->onClosed = std::move(onClosed);
+}
+
+fault_server::~fault_server()
+{
+    implementation_->onRequest = nullptr;
+    implementation_->onClosed = nullptr;
+    implementation_->stop();
+}
+
+std::error_code fault_server::start()
+{
+    auto &acceptor = implementation_->acceptor;
+    auto &address = implementation_->address;
+    if (acceptor.is_open())
+        return {};
+    const tcp::endpoint at(address.address, address.port);
+    error_code error;
+    acceptor.open(at.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(at, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (!error)
+        address.port = acceptor.local_endpoint(error).port();
+    if (error) {
+        error_code ignored;
+        acceptor.close(ignored);
+        return { error.value(), std::system_category() };
+    }
+    implementation_->accept();
+    return {};
+}
+
+void fault_server::stop()
+{
+    implementation_->stop();
+}
+
+net::endpoint fault_server::address() const
+{
+    return implementation_->address;
+}
+
+void fault_server::answer(connection_number connection, const net::http_response &response)
+{
+    implementation_->answer(connection, response);
+}
+
+void fault_server::close(connection_number connection)
+{
+    implementation_->drop(connection);
+}
+
+} // namespace fuchsiagw::testing
--- /dev/null
+++ b/testing/standin_member.cpp
@@ -0,0 +1,387 @@
+/// @file
+/// @brief Requests, slots and faults of one member of the stand-in.
+
+#include <utility>
+
+#include <fuchsiagw/testing/standin_member.hpp>
+
+#include <fuchsiagw/core/error_kind.hpp>
+#include <fuchsiagw/net/clock.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::testing {
+
+namespace {
+
+using core::error_kind;
+
+/// The stand-ins are test programs and serve this machine only.
+net::endpoint loopback(std::uint16_t port)
+{
+    return { boost::asio::ip::address_v4::loopback(), port };
+}
+
+bool needsValue(member_fault kind)
+{
+    return kind == member_fault::Slow || kind == member_fault::Lag || kind == member_fault::Late;
+}
+
+} // namespace
+
+standin_member::standin_member(boost::asio::io_context &context,
+                               const group_standin_settings &settings, std::uint32_t index,
+                               member_hooks hooks)
+    : context_(context)
+    , settings_(settings)
+    , hooks_(std::move(hooks))
+    , server_(
+              context, loopback(index < settings.ports.size() ? settings.ports[index] : 0),
+              [this](net::http_request &&request, connection_number connection) {
+                  onRequest(std::move(request), connection);
+              },
+              [this](connection_number connection) { onClosed(connection); })
+{
+    model.member = { settings.group.value + "-" + std::to_string(index + 1) };
+    model.group = settings.group;
+}
+
+std::error_code standin_member::setFault(member_fault kind, bool on,
+                                         std::optional<std::uint64_t> value)
+{
+    if (on && needsValue(kind) && !value.has_value())
+        return error_kind::InvalidValue;
+    fault(kind) = { on, value };
+    switch (kind) {
+    case member_fault::Stop:
+        if (!on)
+            return server_.start();
+        stop();
+        break;
+    case member_fault::IsolateCallers:
+        if (!on) {
+            for (const auto &deliver : std::exchange(held_, {}))
+                deliver();
+        }
+        break;
+    case member_fault::Silent:
+        // The connections stay silent when the fault is switched off.
+        for (auto &[connection, state] : connections_)
+            state.isSilent = state.isSilent || on;
+        break;
+    case member_fault::Cross:
+        if (!on && crossed_.has_value()) {
+            const auto [connection, response] = *std::exchange(crossed_, std::nullopt);
+            answer(connection, response);
+        }
+        break;
+    case member_fault::Leaving:
+        model.leaving = on;
+        break;
+    default:
+        break;
+    }
+    return {};
+}
+
+bool standin_member::isReachableByMembers() const
+{
+    return !fault(member_fault::Stop).on && !fault(member_fault::Isolate).on;
+}
+
+std::optional<core::duration> standin_member::lagFault() const
+{
+    if (!fault(member_fault::Lag).on)
+        return std::nullopt;
+    return faultDelay(member_fault::Lag);
+}
+
+void standin_member::answerWaits()
+{
+    while (!waits_.empty()) {
+        const core::log_position &until = waits_.begin()->first.first;
+        if (until.term >= model.term && !holds(model, until))
+            return;
+        const connection_number connection = waits_.begin()->second.connection;
+        waits_.erase(waits_.begin());
+        answerStatus(connection);
+    }
+}
+
+void standin_member::onRequest(net::http_request &&request, connection_number connection)
+{
+    connections_.try_emplace(connection);
+    if (fault(member_fault::IsolateCallers).on) {
+        held_.emplace_back([this, request = std::move(request), connection]() mutable {
+            onRequest(std::move(request), connection);
+        });
+        return;
+    }
+    if (!connections_.at(connection).isSilent)
+        route(request, connection);
+}
+
+void standin_member::onClosed(connection_number connection)
+{
+    // A caller that gives up during a partition is noticed after its delayed requests have come.
+    if (fault(member_fault::IsolateCallers).on)
+        held_.emplace_back([this, connection] { forget(connection); });
+    else
+        forget(connection);
+}
+
+void standin_member::forget(connection_number connection)
+{
+    const auto found = connections_.find(connection);
+    if (found == connections_.end())
+        return;
+    if (found->second.isData)
+        hooks_.releaseConnection();
+    connections_.erase(found);
+    std::erase_if(queue_, [connection](const job &each) { return each.connection == connection; });
+    closeConnection(model, connection);
+}
+
+void standin_member::route(const net::http_request &request, connection_number connection)
+{
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const bool isGet = path == "/status" || path == "/wait";
+    const bool isPost =
+            path == "/execute" || path == "/accept_term" || path == "/lead" || path == "/follow";
+    if (!isGet && !isPost)
+        answer(connection, errorResponse(error_kind::UnknownRoute));
+    else if (request.method != (isGet ? "GET" : "POST"))
+        answer(connection, errorResponse(error_kind::MethodNotAllowed));
+    else if (path == "/status")
+        answerStatus(connection);
+    else if (path == "/wait")
+        wait(request, connection);
+    else if (path == "/execute")
+        admit(request, connection);
+    else
+        changeTerm(request, connection);
+}
+
+void standin_member::wait(const net::http_request &request, connection_number connection)
+{
+    wire::wait_request parsed;
+    if (const auto error = wire::fromTarget(request.target, parsed)) {
+        answer(connection, errorResponse(error));
+        return;
+    }
+    const std::pair key(parsed.until, ++newestWait_);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_, parsed.wait);
+    waits_[key] = { connection, timer };
+    timer->async_wait([this, key, run = runs_](const boost::system::error_code &error) {
+        const auto found = waits_.find(key);
+        if (error || run != runs_ || found == waits_.end())
+            return;
+        const connection_number waiting = found->second.connection;
+        waits_.erase(found);
+        answerStatus(waiting);
+    });
+    answerWaits();
+}
+
+void standin_member::changeTerm(const net::http_request &request, connection_number connection)
+{
+    core::accept_term_answer result;
+    if (request.target == "/follow") {
+        wire::follow_request parsed;
+        if (const auto error = wire::fromJson(request.body, parsed)) {
+            answer(connection, errorResponse(error));
+            return;
+        }
+        result = follow(model, parsed.term, parsed.primary);
+    } else {
+        wire::term_request parsed;
+        if (const auto error = wire::fromJson(request.body, parsed)) {
+            answer(connection, errorResponse(error));
+            return;
+        }
+        result = request.target == "/lead" ? lead(model, parsed.term, net::currentTime())
+                                           : acceptTerm(model, parsed.term);
+    }
+    hooks_.logChanged();
+    result.status = statusOf(model);
+    answer(connection, jsonResponse(200, wire::toJson(result)));
+}
+
+void standin_member::admit(const net::http_request &request, connection_number connection)
+{
+    job next;
+    next.connection = connection;
+    if (const auto error = wire::fromJson(request.body, next.request)) {
+        answer(connection, errorResponse(error));
+        return;
+    }
+    next.headers = request.headers;
+    connection_state &state = connections_.at(connection);
+    if (state.isData) {
+        enqueue(std::move(next));
+        return;
+    }
+    if (!hooks_.takeConnection()) {
+        execution refused;
+        refused.answer.id = next.request.id;
+        refused.answer.status = core::execute_status::Refused;
+        refused.answer.problem = "the group's connections are in use";
+        refused.answer.applied = statusOf(model).applied;
+        refused.answer.term = model.term;
+        record(next, refused);
+        answer(connection, jsonResponse(503, wire::toJson(refused.answer)));
+        return;
+    }
+    state.isData = true;
+    after(settings_.connect,
+          [this, next = std::move(next)]() mutable { enqueue(std::move(next)); });
+}
+
+void standin_member::enqueue(job &&next)
+{
+    if (!connections_.contains(next.connection))
+        return;
+    queue_.push_back(std::move(next));
+    startNext();
+}
+
+void standin_member::startNext()
+{
+    while (running_ < settings_.slots && !queue_.empty()) {
+        job next = std::move(queue_.front());
+        queue_.pop_front();
+        next.hadTransaction = model.transactions.contains(next.connection);
+        ++running_;
+        after(settings_.execute + faultDelay(member_fault::Slow),
+              [this, next = std::move(next)] { finish(next); });
+    }
+}
+
+void standin_member::finish(const job &done)
+{
+    --running_;
+    // A write by itself may still run after its connection was closed. The statement of a
+    // transaction that was rolled back must not run outside it.
+    const bool isOpen = connections_.contains(done.connection);
+    const bool runsAlone = done.request.kind == core::statement_kind::Write && !done.hadTransaction;
+    if (isOpen || runsAlone) {
+        const core::log_position before = statusOf(model).last;
+        const execution result = execute(model, done.connection, done.request, net::currentTime());
+        record(done, result);
+        if (statusOf(model).last != before)
+            hooks_.logChanged();
+        answerExecution(done.connection, jsonResponse(200, wire::toJson(result.answer)));
+    }
+    startNext();
+}
+
+void standin_member::record(const job &done, const execution &result)
+{
+    executed_statement entry;
+    entry.member = model.member;
+    entry.connection = done.connection;
+    entry.id = done.request.id;
+    entry.workspace = done.request.workspace;
+    entry.term = done.request.term;
+    entry.kind = done.request.kind;
+    entry.statement = done.request.statement;
+    entry.parameters = done.request.parameters;
+    entry.idempotencyKey = done.request.idempotencyKey;
+    entry.status = result.answer.status;
+    entry.hasRun = result.hasRun;
+    entry.position = result.answer.position;
+    entry.applied = result.answer.applied;
+    for (const auto &[name, value] : done.headers)
+        entry.headers.push_back({ name, value });
+    hooks_.record(std::move(entry));
+}
+
+void standin_member::stop()
+{
+    ++runs_;
+    server_.stop();
+    held_.clear();
+    while (!connections_.empty())
+        forget(connections_.begin()->first);
+    waits_.clear();
+    crossed_.reset();
+    running_ = 0;
+}
+
+void standin_member::answer(connection_number connection, const net::http_response &response)
+{
+    const auto found = connections_.find(connection);
+    if (found == connections_.end() || found->second.isSilent)
+        return;
+    if (fault(member_fault::IsolateCallers).on)
+        held_.emplace_back([this, connection, response] { answer(connection, response); });
+    else
+        server_.answer(connection, response);
+}
+
+void standin_member::answerStatus(connection_number connection)
+{
+    answer(connection, jsonResponse(200, wire::toJson(statusOf(model))));
+}
+
+void standin_member::answerExecution(connection_number connection,
+                                     const net::http_response &response)
+{
+    const auto found = connections_.find(connection);
+    if (found == connections_.end())
+        return;
+    if (consume(member_fault::LoseAnswer)) {
+        found->second.isSilent = true;
+    } else if (fault(member_fault::Late).on) {
+        after(faultDelay(member_fault::Late),
+              [this, connection, response] { answer(connection, response); });
+    } else if (!fault(member_fault::Cross).on) {
+        answer(connection, response);
+    } else if (!crossed_.has_value() || !connections_.contains(crossed_->first)) {
+        crossed_.emplace(connection, response);
+    } else {
+        const auto [other, otherResponse] = *std::exchange(crossed_, std::nullopt);
+        answer(other, response);
+        answer(connection, otherResponse);
+        static_cast<void>(consume(member_fault::Cross));
+        static_cast<void>(consume(member_fault::Cross));
+    }
+}
+
+void standin_member::after(core::duration delay, std::function<void()> action)
+{
+    if (delay <= core::duration::zero()) {
+        action();
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait([this, timer, run = runs_,
+                       action = std::move(action)](const boost::system::error_code &error) {
+        if (!error && run == runs_)
+            action();
+    });
+}
+
+bool standin_member::consume(member_fault kind)
+{
+    fault_state &state = fault(kind);
+    if (!state.on)
+        return false;
+    if (!state.value.has_value())
+        return true;
+    if (*state.value > 0)
+        --*state.value;
+    else
+        state.on = false;
+    const bool wasOn = state.on;
+    state.on = state.on && *state.value > 0;
+    return wasOn;
+}
+
+core::duration standin_member::faultDelay(member_fault kind) const
+{
+    const fault_state &state = fault(kind);
+    return state.on ? std::chrono::milliseconds(state.value.value_or(0)) : core::duration::zero();
+}
+
+} // namespace fuchsiagw::testing
