--- a/include/fuchsiagw/core/share_book.hpp
+++ b/include/fuchsiagw/core/share_book.hpp
@@ -40,7 +40,11 @@
     std::string name; ///< of the workspace or the group
 
     friend bool operator==(const resource_id &, const resource_id &) = default;
-    friend auto operator<=>(const resource_id &, const resource_id &) = default;
+    friend std::strong_ordering operator<=>(const resource_id &left, const resource_id &right)
+    {
+        return left.kind == right.kind ? left.name.compare(right.name) <=> 0
+                                       : left.kind <=> right.kind;
+    }
 
     template <typename archive>
     void serialize(archive &ar)
--- /dev/null
+++ b/tests/unit-incarnation-lease.cpp
@@ -0,0 +1,139 @@
+/// @file
+/// @brief Tests of promises, votes and the replacement of witnesses.
+
+#include <fuchsiagw/core/incarnation_lease.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+
+using namespace fuchsiagw::core;
+
+namespace {
+
+time_point at(std::int64_t millis)
+{
+    return time_point(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_GROUP(incarnation_lease)
+{
+    lease_times times;
+    lease_holder holder{ 10, {}, {}, false, {} };
+    std::array<lease_witness, 5> witnesses{}; // incarnations 0 to 4
+
+    void setup() override
+    {
+        for (std::size_t i = 0; i < witnesses.size(); ++i)
+            witnesses[i].self = i;
+        setWitnesses(holder, { 1, 2, 3 });
+    }
+    void promise(std::size_t witness, std::int64_t sent, std::int64_t received)
+    {
+        const lease_request request = requestOf(holder, at(sent));
+        onPromise(holder, onLeaseRequest(witnesses.at(witness), request, times, at(received)),
+                  times, at(received));
+    }
+};
+
+// Guards against promises that count from their arrival, and against a minority that suffices.
+TEST(incarnation_lease, majorityCountsFromTheRequests)
+{
+    promise(1, 1'000, 1'500);
+    CHECK_TRUE(homeUntil(holder) == time_point{});
+    promise(2, 2'000, 2'100);
+    CHECK_TRUE(homeUntil(holder) == at(7'000));
+    promise(3, 3'000, 3'100);
+    CHECK_TRUE(homeUntil(holder) == at(8'000));
+}
+
+// Guards against a vote while the holder still counts on the promise, and a promise after the vote.
+TEST(incarnation_lease, votesOnlyAfterThePromiseAndNeverPromisesAgain)
+{
+    promise(1, 10'000, 10'001);
+    CHECK_FALSE(voteExpired(witnesses[1], 10, times, at(16'030)));
+    CHECK_TRUE(voteExpired(witnesses[1], 10, times, at(16'031)));
+    LONGS_EQUAL(0, onLeaseRequest(witnesses[1], requestOf(holder, at(17'000)), times, at(17'001))
+                           .promisedMicros);
+}
+
+// Guards against a restarted witness that votes although its forgotten promise still runs.
+TEST(incarnation_lease, restartedWitnessWaitsForTheLongestPromise)
+{
+    witnesses[1].startedAt = at(20'000);
+    CHECK_FALSE(voteExpired(witnesses[1], 10, times, at(26'029)));
+    CHECK_TRUE(voteExpired(witnesses[1], 10, times, at(26'030)));
+}
+
+// Guards against a change of witnesses whose answer is lost: old and new set must both promise.
+TEST(incarnation_lease, submittedChangeNeedsBothSets)
+{
+    promise(1, 1'000, 1'001);
+    promise(2, 1'000, 1'001);
+    prepareWitnesses(holder, { 2, 3, 4 });
+    CHECK_FALSE(isChangeReady(holder, at(1'002)));
+    CHECK_TRUE(homeUntil(holder) == at(7'000));
+    promise(4, 1'500, 1'501);
+    promise(3, 1'500, 1'501);
+    CHECK_TRUE(isChangeReady(holder, at(1'502)));
+    submitWitnesses(holder);
+    promise(3, 2'000, 2'001);
+    promise(4, 2'000, 2'001);
+    CHECK_TRUE(homeUntil(holder) == at(7'000));
+    finishWitnesses(holder, true);
+    CHECK_TRUE(homeUntil(holder) == at(8'000));
+}
+
+// Guards against a reclaim before the dead holder's longest loan has ended, or without a majority.
+TEST(incarnation_lease, reclaimWaitsForMajorityAndLoans)
+{
+    for (const std::size_t each : { 1, 2, 3 })
+        promise(each, 1'000, 1'001);
+    CHECK_TRUE(dueVoteQuestions(witnesses[1], times, at(9'000)).empty());
+    const auto questions = dueVoteQuestions(witnesses[1], times, at(9'002));
+    LONGS_EQUAL(1, questions.size());
+    LONGS_EQUAL(2, questions.front().witnesses.size());
+    CHECK_TRUE(reclaimable(witnesses[1], std::chrono::seconds(4), at(99'000)).empty());
+    onVote(witnesses[1], { 10, 4 }, at(9'010));
+    CHECK_TRUE(reclaimable(witnesses[1], std::chrono::seconds(4), at(99'000)).empty());
+    onVote(witnesses[1], { 10, 2 }, at(9'010));
+    CHECK_TRUE(reclaimable(witnesses[1], std::chrono::seconds(4), at(13'009)).empty());
+    LONGS_EQUAL(1, reclaimable(witnesses[1], std::chrono::seconds(4), at(13'010)).size());
+    onReclaimed(witnesses[1], 10);
+    CHECK_TRUE(reclaimable(witnesses[1], std::chrono::seconds(4), at(99'000)).empty());
+    LONGS_EQUAL(0, onLeaseRequest(witnesses[1], requestOf(holder, at(99'000)), times, at(99'001))
+                           .promisedMicros);
+}
+
+// Guards against witnesses on the own instance, against far ones before near ones, and against two
+// witnesses, where the loss of either stops the holder.
+TEST(incarnation_lease, choosesNearPeersAndAnOddNumber)
+{
+    random_engine random(5);
+    const peer_ref self{ 10, instance_id{ "i10" }, zone_name{ "a" } };
+    std::vector<peer_ref> peers{ { 11, instance_id{ "i10" }, zone_name{ "a" } },
+                                 { 1, instance_id{ "i1" }, zone_name{ "b" } },
+                                 { 2, instance_id{ "i2" }, zone_name{ "a" } } };
+    CHECK_TRUE((chooseWitnesses(self, peers, {}, random) == std::vector<incarnation_id>{ 2 }));
+    peers.push_back({ 3, instance_id{ "i3" }, zone_name{ "a" } });
+    peers.push_back({ 4, instance_id{ "i4" }, zone_name{ "b" } });
+    const auto chosen = chooseWitnesses(self, peers, { 1 }, random);
+    LONGS_EQUAL(3, chosen.size());
+    LONGS_EQUAL(4, chosen.back());
+}
+
+// Guards against a dead witness that is never replaced.
+TEST(incarnation_lease, listsSilentAndVotingWitnesses)
+{
+    LONGS_EQUAL(3, dueWitnesses(holder, times, at(1'000)).size());
+    CHECK_TRUE(dueWitnesses(holder, times, at(1'399)).empty());
+    promise(1, 1'000, 1'001);
+    CHECK_TRUE(lostWitnesses(holder, times, at(3'999)).empty());
+    CHECK_TRUE((lostWitnesses(holder, times, at(4'000)) == std::set<incarnation_id>{ 2, 3 }));
+    onPromise(holder, { 10, 2, 0, 0 }, times, at(4'001));
+    CHECK_FALSE(isExpired(holder));
+    onPromise(holder, { 10, 3, 0, 0 }, times, at(4'001));
+    CHECK_TRUE(isExpired(holder));
+}
