--- /dev/null
+++ b/tests/unit-loan-policy.cpp
@@ -0,0 +1,165 @@
+/// @file
+/// @brief Tests of admission and loans between desks that hear each other at once.
+
+#include <fuchsiagw/core/loan_policy.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+
+using namespace fuchsiagw::core;
+
+namespace {
+
+constexpr std::int64_t desks = 9;
+
+time_point at(std::int64_t millis)
+{
+    return time_point(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_GROUP(loan_policy)
+{
+    resource_id resource{ resource_kind::Workspace, "libros" };
+    std::vector<loan_desk> all;
+    std::int64_t sent = 0;
+    std::int64_t bytes = 0;
+
+    void open(double rate, double burst)
+    {
+        random_engine random(3);
+        std::vector<peer_ref> live;
+        for (incarnation_id i = 1; i <= desks; ++i)
+            live.push_back({ i, instance_id{ std::to_string(i) }, zone_name{ i < 4 ? "a" : "b" } });
+        std::vector<incarnation_id> holders;
+        for (const peer_ref &each : live)
+            holders.push_back(each.incarnation);
+        all.clear();
+        for (const peer_ref &each : live) {
+            loan_desk &desk = all.emplace_back(makeDesk(each, {}, at(0)));
+            share_book &book = openLimit(desk, resource, std::int64_t(rate * oneToken),
+                                         token_amount(burst * oneToken), workspaceShares, at(0))
+                                       .book;
+            addHome(book, workspaceShares / desks, 0, at(0));
+            setCandidates(desk, resource, holders, live, random);
+            setHomeUntil(desk, noDeadline, at(0));
+        }
+    }
+    void deliver(const std::vector<loan_message> &messages, time_point now)
+    {
+        for (const loan_message &message : messages) {
+            ++sent;
+            bytes += sizeOf(message);
+            loan_desk &to = all.at(message.to - 1);
+            if (const auto *request = std::get_if<loan_request>(&message.body))
+                deliver(onLoanRequest(to, *request, now), now);
+            else if (const auto *grant = std::get_if<loan_grant>(&message.body))
+                onLoanGrant(to, *grant, now);
+            else if (const auto *returns = std::get_if<loan_returns>(&message.body))
+                onLoanReturns(to, *returns, now);
+        }
+    }
+    /// Sends `perSecond` statements to one desk and returns how many were granted.
+    int run(std::size_t busy, std::int64_t from, std::int64_t until, std::int64_t everyMillis)
+    {
+        int granted = 0;
+        std::deque<std::int64_t> waiting; // arrival times
+        for (std::int64_t now = from; now < until; now += 5) {
+            loan_desk &desk = all[busy];
+            if (now % everyMillis == 0) {
+                const admission decision = admit(desk, resource, at(now));
+                granted += decision == admission::Granted ? 1 : 0;
+                if (decision == admission::Wait)
+                    waiting.push_back(now);
+            }
+            for (loan_desk &each : all)
+                deliver(poll(each, at(now)), at(now));
+            while (!waiting.empty() && admitWaiting(desk, resource, at(now))) {
+                waiting.pop_front();
+                ++granted;
+            }
+            for (; !waiting.empty() && waiting.front() + 200 <= now; waiting.pop_front())
+                abandonWaiting(desk, resource);
+        }
+        for (; !waiting.empty(); waiting.pop_front())
+            abandonWaiting(all[busy], resource);
+        return granted;
+    }
+};
+
+// Guards against a workspace that gets a ninth of its rate because the balancer uses one instance.
+TEST(loan_policy, convergesWhenAllTrafficMeetsOneInstance)
+{
+    open(100, 100);
+    run(0, 0, 2'000, 10);
+    CHECK_TRUE(run(0, 2'000, 6'000, 10) > 380); // 95 % of the rate
+    CHECK_TRUE(all[0].limits[resource].book.usable > 850'000);
+}
+
+// Guards against shares that stay with an instance after its demand has moved elsewhere.
+TEST(loan_policy, followsAShiftOfDemand)
+{
+    open(100, 100);
+    run(0, 0, 6'000, 10);
+    run(8, 6'000, 6'500, 10);
+    CHECK_TRUE(run(8, 6'500, 8'500, 10) > 180);
+}
+
+// Guards against a burst of 5 at nine instances that nobody can use.
+TEST(loan_policy, servesFromATinyBurst)
+{
+    open(5, 5);
+    run(4, 0, 3'000, 1'000);
+    CHECK_TRUE(run(4, 3'000, 13'000, 250) >= 36);
+}
+
+// Guards against control traffic that grows with a workspace's excess.
+TEST(loan_policy, excessDoesNotFloodThePeers)
+{
+    open(100, 100);
+    run(0, 0, 3'000, 10);
+    sent = 0;
+    bytes = 0;
+    run(0, 3'000, 13'000, 5); // twice the rate
+    CHECK_TRUE(bytes < 10 * 1'500);
+}
+
+// Guards against new loans while the operators have switched them off.
+TEST(loan_policy, switchedOffMeansNoNewLoans)
+{
+    open(100, 100);
+    for (loan_desk &each : all)
+        each.areLoansOn = false;
+    run(0, 0, 2'000, 10);
+    LONGS_EQUAL(0, sent);
+    loan_request request{ 2, 1, 0, { { resource, 1'000 } } };
+    CHECK_TRUE(onLoanRequest(all[0], request, at(2'000)).empty());
+}
+
+// Guards against a request that comes twice and lends twice.
+TEST(loan_policy, answersARequestOnce)
+{
+    open(100, 100);
+    const loan_request request{ 2, 1, 0, { { resource, 1'000 } } };
+    LONGS_EQUAL(1, onLoanRequest(all[0], request, at(1)).size());
+    LONGS_EQUAL(0, onLoanRequest(all[0], request, at(2)).size());
+    LONGS_EQUAL(1'000, all[0].limits[resource].book.lent);
+}
+
+// Guards against a lender that gives away connections which are open, or shares that it needs.
+TEST(loan_policy, lendsAtMostHalfOfTheSpare)
+{
+    open(100, 100);
+    const resource_id group{ resource_kind::Connections, "g1" };
+    openLimit(all[0], group, 0, 0, 16, at(0));
+    addHome(all[0].limits[group].book, 10, 0, at(0));
+    setHomeUntil(all[0], noDeadline, at(0));
+    setConnections(all[0], group, 4, 0);
+    const loan_request request{ 2, 1, 0, { { group, 16 }, { resource, workspaceShares } } };
+    const auto answers = onLoanRequest(all[0], request, at(1));
+    LONGS_EQUAL(1, answers.size());
+    LONGS_EQUAL(3, all[0].limits[group].book.lent);
+    LONGS_EQUAL(workspaceShares / 9 / 2, all[0].limits[resource].book.lent);
+}
