Parse callers' bodies strictly and write their answers

Callers send free-form JSON, so every doubt about a body is refused with its own error kind and a text that names the field. The parser keeps only values that a route can use; duplicate fields, nesting and integers out of bounds are found on the way. A session that is named but unreadable is reported as such, so that the read can go to the primary.

A general JSON tree with a second pass was ruled out: it drops duplicate fields silently.

--- /dev/null
+++ b/tests/unit-caller-json.cpp
@@ -0,0 +1,206 @@
+/// @file
+/// @brief Tests of callers' bodies and headers.
+
+#include <fuchsiagw/wire/caller_json.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace fuchsiagw;
+using core::error_kind;
+
+namespace {
+
+const std::string plain = R"({"group":"g","kind":"read","statement":"s")";
+
+void checkRefused(const std::string &body, error_kind kind, const std::string &named)
+{
+    wire::parsed_statement parsed;
+    parsed.text = "untouched";
+    std::string problem;
+    const std::error_code error = wire::parseStatement(body, parsed, problem);
+    STRCMP_EQUAL_TEXT(core::answerOf(kind).name.data(),
+                      error ? core::answerOf(core::kindOf(error)).name.data() : "accepted",
+                      body.substr(0, 100).c_str());
+    STRCMP_CONTAINS(named.c_str(), problem.c_str());
+    STRCMP_EQUAL("untouched", parsed.text.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(caller_body){};
+
+// Guards against a field that is dropped or swapped on the way to the decisions.
+TEST(caller_body, everyFieldArrives)
+{
+    wire::parsed_statement parsed;
+    std::string problem;
+    CHECK_FALSE(wire::parseStatement(
+            R"({"group":"g","kind":"read","statement":"s","parameters":["1","2"],
+                "read_class":"menu","idempotency_key":"k 1","deadline_ms":60000})",
+            parsed, problem));
+    const core::time_point now{ std::chrono::seconds(7) };
+    const core::statement_request request = wire::toRequest(parsed, { 1, 2 }, { "w" }, now);
+    STRCMP_EQUAL("g", request.group.value.c_str());
+    STRCMP_EQUAL("w", request.workspace.value.c_str());
+    STRCMP_EQUAL("s", request.text.c_str());
+    STRCMP_EQUAL("menu", request.readClass.c_str());
+    STRCMP_EQUAL("k 1", request.idempotencyKey.c_str());
+    CHECK_TRUE((request.parameters == std::vector<std::string>{ "1", "2" }));
+    CHECK_TRUE(request.deadline == now + std::chrono::seconds(60));
+    CHECK_TRUE((request.id == core::request_id{ 1, 2 }));
+}
+
+// Guards against bodies whose meaning is guessed instead of refused.
+TEST(caller_body, refusalNamesTheField)
+{
+    checkRefused("", error_kind::MalformedBody, "valid JSON");
+    checkRefused("[]", error_kind::MalformedBody, "object");
+    checkRefused("\"text\"", error_kind::MalformedBody, "object");
+    checkRefused(plain, error_kind::MalformedBody, "valid JSON");
+    checkRefused(plain + "} 1", error_kind::MalformedBody, "valid JSON");
+    checkRefused(plain + R"(,"group":"h"})", error_kind::MalformedBody, "'group' is given twice");
+    checkRefused(plain + R"(,"x":)" + std::string(9, '[') + std::string(9, ']') + "}",
+                 error_kind::MalformedBody, "nested");
+    checkRefused(plain + R"(,"x'y":1})", error_kind::UnknownField, "'x?y'");
+    checkRefused(R"({"group":"g","kind":"read"})", error_kind::MissingField, "'statement'");
+    checkRefused(plain + R"(,"deadline_ms":"5"})", error_kind::WrongType, "'deadline_ms'");
+    checkRefused(plain + R"(,"deadline_ms":5.0})", error_kind::WrongType, "'deadline_ms'");
+    checkRefused(plain + R"(,"deadline_ms":null})", error_kind::WrongType, "'deadline_ms'");
+    checkRefused(plain + R"(,"parameters":["a",1]})", error_kind::WrongType, "'parameters'");
+    checkRefused(plain + R"(,"parameters":[["a"],"b"]})", error_kind::WrongType, "'parameters'");
+    checkRefused(plain + R"(,"parameters":{"a":"b"}})", error_kind::WrongType, "'parameters'");
+    checkRefused(R"({"group":"g","kind":"begin","statement":"s"})", error_kind::InvalidValue,
+                 "'kind'");
+    checkRefused(R"({"group":"g","kind":"write","statement":"s","read_class":"c"})",
+                 error_kind::InvalidValue, "'read_class'");
+}
+
+// Guards against bounds that are off by one or overflow.
+TEST(caller_body, boundsAreExact)
+{
+    const auto withDeadline = [](const std::string &number) {
+        return plain + R"(,"deadline_ms":)" + number + "}";
+    };
+    for (const char *number : { "0", "-1", "60001", "18446744073709551615" })
+        checkRefused(withDeadline(number), error_kind::InvalidValue, "'deadline_ms'");
+    const auto withKey = [](const std::string &key) {
+        return plain + R"(,"idempotency_key":")" + key + "\"}";
+    };
+    for (const std::string &key : { std::string(), std::string(129, 'k'), std::string("\\n") })
+        checkRefused(withKey(key), error_kind::InvalidValue, "'idempotency_key'");
+    const auto withStatement = [](std::size_t size) {
+        return R"({"group":"g","kind":"read","statement":")" + std::string(size, 's') + "\"}";
+    };
+    checkRefused(withStatement(wire::maxStatementBytes + 1), error_kind::InvalidValue,
+                 "'statement'");
+    checkRefused(withStatement(wire::maxBodyBytes), error_kind::BodyTooLarge, "1048576");
+    const auto withParameters = [](int count) {
+        std::string list = "\"p\"";
+        for (int i = 1; i < count; ++i)
+            list += ",\"p\"";
+        return plain + R"(,"parameters":[)" + list + "]}";
+    };
+    checkRefused(withParameters(65), error_kind::InvalidValue, "'parameters'");
+    wire::parsed_statement parsed;
+    std::string problem;
+    for (const std::string &body :
+         { withDeadline("1"), withDeadline("60000"), withKey(std::string(128, 'k')),
+           withStatement(wire::maxStatementBytes), withParameters(64) })
+        CHECK_FALSE(wire::parseStatement(body, parsed, problem));
+}
+
+// Guards against fields of one route that another silently ignores.
+TEST(caller_body, transactionRoutesTakeOnlyTheirFields)
+{
+    wire::parsed_statement parsed;
+    std::string problem;
+    CHECK_FALSE(wire::parseBegin(R"({"group":"g"})", parsed, problem));
+    CHECK_TRUE(parsed.kind == core::statement_kind::Begin);
+    CHECK_FALSE(wire::parseCommit("", parsed, problem));
+    CHECK_TRUE(parsed.kind == core::statement_kind::Commit);
+    CHECK_FALSE(wire::parseRollback("{}", parsed, problem));
+    CHECK_TRUE(parsed.kind == core::statement_kind::Rollback);
+    CHECK_FALSE(wire::parseTransactionStatement(R"({"kind":"write","statement":"s"})", parsed,
+                                                problem));
+    CHECK_TRUE(wire::parseTransactionStatement(plain + "}", parsed, problem)
+               == error_kind::UnknownField);
+    CHECK_TRUE(wire::parseRollback(R"({"idempotency_key":"k"})", parsed, problem)
+               == error_kind::UnknownField);
+    CHECK_TRUE(wire::parseBegin("", parsed, problem) == error_kind::MalformedBody);
+}
+
+TEST_GROUP(caller_answer){};
+
+// Guards against an error body without what the caller needs to decide about a retry.
+TEST(caller_answer, errorBodyHoldsOutcomeAndAdvice)
+{
+    const auto body = nlohmann::json::parse(
+            wire::errorBody(error_kind::RateLimited, "", core::request_id{ 0, 255 }));
+    STRCMP_EQUAL("rate_limited", body["error"].get<std::string>().c_str());
+    LONGS_EQUAL(501, body["number"].get<int>());
+    STRCMP_EQUAL("not_run", body["outcome"].get<std::string>().c_str());
+    STRCMP_EQUAL("retry", body["retry"].get<std::string>().c_str());
+    CHECK_FALSE(body["problem"].get<std::string>().empty());
+    STRCMP_EQUAL("000000000000000000000000000000ff", body["request_id"].get<std::string>().c_str());
+}
+
+// Guards against an exception for rows that are not UTF-8.
+TEST(caller_answer, rowsSurviveForeignBytes)
+{
+    core::statement_answer answer;
+    answer.rows = { { "a", "\xff" } };
+    answer.position = { 3, 9 };
+    answer.transaction = core::transaction_id{ 1, 2 };
+    const auto body = nlohmann::json::parse(wire::answerBody(answer));
+    LONGS_EQUAL(9, body["position"]["index"].get<int>());
+    STRCMP_EQUAL("a", body["rows"][0][0].get<std::string>().c_str());
+    STRCMP_EQUAL("0000000000000001-0000000000000002",
+                 body["transaction"].get<std::string>().c_str());
+}
+
+TEST(caller_answer, transactionIdRoundTrips)
+{
+    const core::transaction_id id{ 0xabcdef0123456789ULL, 7 };
+    CHECK_TRUE(wire::transactionFromText(wire::toText(id)) == id);
+    for (const char *text :
+         { "", "-", "000000000000000000000000000000001", "00000000000000aG-0000000000000001",
+           "+000000000000001-0000000000000001" })
+        CHECK_FALSE(wire::transactionFromText(text).has_value());
+}
+
+TEST_GROUP(caller_headers){};
+
+// Guards against a header part that is taken for a key.
+TEST(caller_headers, keyComesOnlyFromBearer)
+{
+    STRCMP_EQUAL("ab.c", wire::keyFromAuthorization(" bEaReR  ab.c ").value_or("").c_str());
+    for (const std::string &value :
+         { std::string(), std::string("Bearer"), std::string("Bearer "), std::string("Basic abc"),
+           std::string("Bearer a b"), std::string("Bearerabc"), std::string("Bearer a,b"),
+           "Bearer " + std::string(wire::maxKeyBytes + 1, 'k') })
+        CHECK_FALSE(wire::keyFromAuthorization(value).has_value());
+}
+
+// Guards against a stale read: a session that is named but unreadable must not look absent.
+TEST(caller_headers, unusableSessionIsStillNamed)
+{
+    const auto check = [](std::optional<std::string_view> header, std::string_view cookies,
+                          bool named, const char *token) {
+        const wire::named_session session = wire::sessionFromHeaders(header, cookies);
+        CHECK_EQUAL(named, session.named);
+        STRCMP_EQUAL(token, session.token.c_str());
+    };
+    check(std::nullopt, "", false, "");
+    check(std::nullopt, "a=b; fuchsiagw_sessions=x;", false, "");
+    check("t1", "fuchsiagw_session=t2", true, "t1");
+    check("", "fuchsiagw_session=t2", true, "");
+    check("t 1", "", true, "");
+    check(std::nullopt, "a=b;fuchsiagw_session=\"t2\" ; c", true, "t2");
+    check(std::nullopt, "fuchsiagw_session=t2; fuchsiagw_session=t2", true, "t2");
+    check(std::nullopt, "fuchsiagw_session=t2; fuchsiagw_session=t3", true, "");
+    check(std::nullopt, "fuchsiagw_session=", true, "");
+}
