Add the closed list of log events and the log sink

A log line is made only from fields with named constructors that take identifiers, numbers, names of enumerators, positions, times and parsed addresses. Free text has no constructor, so a key, token or parameter can't reach a line. Lines go through a bounded lock-free ring to a thread that writes them with log4cxx; lost lines are counted and reported by an event.

log4cxx creates missing directories and reports a file that can't be opened only on standard error, therefore the sink opens the file itself first and throws.

--- /dev/null
+++ b/include/fuchsiagw/daemon/log_event.hpp
@@ -0,0 +1,269 @@
+/// @file
+/// @brief The closed list of log events and the values that their fields can hold.
+///
+/// Every event is one line `event=NNN name=... key=value ...`. The list is docs/events.md. Fields
+/// are made by named constructors that take no free text, so that no line can hold a key, a token
+/// or a statement's parameter.
+
+#pragma once
+
+#include <fuchsiagw/core/error_kind.hpp>
+#include <fuchsiagw/core/ids.hpp>
+#include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/statement.hpp>
+#include <fuchsiagw/core/time.hpp>
+
+#include <array>
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace fuchsiagw::daemon {
+
+class log_sink;
+
+enum class log_level : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+inline constexpr std::array<std::string_view, 4> logLevelNames{ "debug", "info", "warning",
+                                                                "error" };
+
+[[nodiscard]] constexpr std::string_view toString(log_level level)
+{
+    return logLevelNames.at(static_cast<std::size_t>(level));
+}
+
+/// Every event of the daemon. The numbers are stable; a number is never used again.
+enum class log_event : int {
+    ProcessStarted = 101,
+    ProcessReady = 102,
+    DrainStarted = 103,
+    ProcessStopped = 104,
+    RequestInterrupted = 105,
+    DutyFailed = 106,
+    LogLinesLost = 107,
+    SettingsRefused = 108,
+    RequestRefused = 201,
+    RequestFailed = 202,
+    RouteChosen = 301,
+    RouteMissing = 302,
+    StaleAnswerDropped = 303,
+    MemberExcluded = 304,
+    MemberReturned = 305,
+    MemberProbed = 306,
+    UpstreamOpened = 307,
+    UpstreamClosed = 308,
+    ForeignAnswerDropped = 309,
+    PrimarySilent = 401,
+    PromotionStarted = 402,
+    TermAccepted = 403,
+    PromotionDone = 404,
+    PromotionFailed = 405,
+    PromotionWithheld = 406,
+    FollowOrdered = 407,
+    WriteNotConfirmed = 408,
+    OwnerChanged = 409,
+    ConfigurationApplied = 501,
+    ConfigurationRefused = 502,
+    NoteAccepted = 503,
+    NoteRefused = 504,
+    FreshnessLost = 505,
+    FreshnessRegained = 506,
+    OperatorAction = 507,
+    SharesTaken = 601,
+    SharesReturned = 602,
+    LoanGranted = 603,
+    LoanReceived = 604,
+    LoanEnded = 605,
+    LeaseLost = 606,
+    LeaseRegained = 607,
+    ExpiryVoted = 608,
+    IncarnationExpired = 609,
+    WitnessesChanged = 610,
+    PlatformLost = 701,
+    PlatformRegained = 702,
+    PlatformWriteRepeated = 703,
+    PeerLive = 801,
+    PeerSuspected = 802,
+    PeerLeaving = 803,
+    PeerGone = 804,
+    PeerRestarted = 805,
+    MessageDropped = 806,
+    LinkOpened = 807,
+    LinkClosed = 808,
+};
+
+/// Every field name of the events.
+enum class log_key : std::uint8_t {
+    Action,
+    Address,
+    Age,
+    Applied,
+    Automatic,
+    Base,
+    Candidates,
+    Cause,
+    Connections,
+    Count,
+    Duty,
+    Elapsed,
+    Error,
+    Group,
+    Incarnation,
+    Instance,
+    Kind,
+    Loan,
+    Lost,
+    Member,
+    Note,
+    Number,
+    Outcome,
+    Owner,
+    Position,
+    Predecessor,
+    Problem,
+    Queued,
+    Reason,
+    Remaining,
+    Request,
+    Resource,
+    Shares,
+    Source,
+    State,
+    Term,
+    Transaction,
+    Version,
+    Witnesses,
+    Workspace,
+    Zone,
+};
+
+inline constexpr std::array<std::string_view, 41> logKeyNames{
+    "action",      "address",      "age_us",  "applied",   "automatic",   "base",    "candidates",
+    "cause",       "connections",  "count",   "duty",      "elapsed_us",  "error",   "group",
+    "incarnation", "instance",     "kind",    "loan",      "lost",        "member",  "note",
+    "number",      "outcome",      "owner",   "position",  "predecessor", "problem", "queued",
+    "reason",      "remaining_us", "request", "resource",  "shares",      "source",  "state",
+    "term",        "transaction",  "version", "witnesses", "workspace",   "zone",
+};
+
+[[nodiscard]] constexpr std::string_view toString(log_key key)
+{
+    return logKeyNames.at(static_cast<std::size_t>(key));
+}
+
+/// One row of the list of events.
+struct log_event_row
+{
+    log_event event;
+    std::string_view name; ///< stable, snake_case
+    log_level level;
+    std::string_view fields; ///< names of the fields that it may have, separated by spaces
+    std::string_view meaning;
+};
+
+/// @return the whole list, ordered by number
+[[nodiscard]] std::span<const log_event_row> logEvents();
+
+/// @brief Looks up the row of an event.
+/// @complexity logarithmic in the number of events
+[[nodiscard]] const log_event_row &rowOf(log_event event);
+
+/// An enumeration whose names are fixed in the program.
+template <typename type>
+concept named_enum = std::is_enum_v<type> && requires(type value)
+{
+    {
+        toString(value)
+        } -> std::same_as<std::string_view>;
+};
+
+/// One field of a log line.
+class field
+{
+public:
+    /// @brief An instance, member, group, zone or workspace.
+    template <typename tag>
+    [[nodiscard]] static field id(log_key key, const core::named_id<tag> &id)
+    {
+        return { key, id.value };
+    }
+    [[nodiscard]] static field id(log_key key, const core::request_id &id);
+    [[nodiscard]] static field id(log_key key, const core::transaction_id &id);
+    [[nodiscard]] static field incarnation(log_key key, core::incarnation_id id);
+    /// @brief A loan's or a note's number.
+    template <std::integral number_type>
+    [[nodiscard]] static field number(log_key key, number_type value)
+    {
+        return { key, std::to_string(value) };
+    }
+    [[nodiscard]] static field number(log_key key, double value);
+    /// @brief The name of an enumerator.
+    template <named_enum type>
+    [[nodiscard]] static field name(log_key key, type value)
+    {
+        return { key, std::string(toString(value)) };
+    }
+    /// @brief The name of an enumerator whose table stands beside it.
+    template <typename type, std::size_t size>
+    requires std::is_enum_v<type>
+    [[nodiscard]] static field name(log_key key, type value,
+                                    const std::array<std::string_view, size> &names)
+    {
+        return { key, std::string(names.at(static_cast<std::size_t>(value))) };
+    }
+    /// @brief The name of an error of the product, or category and number of another error.
+    [[nodiscard]] static field error(log_key key, const std::error_code &error);
+    [[nodiscard]] static field error(log_key key, core::error_kind kind);
+    [[nodiscard]] static field position(log_key key, const core::log_position &position);
+    /// @brief A lapse of time in microseconds.
+    [[nodiscard]] static field lapse(log_key key, core::duration value);
+    /// @brief IP number and port; anything else is logged as `invalid`.
+    [[nodiscard]] static field address(log_key key, const std::string &address);
+    /// @brief Members with the reason why each was or was not chosen.
+    template <named_enum type>
+    [[nodiscard]] static field members(log_key key,
+                                       const std::vector<std::pair<core::member_id, type>> &list)
+    {
+        std::string value;
+        for (const auto &[member, reason] : list) {
+            value += value.empty() ? "" : ",";
+            value += member.value + ":" + std::string(toString(reason));
+        }
+        return { key, std::move(value) };
+    }
+
+    [[nodiscard]] log_key key() const { return fieldKey; }
+    [[nodiscard]] const std::string &value() const { return text; }
+
+private:
+    log_key fieldKey;
+    std::string text;
+
+    field(log_key key, std::string value)
+        : fieldKey(key)
+        , text(std::move(value))
+    { }
+};
+
+/// @brief Writes the line of an event.
+/// @return fields in the order given; a field that the event does not list is left out and counted
+/// in a last field `unlisted`
+/// @complexity linear in the size of the fields
+[[nodiscard]] std::string formatEvent(log_event event, std::initializer_list<field> fields);
+
+/// @brief Writes the line of an event to the sink. It never blocks.
+void logEvent(log_sink &sink, log_event event, std::initializer_list<field> fields);
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/include/fuchsiagw/daemon/log_sink.hpp
@@ -0,0 +1,53 @@
+/// @file
+/// @brief Takes log lines from every duty and writes them with log4cxx on a thread of its own.
+
+#pragma once
+
+#include <fuchsiagw/daemon/log_event.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace fuchsiagw::daemon {
+
+struct log_settings
+{
+    std::string path; ///< file; empty: standard error
+    log_level level = log_level::Info; ///< lines below it are dropped
+    std::size_t maxFileBytes = 16'000'000; ///< the file is then rolled; instances are diskless
+    int oldFiles = 2; ///< rolled files that are kept
+    std::size_t ringLines = 8192; ///< at most 60000
+};
+
+/// Duties never wait for the log: when the ring is full, the line is counted and dropped.
+class log_sink
+{
+public:
+    /// @throw std::exception if the file can't be opened or the thread can't start
+    explicit log_sink(const log_settings &settings);
+    /// Writes what the ring holds.
+    ~log_sink();
+    log_sink(const log_sink &) = delete;
+    log_sink &operator=(const log_sink &) = delete;
+
+    [[nodiscard]] bool accepts(log_level level) const { return level >= threshold; }
+
+    /// @brief Hands over a line. Any thread may call it; it never blocks.
+    /// @return false if the ring was full and the line is lost
+    bool write(log_level level, std::string line);
+
+    /// @return lines lost so far
+    [[nodiscard]] std::uint64_t lost() const { return lostLines.load(std::memory_order_relaxed); }
+
+private:
+    struct worker;
+
+    log_level threshold;
+    std::atomic<std::uint64_t> lostLines{ 0 };
+    std::unique_ptr<worker> thread;
+};
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/tests/doc-table.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief Reads the rows of a page's tables, so that tests can compare pages with the program.
+
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+/// @return every table row whose first cell starts with a digit or a code mark, cells trimmed and
+/// without code marks; empty if the page is not found above the working directory
+inline std::vector<std::vector<std::string>> readDocRows(const std::string &page)
+{
+    std::filesystem::path root = std::filesystem::current_path();
+    while (!std::filesystem::exists(root / "docs" / "design.md") && root != root.root_path())
+        root = root.parent_path();
+    std::ifstream file(root / "docs" / page);
+    std::vector<std::vector<std::string>> rows;
+    for (std::string line; std::getline(file, line);) {
+        const bool isRow = line.size() > 2 && line[0] == '|'
+                           && (line[2] == '`' || (line[2] >= '0' && line[2] <= '9'));
+        if (!isRow)
+            continue;
+        std::vector<std::string> cells(1);
+        for (const char each : line.substr(2)) {
+            if (each == '|')
+                cells.emplace_back();
+            else if (each != '`')
+                cells.back() += each;
+        }
+        cells.pop_back();
+        for (std::string &cell : cells) {
+            const std::size_t first = cell.find_first_not_of(' ');
+            cell = first == std::string::npos
+                           ? std::string()
+                           : cell.substr(first, cell.find_last_not_of(' ') - first + 1);
+        }
+        rows.push_back(cells);
+    }
+    return rows;
+}
