--- a/include/fuchsiagw/daemon/log_event.hpp
+++ b/include/fuchsiagw/daemon/log_event.hpp
@@ -244,16 +244,16 @@
         return { key, std::move(value) };
     }
 
-    [[nodiscard]] log_key key() const { return fieldKey; }
-    [[nodiscard]] const std::string &value() const { return text; }
+    [[nodiscard]] log_key key() const { return key_; }
+    [[nodiscard]] const std::string &value() const { return value_; }
 
 private:
-    log_key fieldKey;
-    std::string text;
+    log_key key_;
+    std::string value_;
 
     field(log_key key, std::string value)
-        : fieldKey(key)
-        , text(std::move(value))
+        : key_(key)
+        , value_(std::move(value))
     { }
 };
 
--- a/include/fuchsiagw/daemon/log_sink.hpp
+++ b/include/fuchsiagw/daemon/log_sink.hpp
@@ -33,21 +33,21 @@
     log_sink(const log_sink &) = delete;
     log_sink &operator=(const log_sink &) = delete;
 
-    [[nodiscard]] bool accepts(log_level level) const { return level >= threshold; }
+    [[nodiscard]] bool accepts(log_level level) const { return level >= level_; }
 
     /// @brief Hands over a line. Any thread may call it; it never blocks.
     /// @return false if the ring was full and the line is lost
     bool write(log_level level, std::string line);
 
     /// @return lines lost so far
-    [[nodiscard]] std::uint64_t lost() const { return lostLines.load(std::memory_order_relaxed); }
+    [[nodiscard]] std::uint64_t lost() const { return lost_.load(std::memory_order_relaxed); }
 
 private:
     struct worker;
 
-    log_level threshold;
-    std::atomic<std::uint64_t> lostLines{ 0 };
-    std::unique_ptr<worker> thread;
+    log_level level_;
+    std::atomic<std::uint64_t> lost_{ 0 };
+    std::unique_ptr<worker> worker_;
 };
 
 } // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/wire/caller_json.hpp
+++ b/include/fuchsiagw/wire/caller_json.hpp
@@ -24,7 +24,6 @@
 /// All parameters together. Statement and parameters must fit into one frame between daemons.
 inline constexpr std::size_t maxParameterBytes = 524'288;
 inline constexpr std::size_t maxIdempotencyKeyBytes = 128;
-inline constexpr std::size_t maxNameBytes = 128; ///< of a group or read class
 inline constexpr std::size_t maxKeyBytes = 256; ///< of a workspace's key
 inline constexpr std::size_t maxSessionTokenBytes = 4096;
 inline constexpr std::chrono::milliseconds minTimeLimit{ 1 };
--- a/src/daemon/log_sink.cpp
+++ b/src/daemon/log_sink.cpp
@@ -168,8 +168,8 @@
 };
 
 log_sink::log_sink(const log_settings &settings)
-    : threshold(settings.level)
-    , thread(std::make_unique<worker>(settings, lostLines))
+    : level_(settings.level)
+    , worker_(std::make_unique<worker>(settings, lost_))
 { }
 
 log_sink::~log_sink() = default;
@@ -178,12 +178,12 @@
 {
     auto record = std::make_unique<log_record>(
             log_record{ std::chrono::system_clock::now(), level, std::move(line) });
-    const bool isTaken = thread->ring.bounded_push(record.get());
+    const bool isTaken = worker_->ring.bounded_push(record.get());
     if (isTaken)
         record.release(); // NOLINT(bugprone-unused-return-value) the ring owns it now
     else
-        lostLines.fetch_add(1);
-    thread->wake();
+        lost_.fetch_add(1);
+    worker_->wake();
     return isTaken;
 }
 
--- /dev/null
+++ b/src/daemon/metrics_text.cpp
@@ -0,0 +1,123 @@
+/// @file
+/// @brief Writes metrics in the text exposition format.
+
+#include <fuchsiagw/daemon/metrics_text.hpp>
+
+#include <fuchsiagw/daemon/metrics.hpp>
+
+#include <fmt/format.h>
+
+#include <cassert>
+#include <iterator>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+const metric_row &rowNamed(std::string_view name)
+{
+    for (const metric_row &row : metricRows()) {
+        if (row.name == name)
+            return row;
+    }
+    assert(false);
+    return metricRows().front();
+}
+
+class text_writer
+{
+public:
+    std::string text;
+
+    void head(const metric_row &row)
+    {
+        fmt::format_to(out(), "# HELP {} {}\n# TYPE {} {}\n", row.name, row.meaning, row.name,
+                       row.type);
+    }
+
+    template <typename number>
+    void plain(const metric_row &row, number value)
+    {
+        head(row);
+        fmt::format_to(out(), "{} {}\n", row.name, value);
+    }
+
+    void labelled(const metric_row &row, std::string_view label, std::uint64_t value)
+    {
+        fmt::format_to(out(), "{}{{{}=\"", row.name, row.labels);
+        for (const char each : label) {
+            if (each == '\n') {
+                text += "\\n";
+                continue;
+            }
+            if (each == '"' || each == '\\')
+                text += '\\';
+            text += each;
+        }
+        fmt::format_to(out(), "\"}} {}\n", value);
+    }
+
+    void histogram(const metric_row &row, const delay_histogram &delays)
+    {
+        head(row);
+        const auto &bins = delays.histogram();
+        std::uint64_t below = bins.at(-1);
+        bucket(row, minDelaySeconds, below);
+        for (int bin = 0; bin < static_cast<int>(delayBins); ++bin) {
+            below += bins.at(bin);
+            bucket(row, bins.axis().bin(bin).upper(), below);
+        }
+        fmt::format_to(out(), "{}_bucket{{le=\"+Inf\"}} {}\n{}_sum {}\n{}_count {}\n", row.name,
+                       delays.count(), row.name, delays.sumSeconds(), row.name, delays.count());
+    }
+
+    void byError(const metric_row &row, const std::map<core::error_kind, std::uint64_t> &counts)
+    {
+        head(row);
+        for (const auto &[kind, count] : counts)
+            labelled(row, core::answerOf(kind).name, count);
+    }
+
+    void byWorkspace(const metric_row &row, const metrics &all,
+                     std::uint64_t workspace_counters::*member)
+    {
+        head(row);
+        for (const auto &[workspace, counters] : all.workspaces)
+            labelled(row, workspace.value, counters.*member);
+    }
+
+private:
+    std::back_insert_iterator<std::string> out() { return std::back_inserter(text); }
+
+    void bucket(const metric_row &row, double bound, std::uint64_t below)
+    {
+        fmt::format_to(out(), "{}_bucket{{le=\"{:.4g}\"}} {}\n", row.name, bound, below);
+    }
+};
+
+} // namespace
+
+std::string metricsText(const metrics &all)
+{
+    text_writer writer;
+    for (std::size_t i = 0; i < all.counters.size(); ++i)
+        writer.plain(rowOf(static_cast<counter>(i)), all.counters[i]);
+    for (std::size_t i = 0; i < all.gauges.size(); ++i)
+        writer.plain(rowOf(static_cast<gauge>(i)), all.gauges[i]);
+    for (std::size_t i = 0; i < all.delays.size(); ++i)
+        writer.histogram(rowOf(static_cast<delay>(i)), all.delays[i]);
+    writer.plain(rowNamed("fuchsiagw_replica_read_share"), replicaReadShare(all));
+    writer.byError(rowNamed("fuchsiagw_errors_total"), all.errors);
+    writer.byError(rowNamed("fuchsiagw_messages_dropped_total"), all.droppedMessages);
+    writer.byWorkspace(rowNamed("fuchsiagw_workspace_requests_total"), all,
+                       &workspace_counters::requests);
+    writer.byWorkspace(rowNamed("fuchsiagw_workspace_served_total"), all,
+                       &workspace_counters::served);
+    writer.byWorkspace(rowNamed("fuchsiagw_workspace_refused_total"), all,
+                       &workspace_counters::refused);
+    writer.byWorkspace(rowNamed("fuchsiagw_workspace_wrongful_refusals_total"), all,
+                       &workspace_counters::wrongfullyRefused);
+    return writer.text;
+}
+
+} // namespace fuchsiagw::daemon
--- a/src/wire/caller_json.cpp
+++ b/src/wire/caller_json.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/wire/caller_json.hpp>
 
+#include <fuchsiagw/core/configuration.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -59,38 +61,38 @@
     }
     bool string(std::string &value)
     {
-        if (depth == 1)
-            fields[name] = std::move(value);
+        if (depth_ == 1)
+            fields[name_] = std::move(value);
         else if (isInList())
-            std::get<string_list>(fields[name]).push_back(std::move(value));
-        return depth > 0 || fail("The body must be one JSON object.");
+            std::get<string_list>(fields[name_]).push_back(std::move(value));
+        return depth_ > 0 || fail("The body must be one JSON object.");
     }
     bool binary(json::binary_t & /*value*/) { return other(); }
 
     bool start_object(std::size_t /*size*/)
     {
-        if (depth > 0)
+        if (depth_ > 0)
             other();
         return descend();
     }
     bool key(std::string &value)
     {
-        if (depth > 1)
+        if (depth_ > 1)
             return true;
-        name = std::move(value);
+        name_ = std::move(value);
         if (fields.size() >= maxFields)
             return fail("The body has too many fields; send only those that the route knows.");
-        if (!fields.emplace(name, other_value{}).second)
-            return fail("The field '" + echo(name) + "' is given twice; send it once.");
+        if (!fields.emplace(name_, other_value{}).second)
+            return fail("The field '" + echo(name_) + "' is given twice; send it once.");
         return true;
     }
     bool end_object() { return ascend(); }
     bool start_array(std::size_t /*size*/)
     {
-        if (depth == 0)
+        if (depth_ == 0)
             return fail("The body must be one JSON object.");
-        if (depth == 1)
-            fields[name] = string_list{};
+        if (depth_ == 1)
+            fields[name_] = string_list{};
         else
             other();
         return descend();
@@ -113,8 +115,8 @@
     }
 
 private:
-    std::size_t depth = 0;
-    std::string name; ///< of the field that is being read
+    std::size_t depth_ = 0;
+    std::string name_; ///< of the field that is being read
 
     bool fail(std::string text)
     {
@@ -122,30 +124,30 @@
             problem = std::move(text);
         return false;
     }
-    bool isInList() { return depth == 2 && std::holds_alternative<string_list>(fields[name]); }
+    bool isInList() { return depth_ == 2 && std::holds_alternative<string_list>(fields[name_]); }
     bool integer(std::int64_t value)
     {
-        if (depth != 1)
+        if (depth_ != 1)
             return other();
-        fields[name] = value;
+        fields[name_] = value;
         return true;
     }
     /// A value that no field can take. In a list it spoils the whole list.
     bool other()
     {
-        if (depth == 0)
+        if (depth_ == 0)
             return fail("The body must be one JSON object.");
-        fields[name] = other_value{};
+        fields[name_] = other_value{};
         return true;
     }
     bool descend()
     {
-        return ++depth <= maxDepth
+        return ++depth_ <= maxDepth
                || fail("The body is nested too deeply; no field needs nesting.");
     }
     bool ascend()
     {
-        --depth;
+        --depth_;
         return true;
     }
 };
@@ -167,13 +169,13 @@
         if (!isValid || !collector.problem.empty())
             refuse(error_kind::MalformedBody, collector.problem);
         else
-            fields = std::move(collector.fields);
+            fields_ = std::move(collector.fields);
     }
 
     /// Refuses every field that is not in @p names.
     void allow(std::initializer_list<std::string_view> names)
     {
-        for (const auto &[name, value] : fields) {
+        for (const auto &[name, value] : fields_) {
             if (std::find(names.begin(), names.end(), name) == names.end()) {
                 refuse(error_kind::UnknownField,
                        "The field '" + field_collector::echo(name)
@@ -262,31 +264,31 @@
 
     void refuse(error_kind kind, std::string text)
     {
-        if (error)
+        if (error_)
             return;
-        error = kind;
-        problem = std::move(text);
+        error_ = kind;
+        problem_ = std::move(text);
     }
 
     std::error_code finish(parsed_statement &&read, parsed_statement &parsed,
                            std::string &text) const
     {
-        if (error)
-            text = problem;
+        if (error_)
+            text = problem_;
         else
             parsed = std::move(read);
-        return error;
+        return error_;
     }
 
 private:
-    field_map fields;
-    std::error_code error;
-    std::string problem;
+    field_map fields_;
+    std::error_code error_;
+    std::string problem_;
 
     const field_value *find(const std::string &name, bool isRequired)
     {
-        const auto entry = fields.find(name);
-        if (entry != fields.end())
+        const auto entry = fields_.find(name);
+        if (entry != fields_.end())
             return &entry->second;
         if (isRequired)
             refuse(error_kind::MissingField, "The field '" + name + "' is missing; add it.");
@@ -347,11 +349,11 @@
     reader.allow({ "group", "kind", "statement", "parameters", "read_class", "idempotency_key",
                    "deadline_ms" });
     parsed_statement read;
-    read.group.value = reader.takeString("group", true, maxNameBytes, true);
+    read.group.value = reader.takeString("group", true, core::maxNameLength, true);
     read.kind = reader.takeKind();
     read.text = reader.takeString("statement", true, maxStatementBytes, false);
     read.parameters = reader.takeParameters();
-    read.readClass = reader.takeString("read_class", false, maxNameBytes, true);
+    read.readClass = reader.takeString("read_class", false, core::maxNameLength, true);
     read.idempotencyKey = reader.takeString("idempotency_key", false, maxIdempotencyKeyBytes, true);
     read.timeLimit = reader.takeTimeLimit();
     if (!read.readClass.empty() && read.kind != statement_kind::Read)
@@ -366,7 +368,7 @@
     reader.allow({ "group", "deadline_ms" });
     parsed_statement read;
     read.kind = statement_kind::Begin;
-    read.group.value = reader.takeString("group", true, maxNameBytes, true);
+    read.group.value = reader.takeString("group", true, core::maxNameLength, true);
     read.timeLimit = reader.takeTimeLimit();
     return reader.finish(std::move(read), parsed, problem);
 }
--- a/tests/doc-table.hpp
+++ b/tests/doc-table.hpp
@@ -9,13 +9,10 @@
 #include <vector>
 
 /// @return every table row whose first cell starts with a digit or a code mark, cells trimmed and
-/// without code marks; empty if the page is not found above the working directory
+/// without code marks; empty if the page is missing
 inline std::vector<std::vector<std::string>> readDocRows(const std::string &page)
 {
-    std::filesystem::path root = std::filesystem::current_path();
-    while (!std::filesystem::exists(root / "docs" / "design.md") && root != root.root_path())
-        root = root.parent_path();
-    std::ifstream file(root / "docs" / page);
+    std::ifstream file(std::filesystem::path(FUCHSIAGW_SOURCE_DIR) / "docs" / page);
     std::vector<std::vector<std::string>> rows;
     for (std::string line; std::getline(file, line);) {
         const bool isRow = line.size() > 2 && line[0] == '|'
