Add the platform's stand-in and tests of both stand-ins

The daemon's platform duty needs a store that is down, slow, loses answers of writes that took effect, and lists instances late.

The fault state is shared by both stand-ins, and their server listens on the loopback address only.

--- a/include/fuchsiagw/detail/json_value.hpp
+++ b/include/fuchsiagw/detail/json_value.hpp
@@ -41,40 +41,40 @@
 {
 public:
     explicit json_object_reader(const nlohmann::json &source)
-        : object(source)
+        : object_(source)
     {
-        if (!object.is_object())
-            error = core::error_kind::WrongType;
+        if (!object_.is_object())
+            error_ = core::error_kind::WrongType;
     }
 
     template <typename type>
     void operator()(const char *name, type &value)
     {
-        if (error)
+        if (error_)
             return;
-        const auto found = object.find(name);
-        if (found != object.end()) {
-            ++known;
-            error = json_value<type>::read(*found, value);
+        const auto found = object_.find(name);
+        if (found != object_.end()) {
+            ++known_;
+            error_ = json_value<type>::read(*found, value);
         } else if constexpr (requires { value.reset(); }) {
             value.reset();
         } else {
-            error = core::error_kind::MissingField;
+            error_ = core::error_kind::MissingField;
         }
     }
 
     /// @return the first error, or UnknownField if the object has more fields than were read
     [[nodiscard]] std::error_code finish() const
     {
-        if (!error && known != object.size())
+        if (!error_ && known_ != object_.size())
             return core::error_kind::UnknownField;
-        return error;
+        return error_;
     }
 
 private:
-    const nlohmann::json &object;
-    std::size_t known = 0;
-    std::error_code error;
+    const nlohmann::json &object_;
+    std::size_t known_ = 0;
+    std::error_code error_;
 };
 
 /// Builds one JSON object.
--- a/include/fuchsiagw/testing/fault_server.hpp
+++ b/include/fuchsiagw/testing/fault_server.hpp
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <system_error>
@@ -27,10 +28,11 @@
     using request_handler = std::function<void(net::http_request &&, connection_number)>;
     using closed_handler = std::function<void(connection_number)>;
 
-    /// @param listenAt port 0: the kernel chooses, and start() keeps this port from then on
+    /// The server is for tests on this machine and listens on the loopback address only.
+    /// @param port 0: the kernel chooses, and start() keeps this port from then on
     /// @param onClosed called once for each connection, whichever side closed it
-    fault_server(boost::asio::io_context &context, net::endpoint listenAt,
-                 request_handler onRequest, closed_handler onClosed);
+    fault_server(boost::asio::io_context &context, std::uint16_t port, request_handler onRequest,
+                 closed_handler onClosed);
     ~fault_server();
     fault_server(const fault_server &) = delete;
     fault_server &operator=(const fault_server &) = delete;
--- a/include/fuchsiagw/testing/standin_json.hpp
+++ b/include/fuchsiagw/testing/standin_json.hpp
@@ -113,6 +113,7 @@
 /// Answer to `GET /counters` of the upstream stand-in.
 struct group_counters
 {
+    std::uint64_t received = 0; ///< statements, also those that wait or are refused
     std::uint64_t executed = 0; ///< statements that ran
     std::uint64_t connections = 0; ///< data connections open now
     std::uint64_t peakConnections = 0;
--- a/include/fuchsiagw/testing/standin_member.hpp
+++ b/include/fuchsiagw/testing/standin_member.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/testing/fault_server.hpp>
+#include <fuchsiagw/testing/fault_state.hpp>
 #include <fuchsiagw/testing/group_settings.hpp>
 #include <fuchsiagw/testing/member_model.hpp>
 #include <fuchsiagw/testing/standin_json.hpp>
@@ -19,7 +20,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <system_error>
 #include <vector>
 
@@ -28,6 +28,7 @@
 /// What a member needs from its group. The calls come on the context's thread.
 struct member_hooks
 {
+    std::function<void()> statementReceived;
     std::function<bool()> takeConnection; ///< false: the group has no connection left
     std::function<void()> releaseConnection;
     std::function<void(executed_statement &&)> record; ///< its number is not set yet
@@ -62,12 +63,6 @@
     member_model model;
 
 private:
-    struct fault_state
-    {
-        bool on = false;
-        std::optional<std::uint64_t> value;
-    };
-
     struct connection_state
     {
         bool isData = false; ///< counts against the group's connections
@@ -106,8 +101,6 @@
     void answerStatus(connection_number connection);
     void answerExecution(connection_number connection, const net::http_response &response);
     void after(core::duration delay, std::function<void()> action);
-    [[nodiscard]] bool consume(member_fault kind);
-    [[nodiscard]] core::duration faultDelay(member_fault kind) const;
     [[nodiscard]] fault_state &fault(member_fault kind)
     {
         return faults_.at(static_cast<std::size_t>(kind));
--- a/testing/fault_server.cpp
+++ b/testing/fault_server.cpp
@@ -42,9 +42,9 @@
 
 struct fault_server::implementation : std::enable_shared_from_this<fault_server::implementation>
 {
-    implementation(boost::asio::io_context &context, net::endpoint at)
+    implementation(boost::asio::io_context &context, std::uint16_t port)
         : acceptor(context)
-        , address(std::move(at))
+        , address{ boost::asio::ip::address_v4::loopback(), port }
     { }
 
     void accept()
@@ -159,9 +159,9 @@
     connection_number newest = 0;
 };
 
-fault_server::fault_server(boost::asio::io_context &context, net::endpoint listenAt,
+fault_server::fault_server(boost::asio::io_context &context, std::uint16_t port,
                            request_handler onRequest, closed_handler onClosed)
-    : implementation_(std::make_shared<implementation>(context, std::move(listenAt)))
+    : implementation_(std::make_shared<implementation>(context, port))
 {
     implementation_->onRequest = std::move(onRequest);
     implementation_->onClosed = std::move(onClosed);
--- a/testing/group_standin.cpp
+++ b/testing/group_standin.cpp
@@ -43,7 +43,7 @@
     : context_(context)
     , settings_(std::move(settings))
     , random_(settings_.seed)
-    , faultServer_(context, { boost::asio::ip::address_v4::loopback(), settings_.faultPort },
+    , faultServer_(context, settings_.faultPort,
                    [this](net::http_request &&request, connection_number connection) {
                        faultServer_.answer(connection, respond(request));
                    },
@@ -111,6 +111,7 @@
 member_hooks group_standin::makeHooks()
 {
     member_hooks hooks;
+    hooks.statementReceived = [this] { ++counters_.received; };
     hooks.takeConnection = [this] {
         if (counters_.connections >= settings_.connections) {
             ++counters_.refusedConnections;
--- /dev/null
+++ b/testing/platform-standin-main.cpp
@@ -0,0 +1,38 @@
+/// @file
+/// @brief Program that stands in for the platform on loopback ports.
+
+#include <utility>
+
+#include <fuchsiagw/testing/platform_standin.hpp>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdio>
+
+ABSL_FLAG(std::uint16_t, port, 0, "port of the platform; 0: any free one");
+ABSL_FLAG(std::uint16_t, fault_port, 0, "port for faults and counters; 0: any free one");
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Stands in for the platform on loopback ports.");
+    absl::ParseCommandLine(argc, argv);
+    using namespace fuchsiagw;
+    boost::asio::io_context context(1);
+    testing::platform_standin platform(context, absl::GetFlag(FLAGS_port),
+                                       absl::GetFlag(FLAGS_fault_port));
+    if (const auto error = platform.start()) {
+        std::fprintf(stderr, "platform-standin: can't bind a port: %s\n", error.message().c_str());
+        return 1;
+    }
+    std::printf("ready fault=%s platform=%s\n", net::toString(platform.faultAddress()).c_str(),
+                net::toString(platform.address()).c_str());
+    std::fflush(stdout);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
+    context.run();
+    return 0;
+}
--- a/testing/standin_json.cpp
+++ b/testing/standin_json.cpp
@@ -110,6 +110,7 @@
     template <typename archive, typename record>
     static void visit(archive &ar, record &value)
     {
+        ar("received", value.received);
         ar("executed", value.executed);
         ar("connections", value.connections);
         ar("peak_connections", value.peakConnections);
--- a/testing/standin_member.cpp
+++ b/testing/standin_member.cpp
@@ -16,12 +16,6 @@
 
 using core::error_kind;
 
-/// The stand-ins are test programs and serve this machine only.
-net::endpoint loopback(std::uint16_t port)
-{
-    return { boost::asio::ip::address_v4::loopback(), port };
-}
-
 bool needsValue(member_fault kind)
 {
     return kind == member_fault::Slow || kind == member_fault::Lag || kind == member_fault::Late;
@@ -36,7 +30,8 @@
     , settings_(settings)
     , hooks_(std::move(hooks))
     , server_(
-              context, loopback(index < settings.ports.size() ? settings.ports[index] : 0),
+              context,
+              static_cast<std::uint16_t>(index < settings.ports.size() ? settings.ports[index] : 0),
               [this](net::http_request &&request, connection_number connection) {
                   onRequest(std::move(request), connection);
               },
@@ -93,7 +88,7 @@
 {
     if (!fault(member_fault::Lag).on)
         return std::nullopt;
-    return faultDelay(member_fault::Lag);
+    return delayOf(fault(member_fault::Lag));
 }
 
 void standin_member::answerWaits()
@@ -216,6 +211,7 @@
         return;
     }
     next.headers = request.headers;
+    hooks_.statementReceived();
     connection_state &state = connections_.at(connection);
     if (state.isData) {
         enqueue(std::move(next));
@@ -252,7 +248,7 @@
         queue_.pop_front();
         next.hadTransaction = model.transactions.contains(next.connection);
         ++running_;
-        after(settings_.execute + faultDelay(member_fault::Slow),
+        after(settings_.execute + delayOf(fault(member_fault::Slow)),
               [this, next = std::move(next)] { finish(next); });
     }
 }
@@ -330,10 +326,10 @@
     const auto found = connections_.find(connection);
     if (found == connections_.end())
         return;
-    if (consume(member_fault::LoseAnswer)) {
+    if (consume(fault(member_fault::LoseAnswer))) {
         found->second.isSilent = true;
     } else if (fault(member_fault::Late).on) {
-        after(faultDelay(member_fault::Late),
+        after(delayOf(fault(member_fault::Late)),
               [this, connection, response] { answer(connection, response); });
     } else if (!fault(member_fault::Cross).on) {
         answer(connection, response);
@@ -343,8 +339,8 @@
         const auto [other, otherResponse] = *std::exchange(crossed_, std::nullopt);
         answer(other, response);
         answer(connection, otherResponse);
-        static_cast<void>(consume(member_fault::Cross));
-        static_cast<void>(consume(member_fault::Cross));
+        static_cast<void>(consume(fault(member_fault::Cross)));
+        static_cast<void>(consume(fault(member_fault::Cross)));
     }
 }
 
@@ -362,26 +358,4 @@
     });
 }
 
-bool standin_member::consume(member_fault kind)
-{
-    fault_state &state = fault(kind);
-    if (!state.on)
-        return false;
-    if (!state.value.has_value())
-        return true;
-    if (*state.value > 0)
-        --*state.value;
-    else
-        state.on = false;
-    const bool wasOn = state.on;
-    state.on = state.on && *state.value > 0;
-    return wasOn;
-}
-
-core::duration standin_member::faultDelay(member_fault kind) const
-{
-    const fault_state &state = fault(kind);
-    return state.on ? std::chrono::milliseconds(state.value.value_or(0)) : core::duration::zero();
-}
-
 } // namespace fuchsiagw::testing
