Check the limits against one exact bucket in virtual time

Loans, leases and the pool are safe only together, so nine instances run in one process on virtual time, with lost, doubled and late messages, pauses, deaths, restarts, zone cuts and platform outages.

--- /dev/null
+++ b/include/fuchsiagw/testing/limits_world.hpp
@@ -0,0 +1,198 @@
+/// @file
+/// @brief Instances that share limits, in virtual time: a small network, a platform table and the
+/// checkers for the sum of shares and for M7. The differential test, the fault matrix and the
+/// benchmark drive it.
+
+#pragma once
+
+#include <fuchsiagw/core/loan_policy.hpp>
+#include <fuchsiagw/core/share_pool.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsiagw::testing {
+
+struct world_workspace
+{
+    std::string name;
+    double rate = 0; ///< tokens per second
+    double burst = 0;
+    double offered = 0; ///< arrivals per second
+    std::vector<double> weights; ///< of the balancer, by instance; empty: even
+};
+
+/// Deliberate faults that the checkers must catch.
+enum class mutation : std::uint8_t {
+    None,
+    LenderKeepsShares,
+    HolderIgnoresLapse,
+    WitnessPromisesAfterVote,
+    BorrowerIgnoresEnd,
+    DuplicateIsCounted,
+    ReclaimWithoutWait,
+};
+
+inline constexpr std::array<std::string_view, 7> mutationNames{
+    "none",
+    "lender_keeps_shares",
+    "holder_ignores_lapse",
+    "witness_promises_after_vote",
+    "borrower_ignores_end",
+    "duplicate_is_counted",
+    "reclaim_without_wait",
+};
+
+struct world_settings
+{
+    std::uint64_t seed = 1;
+    std::size_t instances = 9;
+    std::size_t zones = 3;
+    std::vector<world_workspace> workspaces;
+    core::share_count connections = 0; ///< of one group; 0: none
+    core::loan_settings loans;
+    core::lease_times leases;
+    bool areLoansOn = true;
+    core::duration inZone = std::chrono::microseconds(300);
+    core::duration betweenZones = std::chrono::milliseconds(4);
+    core::duration toPlatform = std::chrono::milliseconds(10);
+    core::duration listLag = std::chrono::seconds(2);
+    double lost = 0; ///< part of the messages
+    double doubled = 0;
+    double late = 0;
+    core::duration lateness = std::chrono::seconds(5);
+    double clockDrift = 0; ///< greatest relative error of an instance's clock
+    bool isChecked = true; ///< checks the sum of shares after each message and tick
+    mutation fault = mutation::None;
+};
+
+/// Counts for one workspace.
+struct workspace_result
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t exactGranted = 0; ///< by one exact bucket over all instances
+    std::uint64_t wrongful = 0; ///< refused although the exact bucket granted it
+};
+
+struct waiting_statement
+{
+    core::time_point arrivedAt{};
+    bool exactGrants = false;
+};
+
+/// A table transaction whose outcome is not known yet.
+struct platform_call
+{
+    core::table_transaction transaction;
+    std::function<void(bool isCommitted)> decide;
+    std::uint64_t attempt = 0;
+};
+
+struct world_node
+{
+    core::peer_ref self;
+    bool isAlive = false;
+    bool isLeaving = false;
+    bool hasJoined = false;
+    core::time_point pausedUntil{};
+    double clockRate = 1;
+    core::duration clockOffset{ 0 };
+    core::lease_holder lease;
+    core::lease_witness witness;
+    core::loan_desk desk;
+    core::time_point homeUntil{};
+    std::shared_ptr<platform_call> call; ///< at most one at a time
+    core::time_point nextPlatform{};
+    core::time_point diesAt = core::noDeadline; ///< bound of a graceful stop
+    std::map<core::resource_id, std::deque<waiting_statement>> waiting;
+    std::vector<std::function<void()>> inbox; ///< arrived while paused
+    std::uint64_t bytesSent = 0;
+};
+
+struct listed_peer
+{
+    core::peer_ref peer;
+    core::time_point from{};
+    core::time_point until = core::noDeadline;
+};
+
+struct world_event
+{
+    core::time_point at{};
+    std::uint64_t number = 0;
+    std::function<void()> run;
+
+    friend bool operator>(const world_event &left, const world_event &right)
+    {
+        return left.at == right.at ? left.number > right.number : left.at > right.at;
+    }
+};
+
+/// Invariant: time never goes back; events at the same time run in the order of their creation.
+struct limits_world
+{
+    world_settings settings;
+    core::random_engine random;
+    core::time_point now{};
+    std::uint64_t nextEvent = 0;
+    std::priority_queue<world_event, std::vector<world_event>, std::greater<>> events;
+    std::deque<world_node> nodes; ///< a deque keeps references valid when a node is added
+    std::map<core::incarnation_id, std::size_t> nodeByIncarnation;
+    std::vector<listed_peer> list;
+    core::incarnation_id nextIncarnation = 1;
+    std::uint64_t nextTransaction = 1;
+
+    core::table_view table;
+    std::map<std::string, bool> remembered; ///< results by transaction id
+    core::time_point platformDownUntil{};
+    core::time_point answersLostUntil{};
+    std::map<core::zone_name, core::time_point> cutUntil;
+
+    std::map<core::resource_id, core::token_bucket> exactByArrival;
+    std::map<core::resource_id, core::token_bucket> exactByGrant;
+    std::map<core::resource_id, workspace_result> results;
+    std::map<core::resource_id, std::uint64_t> shareViolations;
+    std::uint64_t tableViolations = 0;
+    std::uint64_t grantViolations = 0; ///< grants that the exact bucket could not have given
+    std::uint64_t checks = 0;
+    std::uint64_t messages = 0;
+    std::uint64_t lapses = 0; ///< times that an instance's lease lapsed while it ran
+
+    limits_world() = default;
+    limits_world(const limits_world &) = delete;
+    limits_world &operator=(const limits_world &) = delete;
+};
+
+/// @brief Creates the world and starts all instances.
+[[nodiscard]] std::unique_ptr<limits_world> makeWorld(const world_settings &settings);
+
+/// @brief Runs all events of the next @p length.
+void runFor(limits_world &world, core::duration length);
+
+/// @brief Schedules something to happen in the world.
+void after(limits_world &world, core::duration delay, std::function<void()> event);
+
+void pauseNode(limits_world &world, std::size_t node, core::duration length);
+void killNode(limits_world &world, std::size_t node);
+/// @brief Starts a new incarnation on a dead node.
+void startNode(limits_world &world, std::size_t node);
+/// @brief Stops a node gracefully and starts its replacement at once under another instance name.
+void replaceNode(limits_world &world, std::size_t node);
+void cutZone(limits_world &world, std::size_t zone, core::duration length);
+void stopPlatform(limits_world &world, core::duration length);
+void loseAnswers(limits_world &world, core::duration length);
+
+/// @return all violations that the checkers have found
+[[nodiscard]] std::uint64_t violations(const limits_world &world);
+
+/// @brief Adds the results of all workspaces.
+[[nodiscard]] workspace_result total(const limits_world &world);
+
+} // namespace fuchsiagw::testing
