Add the messages between daemons and their codec

A message is cereal's portable binary form of header and body with a MAC. cereal's own input archive allocates what a length field claims, so an input archive of our own checks lengths against the bytes that are left and grows lists element by element. The header names the receiver's incarnation, so that a message that reaches an instance with a reused address has no effect. Datagrams and frames have separate sequence numbers: a frame may wait longer than the window of datagrams lasts.

Answers and configurations may exceed a frame of 1 MiB, so they travel in parts.

--- /dev/null
+++ b/include/fuchsiagw/wire/peer_codec.hpp
@@ -0,0 +1,146 @@
+/// @file
+/// @brief Seals and opens messages between daemons.
+///
+/// A message is cereal's portable binary form of header and body, followed by a MAC over all of it.
+/// The header holds format version, key number, sender and receiver incarnation, sequence number
+/// and kind. The receiver's incarnation keeps a message from taking effect at an instance that
+/// happens to have the address of another one.
+
+#pragma once
+
+#include <fuchsiagw/core/error_kind.hpp>
+#include <fuchsiagw/detail/bounded_archive.hpp>
+#include <fuchsiagw/wire/peer_message.hpp>
+#include <fuchsiagw/wire/replay_window.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace fuchsiagw::wire {
+
+inline constexpr std::size_t peerKeySize = 32; ///< bytes
+using peer_key = std::array<unsigned char, peerKeySize>;
+
+/// Keys of the deployment. A rotation first adds the new key everywhere, then makes it current, and
+/// then removes the old key.
+struct peer_keys
+{
+    std::map<std::uint8_t, peer_key> keys; ///< by key number
+    std::uint8_t current = 0; ///< key of sent messages; must be in `keys`
+};
+
+/// @brief Derives a key for messages from a shared secret, apart from every other use of it.
+/// @complexity linear in the size of @p secret
+[[nodiscard]] peer_key derivePeerKey(std::string_view secret);
+
+inline constexpr std::size_t maxDatagramBytes = 1'200;
+inline constexpr std::size_t maxFrameBytes = 1'048'576;
+
+[[nodiscard]] constexpr std::size_t maxMessageBytes(peer_transport transport)
+{
+    return transport == peer_transport::Datagram ? maxDatagramBytes : maxFrameBytes;
+}
+
+struct peer_header
+{
+    std::uint8_t version = 0;
+    std::uint8_t keyNumber = 0;
+    core::incarnation_id sender = 0;
+    core::incarnation_id receiver = 0; ///< 0: whoever has the address
+    std::uint64_t sequence = 0; ///< from 1, for each transport
+    peer_kind kind = peer_kind::Hello;
+
+    template <typename archive>
+    void serialize(archive &ar)
+    {
+        ar(version, keyNumber, sender, receiver, sequence, kind);
+    }
+};
+
+/// A message whose MAC, size and sequence number are right. It refers to the bytes it came from.
+struct opened_message
+{
+    peer_header header;
+    std::string_view body;
+};
+
+/// @brief Writes a body in the form that readBody() reads.
+template <typename type>
+[[nodiscard]] std::string writeBody(const type &body)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(
+                stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+        archive(body);
+    }
+    return std::move(stream).str();
+}
+
+/// @brief Reads a body.
+/// @param result unspecified on an error
+/// @return MessageDamaged if @p bytes are anything but the whole of one @p type
+/// @complexity linear in the size of @p bytes, in time and memory
+template <typename type>
+[[nodiscard]] std::error_code readBody(std::string_view bytes, type &result)
+{
+    try {
+        detail::bounded_archive archive(bytes);
+        archive(result);
+        if (archive.left() == 0 && isValid(result))
+            return {};
+    } catch (const std::exception &) {
+        // The archive reports input that does not fit by throwing.
+    }
+    return core::error_kind::MessageDamaged;
+}
+
+/// One instance's end of all exchanges. Used by one thread.
+class peer_codec
+{
+public:
+    /// @param self this instance's incarnation, not 0
+    peer_codec(core::incarnation_id self, peer_keys keys);
+
+    /// @brief Seals a message.
+    /// @param receiver incarnation of the receiver; 0 if it is not known yet
+    /// @param[out] message set only on success
+    /// @return MessageTooLarge if it exceeds the bound of its transport
+    /// @complexity linear in the size of the message
+    template <typename type>
+    [[nodiscard]] std::error_code seal(peer_kind kind, core::incarnation_id receiver,
+                                       const type &body, std::string &message)
+    {
+        return sealBytes(kind, receiver, writeBody(body), message);
+    }
+
+    /// @brief Checks a message and takes its sequence number.
+    /// @param message must outlive @p result
+    /// @return MessageTooLarge, MessageDamaged (no message of this format or kind), MessageForeign
+    /// (wrong MAC, unknown key, own message, or for another receiver) or MessageReplayed
+    /// @complexity linear in the size of the message
+    [[nodiscard]] std::error_code open(std::string_view message, peer_transport transport,
+                                       core::time_point now, opened_message &result);
+
+    /// @brief Replaces the keys during a rotation.
+    void setKeys(peer_keys keys);
+
+    [[nodiscard]] core::incarnation_id self() const { return self_; }
+
+private:
+    core::incarnation_id self_;
+    peer_keys keys_;
+    std::array<std::uint64_t, 2> lastSequence_{}; ///< by transport
+    std::array<replay_window, 2> windows_; ///< by transport, since frames may be late
+
+    [[nodiscard]] std::error_code sealBytes(peer_kind kind, core::incarnation_id receiver,
+                                            std::string_view body, std::string &message);
+};
+
+} // namespace fuchsiagw::wire
--- /dev/null
+++ b/src/wire/replay_window.cpp
@@ -0,0 +1,62 @@
+/// @file
+/// @brief Sliding windows of sequence numbers.
+
+#include <fuchsiagw/wire/replay_window.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::wire {
+
+bool sequence_window::accept(std::uint64_t sequence)
+{
+    if (sequence == 0)
+        return false;
+    if (sequence > newest_) {
+        if (sequence - newest_ >= size) {
+            seen_.reset();
+        } else {
+            for (std::uint64_t skipped = newest_ + 1; skipped < sequence; ++skipped)
+                seen_.reset(skipped % size);
+        }
+        newest_ = sequence;
+        seen_.set(sequence % size);
+        return true;
+    }
+    if (newest_ - sequence >= size || seen_.test(sequence % size))
+        return false;
+    seen_.set(sequence % size);
+    return true;
+}
+
+bool replay_window::accept(core::incarnation_id sender, std::uint64_t sequence,
+                           core::time_point now)
+{
+    auto known = senders_.find(sender);
+    if (known == senders_.end()) {
+        if (senders_.size() >= maxSenders && !makeRoom(now))
+            return false;
+        known = senders_.emplace(sender, sender_state{ {}, now }).first;
+    }
+    known->second.heardAt = now;
+    return known->second.window.accept(sequence);
+}
+
+bool replay_window::makeRoom(core::time_point now)
+{
+    if (now < nextSweep_)
+        return false;
+    core::time_point oldest = core::noDeadline;
+    std::erase_if(senders_, [&oldest, now](const auto &entry) {
+        const core::time_point heardAt = entry.second.heardAt;
+        if (heardAt + forgetAfter <= now)
+            return true;
+        oldest = std::min(oldest, heardAt);
+        return false;
+    });
+    if (senders_.size() < maxSenders)
+        return true;
+    nextSweep_ = oldest + forgetAfter;
+    return false;
+}
+
+} // namespace fuchsiagw::wire
--- /dev/null
+++ b/tests/unit-peer-codec.cpp
@@ -0,0 +1,261 @@
+/// @file
+/// @brief Tests of messages between daemons.
+
+#include <fuchsiagw/wire/peer_codec.hpp>
+#include <fuchsiagw/wire/peer_message.hpp>
+
+#include <random>
+#include <set>
+#include <tuple>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::wire;
+using core::error_kind;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::time_point now{ 100s };
+
+peer_keys keysOf(std::string_view secret, std::uint8_t number = 1)
+{
+    return { { { number, derivePeerKey(secret) } }, number };
+}
+
+/// Stands for any report of the tree.
+struct small_report
+{
+    std::uint64_t version = 0;
+
+    template <typename archive>
+    void serialize(archive &ar)
+    {
+        ar(version);
+    }
+};
+
+forward_request anyForward()
+{
+    forward_request message;
+    message.id = { 1, 2 };
+    message.workspace.value = "w";
+    message.group.value = "g";
+    message.kind = core::statement_kind::Write;
+    message.text = "text";
+    message.parameters = { "a", "", "c" };
+    message.readClass = "menu";
+    message.idempotencyKey = "k";
+    message.transaction = core::transaction_id{ 5, 6 };
+    message.atLeast = { 7, 8 };
+    message.sessionUnusable = true;
+    message.remainingMicros = 9;
+    return message;
+}
+
+} // namespace
+
+TEST_GROUP(peer_codec)
+{
+    peer_codec sender{ 11, keysOf("s") };
+    peer_codec receiver{ 22, keysOf("s") };
+    opened_message opened;
+
+    std::string sealed(peer_kind kind = peer_kind::Digest)
+    {
+        std::string message;
+        CHECK_FALSE(sender.seal(kind, 22, sender_info{ { "i" }, { "z" }, "127.0.0.1:1" }, message));
+        return message;
+    }
+    void checkRefused(error_kind expected, std::string_view message,
+                      peer_transport transport = peer_transport::Datagram)
+    {
+        const std::error_code error = receiver.open(message, transport, now, opened);
+        STRCMP_EQUAL(core::answerOf(expected).name.data(),
+                     error ? core::answerOf(core::kindOf(error)).name.data() : "accepted");
+    }
+};
+
+TEST(peer_codec, messageArrivesWhole)
+{
+    digest_message<small_report> digest;
+    digest.sender = { { "i" }, { "z" }, "127.0.0.1:1", sender_state::Leaving };
+    digest.report.version = 77;
+    std::string message;
+    CHECK_FALSE(sender.seal(peer_kind::Digest, 0, digest, message));
+    CHECK_FALSE(receiver.open(message, peer_transport::Datagram, now, opened));
+    CHECK_TRUE(opened.header.sender == 11);
+    digest_message<small_report> read;
+    CHECK_FALSE(readBody(opened.body, read));
+    CHECK_TRUE(read.sender == digest.sender);
+    LONGS_EQUAL(77, read.report.version);
+}
+
+// Guards against a field that is lost on the way to the owner of a group.
+TEST(peer_codec, forwardedRequestKeepsEveryField)
+{
+    const forward_request forward = anyForward();
+    const core::statement_request request = toRequest(forward, now);
+    CHECK_TRUE(request.deadline == now + core::duration(9));
+    const forward_request again = toForward(request, now);
+    CHECK_TRUE(writeBody(forward) == writeBody(again));
+    forward_request read;
+    CHECK_FALSE(readBody(writeBody(forward), read));
+    CHECK_TRUE(writeBody(read) == writeBody(forward));
+    LONGS_EQUAL(0, toForward(request, now + 1h).remainingMicros);
+    const core::statement_request endless;
+    CHECK_TRUE(toRequest(toForward(endless, now), now).deadline < core::noDeadline);
+}
+
+// Guards against a message that takes effect although a byte of it was changed on the way.
+TEST(peer_codec, everyChangedByteIsFound)
+{
+    const std::string message = sealed();
+    for (std::size_t at = 0; at < message.size(); ++at) {
+        std::string changed = message;
+        changed[at] = static_cast<char>(changed[at] ^ 0x10);
+        checkRefused(error_kind::MessageForeign, changed);
+    }
+    for (std::size_t size = 0; size < message.size(); ++size)
+        CHECK_TRUE(receiver.open(message.substr(0, size), peer_transport::Datagram, now, opened)
+                           .value()
+                   != 0);
+    CHECK_FALSE(receiver.open(message, peer_transport::Datagram, now, opened));
+}
+
+// Guards against a message that takes effect twice, at its sender or at another instance.
+TEST(peer_codec, replayedAndForeignMessagesAreRefused)
+{
+    const std::string message = sealed();
+    CHECK_FALSE(receiver.open(message, peer_transport::Datagram, now, opened));
+    checkRefused(error_kind::MessageReplayed, message);
+    checkRefused(error_kind::MessageDamaged, sealed(), peer_transport::Stream);
+    peer_codec other(33, keysOf("s"));
+    CHECK_TRUE(other.open(message, peer_transport::Datagram, now, opened)
+               == error_kind::MessageForeign);
+    peer_codec sameSender(11, keysOf("s"));
+    CHECK_TRUE(sameSender.open(message, peer_transport::Datagram, now, opened)
+               == error_kind::MessageForeign);
+    peer_codec stranger(22, keysOf("t"));
+    CHECK_TRUE(stranger.open(message, peer_transport::Datagram, now, opened)
+               == error_kind::MessageForeign);
+}
+
+// Guards against a datagram's number that makes a frame look replayed.
+TEST(peer_codec, transportsHaveTheirOwnNumbers)
+{
+    const std::string frame = sealed(peer_kind::Hello);
+    for (std::size_t i = 0; i < 2 * sequence_window::size; ++i)
+        CHECK_FALSE(receiver.open(sealed(), peer_transport::Datagram, now, opened));
+    CHECK_FALSE(receiver.open(frame, peer_transport::Stream, now, opened));
+}
+
+// Guards against a rotation during which instances do not understand each other.
+TEST(peer_codec, keysRotateWithoutAGap)
+{
+    peer_keys both = keysOf("s", 1);
+    both.keys[2] = derivePeerKey("new");
+    receiver.setKeys(both);
+    CHECK_FALSE(receiver.open(sealed(), peer_transport::Datagram, now, opened));
+    both.current = 2;
+    sender.setKeys(both);
+    CHECK_FALSE(receiver.open(sealed(), peer_transport::Datagram, now, opened));
+    receiver.setKeys(keysOf("new", 2));
+    CHECK_FALSE(receiver.open(sealed(), peer_transport::Datagram, now, opened));
+}
+
+// Guards against datagrams that the network would fragment and frames without a bound.
+TEST(peer_codec, boundsAreExact)
+{
+    std::string message = "unchanged";
+    const auto size = [](std::size_t text) {
+        configuration_body body;
+        body.content.assign(text, 'x');
+        return body;
+    };
+    CHECK_FALSE(sender.seal(peer_kind::ConfigurationBody, 0, size(0), message));
+    const std::size_t overhead = message.size();
+    CHECK_FALSE(
+            sender.seal(peer_kind::ConfigurationBody, 0, size(maxFrameBytes - overhead), message));
+    LONGS_EQUAL(maxFrameBytes, message.size());
+    CHECK_FALSE(receiver.open(message, peer_transport::Stream, now, opened));
+    checkRefused(error_kind::MessageTooLarge, message + "x", peer_transport::Stream);
+    message = "unchanged";
+    CHECK_TRUE(sender.seal(peer_kind::ConfigurationBody, 0, size(maxFrameBytes - overhead + 1),
+                           message)
+               == error_kind::MessageTooLarge);
+    CHECK_FALSE(sender.seal(peer_kind::Digest, 0, size(maxDatagramBytes - overhead), message));
+    LONGS_EQUAL(maxDatagramBytes, message.size());
+    CHECK_TRUE(sender.seal(peer_kind::Digest, 0, size(maxDatagramBytes - overhead + 1), message)
+               == error_kind::MessageTooLarge);
+}
+
+// Guards against a length field that makes the receiver allocate what it claims, and against
+// values that no enumeration has.
+TEST(peer_codec, impossibleBodiesAreDamaged)
+{
+    forward_request read;
+    const std::string body = writeBody(anyForward());
+    CHECK_TRUE(readBody(body + "x", read) == error_kind::MessageDamaged);
+    CHECK_TRUE(readBody("", read) == error_kind::MessageDamaged);
+    for (std::size_t at = 1; at + 8 <= body.size(); ++at) {
+        std::string changed = body;
+        changed.replace(at, 8, std::string(7, '\xff') + "\x7f");
+        const std::error_code error = readBody(changed, read);
+        CHECK_TRUE(!error || error == error_kind::MessageDamaged);
+    }
+    std::string wrongKind = writeBody(sender_info{});
+    wrongKind.back() = 3;
+    sender_info info;
+    CHECK_TRUE(readBody(wrongKind, info) == error_kind::MessageDamaged);
+}
+
+// Guards against an answer that is cut or mixed with another one.
+TEST(peer_codec, largeAnswersTravelInParts)
+{
+    core::statement_answer answer;
+    answer.id = { 3, 4 };
+    answer.rows.assign(400, { std::string(5000, 'r'), "" });
+    answer.error = error_kind::NotConfirmed;
+    answer.transaction = core::transaction_id{ 8, 9 };
+    std::vector<forward_answer> parts;
+    CHECK_FALSE(splitAnswer(answer, parts));
+    CHECK_TRUE(parts.size() > 1);
+    part_joiner joiner;
+    for (const forward_answer &part : parts) {
+        std::string message;
+        CHECK_FALSE(sender.seal(peer_kind::ForwardAnswer, 22, part, message));
+        CHECK_FALSE(joiner.isComplete());
+        CHECK_FALSE(joiner.add(part.part, part.parts, part.content));
+    }
+    CHECK_TRUE(joiner.isComplete());
+    CHECK_TRUE(joiner.add(2, 2, "more") == error_kind::MessageDamaged);
+    core::statement_answer read;
+    CHECK_FALSE(readAnswer(answer.id, joiner.content, read));
+    CHECK_TRUE(read.rows == answer.rows);
+    CHECK_TRUE(read.error == answer.error);
+    CHECK_TRUE(read.transaction == answer.transaction);
+    CHECK_TRUE(readAnswer({ 3, 5 }, joiner.content, read) == error_kind::MessageDamaged);
+    answer.rows.assign(20, { std::string(maxFrameBytes, 'r') });
+    CHECK_TRUE(splitAnswer(answer, parts) == error_kind::MessageTooLarge);
+}
+
+// Guards against a configuration that is put together from parts of two.
+TEST(peer_codec, partsMustFollowEachOther)
+{
+    for (const auto &[first, second] : { std::pair(std::pair(0U, 2U), std::pair(0U, 2U)),
+                                         { { 0, 2 }, { 1, 3 } },
+                                         { { 1, 2 }, { 1, 2 } },
+                                         { { 0, 0 }, { 0, 0 } },
+                                         { { 0, maxParts + 1 }, { 1, 2 } } }) {
+        part_joiner joiner;
+        const std::error_code one = joiner.add(first.first, first.second, "a");
+        const std::error_code two = joiner.add(second.first, second.second, "b");
+        CHECK_TRUE(one || two);
+        CHECK_FALSE(joiner.isComplete());
+    }
+    std::vector<configuration_body> parts;
+    CHECK_FALSE(splitConfiguration(5, 6, "", parts));
+    LONGS_EQUAL(1, parts.size());
+}
