Add failover and its matrix of faults in virtual time

Cause: nobody but the proxy replaces a lost primary, and a replacement must lose no acknowledged write, whatever else fails at the same time.

Ruled out: counting a refusal with the own term as a grant whose answer was lost; it may belong to an earlier run of the same instance, so a lost grant costs a new term instead. Starting an attempt without a reachable majority; it would only take the reached members out of service. Promoting as soon as one owner hears nothing; a peer that hears the primary delays it, since only one way may be cut.

--- /dev/null
+++ b/src/core/failover.cpp
@@ -0,0 +1,589 @@
+/// @file
+/// @brief When and how the primary of a group is replaced.
+
+#include <fuchsiagw/core/failover.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+/// Answers to peers that suspect the primary are at most this frequent.
+constexpr duration publishEvery = std::chrono::milliseconds(50);
+/// Probes of a primary without an answer after which their interval starts to grow.
+constexpr std::uint32_t probesAtFullRate = 8;
+constexpr duration silentProbeLongest = std::chrono::seconds(1);
+
+bool isHeardWithin(const member_view &member, duration window, time_point now)
+{
+    return member.lastHeard != time_point::min() && member.lastHeard + window >= now;
+}
+
+duration doubled(duration first, std::uint32_t times, duration longest)
+{
+    constexpr std::uint32_t longestExponent = 16; // keeps the shift defined
+    return std::min(first * (std::int64_t{ 1 } << std::min(times, longestExponent)), longest);
+}
+
+/// The first probe after a quiet time says nothing yet.
+bool isProbeOverdue(const failover_state &state, time_point now)
+{
+    return state.silentSince != noDeadline && now >= state.silentSince + probeEvery;
+}
+
+std::int64_t patienceFactor(const failover_state &state)
+{
+    std::int64_t factor = 1;
+    for (std::size_t i = 0; i < state.promotions.size() && factor < longestPatienceFactor; ++i)
+        factor *= 2;
+    return factor;
+}
+
+void clearSuspicion(failover_state &state)
+{
+    state.suspicion.reset();
+    state.startAt = noDeadline;
+    state.isPostponed = false;
+}
+
+void clearSilence(failover_state &state)
+{
+    state.silentSince = noDeadline;
+    state.refusedSince = noDeadline;
+}
+
+failover_action makeAction(failover_step step, const member_id &member, term_number term,
+                           duration timeout = probeTimeout)
+{
+    failover_action action;
+    action.step = step;
+    action.member = member;
+    action.term = term;
+    action.timeout = timeout;
+    return action;
+}
+
+failover_action makeFollow(const group_view &view, const member_id &member)
+{
+    failover_action action = makeAction(failover_step::Follow, member, view.highestTerm);
+    action.primary = *view.primary;
+    return action;
+}
+
+void publish(failover_state &state, bool suspects, time_point now, failover_actions &actions)
+{
+    failover_action action;
+    action.step = failover_step::PublishView;
+    action.suspects = suspects;
+    actions.push_back(action);
+    state.lastPublished = now;
+}
+
+/// Members that can grant a term now, without the one that is to be replaced.
+std::size_t countReachable(const group_view &view, const std::optional<member_id> &except,
+                           time_point now)
+{
+    const auto count =
+            std::count_if(view.members.begin(), view.members.end(), [&](const auto &each) {
+                return each.first != except && isHeardWithin(each.second, reachableWithin, now);
+            });
+    return static_cast<std::size_t>(count);
+}
+
+// ---- silence and other causes ----
+
+bool isSilent(const failover_state &state, time_point now)
+{
+    const std::int64_t factor = patienceFactor(state);
+    const duration patience = suspectAfter * factor;
+    // A peer that still hears the primary knows better: only the way from here is cut.
+    const bool isHeardByPeer = state.peerHeard != time_point::min()
+                               && state.peerHeard + patience + probeAfterSilence > now;
+    if (isHeardByPeer)
+        return false;
+    if (state.refusedSince != noDeadline
+        && now >= state.refusedSince + suspectAfterRefused * factor)
+        return true;
+    return state.silentSince != noDeadline && now >= state.silentSince + patience;
+}
+
+bool isUnconfirmed(const failover_state &state, const group_view &view, const failover_load &load,
+                   time_point now)
+{
+    if (load.oldestUnconfirmed == noDeadline)
+        return false;
+    const duration patience =
+            std::max(unconfirmedAfter, load.confirmDelay * 2) * patienceFactor(state);
+    if (now < load.oldestUnconfirmed + patience || now < state.resumedAt + patience)
+        return false;
+    // Slow replication still grows; a replica that is only far behind is no reason to promote.
+    return std::none_of(view.members.begin(), view.members.end(), [&](const auto &each) {
+        const member_view &member = each.second;
+        return each.first != *view.primary && member.lastAdvanced != time_point::min()
+               && member.lastAdvanced + patience > now;
+    });
+}
+
+bool canReplaceLeaving(const group_view &view, time_point now)
+{
+    return std::any_of(view.members.begin(), view.members.end(), [&](const auto &each) {
+        return !each.second.leaving && isHeardWithin(each.second, followIfHeardWithin, now);
+    });
+}
+
+std::optional<failover_cause> findCause(const failover_state &state, const group_view &view,
+                                        const failover_load &load, time_point now)
+{
+    if (now < state.handUntil)
+        return failover_cause::ByHand;
+    const bool isOwnTerm = state.triedTerm != 0 && state.triedTerm == view.highestTerm;
+    if (const member_view *primary = findPrimary(view); primary != nullptr) {
+        if (!state.promotes)
+            return std::nullopt;
+        if (primary->leaving && canReplaceLeaving(view, now))
+            return failover_cause::Leaving;
+        if (isSilent(state, now))
+            return failover_cause::Silence;
+        if (isUnconfirmed(state, view, load, now))
+            return failover_cause::Unconfirmed;
+        return std::nullopt;
+    }
+    // An own attempt has fenced the old primary: it is finished even if the switch was turned off
+    // meanwhile, else the group would stay without a primary.
+    if (isOwnTerm)
+        return failover_cause::NoPrimary;
+    const bool isOverdue =
+            now >= view.primarySince + noPrimaryPatience && now >= state.resumedAt + startPatience;
+    return state.promotes && isOverdue ? std::optional(failover_cause::NoPrimary) : std::nullopt;
+}
+
+// ---- probes ----
+
+/// @return how long after the last sign or probe the next probe is due
+duration probeInterval(const probe_schedule &schedule, bool isUrgent, duration silence)
+{
+    const std::uint32_t unanswered = schedule.unanswered;
+    if (!isUrgent)
+        return doubled(silence, unanswered, backoffLongest);
+    const std::uint32_t beyond =
+            unanswered > probesAtFullRate ? (unanswered - probesAtFullRate) / 2 : 0;
+    return doubled(probeEvery, beyond, silentProbeLongest);
+}
+
+void probeMember(failover_state &state, const member_id &id, member_view &member, bool isPrimary,
+                 bool isUrgent, duration silence, time_point now, random_engine &random,
+                 failover_actions &actions)
+{
+    probe_schedule &schedule = state.schedule[id];
+    if (member.lastHeard >= schedule.sent)
+        schedule.unanswered = 0;
+    const bool isQuiet = !isHeardWithin(member, silence, now) || member.pause.failures > 0;
+    const bool isSpaced = schedule.sent == time_point::min()
+                          || schedule.sent + probeInterval(schedule, isUrgent, silence) <= now;
+    if (!isQuiet || !isSpaced)
+        return;
+    if (!isPrimary && !isUrgent && member.pause.failures > 0) {
+        if (isBackedOff(member.pause, now))
+            return;
+        // Moves the next probe; an answer clears the backoff.
+        recordFailure(member.pause, now, random);
+    }
+    schedule.sent = now;
+    schedule.unanswered += 1;
+    if (isPrimary && state.silentSince == noDeadline)
+        state.silentSince = now;
+    actions.push_back(makeAction(failover_step::Probe, id, 0));
+}
+
+void probeMembers(failover_state &state, group_view &view, const failover_load &load,
+                  time_point now, random_engine &random, failover_actions &actions)
+{
+    const member_view *primary = findPrimary(view);
+    if (primary != nullptr && state.silentSince != noDeadline
+        && primary->lastHeard >= state.silentSince)
+        clearSilence(state);
+    const bool isAlarmed =
+            state.suspicion || state.attempt || primary == nullptr || isProbeOverdue(state, now);
+    for (auto &[id, member] : view.members) {
+        const bool isPrimary = view.primary == id;
+        if (!isPrimary && !state.probes && !isAlarmed)
+            continue;
+        duration silence = load.hasWork ? replicaProbeAfterSilence : idleProbeAfterSilence;
+        if (isPrimary && load.hasWork)
+            silence = probeAfterSilence;
+        if (isAlarmed && !isPrimary)
+            silence = probeEvery;
+        probeMember(state, id, member, isPrimary, isAlarmed || (isPrimary && load.hasWork), silence,
+                    now, random, actions);
+    }
+}
+
+// ---- following ----
+
+/// Tells members that are under an old term, or don't grow, whom to follow. The promoter does so at
+/// once, the other owners only after it had its chance.
+void followMembers(failover_state &state, const group_view &view, time_point now,
+                   failover_actions &actions)
+{
+    const member_view *primary = findPrimary(view);
+    if (primary == nullptr)
+        return;
+    const duration takeover = followTakeover + staggerPerRank * state.rank;
+    for (const auto &[id, member] : view.members) {
+        if (id == *view.primary)
+            continue;
+        follow_task &task = state.follows[id];
+        if (task.term != view.highestTerm) {
+            task = follow_task{};
+            task.term = view.highestTerm;
+            task.next = now + takeover;
+        }
+        const bool isStale = member.acceptedTerm < view.highestTerm;
+        const bool isStalled =
+                member.last < primary->last
+                && std::max(member.lastAdvanced, view.primarySince) + stalledAfter <= now;
+        if (!isStale && !isStalled && (task.isConfirmed || !task.isOwn)) {
+            task.tries = 0;
+            task.next = task.isOwn ? now : now + takeover;
+            continue;
+        }
+        if (now < task.next || !isHeardWithin(member, followIfHeardWithin, now))
+            continue;
+        task.next = now + doubled(followRetry, task.tries, followRetryLongest);
+        task.tries += 1;
+        if (isStale)
+            actions.push_back(makeAction(failover_step::AcceptTerm, id, view.highestTerm));
+        else
+            actions.push_back(makeFollow(view, id));
+    }
+}
+
+// ---- attempts ----
+
+void failAttempt(failover_state &state, time_point now, random_engine &random)
+{
+    assert(state.attempt);
+    state.suspected = state.attempt->chosen ? state.attempt->chosen : state.attempt->excluded;
+    const duration spread = doubled(staggerJitter, state.failedAttempts, attemptTimeoutLongest);
+    state.notBefore =
+            now + duration(drawBelow(random, static_cast<std::uint64_t>(spread.count()) + 1));
+    state.failedAttempts += 1;
+    state.attempt.reset();
+    clearSuspicion(state);
+}
+
+void lead(failover_state &state, const member_id &member, time_point now, failover_actions &actions)
+{
+    promotion_attempt &attempt = *state.attempt;
+    assert(!attempt.chosen || *attempt.chosen == member);
+    attempt.chosen = member;
+    attempt.tries += 1;
+    attempt.deadline = now + attemptTimeout;
+    actions.push_back(makeAction(failover_step::Lead, member, attempt.term, attemptTimeout));
+}
+
+void startAttempt(failover_state &state, const group_view &view, failover_cause cause,
+                  time_point now, failover_actions &actions)
+{
+    promotion_attempt attempt;
+    attempt.term = nextTerm(std::max(view.highestTerm, state.triedTerm), state.rank);
+    attempt.cause = cause;
+    attempt.excluded = view.primary ? view.primary : state.suspected;
+    attempt.startedAt = now;
+    const duration timeout = doubled(attemptTimeout, state.failedAttempts, attemptTimeoutLongest);
+    attempt.deadline = now + timeout;
+    state.triedTerm = attempt.term;
+    for (const auto &[id, member] : view.members)
+        actions.push_back(makeAction(failover_step::AcceptTerm, id, attempt.term, timeout));
+    state.attempt = std::move(attempt);
+    clearSuspicion(state);
+}
+
+/// Drops an attempt that a higher term has overtaken and finishes one that has its primary.
+void followEvents(failover_state &state, group_view &view, time_point now,
+                  failover_actions &actions)
+{
+    if (state.attempt && view.highestTerm > state.attempt->term) {
+        state.attempt.reset();
+        clearSuspicion(state);
+    }
+    const bool isFinished =
+            state.attempt && view.primary && view.highestTerm == state.attempt->term;
+    if (view.primary && view.highestTerm != state.seenTerm) {
+        if (state.seenTerm != 0)
+            state.promotions.push_back(now);
+        state.seenTerm = view.highestTerm;
+        state.failedAttempts = 0;
+        state.suspected.reset();
+        state.handUntil = time_point::min();
+        state.peerHeard = time_point::min();
+        clearSilence(state);
+        clearSuspicion(state);
+    }
+    if (!isFinished)
+        return;
+    state.attempt.reset();
+    for (const auto &[id, member] : view.members) {
+        follow_task task;
+        task.term = view.highestTerm;
+        task.isOwn = true;
+        task.next = now;
+        state.follows[id] = task;
+    }
+    publish(state, false, now, actions);
+    followMembers(state, view, now, actions);
+}
+
+void advanceAttempt(failover_state &state, const group_view &view, time_point now,
+                    random_engine &random, failover_actions &actions)
+{
+    promotion_attempt &attempt = *state.attempt;
+    const bool isFinal = now >= attempt.deadline;
+    if (attempt.chosen) {
+        if (!isFinal)
+            return;
+        if (attempt.tries < leadTries)
+            lead(state, *attempt.chosen, now, actions);
+        else
+            failAttempt(state, now, random);
+        return;
+    }
+    if (const auto member = choosePrimary(attempt, view, state.policy, isFinal))
+        lead(state, *member, now, actions);
+    else if (isFinal)
+        failAttempt(state, now, random);
+}
+
+/// Under the policies without a majority, a promotion must wait for more than reachable members.
+bool isHeldBack(const failover_state &state, const group_view &view,
+                const std::optional<member_id> &except, time_point now)
+{
+    if (state.policy == acknowledgement_policy::Lease)
+        return now < view.leaseUntil;
+    if (state.policy == acknowledgement_policy::Majority)
+        return false;
+    return std::none_of(view.members.begin(), view.members.end(), [&](const auto &each) {
+        return each.first != except && isHeardWithin(each.second, reachableWithin, now)
+               && each.second.last >= view.highestAcknowledged;
+    });
+}
+
+void watch(failover_state &state, const group_view &view, const failover_load &load, time_point now,
+           random_engine &random, failover_actions &actions)
+{
+    const std::optional<failover_cause> cause = findCause(state, view, load, now);
+    if (!cause) {
+        clearSuspicion(state);
+        return;
+    }
+    if (!state.suspicion) {
+        const auto jitter = static_cast<std::uint64_t>(staggerJitter.count());
+        state.startAt = now + staggerPerRank * state.rank + duration(drawBelow(random, jitter));
+        actions.push_back(makeAction(failover_step::Claim, {}, 0));
+    }
+    state.suspicion = cause;
+    if (now < state.startAt || now < state.notBefore)
+        return;
+    const std::optional<member_id> except = view.primary ? view.primary : state.suspected;
+    const std::size_t needed = majorityOf(view.members.size());
+    const bool isReachable =
+            countReachable(view, except, now) >= needed
+            || (!view.primary && countReachable(view, std::nullopt, now) >= needed);
+    // An attempt that can't succeed would only take the members that it reaches out of service.
+    if (cause != failover_cause::ByHand
+        && (!isReachable || isHeldBack(state, view, view.primary, now)))
+        return;
+    startAttempt(state, view, *cause, now, actions);
+}
+
+} // namespace
+
+std::string_view toString(failover_step step)
+{
+    return failoverStepNames.at(static_cast<std::size_t>(step));
+}
+
+std::string_view toString(failover_cause cause)
+{
+    return failoverCauseNames.at(static_cast<std::size_t>(cause));
+}
+
+failover_load loadOf(const pending_writes &pending, const group_view &view, bool hasStatements)
+{
+    failover_load load;
+    load.hasWork = hasStatements || !pending.writes.empty();
+    load.oldestUnconfirmed = oldestUnconfirmed(pending, view.highestTerm);
+    load.confirmDelay = pending.confirmDelay;
+    return load;
+}
+
+term_number nextTerm(term_number highest, std::uint8_t rank)
+{
+    return (((highest >> rankBits) + 1) << rankBits) | rank;
+}
+
+std::optional<member_id> choosePrimary(const promotion_attempt &attempt, const group_view &view,
+                                       acknowledgement_policy policy, bool isFinal)
+{
+    const std::size_t needed = majorityOf(view.members.size());
+    const bool holdsExcluded = attempt.excluded && attempt.grants.contains(*attempt.excluded);
+    const bool isEnough = attempt.grants.size() - (holdsExcluded ? 1 : 0) >= needed;
+    if (!isEnough && (!isFinal || attempt.grants.size() < needed))
+        return std::nullopt;
+    const member_status *best = nullptr;
+    for (const auto &[id, status] : attempt.grants) {
+        if (isEnough && id == attempt.excluded)
+            continue;
+        const bool isBetter = best == nullptr || status.last > best->last
+                              || (status.last == best->last && best->leaving && !status.leaving);
+        if (isBetter)
+            best = &status;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    if (policy == acknowledgement_policy::KnownPosition && best->last < view.highestAcknowledged)
+        return std::nullopt;
+    return best->member;
+}
+
+failover_actions onTick(failover_state &state, group_view &view, const failover_load &load,
+                        time_point now, random_engine &random)
+{
+    failover_actions actions;
+    if (state.lastTick == time_point::min() || now > state.lastTick + pausedAfter) {
+        state.resumedAt = now;
+        clearSilence(state);
+        clearSuspicion(state);
+    }
+    state.lastTick = now;
+    std::erase_if(state.promotions,
+                  [now](time_point each) { return each + promotionMemory < now; });
+    followEvents(state, view, now, actions);
+    probeMembers(state, view, load, now, random, actions);
+    if (state.attempt)
+        advanceAttempt(state, view, now, random, actions);
+    else
+        watch(state, view, load, now, random, actions);
+    followMembers(state, view, now, actions);
+    const bool asksPeers = !view.primary || isProbeOverdue(state, now);
+    if (asksPeers && state.lastPublished + probeEvery <= now)
+        publish(state, true, now, actions);
+    return actions;
+}
+
+failover_actions onStatus(failover_state &state, group_view &view, const member_status &status,
+                          time_point askedAt, time_point now, random_engine &random)
+{
+    failover_actions actions;
+    observeStatus(view, status, askedAt, now);
+    followEvents(state, view, now, actions);
+    if (state.attempt)
+        advanceAttempt(state, view, now, random, actions);
+    return actions;
+}
+
+void onProbeFailed(failover_state &state, group_view &view, const member_id &member,
+                   member_failure failure, time_point now, random_engine &random)
+{
+    observeFailure(view, member, failure, now, random);
+    const bool isGone = failure == member_failure::Refused && view.primary == member;
+    if (isGone && state.refusedSince == noDeadline)
+        state.refusedSince = now;
+}
+
+failover_actions onAcceptTerm(failover_state &state, group_view &view,
+                              const accept_term_answer &answer, term_number term,
+                              time_point askedAt, time_point now, random_engine &random)
+{
+    failover_actions actions;
+    observeStatus(view, answer.status, askedAt, now);
+    followEvents(state, view, now, actions);
+    const member_id &member = answer.status.member;
+    // Only a grant counts. A refusal with the same term may be the answer to a repeated request,
+    // but also to that of an earlier run of this instance.
+    const bool isGrant =
+            answer.accepted && answer.status.term == term && view.members.contains(member);
+    if (state.attempt && state.attempt->term == term && !state.attempt->chosen) {
+        if (isGrant)
+            state.attempt->grants[member] = answer.status;
+        advanceAttempt(state, view, now, random, actions);
+    } else if (view.primary && term == view.highestTerm && answer.status.term == term
+               && member != *view.primary) {
+        actions.push_back(makeFollow(view, member));
+    }
+    return actions;
+}
+
+failover_actions onLead(failover_state &state, group_view &view, const member_id &member,
+                        term_number term, bool leads, time_point now, random_engine &random)
+{
+    failover_actions actions;
+    const bool isOwn =
+            state.attempt && state.attempt->term == term && state.attempt->chosen == member;
+    if (leads)
+        observePrimary(view, member, term, now);
+    else if (isOwn)
+        failAttempt(state, now, random);
+    followEvents(state, view, now, actions);
+    return actions;
+}
+
+void onFollow(failover_state &state, const member_id &member, term_number term, bool follows)
+{
+    const auto task = state.follows.find(member);
+    if (task != state.follows.end() && task->second.term == term)
+        task->second.isConfirmed = task->second.isConfirmed || follows;
+}
+
+failover_actions onPeerView(failover_state &state, group_view &view, const published_view &peer,
+                            time_point now, random_engine &random)
+{
+    failover_actions actions;
+    if (peer.group != view.group)
+        return actions;
+    observeTerm(view, peer.term, now);
+    if (!peer.primary.empty())
+        observePrimary(view, peer.primary, peer.term, now);
+    followEvents(state, view, now, actions);
+    if (state.attempt)
+        advanceAttempt(state, view, now, random, actions);
+    const member_view *primary = findPrimary(view);
+    if (primary == nullptr)
+        return actions;
+    const bool isSame = peer.term == view.highestTerm && peer.primary == *view.primary;
+    const duration heardAgo(peer.heardAgoMicros);
+    if (isSame && peer.hasHeard && heardAgo >= duration::zero() && heardAgo < promotionMemory)
+        state.peerHeard = std::max(state.peerHeard, now - heardAgo);
+    const bool canHelp = peer.term < view.highestTerm
+                         || (peer.suspects && isHeardWithin(*primary, suspectAfter, now));
+    if (canHelp && state.lastPublished + publishEvery <= now)
+        publish(state, false, now, actions);
+    return actions;
+}
+
+void onClaim(failover_state &state, bool granted, time_point now)
+{
+    if (granted || !state.suspicion || state.isPostponed)
+        return;
+    state.startAt = std::max(state.startAt, now + claimPatience);
+    state.isPostponed = true;
+}
+
+failover_actions promoteByHand(failover_state &state, group_view &view, time_point now,
+                               random_engine &random)
+{
+    failover_actions actions;
+    state.handUntil = now + handPatience;
+    if (!state.attempt) {
+        state.notBefore = time_point::min();
+        startAttempt(state, view, failover_cause::ByHand, now, actions);
+        actions.push_back(makeAction(failover_step::Claim, {}, 0));
+    } else {
+        advanceAttempt(state, view, now, random, actions);
+    }
+    return actions;
+}
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/tests/unit-failover-matrix.cpp
@@ -0,0 +1,369 @@
+/// @file
+/// @brief Failover and acknowledgement under faults at every step, in virtual time.
+
+#include <fuchsiagw/testing/fake_group.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::core;
+using namespace std::chrono_literals;
+using testing::fake_findings;
+using testing::fake_group;
+using testing::fake_settings;
+using testing::sabotage;
+
+namespace {
+
+constexpr std::uint64_t seed = 20240611;
+constexpr duration lossTime = 1s;
+constexpr duration faultLasts = 2500ms;
+constexpr duration runLasts = 10s;
+
+/// A fault that starts when called and ends by itself after faultLasts.
+struct fault
+{
+    std::string_view name;
+    void (*begin)(fake_group &);
+};
+
+void endLater(fake_group &group, std::function<void()> what)
+{
+    group.at(group.now().time_since_epoch() + faultLasts, std::move(what));
+}
+
+/// The present primary, or the member that a promotion under way has chosen.
+std::size_t target(fake_group &group)
+{
+    return std::min(group.primary(), group.members.size() - 1);
+}
+
+void stopMember(fake_group &group, std::size_t member, bool refuses)
+{
+    group.stop(member, refuses);
+    endLater(group, [&group, member] { group.start(member); });
+}
+
+void cutFrom(fake_group &group, std::size_t member, bool fromMembers, bool fromOwners)
+{
+    const auto set = [&group, member, fromMembers, fromOwners](bool isCut) {
+        for (std::size_t i = 0; fromMembers && i < group.members.size(); ++i) {
+            if (i != member)
+                group.cut(member, i, isCut);
+        }
+        for (std::size_t i = 0; fromOwners && i < group.owners.size(); ++i)
+            group.cut(member, group.ownerNode(i), isCut);
+    };
+    set(true);
+    endLater(group, [set] { set(false); });
+}
+
+/// Owner 0 starts first and is normally the one that promotes.
+void pauseOwner(fake_group &group, std::size_t owner)
+{
+    group.pause(owner);
+    endLater(group, [&group, owner] { group.resume(owner); });
+}
+
+const std::array<fault, 14> faults{ {
+        { "primary_stopped", [](fake_group &g) { stopMember(g, target(g), false); } },
+        { "primary_refuses", [](fake_group &g) { stopMember(g, target(g), true); } },
+        { "cut_from_group", [](fake_group &g) { cutFrom(g, target(g), true, false); } },
+        { "cut_from_owners", [](fake_group &g) { cutFrom(g, target(g), false, true); } },
+        { "cut_from_all", [](fake_group &g) { cutFrom(g, target(g), true, true); } },
+        { "owner_paused", [](fake_group &g) { pauseOwner(g, 0); } },
+        { "owners_paused",
+          [](fake_group &g) {
+              pauseOwner(g, 0);
+              pauseOwner(g, 1);
+          } },
+        { "owner_cut_from_peers",
+          [](fake_group &g) {
+              const auto set = [&g](bool isCut) {
+                  g.cut(g.ownerNode(0), g.ownerNode(1), isCut);
+                  g.cut(g.ownerNode(0), g.ownerNode(2), isCut);
+              };
+              set(true);
+              endLater(g, [set] { set(false); });
+          } },
+        { "messages_lost",
+          [](fake_group &g) {
+              g.loss = 0.2;
+              endLater(g, [&g] { g.loss = 0; });
+          } },
+        { "messages_doubled",
+          [](fake_group &g) {
+              g.duplication = 0.5;
+              endLater(g, [&g] { g.duplication = 0; });
+          } },
+        { "owners_race",
+          [](fake_group &g) {
+              for (auto &owner : g.owners)
+                  owner.failover.rank = 0;
+          } },
+        { "replica_behind",
+          [](fake_group &g) {
+              const std::size_t member = (target(g) + 1) % g.members.size();
+              g.members[member].lag = 600ms;
+              endLater(g, [&g, member] { g.members[member].lag = duration::zero(); });
+          } },
+        { "replica_stopped",
+          [](fake_group &g) { stopMember(g, (target(g) + 1) % g.members.size(), false); } },
+        { "primary_slow",
+          [](fake_group &g) {
+              const std::size_t member = target(g);
+              g.members[member].slowness = 200ms;
+              endLater(g, [&g, member] { g.members[member].slowness = duration::zero(); });
+          } },
+} };
+
+/// A moment of a promotion at which a further fault starts.
+struct promotion_moment
+{
+    std::string_view name;
+    void (*arrange)(fake_group &, std::function<void()>);
+};
+
+const std::array<promotion_moment, 9> moments{ {
+        { "before",
+          [](fake_group &g, std::function<void()> f) { g.at(lossTime - 5ms, std::move(f)); } },
+        { "at_probe",
+          [](fake_group &g, std::function<void()> f) { g.at(lossTime + 150ms, std::move(f)); } },
+        { "at_claim",
+          [](fake_group &g, std::function<void()> f) {
+              g.onStep(failover_step::Claim, std::move(f));
+          } },
+        { "at_accept_term",
+          [](fake_group &g, std::function<void()> f) {
+              g.onStep(failover_step::AcceptTerm, std::move(f));
+          } },
+        { "at_grant", [](fake_group &g, std::function<void()> f) { g.onGrant(std::move(f)); } },
+        { "at_lead", [](fake_group &g,
+                        std::function<void()> f) { g.onStep(failover_step::Lead, std::move(f)); } },
+        { "at_lead_answer",
+          [](fake_group &g, std::function<void()> f) { g.onLeadAnswer(std::move(f)); } },
+        { "at_follow",
+          [](fake_group &g, std::function<void()> f) {
+              g.onStep(failover_step::Follow, std::move(f));
+          } },
+        { "after_first_write",
+          [](fake_group &g, std::function<void()> f) {
+              g.at(lossTime + 10ms, [&g, f] { g.onAcknowledged(f); });
+          } },
+} };
+
+struct cell_count
+{
+    int run = 0;
+    int failed = 0;
+
+    void add(const std::string &name, const fake_findings &findings)
+    {
+        run += 1;
+        failed += findings.problems.empty() ? 0 : 1;
+        for (const std::string &each : findings.problems)
+            std::printf("  %s: %s\n", name.c_str(), each.c_str());
+    }
+
+    void print(const char *title) const
+    {
+        std::printf("\n%s: %d cells run, %d passed, %d failed, seed %llu\n", title, run,
+                    run - failed, failed, static_cast<unsigned long long>(seed));
+    }
+};
+
+fake_findings runCell(const fake_settings &settings,
+                      const std::function<void(fake_group &)> &arrange)
+{
+    fake_group group(settings);
+    arrange(group);
+    group.runUntil(runLasts);
+    return group.finish();
+}
+
+bool finds(const fake_findings &findings, std::string_view text)
+{
+    return std::any_of(
+            findings.problems.begin(), findings.problems.end(),
+            [text](const std::string &each) { return each.find(text) != std::string::npos; });
+}
+
+fake_settings settingsFor(std::uint64_t cell, bool keys = false)
+{
+    fake_settings settings;
+    settings.seed = seed + cell;
+    settings.writesHaveKeys = keys;
+    return settings;
+}
+
+} // namespace
+
+TEST_GROUP(failover_matrix){};
+
+// Guards against a fault-free group that loses, repeats or delays writes, or promotes at all.
+TEST(failover_matrix, withoutFaultNothingHappens)
+{
+    const fake_findings findings = runCell(settingsFor(0), [](fake_group &) {});
+    CHECK_TRUE(findings.problems.empty());
+    UNSIGNED_LONGS_EQUAL(0, findings.promotions);
+    CHECK_TRUE(findings.acknowledged > 1000);
+}
+
+// Guards against a promotion that is unsafe or hangs when a second fault hits one of its steps.
+TEST(failover_matrix, everyFaultAtEveryStepOfAPromotion)
+{
+    cell_count count;
+    std::uint64_t cell = 0;
+    for (const fault &second : faults) {
+        for (const promotion_moment &moment : moments) {
+            const bool keys = ++cell % 2 == 0;
+            const fake_findings findings = runCell(settingsFor(cell, keys), [&](fake_group &g) {
+                g.at(lossTime, [&g] { faults[0].begin(g); });
+                moment.arrange(g, [&g, &second] { second.begin(g); });
+            });
+            count.add(std::string(second.name) + "/" + std::string(moment.name), findings);
+        }
+    }
+    count.print("faults x steps");
+    LONGS_EQUAL(0, count.failed);
+}
+
+// Guards against faults that are survived alone but not together or twice.
+TEST(failover_matrix, allPairsOfFaults)
+{
+    cell_count count;
+    std::uint64_t cell = 1000;
+    for (const fault &first : faults) {
+        for (const fault &second : faults) {
+            const bool keys = ++cell % 2 == 0;
+            const fake_findings findings = runCell(settingsFor(cell, keys), [&](fake_group &g) {
+                g.at(lossTime, [&g, &first] { first.begin(g); });
+                g.at(lossTime + 300ms, [&g, &second] { second.begin(g); });
+            });
+            count.add(std::string(first.name) + "+" + std::string(second.name), findings);
+        }
+    }
+    count.print("pairs of faults");
+    LONGS_EQUAL(0, count.failed);
+}
+
+// Guards against a gap above the target of section 1.5: p99 under 1 s, bound 5 s, with losses.
+TEST(failover_matrix, gapMeetsTheTarget)
+{
+    std::vector<duration> gaps;
+    constexpr std::uint64_t runs = 200;
+    for (std::uint64_t i = 0; i < runs; ++i) {
+        fake_settings settings = settingsFor(5000 + i);
+        settings.delay = i % 2 == 0 ? 3ms : 4ms;
+        fake_group group(settings);
+        group.loss = 0.01;
+        group.at(lossTime + duration(i * 1000), [&group] {
+            group.markLoss();
+            group.stop(group.primary(), false);
+        });
+        group.runUntil(7s);
+        gaps.push_back(group.finish().firstGap);
+    }
+    std::sort(gaps.begin(), gaps.end());
+    CHECK_TRUE(gaps.front() > duration::zero());
+    const duration p99 = gaps[runs * 99 / 100];
+    std::printf("\ngap over %llu runs: p50 %lld ms, p99 %lld ms, worst %lld ms, seed %llu\n",
+                static_cast<unsigned long long>(runs),
+                static_cast<long long>(gaps[runs / 2].count() / 1000),
+                static_cast<long long>(p99.count() / 1000),
+                static_cast<long long>(gaps.back().count() / 1000),
+                static_cast<unsigned long long>(seed));
+    CHECK_TRUE(p99 < 1s);
+    CHECK_TRUE(gaps.back() < 5s);
+}
+
+// ---- each checker must catch a deliberate fault ----
+
+namespace {
+
+/// Runs cells with a sabotaged decision until a checker reports @p text.
+bool isCaught(sabotage deliberate, std::string_view text,
+              const std::function<void(fake_group &)> &arrange)
+{
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        fake_settings settings = settingsFor(9000 + i);
+        settings.fault = deliberate;
+        settings.replicaLag = 30ms;
+        if (finds(runCell(settings, arrange), text))
+            return true;
+    }
+    return false;
+}
+
+void stopPrimaryOnce(fake_group &group)
+{
+    group.at(lossTime, [&group] { faults[0].begin(group); });
+}
+
+} // namespace
+
+// Guards against a check for lost writes that sees nothing.
+TEST(failover_matrix, catchesAcknowledgementWithoutMajority)
+{
+    CHECK_TRUE(isCaught(sabotage::AcknowledgeAtOnce, "acknowledged writes missing at promotion",
+                        stopPrimaryOnce));
+    CHECK_FALSE(isCaught(sabotage::None, "", stopPrimaryOnce));
+}
+
+// Guards against a check for lost writes that misses the choice of the wrong member.
+TEST(failover_matrix, catchesPromotionOfTheShortestLog)
+{
+    const auto arrange = [](fake_group &group) {
+        group.members[2].lag = 400ms;
+        stopPrimaryOnce(group);
+    };
+    CHECK_TRUE(isCaught(sabotage::PromoteShortestLog, "acknowledged writes missing at promotion",
+                        arrange));
+    CHECK_FALSE(isCaught(sabotage::None, "", arrange));
+}
+
+// Guards against a check of M2 that overlooks two primaries: the old one with an owner of its own.
+TEST(failover_matrix, catchesTwoHistories)
+{
+    const auto arrange = [](fake_group &group) {
+        group.at(lossTime, [&group] {
+            const std::size_t old = group.primary();
+            cutFrom(group, old, true, false);
+            for (std::size_t owner = 1; owner < group.owners.size(); ++owner) {
+                group.cut(old, group.ownerNode(owner), true);
+                group.cut(group.ownerNode(0), group.ownerNode(owner), true);
+            }
+            for (std::size_t member = 0; member < group.members.size(); ++member)
+                group.cut(group.ownerNode(0), member, member != old);
+        });
+    };
+    CHECK_TRUE(isCaught(sabotage::AcknowledgeAtOnce, "two histories acknowledged", arrange));
+    CHECK_FALSE(isCaught(sabotage::None, "", arrange));
+}
+
+// Guards against a gap check that never fires.
+TEST(failover_matrix, catchesAGroupThatIsNeverPromoted)
+{
+    const auto arrange = [](fake_group &group) {
+        group.at(lossTime, [&group] { group.stop(group.primary(), false); });
+    };
+    CHECK_TRUE(isCaught(sabotage::NeverPromote, "no write acknowledged for", arrange));
+    CHECK_FALSE(isCaught(sabotage::None, "", arrange));
+}
+
+// Guards against checks of M9 and M10 that never fire.
+TEST(failover_matrix, catchesWrongOutcomesAndSecondRuns)
+{
+    const auto arrange = [](fake_group &group) { group.loss = 0.05; };
+    CHECK_TRUE(isCaught(sabotage::ClaimNotRun, "ran but was answered not_run", arrange));
+    CHECK_TRUE(isCaught(sabotage::RepeatWithoutKey, "times", arrange));
+    CHECK_FALSE(isCaught(sabotage::None, "", arrange));
+}
