Add the daemon: callers' port, decisions, connections to members, platform

Cause: the thin whole path, from a caller through fuchsiagwd to a member and back.

Ruled out: locks between duties; each duty owns its state on one thread and pushes into bounded rings.

--- /dev/null
+++ b/include/fuchsiagw/core/gateway_action.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// @brief What a gateway asks its surroundings to do.
+
+#pragma once
+
+#include <fuchsiagw/core/ids.hpp>
+#include <fuchsiagw/core/owner_action.hpp>
+#include <fuchsiagw/core/session.hpp>
+#include <fuchsiagw/core/statement.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace fuchsiagw::core {
+
+/// An action of the owner of a group; never a statement_done.
+struct group_action
+{
+    group_id group;
+    owner_action action;
+};
+
+/// Answer a caller.
+struct caller_reply
+{
+    std::uint64_t ticket = 0;
+    workspace_id workspace; ///< empty if the key was not accepted
+    statement_kind kind = statement_kind::Read;
+    statement_answer answer;
+    std::optional<session> known; ///< goes out as session token
+};
+
+/// Send a statement to the instance that owns the group's connections.
+struct forward_statement
+{
+    instance_id to;
+    std::uint64_t handle = 0;
+    statement_request request;
+};
+
+/// Send the answer to a forwarded statement back.
+struct forward_result
+{
+    instance_id to;
+    std::uint64_t ticket = 0;
+    statement_answer answer;
+};
+
+using gateway_action = std::variant<group_action, caller_reply, forward_statement, forward_result>;
+
+using gateway_actions = std::vector<gateway_action>;
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/include/fuchsiagw/daemon/upstream.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// @brief The duty that holds the connections to members.
+
+#pragma once
+
+#include <fuchsiagw/core/gateway_action.hpp>
+#include <fuchsiagw/net/http_client.hpp>
+#include <fuchsiagw/net/http_connection.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace fuchsiagw::daemon {
+
+struct connection_opened
+{
+    core::connection_id id = 0;
+    bool isOpen = false;
+};
+
+struct statement_executed
+{
+    core::connection_id id = 0;
+    std::optional<core::execute_answer> answer;
+    bool wasSent = false;
+    bool wasSilent = false;
+};
+
+struct connection_ended
+{
+    core::connection_id id = 0;
+};
+
+struct control_answered
+{
+    std::uint64_t number = 0;
+    std::optional<core::member_status> status;
+    bool accepted = false; ///< AcceptTerm: the member took the term
+};
+
+struct upstream_event
+{
+    core::group_id group;
+    std::variant<connection_opened, statement_executed, connection_ended, control_answered> what;
+};
+
+/// Lives on the thread of its context.
+class upstream
+{
+public:
+    using event_sink = std::function<void(upstream_event &&)>;
+
+    upstream(boost::asio::io_context &context, event_sink sink)
+        : context_(context)
+        , controls_(context)
+        , sink_(std::move(sink))
+    { }
+
+    /// @brief Does one of open_connection, send_statement, close_connection and control_call;
+    /// anything else is not for this duty and is ignored.
+    void perform(const core::group_action &action);
+
+private:
+    using connection_key = std::pair<core::group_id, core::connection_id>;
+
+    void open(const core::group_id &group, const core::open_connection &order);
+    void send(const core::group_id &group, const core::send_statement &order);
+    void close(const core::group_id &group, core::connection_id id);
+    void control(const core::group_id &group, const core::control_call &order);
+
+    boost::asio::io_context &context_;
+    net::http_client controls_;
+    event_sink sink_;
+    std::map<connection_key, std::shared_ptr<net::http_connection>> connections_;
+};
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/src/core/gateway.cpp
@@ -0,0 +1,404 @@
+/// @file
+/// @brief Admission of callers' statements and the way to the owner of their group.
+
+#include <fuchsiagw/core/gateway.hpp>
+
+#include <fuchsiagw/core/rendezvous.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+/// How long an instance is passed over after a forward to it failed.
+constexpr duration avoidFor = std::chrono::seconds(1);
+
+/// Forwards of one statement; each goes to the next instance in order.
+constexpr std::uint32_t maxForwards = 4;
+
+/// The upper half of a transaction's number tells its group.
+constexpr unsigned groupShift = 32;
+
+std::uint64_t groupBits(const group_id &group)
+{
+    return stableHash(group.value) >> groupShift << groupShift;
+}
+
+void finish(gateway_turn &turn, std::uint64_t handle, statement_answer answer)
+{
+    gateway &state = turn.state;
+    const auto found = state.entries.find(handle);
+    if (found == state.entries.end())
+        return;
+    entry_statement entry = std::move(found->second);
+    state.entries.erase(found);
+    state.deadlines.erase({ entry.request.deadline, handle });
+    answer.id = entry.request.id;
+    if (entry.from) {
+        turn.actions.emplace_back(forward_result{ *entry.from, entry.ticket, std::move(answer) });
+        return;
+    }
+    if (!answer.error && answer.position != log_position{})
+        recordWrite(entry.known, answer.group, answer.position);
+    turn.actions.emplace_back(caller_reply{ entry.ticket, entry.request.workspace,
+                                            entry.request.kind, std::move(answer),
+                                            std::move(entry.known) });
+}
+
+void fail(gateway_turn &turn, std::uint64_t handle, error_kind error)
+{
+    statement_answer answer;
+    answer.error = error;
+    finish(turn, handle, std::move(answer));
+}
+
+/// Refuses a request that has not become an entry.
+void refuse(gateway_turn &turn, const caller_request &request, const workspace_id &workspace,
+            error_kind error)
+{
+    statement_answer answer;
+    answer.id = request.statement.id;
+    answer.error = error;
+    turn.actions.emplace_back(caller_reply{
+            request.ticket, workspace, request.statement.kind, std::move(answer), {} });
+}
+
+std::optional<duration> maxAgeOf(const configuration &config, const statement_request &request)
+{
+    const auto workspace = config.workspaces.find(request.workspace);
+    if (workspace == config.workspaces.end() || request.readClass.empty())
+        return std::nullopt;
+    const auto found = workspace->second.readClasses.find(request.readClass);
+    if (found == workspace->second.readClasses.end())
+        return std::nullopt;
+    return found->second.maxAge;
+}
+
+/// Finds the group of a transaction's statement, which names only the transaction.
+std::optional<group_id> groupOf(const workspace_settings &workspace,
+                                const transaction_id &transaction)
+{
+    const auto found = std::find_if(
+            workspace.groups.begin(), workspace.groups.end(), [&](const group_id &each) {
+                return groupBits(each) == transaction.number >> groupShift << groupShift;
+            });
+    return found == workspace.groups.end() ? std::nullopt : std::optional(*found);
+}
+
+/// Checks the request against the workspace; sets its group if it belongs to a transaction.
+std::optional<error_kind> checkScope(const workspace_settings &workspace,
+                                     statement_request &request)
+{
+    if (request.transaction) {
+        const auto group = groupOf(workspace, *request.transaction);
+        if (!group)
+            return error_kind::TransactionUnknown;
+        request.group = *group;
+    }
+    const auto &groups = workspace.groups;
+    if (std::find(groups.begin(), groups.end(), request.group) == groups.end())
+        return error_kind::GroupUnknown;
+    if (!request.readClass.empty() && workspace.readClasses.count(request.readClass) == 0)
+        return error_kind::ReadClassUnknown;
+    return std::nullopt;
+}
+
+/// The end of a transaction is not limited: refusing it would only hold its connection longer.
+bool costsToken(statement_kind kind)
+{
+    return kind != statement_kind::Commit && kind != statement_kind::Rollback;
+}
+
+bool takeTokenOf(gateway &state, const workspace_id &workspace, time_point now)
+{
+    const auto book = state.books.find(workspace);
+    return book != state.books.end() && takeToken(book->second, now);
+}
+
+void setSession(statement_request &statement, const caller_request &request)
+{
+    std::optional<log_position> position = log_position{};
+    if (request.known)
+        position = atLeast(*request.known, statement.group);
+    const bool isUsable = position && (request.known || !request.sessionNamed);
+    statement.sessionUnusable = !isUsable;
+    statement.atLeast = position.value_or(log_position{});
+}
+
+std::uint64_t insertEntry(gateway &state, entry_statement entry)
+{
+    const std::uint64_t handle = state.nextHandle++;
+    state.deadlines.emplace(entry.request.deadline, handle);
+    state.entries.emplace(handle, std::move(entry));
+    return handle;
+}
+
+group_owner &ownerOf(gateway &state, const group_id &group)
+{
+    const auto [entry, isNew] = state.owners.try_emplace(group);
+    group_owner &owner = entry->second;
+    if (isNew) {
+        owner.group = group;
+        owner.zone = state.zone;
+        owner.incarnation = state.incarnation;
+        owner.limits = state.limits;
+        owner.policy = state.policy;
+        owner.queue.bound = state.queueBound;
+        owner.nextTransaction = groupBits(group) + 1;
+        applySettings(owner.view, group, state.config.groups.at(group));
+    }
+    return owner;
+}
+
+void submitHere(gateway_turn &turn, std::uint64_t handle)
+{
+    gateway &state = turn.state;
+    const entry_statement &entry = state.entries.at(handle);
+    if (state.config.groups.count(entry.request.group) == 0) {
+        fail(turn, handle, error_kind::GroupUnknown);
+        return;
+    }
+    owned_statement statement;
+    statement.request = entry.request;
+    statement.maxAge = maxAgeOf(state.config, entry.request);
+    statement.session = entry.ticket;
+    group_owner &owner = ownerOf(state, entry.request.group);
+    if (entry.from && owner.pool.limit == 0) {
+        fail(turn, handle, error_kind::PeerUnreachable);
+        return;
+    }
+    owner_actions actions;
+    submit(owner, handle, std::move(statement), turn.now, turn.random, actions);
+    passOn(turn, entry.request.group, std::move(actions));
+}
+
+void forwardTo(gateway_turn &turn, std::uint64_t handle, const instance_id &to)
+{
+    entry_statement &entry = turn.state.entries.at(handle);
+    entry.forwardedTo = to;
+    ++entry.forwards;
+    turn.actions.emplace_back(forward_statement{ to, handle, entry.request });
+}
+
+void dispatchTransaction(gateway_turn &turn, std::uint64_t handle, incarnation_id owner)
+{
+    if (owner == turn.state.incarnation) {
+        submitHere(turn, handle);
+        return;
+    }
+    for (const auto &[instance, peer] : turn.state.peers) {
+        if (peer.incarnation == owner) {
+            forwardTo(turn, handle, instance);
+            return;
+        }
+    }
+    const bool isCommit = turn.state.entries.at(handle).request.kind == statement_kind::Commit;
+    // A commit that was never sent can't have happened: the transaction is rolled back.
+    const bool isUnknown = isCommit && turn.state.entries.at(handle).mayHaveRun;
+    fail(turn, handle, isUnknown ? error_kind::OutcomeUnknown : error_kind::TransactionLost);
+}
+
+void dispatch(gateway_turn &turn, std::uint64_t handle)
+{
+    gateway &state = turn.state;
+    const entry_statement &entry = state.entries.at(handle);
+    if (entry.request.transaction) {
+        dispatchTransaction(turn, handle, entry.request.transaction->owner);
+        return;
+    }
+    if (entry.from) {
+        submitHere(turn, handle);
+        return;
+    }
+    const std::vector<instance_id> ranked = rankOwners(state, entry.request.group, turn.now);
+    if (ranked.empty() || ranked.front() == state.instance || entry.forwards >= maxForwards)
+        submitHere(turn, handle);
+    else
+        forwardTo(turn, handle, ranked.front());
+}
+
+bool mayRepeat(const statement_request &request)
+{
+    if (request.transaction)
+        return false;
+    return request.kind == statement_kind::Read || request.kind == statement_kind::Begin
+           || !request.idempotencyKey.empty();
+}
+
+/// What is true of a forwarded statement whose answer will never come.
+error_kind lostForward(const statement_request &request)
+{
+    if (request.transaction && request.kind != statement_kind::Commit)
+        return error_kind::TransactionLost;
+    return error_kind::OutcomeUnknown;
+}
+
+} // namespace
+
+bool applyConfiguration(gateway_turn &turn, const configuration &config)
+{
+    gateway &state = turn.state;
+    if (config.version <= state.config.version)
+        return false;
+    state.config = config;
+    state.keys = indexKeys(config);
+    setHeld(state.proof, config.version);
+    for (const auto &[id, workspace] : config.workspaces) {
+        share_book &book = state.books[id];
+        setLimit(book, static_cast<std::int64_t>(workspace.rate * oneToken),
+                 static_cast<token_amount>(workspace.burst * oneToken), workspaceShares, turn.now);
+    }
+    std::erase_if(state.books,
+                  [&](const auto &each) { return config.workspaces.count(each.first) == 0; });
+    for (auto &[group, owner] : state.owners) {
+        const auto settings = config.groups.find(group);
+        if (settings != config.groups.end())
+            applySettings(owner.view, group, settings->second);
+    }
+    return true;
+}
+
+void onCallerRequest(gateway_turn &turn, caller_request request)
+{
+    gateway &state = turn.state;
+    if (state.config.version == 0) {
+        refuse(turn, request, {}, error_kind::NotReady);
+        return;
+    }
+    const key_decision key = checkKey(state.keys, request.key, state.proof, turn.now);
+    if (key.error) {
+        refuse(turn, request, {}, *key.error);
+        return;
+    }
+    if (request.known && request.known->workspace != key.workspace) {
+        refuse(turn, request, key.workspace, error_kind::SessionForeign);
+        return;
+    }
+    request.statement.workspace = key.workspace;
+    const auto problem = checkScope(state.config.workspaces.at(key.workspace), request.statement);
+    if (problem) {
+        refuse(turn, request, key.workspace, *problem);
+        return;
+    }
+    if (costsToken(request.statement.kind) && !takeTokenOf(state, key.workspace, turn.now)) {
+        refuse(turn, request, key.workspace, error_kind::RateLimited);
+        return;
+    }
+    entry_statement entry;
+    entry.ticket = request.ticket;
+    entry.request = request.statement;
+    setSession(entry.request, request);
+    entry.known = request.known.value_or(session{ key.workspace, {}, request.sessionNamed });
+    dispatch(turn, insertEntry(state, std::move(entry)));
+}
+
+void onForwarded(gateway_turn &turn, const instance_id &from, std::uint64_t ticket,
+                 statement_request request)
+{
+    entry_statement entry;
+    entry.ticket = ticket;
+    entry.from = from;
+    entry.request = std::move(request);
+    dispatch(turn, insertEntry(turn.state, std::move(entry)));
+}
+
+void onForwardResult(gateway_turn &turn, const instance_id &from, std::uint64_t handle,
+                     statement_answer answer)
+{
+    const auto entry = turn.state.entries.find(handle);
+    if (entry == turn.state.entries.end() || entry->second.forwardedTo != from)
+        return;
+    const bool isRefused = answer.error == error_kind::PeerUnreachable;
+    if (isRefused)
+        onForwardFailed(turn, handle, false);
+    else
+        finish(turn, handle, std::move(answer));
+}
+
+void onForwardFailed(gateway_turn &turn, std::uint64_t handle, bool wasWritten)
+{
+    const auto found = turn.state.entries.find(handle);
+    if (found == turn.state.entries.end() || !found->second.forwardedTo)
+        return;
+    entry_statement &entry = found->second;
+    const auto peer = turn.state.peers.find(*entry.forwardedTo);
+    if (peer != turn.state.peers.end())
+        peer->second.avoidUntil = turn.now + avoidFor;
+    entry.forwardedTo.reset();
+    entry.mayHaveRun |= wasWritten;
+    if (entry.request.transaction && !wasWritten)
+        fail(turn, handle, error_kind::PeerUnreachable);
+    else if (wasWritten && !mayRepeat(entry.request))
+        fail(turn, handle, lostForward(entry.request));
+    else
+        dispatch(turn, handle);
+}
+
+void advance(gateway_turn &turn)
+{
+    gateway &state = turn.state;
+    for (auto &[group, owner] : state.owners) {
+        owner_actions actions;
+        advance(owner, turn.now, turn.random, actions);
+        passOn(turn, group, std::move(actions));
+    }
+    // An owner answers at the deadline itself; only what was forwarded can be left.
+    constexpr duration answerMargin = std::chrono::milliseconds(50);
+    while (!state.deadlines.empty() && state.deadlines.begin()->first + answerMargin <= turn.now) {
+        const std::uint64_t handle = state.deadlines.begin()->second;
+        fail(turn, handle, lostForward(state.entries.at(handle).request));
+    }
+}
+
+time_point nextWakeup(const gateway &state)
+{
+    time_point next = noDeadline;
+    for (const auto &[group, owner] : state.owners)
+        next = std::min(next, nextWakeup(owner));
+    if (!state.deadlines.empty())
+        next = std::min(next, state.deadlines.begin()->first);
+    return next;
+}
+
+void setConnectionLimit(gateway_turn &turn, const group_id &group, std::uint32_t limit)
+{
+    if (turn.state.config.groups.count(group) == 0)
+        return;
+    group_owner &owner = ownerOf(turn.state, group);
+    owner_actions actions;
+    setConnectionLimit(owner, limit, turn.now, turn.random, actions);
+    passOn(turn, group, std::move(actions));
+}
+
+std::vector<instance_id> rankOwners(const gateway &state, const group_id &group, time_point now)
+{
+    std::vector<instance_id> candidates;
+    if (!state.isDraining)
+        candidates.push_back(state.instance);
+    for (const auto &[instance, peer] : state.peers) {
+        if (peer.isLive && peer.zone == state.zone && peer.avoidUntil <= now)
+            candidates.push_back(instance);
+    }
+    return rankInstances(ownerKey(group, state.zone), candidates);
+}
+
+bool isDrained(const gateway &state)
+{
+    return state.entries.empty()
+           && std::all_of(state.owners.begin(), state.owners.end(),
+                          [](const auto &each) { return isDrained(each.second); });
+}
+
+void passOn(gateway_turn &turn, const group_id &group, owner_actions &&actions)
+{
+    for (owner_action &each : actions) {
+        if (auto *done = std::get_if<statement_done>(&each))
+            finish(turn, done->handle, std::move(done->answer));
+        else
+            turn.actions.emplace_back(group_action{ group, std::move(each) });
+    }
+}
+
+} // namespace fuchsiagw::core
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -282,6 +282,7 @@
     leavePlace(turn, handle);
     const statement_request &request = entry->second.request;
     answer.id = request.id;
+    answer.group = turn.owner.group;
     if (!answer.error && request.kind != statement_kind::Commit
         && request.kind != statement_kind::Rollback && !answer.transaction)
         answer.transaction = request.transaction;
--- /dev/null
+++ b/src/daemon/front.cpp
@@ -0,0 +1,243 @@
+/// @file
+/// @brief Routes, headers and bodies of the callers' HTTP interface.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/front.hpp>
+
+#include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/wire/key_hash.hpp>
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+using core::error_kind;
+using core::statement_kind;
+
+constexpr std::size_t maxBody = 1024 * 1024; // bytes, of one request
+constexpr std::string_view versionBody = R"({"name":"fuchsiagw","version":"0.1.0"})";
+constexpr std::string_view transactionsPrefix = "/v1/transactions/";
+
+/// What a route asks for.
+struct route_match
+{
+    statement_kind kind = statement_kind::Read;
+    std::optional<core::transaction_id> transaction;
+    bool isStatement = false; ///< the body tells whether it reads or writes
+};
+
+std::uint64_t drawSeed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
+}
+
+std::optional<std::string_view> headerOf(const net::http_request &request, std::string_view name)
+{
+    const std::string_view value = net::findHeader(request.headers, name);
+    return value.data() == nullptr ? std::nullopt : std::optional(value);
+}
+
+/// Matches the routes of a transaction: {id}/statements, {id}/commit, {id}/rollback.
+std::optional<error_kind> matchTransaction(std::string_view rest, route_match &match)
+{
+    const auto slash = rest.find('/');
+    if (slash == std::string_view::npos)
+        return error_kind::UnknownRoute;
+    const std::string_view action = rest.substr(slash + 1);
+    match.isStatement = action == "statements";
+    if (action == "commit")
+        match.kind = statement_kind::Commit;
+    else if (action == "rollback")
+        match.kind = statement_kind::Rollback;
+    else if (!match.isStatement)
+        return error_kind::UnknownRoute;
+    match.transaction = wire::transactionFromText(rest.substr(0, slash));
+    if (!match.transaction)
+        return error_kind::TransactionUnknown;
+    return std::nullopt;
+}
+
+std::optional<error_kind> matchRoute(const net::http_request &request, route_match &match)
+{
+    const std::string_view target = request.target;
+    std::optional<error_kind> problem = error_kind::UnknownRoute;
+    if (target == "/v1/statements") {
+        match.isStatement = true;
+        problem.reset();
+    } else if (target == "/v1/transactions") {
+        match.kind = statement_kind::Begin;
+        problem.reset();
+    } else if (target.substr(0, transactionsPrefix.size()) == transactionsPrefix) {
+        problem = matchTransaction(target.substr(transactionsPrefix.size()), match);
+    }
+    if (!problem && request.method != "POST")
+        return error_kind::MethodNotAllowed;
+    return problem;
+}
+
+std::error_code parseBody(const route_match &match, std::string_view body,
+                          wire::parsed_statement &parsed, std::string &problem)
+{
+    if (match.isStatement && match.transaction)
+        return wire::parseTransactionStatement(body, parsed, problem);
+    if (match.isStatement)
+        return wire::parseStatement(body, parsed, problem);
+    std::error_code error;
+    if (match.kind == statement_kind::Begin)
+        error = wire::parseBegin(body, parsed, problem);
+    else if (match.kind == statement_kind::Commit)
+        error = wire::parseCommit(body, parsed, problem);
+    else
+        error = wire::parseRollback(body, parsed, problem);
+    parsed.kind = match.kind;
+    return error;
+}
+
+/// Reads the session of a request. A token that can't be used still counts as named.
+void readSession(const net::http_request &request, const wire::token_keys &tokens,
+                 core::caller_request &into)
+{
+    const std::string_view cookies = net::findHeader(request.headers, "Cookie");
+    const wire::named_session named =
+            wire::sessionFromHeaders(headerOf(request, "Fuchsiagw-Session"), cookies);
+    into.sessionNamed = named.named;
+    core::session known;
+    if (!named.token.empty() && !wire::open(named.token, tokens, known))
+        into.known = std::move(known);
+}
+
+net::http_response jsonResponse(int status, std::string body)
+{
+    return { status, { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+} // namespace
+
+front::front(boost::asio::io_context &context, const settings &values, wire::token_keys tokens,
+             request_sink sink)
+    : settings_(values)
+    , tokens_(std::move(tokens))
+    , sink_(std::move(sink))
+    , server_(
+              context,
+              [&values] {
+                  net::http_server_options options;
+                  options.listenAt = values.callerAddress;
+                  // Beyond the bound of a body, so that a body slightly too large gets an answer.
+                  options.maxBody = 2 * maxBody;
+                  options.maxConnections = values.callerConnections;
+                  return options;
+              }(),
+              [this](net::http_request &&request, net::connection_number, net::http_reply &&reply) {
+                  onRequest(std::move(request), std::move(reply));
+              })
+    , random_(drawSeed())
+{ }
+
+std::error_code front::start()
+{
+    return server_.start();
+}
+
+void front::answer(net::http_reply &reply, net::http_response &&response)
+{
+    reply.send(response, isDraining_);
+}
+
+void front::refuse(net::http_reply &reply, error_kind kind, std::string_view problem,
+                   const core::request_id &id)
+{
+    answer(reply,
+           jsonResponse(core::answerOf(kind).httpStatus, wire::errorBody(kind, problem, id)));
+}
+
+void front::onRequest(net::http_request &&request, net::http_reply &&reply)
+{
+    if (request.target == "/healthz") {
+        answer(reply, { 200, {}, "ok\n" });
+    } else if (request.target == "/readyz") {
+        const bool ready = isReady_ && !isDraining_;
+        answer(reply, { ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n" });
+    } else if (request.target == "/version") {
+        answer(reply, jsonResponse(200, std::string(versionBody)));
+    } else {
+        handleStatement(request, std::move(reply));
+    }
+}
+
+void front::handleStatement(const net::http_request &request, net::http_reply &&reply)
+{
+    const core::request_id id{ random_(), random_() };
+    route_match match;
+    if (const auto problem = matchRoute(request, match)) {
+        refuse(reply, *problem, {}, id);
+        return;
+    }
+    const auto key = wire::keyFromAuthorization(net::findHeader(request.headers, "Authorization"));
+    if (!key) {
+        refuse(reply, error_kind::KeyMissing, {}, id);
+        return;
+    }
+    wire::parsed_statement parsed;
+    parsed.timeLimit = settings_.defaultDeadline;
+    std::string problem;
+    if (const std::error_code error = parseBody(match, request.body, parsed, problem)) {
+        refuse(reply, core::kindOf(error), problem, id);
+        return;
+    }
+    core::caller_request asked;
+    asked.ticket = nextTicket_++;
+    asked.key = wire::hashKey(*key);
+    readSession(request, tokens_, asked);
+    const core::time_point now = net::currentTime();
+    asked.statement = wire::toRequest(std::move(parsed), id, {}, now);
+    asked.statement.transaction = match.transaction;
+    const std::uint64_t ticket = asked.ticket;
+    if (!sink_(std::move(asked))) {
+        refuse(reply, error_kind::Overloaded, {}, id);
+        return;
+    }
+    open_.emplace(ticket, open_request{ std::move(reply), now });
+    waiting_ = open_.size();
+}
+
+void front::onReply(core::caller_reply &reply)
+{
+    const auto entry = open_.find(reply.ticket);
+    if (entry == open_.end())
+        return;
+    net::http_reply http = std::move(entry->second.reply);
+    open_.erase(entry);
+    waiting_ = open_.size();
+    net::http_response response;
+    if (reply.answer.error) {
+        const core::error_answer &row = core::answerOf(*reply.answer.error);
+        response = jsonResponse(row.httpStatus,
+                                wire::errorBody(row.kind, reply.answer.problem, reply.answer.id));
+    } else {
+        response = jsonResponse(200, wire::answerBody(reply.answer));
+    }
+    if (reply.known) {
+        const std::string token = wire::seal(*reply.known, tokens_);
+        response.headers.emplace_back("Set-Cookie", wire::sessionCookie(token));
+        response.headers.emplace_back("Fuchsiagw-Session", token);
+    }
+    answer(http, std::move(response));
+}
+
+void front::drain()
+{
+    isDraining_ = true;
+    server_.stopAccepting();
+}
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,84 @@
+/// @file
+/// @brief Entry point of fuchsiagwd: flags, settings, log.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/daemon/process.hpp>
+#include <fuchsiagw/daemon/settings.hpp>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <algorithm>
+#include <exception>
+#include <iostream>
+#include <sodium.h>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings; see docs/settings.md");
+ABSL_FLAG(bool, check_settings, false, "check the settings file and stop");
+
+namespace {
+
+using namespace fuchsiagw;
+
+daemon::log_settings logSettings(const daemon::settings &values)
+{
+    daemon::log_settings result;
+    result.path = values.logFile == "-" ? std::string() : values.logFile;
+    const auto &names = daemon::logLevelNames;
+    const std::string_view wanted = values.logLevel == "warn" ? "warning" : values.logLevel;
+    const auto *const found = std::find(names.begin(), names.end(), wanted);
+    result.level = static_cast<daemon::log_level>(std::distance(names.begin(), found));
+    return result;
+}
+
+int run()
+{
+    const std::string file = absl::GetFlag(FLAGS_settings);
+    daemon::settings values;
+    const auto problems = daemon::readSettings(file, values);
+    for (const auto &each : problems)
+        std::cerr << daemon::toString(each) << '\n';
+    if (!problems.empty())
+        return static_cast<int>(daemon::exit_code::SettingsInvalid);
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << file << ": valid\n";
+        return 0;
+    }
+    daemon::log_sink log(logSettings(values));
+    const daemon::exit_code code = daemon::runDaemon(values, log);
+    if (code == daemon::exit_code::Failed)
+        std::cerr << "fuchsiagwd: can't bind an address of the settings, or a duty failed; see the "
+                     "log\n";
+    return static_cast<int>(code);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(
+            "database proxy with session consistency\n\n"
+            "  fuchsiagwd --settings=FILE                   run until SIGTERM\n"
+            "  fuchsiagwd --settings=FILE --check_settings  check the settings and stop\n\n"
+            "Exit codes: 0 stopped, 1 failed, 2 settings or flags are wrong, 3 the stop's deadline "
+            "interrupted requests.");
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1 || absl::GetFlag(FLAGS_settings).empty()) {
+        std::cerr << "fuchsiagwd: name the settings file with --settings=FILE; see --help\n";
+        return static_cast<int>(daemon::exit_code::SettingsInvalid);
+    }
+    if (sodium_init() < 0) {
+        std::cerr << "fuchsiagwd: libsodium can't be initialised\n";
+        return static_cast<int>(daemon::exit_code::Failed);
+    }
+    try {
+        return run();
+    } catch (const std::exception &failure) {
+        std::cerr << "fuchsiagwd: " << failure.what() << '\n';
+        return static_cast<int>(daemon::exit_code::Failed);
+    }
+}
--- /dev/null
+++ b/src/daemon/upstream.cpp
@@ -0,0 +1,161 @@
+/// @file
+/// @brief Connections and control requests to members over HTTP.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/upstream.hpp>
+
+#include <fuchsiagw/wire/member_json.hpp>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+net::http_request postRequest(std::string target, std::string body)
+{
+    return {
+        "POST", std::move(target), { { "Content-Type", "application/json" } }, std::move(body)
+    };
+}
+
+net::http_request controlRequest(const core::control_call &order)
+{
+    switch (order.kind) {
+    case core::control_kind::Status:
+        return { "GET", "/status", {}, {} };
+    case core::control_kind::Wait: {
+        const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(order.held);
+        return { "GET", wire::toTarget(wire::wait_request{ order.position, held }), {}, {} };
+    }
+    case core::control_kind::AcceptTerm:
+        return postRequest("/accept_term", wire::toJson(wire::term_request{ order.position.term }));
+    case core::control_kind::Lead:
+        return postRequest("/lead", wire::toJson(wire::term_request{ order.position.term }));
+    case core::control_kind::Follow:
+        break;
+    }
+    return postRequest("/follow",
+                       wire::toJson(wire::follow_request{ order.position.term, order.primary }));
+}
+
+/// Reads the answer to a control request; anything that is not one counts as no answer.
+control_answered readControl(const core::control_call &order, const net::http_exchange &exchange)
+{
+    control_answered result;
+    result.number = order.number;
+    if (exchange.error || exchange.response.status != statusOk)
+        return result;
+    if (order.kind == core::control_kind::AcceptTerm) {
+        core::accept_term_answer answer;
+        if (wire::fromJson(exchange.response.body, answer))
+            return result;
+        result.accepted = answer.accepted;
+        result.status = answer.status;
+        return result;
+    }
+    core::member_status status;
+    if (!wire::fromJson(exchange.response.body, status))
+        result.status = status;
+    return result;
+}
+
+statement_executed readExecuted(core::connection_id id, const net::http_exchange &exchange)
+{
+    statement_executed result;
+    result.id = id;
+    result.wasSent = exchange.sent;
+    result.wasSilent = exchange.error == std::errc::timed_out;
+    core::execute_answer answer;
+    // An answer that can't be read says nothing about whether the statement ran.
+    if (!exchange.error && !wire::fromJson(exchange.response.body, answer))
+        result.answer = std::move(answer);
+    return result;
+}
+
+} // namespace
+
+void upstream::perform(const core::group_action &action)
+{
+    const core::group_id &group = action.group;
+    if (const auto *opening = std::get_if<core::open_connection>(&action.action))
+        open(group, *opening);
+    else if (const auto *sending = std::get_if<core::send_statement>(&action.action))
+        send(group, *sending);
+    else if (const auto *closing = std::get_if<core::close_connection>(&action.action))
+        close(group, closing->id);
+    else if (const auto *call = std::get_if<core::control_call>(&action.action))
+        control(group, *call);
+}
+
+void upstream::open(const core::group_id &group, const core::open_connection &order)
+{
+    net::endpoint address;
+    if (net::parseEndpoint(order.address, address)) {
+        sink_({ group, connection_opened{ order.id, false } });
+        return;
+    }
+    const auto connection = net::http_connection::create(context_, address);
+    connections_[{ group, order.id }] = connection;
+    connection->connect(order.deadline,
+                        [this, group, id = order.id, connection](std::error_code error) {
+                            const auto entry = connections_.find({ group, id });
+                            // Closed while it was being opened.
+                            if (entry == connections_.end() || entry->second != connection) {
+                                connection->close();
+                                return;
+                            }
+                            if (error)
+                                connections_.erase(entry);
+                            sink_({ group, connection_opened{ id, !error } });
+                        });
+    connection->onClosedWhileIdle([this, group, id = order.id] {
+        if (connections_.erase({ group, id }) != 0)
+            sink_({ group, connection_ended{ id } });
+    });
+}
+
+void upstream::send(const core::group_id &group, const core::send_statement &order)
+{
+    const auto entry = connections_.find({ group, order.id });
+    if (entry == connections_.end()) {
+        sink_({ group, statement_executed{ order.id, std::nullopt, false, false } });
+        return;
+    }
+    const auto connection = entry->second;
+    connection->exchange(postRequest("/execute", wire::toJson(order.request)), order.deadline,
+                         [this, group, id = order.id](net::http_exchange &&exchange) {
+                             const auto own = connections_.find({ group, id });
+                             if (own == connections_.end())
+                                 return;
+                             if (!own->second->isOpen())
+                                 connections_.erase(own);
+                             sink_({ group, readExecuted(id, exchange) });
+                         });
+}
+
+void upstream::close(const core::group_id &group, core::connection_id id)
+{
+    const auto entry = connections_.find({ group, id });
+    if (entry == connections_.end())
+        return;
+    const auto connection = entry->second;
+    connections_.erase(entry);
+    connection->close();
+}
+
+void upstream::control(const core::group_id &group, const core::control_call &order)
+{
+    net::endpoint address;
+    if (net::parseEndpoint(order.address, address)) {
+        sink_({ group, control_answered{ order.number, std::nullopt, false } });
+        return;
+    }
+    controls_.call(address, controlRequest(order), order.deadline,
+                   [this, group, order](net::http_exchange &&exchange) {
+                       sink_({ group, readControl(order, exchange) });
+                   });
+}
+
+} // namespace fuchsiagw::daemon
