--- a/include/fuchsiagw/detail/strict_json.hpp
+++ b/include/fuchsiagw/detail/strict_json.hpp
@@ -60,10 +60,10 @@
     void finish();
 
 private:
-    const nlohmann::json &mValue;
-    std::string mPath;
-    json_problem &mProblem;
-    std::set<std::string, std::less<>> mKnown;
+    const nlohmann::json &value_;
+    std::string path_;
+    json_problem &problem_;
+    std::set<std::string, std::less<>> known_;
 };
 
 } // namespace fuchsiagw::detail
--- a/include/fuchsiagw/wire/note_json.hpp
+++ b/include/fuchsiagw/wire/note_json.hpp
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <fuchsiagw/core/config_store.hpp>
 #include <fuchsiagw/core/release_note.hpp>
 
 #include <string>
@@ -36,4 +37,7 @@
 [[nodiscard]] std::error_code readChanges(std::string_view text, core::section_changes &changes,
                                           std::string &problem);
 
+/// @return the text forms that core::config_store needs
+[[nodiscard]] const core::configuration_codec &configurationCodec();
+
 } // namespace fuchsiagw::wire
--- /dev/null
+++ b/src/core/config_spread.cpp
@@ -0,0 +1,443 @@
+/// @file
+/// @brief Waves over the tree.
+
+#include <fuchsiagw/core/config_spread.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+constexpr std::size_t maxSentAcknowledgements = 16; ///< as many as `included` has bits
+constexpr unsigned firstFastWaves = 4;
+constexpr int windowPercent = 70; ///< part of the period in which acknowledgements count
+constexpr int resendPercent = 40; ///< part of the window after which a digest is sent again
+constexpr int missedPeriods = 3; ///< a child that is silent for so long is not waited for
+constexpr auto adoptionPause = std::chrono::milliseconds(300);
+
+using action = spread_action;
+
+bool isRoot(const spread_state &state)
+{
+    return state.parent.empty();
+}
+
+bool isWaitedFor(const spread_state &state, const spread_child &child, time_point now)
+{
+    return child.heardAt != time_point::min()
+           && now - child.heardAt < missedPeriods * state.settings.period;
+}
+
+void send(std::vector<action> &actions, const instance_id &peer, const spread_message &message)
+{
+    action next;
+    next.what = action::kind::Send;
+    next.peer = peer;
+    next.message = message;
+    actions.push_back(std::move(next));
+}
+
+void fetchIfNewer(const freshness &proofs, const instance_id &peer, configuration_version version,
+                  std::vector<action> &actions)
+{
+    if (version <= proofs.held)
+        return;
+    action next;
+    next.what = action::kind::Fetch;
+    next.peer = peer;
+    actions.push_back(std::move(next));
+}
+
+spread_message messageOf(const spread_state &state, const freshness &proofs, spread_kind kind)
+{
+    spread_message message;
+    message.kind = kind;
+    message.root = state.root;
+    message.wave = state.wave;
+    message.held = proofs.held;
+    message.heldTag = state.heldTag;
+    return message;
+}
+
+void sendDigest(const spread_state &state, const freshness &proofs, const instance_id &peer,
+                const spread_child &child, time_point now, std::vector<action> &actions)
+{
+    spread_message message = messageOf(state, proofs, spread_kind::Digest);
+    message.provenWave = state.provenWave;
+    message.provenVersion = state.provenVersion;
+    message.included = child.counted & state.included;
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(state.windowEnd - now
+                                                                            - state.settings.hop);
+    message.windowMicroseconds =
+            static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
+    send(actions, peer, message);
+}
+
+void remember(spread_state &state, time_point at)
+{
+    state.sent.push_back({ state.root, state.wave, at });
+    if (state.sent.size() > maxSentAcknowledgements)
+        state.sent.pop_front();
+}
+
+/// Opens a wave here and passes it on. The bits of earlier waves move by the difference.
+void openWave(spread_state &state, std::uint64_t root, std::uint64_t wave, duration window,
+              time_point now, std::vector<action> &actions)
+{
+    const bool isNewRoot = root != state.root;
+    const std::uint64_t steps = wave - state.wave;
+    assert(isNewRoot || wave > state.wave);
+    for (auto &[peer, child] : state.children) {
+        const bool wasCounted = child.acknowledgedWave == state.wave && !state.isOpen;
+        if (isNewRoot || steps > maxSentAcknowledgements) {
+            child.counted = 0;
+        } else {
+            const unsigned last = wasCounted ? 1U : 0U;
+            child.counted =
+                    static_cast<std::uint16_t>(((child.counted << 1U) | last) << (steps - 1));
+        }
+        if (isNewRoot)
+            child.acknowledgedWave = 0;
+    }
+    if (isNewRoot) {
+        state.sent.clear();
+        state.provenWave = 0;
+        state.provenVersion = 0;
+        state.evidenceWave = 0;
+        state.evidenceVersion = 0;
+    }
+    state.root = root;
+    state.wave = wave;
+    state.isOpen = true;
+    state.windowEnd = now + window;
+    state.resendAt = now + window * resendPercent / 100;
+    state.awaitsRead = state.place.isReader || isRoot(state);
+    if (state.awaitsRead) {
+        action read;
+        read.what = action::kind::ReadPlatform;
+        read.root = root;
+        read.wave = wave;
+        actions.push_back(std::move(read));
+    }
+}
+
+void passOn(const spread_state &state, const freshness &proofs, time_point now,
+            std::vector<action> &actions)
+{
+    for (const auto &[peer, child] : state.children)
+        sendDigest(state, proofs, peer, child, now, actions);
+}
+
+/// Sums up this instance and the children that acknowledged the wave.
+spread_message reportOf(const spread_state &state, const freshness &proofs)
+{
+    spread_message report = messageOf(state, proofs, spread_kind::Acknowledgement);
+    report.newest = proofs.held;
+    report.count = 1;
+    report.memberSum = memberHash(state.self.instance);
+    report.hasUnsettledSubmit = state.hasUnsettledSubmit;
+    report.provenWave = state.evidenceWave;
+    report.provenVersion = state.evidenceVersion;
+    for (const auto &[peer, child] : state.children) {
+        if (child.acknowledgedWave != state.wave)
+            continue;
+        const spread_message &part = child.report;
+        report.newest = std::max(report.newest, part.newest);
+        report.count += part.count;
+        report.memberSum += part.memberSum;
+        report.hasUnsettledSubmit = report.hasUnsettledSubmit || part.hasUnsettledSubmit;
+        if (std::tie(part.provenWave, part.provenVersion)
+            > std::tie(report.provenWave, report.provenVersion)) {
+            report.provenWave = part.provenWave;
+            report.provenVersion = part.provenVersion;
+        }
+    }
+    return report;
+}
+
+/// Turns the proof of a wave into one of this instance: from the newest counted acknowledgement
+/// before that wave, or for the root from the wave's own start.
+void useProof(const spread_state &state, freshness &proofs, proof_source source)
+{
+    if (state.provenWave == 0)
+        return;
+    for (auto each = state.sent.rbegin(); each != state.sent.rend(); ++each) {
+        if (each->root != state.root)
+            continue;
+        bool isBefore = each->wave == state.provenWave;
+        if (!isRoot(state)) {
+            const std::uint64_t bit = state.wave - 1 - each->wave;
+            isBefore = each->wave < state.provenWave && each->wave < state.wave
+                       && bit < maxSentAcknowledgements && ((state.included >> bit) & 1U) != 0;
+        }
+        if (isBefore) {
+            addProof(proofs, { state.provenVersion, each->at, source });
+            return;
+        }
+    }
+}
+
+bool isFullReport(const spread_state &state, const spread_message &report)
+{
+    std::uint64_t sum = 0;
+    for (const tree_member &each : state.live)
+        sum += memberHash(each.instance);
+    return state.place.isListed && !report.hasUnsettledSubmit && report.count == state.live.size()
+           && report.memberSum == sum;
+}
+
+void closeAsRoot(spread_state &state, freshness &proofs, const spread_message &report)
+{
+    proof_source source = proof_source::Platform;
+    std::uint64_t wave = report.provenWave;
+    configuration_version version = report.provenVersion;
+    if (wave < state.wave && isFullReport(state, report)) {
+        wave = state.wave;
+        version = report.newest;
+        source = proof_source::Report;
+    }
+    if (wave > state.provenWave) {
+        state.provenWave = wave;
+        state.provenVersion = version;
+        useProof(state, proofs, source);
+    }
+}
+
+/// Closes the wave if nothing is awaited any more or its window has ended.
+void closeIfDone(spread_state &state, freshness &proofs, time_point now,
+                 std::vector<action> &actions)
+{
+    if (!state.isOpen)
+        return;
+    bool isDone = !state.awaitsRead;
+    for (const auto &[peer, child] : state.children)
+        isDone =
+                isDone && (child.acknowledgedWave == state.wave || !isWaitedFor(state, child, now));
+    if (!isDone && now < state.windowEnd)
+        return;
+    state.isOpen = false;
+    state.resendAt = time_point::max();
+    const spread_message report = reportOf(state, proofs);
+    if (isRoot(state)) {
+        closeAsRoot(state, proofs, report);
+    } else {
+        remember(state, now);
+        send(actions, state.parent, report);
+    }
+}
+
+void becomeRoot(spread_state &state, time_point now)
+{
+    state.parent = {};
+    state.included = 0xffff;
+    state.isOpen = false;
+    state.nextWave = now;
+    state.fastWaves = firstFastWaves;
+    state.adoptionDeadline = now;
+    state.adoptionIndex = 0;
+}
+
+void startWave(spread_state &state, freshness &proofs, time_point now, std::vector<action> &actions)
+{
+    const bool isFast = state.fastWaves > 0;
+    state.fastWaves -= isFast ? 1 : 0;
+    const duration period = isFast ? state.settings.fastPeriod : state.settings.period;
+    openWave(state, state.ownRoot, ++state.ownWave, period * windowPercent / 100, now, actions);
+    remember(state, now);
+    state.nextWave = now + period;
+    passOn(state, proofs, now, actions);
+}
+
+bool isAcceptedParent(const spread_state &state, const instance_id &from, time_point now)
+{
+    if (from == state.parent)
+        return true;
+    const auto &parents = state.place.parents;
+    const auto offered = std::find(parents.begin(), parents.end(), from);
+    if (offered == parents.end())
+        return isRoot(state) && !parents.empty() && !state.children.contains(from);
+    const auto current = std::find(parents.begin(), parents.end(), state.parent);
+    return offered < current || isRoot(state) || now >= state.parentDeadline;
+}
+
+void onDigest(spread_state &state, freshness &proofs, const instance_id &from,
+              const spread_message &message, time_point now, std::vector<action> &actions)
+{
+    if (message.root == state.ownRoot || !isAcceptedParent(state, from, now))
+        return;
+    fetchIfNewer(proofs, from, message.held, actions);
+    const bool isKnownWave = message.root == state.root && message.wave <= state.wave;
+    if (isKnownWave && from == state.parent) {
+        // The acknowledgement may have been lost. Its time of sending stays the first one.
+        if (message.wave == state.wave && !state.isOpen)
+            send(actions, from, reportOf(state, proofs));
+        return;
+    }
+    state.parent = from;
+    state.parentDeadline = now + state.settings.parentSilence;
+    state.children.erase(from);
+    if (isKnownWave)
+        return;
+    openWave(state, message.root, message.wave,
+             std::chrono::microseconds(message.windowMicroseconds), now, actions);
+    state.included = message.included;
+    state.provenWave = message.provenWave;
+    state.provenVersion = message.provenVersion;
+    useProof(state, proofs, proof_source::Peer);
+    passOn(state, proofs, now, actions);
+    closeIfDone(state, proofs, now, actions);
+}
+
+void onAcknowledgement(spread_state &state, freshness &proofs, const instance_id &from,
+                       const spread_message &message, time_point now, std::vector<action> &actions)
+{
+    if (from == state.parent)
+        return;
+    const bool isNew = !state.children.contains(from);
+    spread_child &child = state.children[from];
+    child.isAdopted = child.isAdopted || isNew;
+    child.heardAt = now;
+    fetchIfNewer(proofs, from, message.held, actions);
+    if (message.wave == 0 && state.wave > 0)
+        sendDigest(state, proofs, from, child, now, actions);
+    if (message.root != state.root || message.wave != state.wave || !state.isOpen
+        || child.acknowledgedWave == message.wave)
+        return;
+    child.acknowledgedWave = message.wave;
+    child.report = message;
+    closeIfDone(state, proofs, now, actions);
+}
+
+} // namespace
+
+spread_state startSpread(const tree_member &self, incarnation_id incarnation,
+                         const spread_settings &settings, time_point now)
+{
+    spread_state state;
+    state.self = self;
+    state.ownRoot = memberHash(self.instance) ^ incarnation;
+    state.settings = settings;
+    becomeRoot(state, now);
+    return state;
+}
+
+void setLive(spread_state &state, const std::vector<tree_member> &live, time_point now)
+{
+    if (live == state.live)
+        return;
+    state.live = live;
+    state.place = placeOf(live, state.self);
+    std::erase_if(state.children, [&](const auto &each) {
+        return !each.second.isAdopted
+               && std::find(state.place.children.begin(), state.place.children.end(), each.first)
+                          == state.place.children.end();
+    });
+    for (const instance_id &child : state.place.children) {
+        if (child != state.parent)
+            state.children[child].isAdopted = false;
+    }
+    // A parent that is no longer listed is given up at once.
+    const auto &parents = state.place.parents;
+    if (!isRoot(state) && std::find(parents.begin(), parents.end(), state.parent) == parents.end())
+        state.parentDeadline = now;
+    state.adoptionDeadline = std::min(state.adoptionDeadline, now);
+}
+
+void tickSpread(spread_state &state, freshness &proofs, time_point now,
+                std::vector<spread_action> &actions)
+{
+    std::erase_if(state.children, [&](const auto &each) {
+        return each.second.isAdopted && !isWaitedFor(state, each.second, now);
+    });
+    closeIfDone(state, proofs, now, actions);
+    if (!isRoot(state) && now >= state.parentDeadline)
+        becomeRoot(state, now);
+    const auto &parents = state.place.parents;
+    if (isRoot(state) && !parents.empty() && now >= state.adoptionDeadline) {
+        spread_message question = messageOf(state, proofs, spread_kind::Acknowledgement);
+        question.wave = 0;
+        send(actions, parents[state.adoptionIndex++ % parents.size()], question);
+        state.adoptionDeadline = now + adoptionPause;
+    }
+    if (isRoot(state) && now >= state.nextWave)
+        startWave(state, proofs, now, actions);
+    if (state.isOpen && now >= state.resendAt) {
+        state.resendAt = time_point::max();
+        for (const auto &[peer, child] : state.children) {
+            if (child.acknowledgedWave != state.wave && isWaitedFor(state, child, now))
+                sendDigest(state, proofs, peer, child, now, actions);
+        }
+    }
+}
+
+time_point nextSpreadTime(const spread_state &state)
+{
+    time_point next = isRoot(state) ? state.nextWave : state.parentDeadline;
+    if (isRoot(state) && !state.place.parents.empty())
+        next = std::min(next, state.adoptionDeadline);
+    if (state.isOpen)
+        next = std::min({ next, state.windowEnd, state.resendAt });
+    return next;
+}
+
+void onSpreadMessage(spread_state &state, freshness &proofs, const instance_id &from,
+                     const spread_message &message, time_point now,
+                     std::vector<spread_action> &actions)
+{
+    if (from == state.self.instance)
+        return;
+    switch (message.kind) {
+    case spread_kind::Digest:
+        onDigest(state, proofs, from, message, now, actions);
+        break;
+    case spread_kind::Acknowledgement:
+        onAcknowledgement(state, proofs, from, message, now, actions);
+        break;
+    case spread_kind::Announcement:
+        fetchIfNewer(proofs, from, message.held, actions);
+        break;
+    }
+}
+
+void onPlatformVersion(spread_state &state, freshness &proofs, std::uint64_t root,
+                       std::uint64_t wave, configuration_version version, time_point sentAt,
+                       time_point now, std::vector<spread_action> &actions)
+{
+    provePlatform(proofs, version, sentAt);
+    if (root != state.root)
+        return;
+    if (wave > state.evidenceWave) {
+        state.evidenceWave = wave;
+        state.evidenceVersion = version;
+    }
+    if (wave == state.wave) {
+        state.awaitsRead = false;
+        closeIfDone(state, proofs, now, actions);
+    }
+}
+
+void onOperatorStatement(spread_state &state, freshness &proofs, std::uint64_t root,
+                         std::uint64_t wave, configuration_version version, time_point issuedAt)
+{
+    proveOperator(proofs, version, issuedAt);
+    if (root == state.root && wave > state.evidenceWave) {
+        state.evidenceWave = wave;
+        state.evidenceVersion = version;
+    }
+}
+
+void onTakenIn(spread_state &state, freshness &proofs, configuration_version version,
+               content_tag tag, std::vector<spread_action> &actions)
+{
+    setHeld(proofs, version);
+    state.heldTag = tag;
+    const spread_message message = messageOf(state, proofs, spread_kind::Announcement);
+    if (!isRoot(state))
+        send(actions, state.parent, message);
+    for (const auto &[peer, child] : state.children)
+        send(actions, peer, message);
+}
+
+} // namespace fuchsiagw::core
--- a/src/wire/note_json.cpp
+++ b/src/wire/note_json.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/wire/note_json.hpp>
 
 #include <fuchsiagw/detail/strict_json.hpp>
+#include <fuchsiagw/wire/configuration_json.hpp>
 
 #include <algorithm>
 
@@ -260,4 +261,11 @@
     return {};
 }
 
+const core::configuration_codec &configurationCodec()
+{
+    static const core::configuration_codec codec{ writeConfiguration, readConfiguration, digestOf,
+                                                  writeNote };
+    return codec;
+}
+
 } // namespace fuchsiagw::wire
--- a/src/wire/strict_json.cpp
+++ b/src/wire/strict_json.cpp
@@ -58,33 +58,33 @@
 }
 
 object_reader::object_reader(const json &value, std::string path, json_problem &problem)
-    : mValue(value)
-    , mPath(std::move(path))
-    , mProblem(problem)
+    : value_(value)
+    , path_(std::move(path))
+    , problem_(problem)
 {
-    if (!mValue.is_object())
-        mProblem.set(error_kind::WrongType, mPath, "must be an object");
+    if (!value_.is_object())
+        problem_.set(error_kind::WrongType, path_, "must be an object");
 }
 
 std::string object_reader::pathOf(std::string_view name) const
 {
-    return mPath.empty() ? std::string(name) : mPath + "." + std::string(name);
+    return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
 }
 
 const json *object_reader::find(std::string_view name)
 {
-    mKnown.emplace(name);
-    if (!mValue.is_object())
+    known_.emplace(name);
+    if (!value_.is_object())
         return nullptr;
-    const auto field = mValue.find(name);
-    return field == mValue.end() ? nullptr : &*field;
+    const auto field = value_.find(name);
+    return field == value_.end() ? nullptr : &*field;
 }
 
 const json *object_reader::require(std::string_view name)
 {
     const json *field = find(name);
     if (field == nullptr)
-        mProblem.set(error_kind::MissingField, pathOf(name), "is missing");
+        problem_.set(error_kind::MissingField, pathOf(name), "is missing");
     return field;
 }
 
@@ -96,7 +96,7 @@
     if (field->is_string())
         out = field->get<std::string>();
     else
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be a string");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be a string");
 }
 
 void object_reader::number(std::string_view name, double &out)
@@ -107,7 +107,7 @@
     if (field->is_number())
         out = field->get<double>();
     else
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be a number");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be a number");
 }
 
 void object_reader::integer(std::string_view name, std::uint64_t &out)
@@ -118,7 +118,7 @@
     if (field->is_number_unsigned())
         out = field->get<std::uint64_t>();
     else
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be a whole number, 0 or more");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be a whole number, 0 or more");
 }
 
 void object_reader::integer(std::string_view name, std::uint32_t &out)
@@ -126,7 +126,7 @@
     std::uint64_t value = out;
     integer(name, value);
     if (value > std::numeric_limits<std::uint32_t>::max())
-        mProblem.set(error_kind::InvalidValue, pathOf(name), "is too large");
+        problem_.set(error_kind::InvalidValue, pathOf(name), "is too large");
     else
         out = static_cast<std::uint32_t>(value);
 }
@@ -139,7 +139,7 @@
     if (field->is_boolean())
         out = field->get<bool>();
     else
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be true or false");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be true or false");
 }
 
 void object_reader::objectOf(
@@ -150,7 +150,7 @@
     if (field == nullptr)
         return;
     if (!field->is_object()) {
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be an object");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be an object");
         return;
     }
     for (const auto &item : field->items())
@@ -164,7 +164,7 @@
     if (field == nullptr)
         return;
     if (!field->is_array()) {
-        mProblem.set(error_kind::WrongType, pathOf(name), "must be an array");
+        problem_.set(error_kind::WrongType, pathOf(name), "must be an array");
         return;
     }
     for (std::size_t i = 0; i < field->size(); ++i)
@@ -173,11 +173,11 @@
 
 void object_reader::finish()
 {
-    if (!mValue.is_object())
+    if (!value_.is_object())
         return;
-    for (const auto &item : mValue.items()) {
-        if (!mKnown.contains(item.key()))
-            mProblem.set(error_kind::UnknownField, pathOf(item.key()),
+    for (const auto &item : value_.items()) {
+        if (!known_.contains(item.key()))
+            problem_.set(error_kind::UnknownField, pathOf(item.key()),
                          "no such field; remove it or correct its name");
     }
 }
