Test exchanges, acknowledgement, read ages and rendezvous hashing

Ruled out: letting a peer's older sign of life delay a promotion after refused connections; a refusal comes from the member's own host and is newer.

--- a/include/fuchsiagw/testing/fake_group.hpp
+++ b/include/fuchsiagw/testing/fake_group.hpp
@@ -169,7 +169,7 @@
 
     [[nodiscard]] core::member_status statusOf(std::size_t member) const;
     [[nodiscard]] core::log_position lastOf(const fake_member &member) const;
-    void ask(std::size_t owner, std::size_t member, std::function<void()> atMember,
+    void ask(std::size_t owner, std::size_t member, const std::function<void()> &atMember,
              std::function<void()> refused);
     void answer(std::size_t member, std::size_t owner, std::function<void()> atOwner);
 
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -98,14 +98,15 @@
 {
     const std::int64_t factor = patienceFactor(state);
     const duration patience = suspectAfter * factor;
-    // A peer that still hears the primary knows better: only the way from here is cut.
+    // A peer that has heard the primary since knows better: only the way from here is cut. A
+    // refusal is a sign of the member's own host, so only what a peer heard after it counts.
+    if (state.refusedSince != noDeadline && now >= state.refusedSince + suspectAfterRefused * factor
+        && state.peerHeard < state.refusedSince)
+        return true;
     const bool isHeardByPeer = state.peerHeard != time_point::min()
                                && state.peerHeard + patience + probeAfterSilence > now;
     if (isHeardByPeer)
         return false;
-    if (state.refusedSince != noDeadline
-        && now >= state.refusedSince + suspectAfterRefused * factor)
-        return true;
     return state.silentSince != noDeadline && now >= state.silentSince + patience;
 }
 
--- a/testing/fake_group.cpp
+++ b/testing/fake_group.cpp
@@ -131,7 +131,7 @@
     }
 }
 
-void fake_group::ask(std::size_t owner, std::size_t member, std::function<void()> atMember,
+void fake_group::ask(std::size_t owner, std::size_t member, const std::function<void()> &atMember,
                      std::function<void()> refused)
 {
     const bool isRefused =
@@ -139,7 +139,7 @@
     if (isRefused)
         ownerLater(owner, config.delay * 2, std::move(refused));
     else
-        send(ownerNode(owner), member, std::move(atMember));
+        send(ownerNode(owner), member, atMember);
 }
 
 void fake_group::answer(std::size_t member, std::size_t owner, std::function<void()> atOwner)
--- /dev/null
+++ b/tests/unit-acknowledgement.cpp
@@ -0,0 +1,110 @@
+/// @file
+/// @brief Tests of acknowledgement and of the pending writes.
+
+#include <fuchsiagw/core/acknowledgement.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now{ 10s };
+
+group_view makeView()
+{
+    group_view view;
+    group_settings settings;
+    for (const char *id : { "a", "b", "c" })
+        settings.members[{ id }] = {};
+    applySettings(view, { "g" }, settings);
+    for (const char *id : { "a", "b", "c" }) {
+        const auto role = *id == 'a' ? member_role::Primary : member_role::Replica;
+        observeStatus(view, { { id }, { "g" }, role, 2, { 2, 5 }, { 2, 5 }, false }, now, now);
+    }
+    return view;
+}
+
+bool isAcknowledged(const group_view &view, log_position position)
+{
+    return acknowledgementOf(acknowledgement_policy::Majority, view, 2, position, now);
+}
+
+} // namespace
+
+TEST_GROUP(acknowledgement)
+{
+    group_view view = makeView();
+    pending_writes pending;
+};
+
+// Guards against M2: members under another term, or fewer than a majority, must not count.
+TEST(acknowledgement, needsAMajorityUnderTheWritesTerm)
+{
+    view.members[{ "a" }].last = { 2, 6 };
+    CHECK_FALSE(isAcknowledged(view, { 2, 6 }));
+    view.members[{ "b" }].last = { 2, 7 };
+    CHECK_TRUE(isAcknowledged(view, { 2, 6 }));
+    view.members[{ "b" }].acceptedTerm = 3;
+    CHECK_FALSE(isAcknowledged(view, { 2, 6 }));
+}
+
+// Guards against the acknowledgement of an old term's entry that a longer log may still replace.
+TEST(acknowledgement, oldEntryNeedsAnEntryOfTheCurrentTermAboveIt)
+{
+    for (const char *id : { "a", "b" })
+        view.members[{ id }].last = { 1, 9 };
+    CHECK_FALSE(isAcknowledged(view, { 1, 4 }));
+    for (const char *id : { "a", "b" })
+        view.members[{ id }].last = { 2, 10 };
+    CHECK_TRUE(isAcknowledged(view, { 1, 4 }));
+}
+
+// Guards against the other policies acknowledging for a term that is known to have ended.
+TEST(acknowledgement, otherPoliciesNeedTheNewestTerm)
+{
+    view.leaseUntil = now + 1s;
+    for (const auto policy :
+         { acknowledgement_policy::Lease, acknowledgement_policy::KnownPosition }) {
+        CHECK_TRUE(acknowledgementOf(policy, view, 2, { 2, 6 }, now));
+        CHECK_FALSE(acknowledgementOf(policy, view, 1, { 1, 6 }, now));
+    }
+    CHECK_FALSE(acknowledgementOf(acknowledgement_policy::Lease, view, 2, { 2, 6 }, now + 1s));
+}
+
+// Guards against waits that grow with the number of pending writes, and against a lost one that
+// is never opened again.
+TEST(acknowledgement, opensOneWaitPerMemberWhateverIsPending)
+{
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        addPendingWrite(pending, { i, 2, { 2, 6 + i }, now, now + 1s });
+    const auto waits = openWaits(pending, view, now);
+    UNSIGNED_LONGS_EQUAL(2, waits.size());
+    CHECK_TRUE((waits[0].position == log_position{ 2, 6 }));
+    CHECK_TRUE(openWaits(pending, view, now).empty());
+    onWaitEnded(pending, waits[0].member);
+    UNSIGNED_LONGS_EQUAL(1, openWaits(pending, view, now).size());
+    UNSIGNED_LONGS_EQUAL(2, openWaits(pending, view, waits[0].deadline).size());
+}
+
+// Guards against writes that are never answered or answered twice.
+TEST(acknowledgement, settlesEachWriteOnce)
+{
+    addPendingWrite(pending, { 1, 2, { 2, 5 }, now, now + 1s });
+    addPendingWrite(pending, { 2, 2, { 2, 6 }, now, now + 1s });
+    addPendingWrite(pending, { 3, 2, { 2, 7 }, now, now + 2s });
+    const auto policy = acknowledgement_policy::Majority;
+    auto settled = settleWrites(pending, view, policy, now);
+    UNSIGNED_LONGS_EQUAL(1, settled.size());
+    CHECK_TRUE(settled[0].number == 1 && settled[0].fate == write_fate::Acknowledged);
+    CHECK_TRUE(nextExpiry(pending) == now + 1s);
+    settled = settleWrites(pending, view, policy, now + 1s);
+    UNSIGNED_LONGS_EQUAL(1, settled.size());
+    CHECK_TRUE(settled[0].number == 2 && settled[0].fate == write_fate::Expired);
+    observePrimary(view, { "b" }, 3, now);
+    settled = settleWrites(pending, view, policy, now + 1s);
+    UNSIGNED_LONGS_EQUAL(1, settled.size());
+    CHECK_TRUE(settled[0].number == 3 && settled[0].fate == write_fate::Superseded);
+    CHECK_TRUE(nextExpiry(pending) == noDeadline);
+}
--- /dev/null
+++ b/tests/unit-exchange.cpp
@@ -0,0 +1,190 @@
+/// @file
+/// @brief Tests of the way of one statement to its answer.
+
+#include <fuchsiagw/core/exchange.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now{ 10s };
+
+exchange make(statement_kind kind, bool hasKey = false, bool inTransaction = false)
+{
+    statement_request statement;
+    statement.kind = kind;
+    statement.idempotencyKey = hasKey ? "key" : "";
+    statement.deadline = now + 1s;
+    if (inTransaction)
+        statement.transaction = transaction_id{ 1, 1 };
+    return makeExchange(statement);
+}
+
+void send(exchange &each, std::uint64_t attempt = 1)
+{
+    onSent(each, { 0, attempt }, { "a" }, 5);
+}
+
+execute_answer makeAnswer(execute_status status, std::uint64_t attempt = 1, term_number term = 5)
+{
+    execute_answer answer;
+    answer.id = { 0, attempt };
+    answer.status = status;
+    answer.term = term;
+    answer.position = { 5, 7 };
+    return answer;
+}
+
+exchange_action receive(exchange &each, const execute_answer &answer)
+{
+    return onAnswer(each, answer, answer_verdict::Accept, now);
+}
+
+bool answers(const exchange_action &action, error_kind error)
+{
+    return action.step == exchange_step::Answer && action.error == error;
+}
+
+} // namespace
+
+TEST_GROUP(exchange){};
+
+// Guards against M10 and M9: a lost write without key is neither repeated nor called `not_run`.
+TEST(exchange, lostStatementsAreAnsweredTruthfully)
+{
+    struct lost_case
+    {
+        statement_kind kind;
+        bool hasKey;
+        bool inTransaction;
+        std::optional<error_kind> error; ///< empty: repeated
+    };
+    const lost_case cases[] = {
+        { statement_kind::Write, false, false, error_kind::OutcomeUnknown },
+        { statement_kind::Write, true, false, std::nullopt },
+        { statement_kind::Read, false, false, std::nullopt },
+        { statement_kind::Begin, false, false, std::nullopt },
+        { statement_kind::Read, false, true, error_kind::TransactionLost },
+        { statement_kind::Write, true, true, error_kind::TransactionLost },
+        { statement_kind::Commit, false, true, error_kind::OutcomeUnknown },
+        { statement_kind::Commit, true, true, error_kind::OutcomeUnknown },
+        { statement_kind::Rollback, false, true, error_kind::TransactionLost },
+    };
+    for (const lost_case &each : cases) {
+        for (const bool isForeign : { false, true }) {
+            exchange way = make(each.kind, each.hasKey, each.inTransaction);
+            send(way);
+            // An answer with another id says nothing about this request.
+            const exchange_action action =
+                    isForeign ? receive(way, makeAnswer(execute_status::Refused, 99))
+                              : onConnectionLost(way, now);
+            CHECK_TRUE(action.closeConnection);
+            CHECK_TRUE(each.error ? answers(action, *each.error)
+                                  : action.step == exchange_step::RetryOnNewConnection);
+        }
+    }
+}
+
+// Guards against `not_run` at the deadline for anything that was sent and not refused.
+TEST(exchange, deadlineIsNotRunOnlyIfNothingWasSent)
+{
+    for (const auto kind : { statement_kind::Read, statement_kind::Write, statement_kind::Begin,
+                             statement_kind::Commit, statement_kind::Rollback }) {
+        const bool inTransaction =
+                kind == statement_kind::Commit || kind == statement_kind::Rollback;
+        exchange unsent = make(kind, false, inTransaction);
+        CHECK_TRUE(answers(onDeadline(unsent, error_kind::NoPrimary), error_kind::NoPrimary));
+        exchange sent = make(kind, false, inTransaction);
+        send(sent);
+        const exchange_action action = onDeadline(sent, error_kind::NoPrimary);
+        CHECK_TRUE(action.closeConnection);
+        CHECK_TRUE(answerOf(*action.error).outcome != request_outcome::NotRun);
+    }
+}
+
+// Guards against a refusal that hides an earlier attempt which may have run.
+TEST(exchange, refusalResolvesOnlyItsOwnAttempt)
+{
+    exchange way = make(statement_kind::Write, true);
+    send(way, 1);
+    CHECK_TRUE(onConnectionLost(way, now).step == exchange_step::RetryOnNewConnection);
+    send(way, 2);
+    CHECK_TRUE(receive(way, makeAnswer(execute_status::Refused, 2)).step
+               == exchange_step::SendToMember);
+    CHECK_TRUE(answers(onDeadline(way, error_kind::NoPrimary), error_kind::OutcomeUnknown));
+
+    exchange failed = make(statement_kind::Write, true);
+    send(failed, 1);
+    CHECK_TRUE(onConnectionLost(failed, now).step == exchange_step::RetryOnNewConnection);
+    send(failed, 2);
+    CHECK_TRUE(answers(receive(failed, makeAnswer(execute_status::Failed, 2)),
+                       error_kind::OutcomeUnknown));
+}
+
+// Guards against refused writes that are given up during a promotion, or retried without end.
+TEST(exchange, refusedWriteIsRoutedAgain)
+{
+    exchange way = make(statement_kind::Write);
+    time_point latest = now;
+    for (std::uint64_t i = 1; i < 100; ++i) {
+        send(way, i);
+        const exchange_action action = receive(way, makeAnswer(execute_status::Refused, i, 6));
+        CHECK_TRUE(action.step == exchange_step::SendToMember);
+        CHECK_TRUE(action.notBefore > now && action.notBefore <= now + refusedPauseLongest);
+        latest = action.notBefore;
+    }
+    CHECK_TRUE(latest == now + refusedPauseLongest);
+    send(way, 100);
+    CHECK_TRUE(answers(receive(way, makeAnswer(execute_status::Refused, 100)),
+                       error_kind::UpstreamRefused));
+}
+
+// Guards against success before confirmation, and against a superseded write that is repeated
+// without a key.
+TEST(exchange, writeWaitsForConfirmation)
+{
+    for (const bool hasKey : { false, true }) {
+        exchange way = make(statement_kind::Write, hasKey);
+        send(way);
+        CHECK_TRUE(receive(way, makeAnswer(execute_status::Ok)).step
+                   == exchange_step::WaitForConfirmation);
+        exchange superseded = way;
+        exchange expired = way;
+        const exchange_action action = onConfirmed(way);
+        CHECK_TRUE(action.step == exchange_step::Answer && !action.error);
+        CHECK_TRUE(onDeadline(way, error_kind::NoPrimary).step == exchange_step::None);
+        CHECK_TRUE(answers(onDeadline(expired, error_kind::NoPrimary), error_kind::NotConfirmed));
+        const exchange_action next = onSuperseded(superseded, now);
+        CHECK_TRUE(hasKey ? next.step == exchange_step::SendToMember
+                          : answers(next, error_kind::NotConfirmed));
+    }
+    exchange commit = make(statement_kind::Commit, false, true);
+    send(commit);
+    CHECK_TRUE(receive(commit, makeAnswer(execute_status::Ok)).step
+               == exchange_step::WaitForConfirmation);
+}
+
+// Guards against M1: an answer that is behind the session is never given to the caller.
+TEST(exchange, readThatIsBehindAsksThePrimary)
+{
+    exchange way = make(statement_kind::Read);
+    send(way);
+    const exchange_action action =
+            onAnswer(way, makeAnswer(execute_status::Ok), answer_verdict::AskPrimaryPosition, now);
+    CHECK_TRUE(action.step == exchange_step::AskPrimary && way.primaryOnly);
+    CHECK_TRUE(answers(onDeadline(way, error_kind::NoPrimary), error_kind::OutcomeUnknown));
+}
+
+// Guards against late answers that change a decided exchange (M8).
+TEST(exchange, lateEventsChangeNothing)
+{
+    exchange way = make(statement_kind::Write);
+    send(way);
+    CHECK_TRUE(answers(onConnectionLost(way, now), error_kind::OutcomeUnknown));
+    CHECK_TRUE(receive(way, makeAnswer(execute_status::Ok)).step == exchange_step::None);
+    CHECK_TRUE(onConfirmed(way).step == exchange_step::None);
+    CHECK_TRUE(onConnectionLost(way, now).step == exchange_step::None);
+}
--- a/tests/unit-failover-matrix.cpp
+++ b/tests/unit-failover-matrix.cpp
@@ -106,8 +106,11 @@
           } },
         { "owners_race",
           [](fake_group &g) {
-              for (auto &owner : g.owners)
+              // With one rank and one sequence of random numbers all ask for the same term at once.
+              for (auto &owner : g.owners) {
                   owner.failover.rank = 0;
+                  owner.random.seed(seed);
+              }
           } },
         { "replica_behind",
           [](fake_group &g) {
--- /dev/null
+++ b/tests/unit-rendezvous.cpp
@@ -0,0 +1,65 @@
+/// @file
+/// @brief Tests of rendezvous hashing.
+
+#include <fuchsiagw/core/rendezvous.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+using namespace fuchsiagw::core;
+
+namespace {
+
+std::vector<instance_id> makeInstances(int count)
+{
+    std::vector<instance_id> instances;
+    for (int i = 0; i < count; ++i)
+        instances.push_back({ "entry-" + std::to_string(i) });
+    return instances;
+}
+
+} // namespace
+
+TEST_GROUP(rendezvous){};
+
+// Guards against a hash that changes between releases: instances of both would disagree on owners.
+TEST(rendezvous, hashIsStable)
+{
+    CHECK_TRUE(stableHash("") == 0xf52a15e9a9b5e89bULL);
+    CHECK_TRUE(stableHash("fuchsiagw") == stableHash(std::string("fuchsiagw")));
+}
+
+// Guards against owners that depend on the order of the list, which differs between instances.
+TEST(rendezvous, ignoresOrderAndDuplicates)
+{
+    std::vector<instance_id> instances = makeInstances(9);
+    const std::string key = ownerKey({ "group" }, { "zone" });
+    const std::vector<instance_id> ranked = rankInstances(key, instances);
+    UNSIGNED_LONGS_EQUAL(9, ranked.size());
+    std::reverse(instances.begin(), instances.end());
+    instances.push_back(instances.front());
+    CHECK_TRUE(rankInstances(key, instances) == ranked);
+}
+
+// Guards against needless changes of owners when an instance leaves, and against uneven shares.
+TEST(rendezvous, movesOnlyTheKeysOfTheLeavingInstance)
+{
+    const std::vector<instance_id> instances = makeInstances(9);
+    std::vector<instance_id> fewer = instances;
+    fewer.pop_back();
+    std::map<instance_id, int> owned;
+    constexpr int keys = 9000;
+    for (int i = 0; i < keys; ++i) {
+        const std::string key = ownerKey({ "g" + std::to_string(i) }, { "zone" });
+        const auto ranked = rankInstances(key, instances);
+        const auto without = rankInstances(key, fewer);
+        owned[ranked.front()] += 1;
+        const bool hasLeft = ranked.front() == instances.back();
+        CHECK_TRUE(without.front() == (hasLeft ? ranked[1] : ranked[0]));
+    }
+    for (const auto &[instance, count] : owned)
+        CHECK_TRUE(count > 850 && count < 1150); // 1000 each; the bound is five standard deviations
+}
