Let the owner of a group watch its members and replace a lost primary

Cause: routing needs the members' statuses, and nobody else orders a promotion.

Ruled out: a thread of its own for the watch; probes and promotion are driven by the same tick as the statements, so that one state sees every event in order.

--- a/include/fuchsiagw/core/gateway.hpp
+++ b/include/fuchsiagw/core/gateway.hpp
@@ -75,6 +75,7 @@
     std::map<std::uint64_t, entry_statement> entries; ///< by handle
     std::set<std::pair<time_point, std::uint64_t>> deadlines;
     std::uint64_t nextHandle = 1;
+    time_point nextOwnerCheck{};
 };
 
 /// What each step of a gateway needs.
--- a/include/fuchsiagw/core/group_owner.hpp
+++ b/include/fuchsiagw/core/group_owner.hpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/core/connection_pool.hpp>
 #include <fuchsiagw/core/early_refusal.hpp>
 #include <fuchsiagw/core/exchange.hpp>
+#include <fuchsiagw/core/failover.hpp>
 #include <fuchsiagw/core/fair_queue.hpp>
 #include <fuchsiagw/core/group_view.hpp>
 #include <fuchsiagw/core/owner_action.hpp>
@@ -91,6 +92,11 @@
     std::uint64_t nextTransaction = 1;
     std::map<std::uint64_t, control_call> calls; ///< control requests under way, by number
     std::uint64_t nextCall = 1;
+    failover_state failover;
+    bool isWatching = false; ///< this instance is the zone's owner and watches the members
+    std::optional<member_id> reportedPrimary; ///< in the newest PrimaryChanged notice
+    time_point primaryLostAt =
+            noDeadline; ///< since when no write has been possible, as far as seen
 };
 
 /// @brief Hands a statement to the owner. It ends with exactly one statement_done.
@@ -124,9 +130,27 @@
 void setConnectionLimit(group_owner &owner, std::uint32_t limit, time_point now,
                         random_engine &random, owner_actions &actions);
 
-/// @brief A control request was answered with a member's status, or not at all (empty).
-void onStatus(group_owner &owner, std::uint64_t call, const std::optional<member_status> &status,
-              time_point now, random_engine &random, owner_actions &actions);
+/// The answer to a control request. Without a status the member did not answer.
+struct control_answer
+{
+    std::uint64_t number = 0;
+    std::optional<member_status> status;
+    bool accepted = false; ///< AcceptTerm: the member took the term
+};
+
+/// @brief A control request was answered, or its deadline passed.
+void onControlAnswer(group_owner &owner, const control_answer &answer, time_point now,
+                     random_engine &random, owner_actions &actions);
+
+/// @brief The owner of the group in another zone has published its view.
+void onPeerView(group_owner &owner, const published_view &peer, time_point now,
+                random_engine &random, owner_actions &actions);
+
+/// @brief The advisory claim was answered; no answer means granted.
+void onClaim(group_owner &owner, bool granted, time_point now);
+
+/// @brief Replaces the primary on an operator's command.
+void promote(group_owner &owner, time_point now, random_engine &random, owner_actions &actions);
 
 /// @return the time at which advance() must be called again at the latest
 [[nodiscard]] time_point nextWakeup(const group_owner &owner);
--- a/include/fuchsiagw/daemon/upstream.hpp
+++ b/include/fuchsiagw/daemon/upstream.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/core/gateway_action.hpp>
+#include <fuchsiagw/core/group_owner.hpp>
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/net/http_connection.hpp>
 
@@ -37,9 +38,7 @@
 
 struct control_answered
 {
-    std::uint64_t number = 0;
-    std::optional<core::member_status> status;
-    bool accepted = false; ///< AcceptTerm: the member took the term
+    core::control_answer answer;
 };
 
 struct upstream_event
--- a/include/fuchsiagw/detail/owner_steps.hpp
+++ b/include/fuchsiagw/detail/owner_steps.hpp
@@ -49,6 +49,15 @@
 /// @brief Opens the waits that the pending writes need and ends those that are settled.
 void settle(owner_turn &turn);
 
+/// @brief Watches the members if this instance is the zone's owner.
+void watch(owner_turn &turn);
+
+/// @brief Sends a control request to a member.
+void call(owner_turn &turn, core::control_call order);
+
+/// @brief Reports a change of the primary, once.
+void reportPrimary(owner_turn &turn);
+
 /// @brief Starts a statement of an open transaction on the transaction's connection.
 void startInTransaction(owner_turn &turn, std::uint64_t handle);
 
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -15,6 +15,9 @@
 /// How long an instance is passed over after a forward to it failed.
 constexpr duration avoidFor = std::chrono::seconds(1);
 
+/// How often the owners are chosen anew; a change of configuration or peers does it at once.
+constexpr duration ownerCheckEvery = std::chrono::milliseconds(500);
+
 /// Forwards of one statement; each goes to the next instance in order.
 constexpr std::uint32_t maxForwards = 4;
 
@@ -219,6 +222,34 @@
         forwardTo(turn, handle, ranked.front());
 }
 
+/// Rank of this zone's owner among the owners of all zones; only two that differ may not matter.
+std::uint8_t ownerRank(const gateway &state)
+{
+    std::set<zone_name> zones{ state.zone };
+    for (const auto &[instance, peer] : state.peers)
+        zones.insert(peer.zone);
+    const auto rank = std::distance(zones.begin(), zones.find(state.zone));
+    return static_cast<std::uint8_t>(rank % (1 << rankBits));
+}
+
+/// Watches the groups that this instance owns in its zone, and no others.
+void chooseOwners(gateway_turn &turn)
+{
+    gateway &state = turn.state;
+    for (const auto &[group, settings] : state.config.groups) {
+        const std::vector<instance_id> ranked = rankOwners(state, group, turn.now);
+        const bool isOwner = !ranked.empty() && ranked.front() == state.instance;
+        if (!isOwner && state.owners.count(group) == 0)
+            continue;
+        group_owner &owner = ownerOf(state, group);
+        owner.isWatching = isOwner;
+        owner.failover.rank = ownerRank(state);
+        owner.failover.policy = state.policy;
+        owner.failover.promotes = isAutomatic(state.config, automatic_action::Promotion);
+        owner.failover.probes = isAutomatic(state.config, automatic_action::Probing);
+    }
+}
+
 bool mayRepeat(const statement_request &request)
 {
     if (request.transaction)
@@ -244,6 +275,7 @@
         return false;
     state.config = config;
     state.keys = indexKeys(config);
+    state.nextOwnerCheck = turn.now;
     setHeld(state.proof, config.version);
     for (const auto &[id, workspace] : config.workspaces) {
         share_book &book = state.books[id];
@@ -339,6 +371,10 @@
 void advance(gateway_turn &turn)
 {
     gateway &state = turn.state;
+    if (turn.now >= state.nextOwnerCheck) {
+        state.nextOwnerCheck = turn.now + ownerCheckEvery;
+        chooseOwners(turn);
+    }
     for (auto &[group, owner] : state.owners) {
         owner_actions actions;
         advance(owner, turn.now, turn.random, actions);
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -114,6 +114,7 @@
     owner_turn turn{ owner, now, random, actions };
     endOverdue(turn);
     endIdleTransactions(turn);
+    watch(turn);
     detail::settle(turn);
     wakeParked(turn);
     pump(turn);
@@ -139,6 +140,8 @@
         next = std::min(next, owner.deadlines.begin()->first);
     if (!owner.parked.empty())
         next = std::min(next, owner.parked.begin()->first);
+    if (owner.isWatching)
+        next = std::min(next, owner.failover.lastTick + failoverTick);
     for (const auto &[number, transaction] : owner.transactions)
         next = std::min(next, transaction.idleUntil);
     return next;
--- a/src/core/owner_exchange.cpp
+++ b/src/core/owner_exchange.cpp
@@ -62,6 +62,7 @@
     } else {
         observeAnswer(owner.view, statement.progress.member, answer, statement.progress.term,
                       statement.sentAt, turn.now);
+        reportPrimary(turn);
         recordService(owner.meter, turn.now - statement.sentAt);
     }
     if (verdict == answer_verdict::AskPrimaryAge)
@@ -175,23 +176,6 @@
     pump(turn);
 }
 
-void onStatus(group_owner &owner, std::uint64_t call, const std::optional<member_status> &status,
-              time_point now, random_engine &random, owner_actions &actions)
-{
-    owner_turn turn{ owner, now, random, actions };
-    const auto entry = owner.calls.find(call);
-    if (entry == owner.calls.end())
-        return;
-    const control_call asked = entry->second;
-    owner.calls.erase(entry);
-    if (asked.kind == control_kind::Wait)
-        onWaitEnded(owner.pending, asked.member);
-    if (status)
-        observeStatus(owner.view, *status, asked.sentAt, now);
-    detail::settle(turn);
-    pump(turn);
-}
-
 } // namespace fuchsiagw::core
 
 namespace fuchsiagw::detail {
@@ -295,17 +279,13 @@
             follow(turn, each.number, onNotConfirmed(progress));
     }
     for (const wait_request &each : openWaits(owner.pending, owner.view, turn.now)) {
-        control_call call;
-        call.number = owner.nextCall++;
-        call.kind = control_kind::Wait;
-        call.member = each.member;
-        call.address = owner.view.members.at(each.member).address;
-        call.position = each.position;
-        call.held = each.held;
-        call.sentAt = turn.now;
-        call.deadline = each.deadline;
-        owner.calls.emplace(call.number, call);
-        turn.actions.emplace_back(call);
+        control_call order;
+        order.kind = control_kind::Wait;
+        order.member = each.member;
+        order.position = each.position;
+        order.held = each.held;
+        order.deadline = each.deadline;
+        call(turn, std::move(order));
     }
 }
 
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -107,7 +107,7 @@
         else if (const auto *ended = std::get_if<connection_ended>(&event.what))
             onConnectionClosed(owner, ended->id, now_, random_, actions);
         else if (const auto *control = std::get_if<control_answered>(&event.what))
-            onStatus(owner, control->number, control->status, now_, random_, actions);
+            onControlAnswer(owner, control->answer, now_, random_, actions);
     });
     flush();
 }
--- a/src/daemon/upstream.cpp
+++ b/src/daemon/upstream.cpp
@@ -41,9 +41,10 @@
 }
 
 /// Reads the answer to a control request; anything that is not one counts as no answer.
-control_answered readControl(const core::control_call &order, const net::http_exchange &exchange)
+core::control_answer readControl(const core::control_call &order,
+                                 const net::http_exchange &exchange)
 {
-    control_answered result;
+    core::control_answer result;
     result.number = order.number;
     if (exchange.error || exchange.response.status != statusOk)
         return result;
@@ -149,12 +150,12 @@
 {
     net::endpoint address;
     if (net::parseEndpoint(order.address, address)) {
-        sink_({ group, control_answered{ order.number, std::nullopt, false } });
+        sink_({ group, control_answered{ { order.number, std::nullopt, false } } });
         return;
     }
     controls_.call(address, controlRequest(order), order.deadline,
                    [this, group, order](net::http_exchange &&exchange) {
-                       sink_({ group, readControl(order, exchange) });
+                       sink_({ group, control_answered{ readControl(order, exchange) } });
                    });
 }
 
--- a/tests/unit-group-owner.cpp
+++ b/tests/unit-group-owner.cpp
@@ -116,15 +116,9 @@
     CHECK_TRUE(take<statement_done>().empty());
     const auto waits = take<control_call>();
     CHECK_FALSE(waits.empty());
-    onStatus(owner, waits[0].number,
-             member_status{ waits[0].member,
-                            owner.group,
-                            member_role::Replica,
-                            1,
-                            { 1, 11 },
-                            { 1, 11 },
-                            false },
-             now, random, actions);
+    const member_status status{ waits[0].member, owner.group, member_role::Replica, 1, { 1, 11 },
+                                { 1, 11 },       false };
+    onControlAnswer(owner, { waits[0].number, status, false }, now, random, actions);
     const auto done = take<statement_done>();
     CHECK_EQUAL(1, static_cast<int>(done.size()));
     CHECK_FALSE(done[0].answer.error.has_value());
