Check that a new term ends transactions before a member leads

The test called /lead first, which rolls transactions back as well, and so did not notice when /accept_term kept them. It now commits in between. The check is stricter than before.

Measured: with the rollback in acceptTerm() removed in a trial, the test fails; without the trial all 11 tests of unit-standin-member pass.

--- a/tests/unit-standin-member.cpp
+++ b/tests/unit-standin-member.cpp
@@ -279,7 +279,7 @@
     CHECK_TRUE(run(a, statement_kind::Commit, 1) == execute_status::Refused);
     CHECK_TRUE(run(a, statement_kind::Begin, 2) == execute_status::Ok);
     CHECK_TRUE(acceptTerm(a, 2).accepted);
-    CHECK_TRUE(lead(a, 2, at(2)).accepted);
     CHECK_TRUE(run(a, statement_kind::Commit, 2) == execute_status::Refused);
+    CHECK_TRUE(lead(a, 2, at(2)).accepted);
     STRCMP_EQUAL("", get(a, "x").c_str());
 }
