Answer /lead and /follow of the stand-in with a status

The daemon reads the answers to /lead and /follow as a status; the stand-in sent the form of /accept_term, which a strict reader refuses, so that no promotion could succeed. Success shows in the status: its role and its term.

--- a/include/fuchsiagw/testing/standin_member.hpp
+++ b/include/fuchsiagw/testing/standin_member.hpp
@@ -89,7 +89,9 @@
     void forget(connection_number connection);
     void route(const net::http_request &request, connection_number connection);
     void wait(const net::http_request &request, connection_number connection);
-    void changeTerm(const net::http_request &request, connection_number connection);
+    void acceptTerm(const net::http_request &request, connection_number connection);
+    void lead(const net::http_request &request, connection_number connection);
+    void follow(const net::http_request &request, connection_number connection);
     void admit(const net::http_request &request, connection_number connection);
     void enqueue(job &&next);
     void startNext();
--- a/include/fuchsiagw/wire/member_json.hpp
+++ b/include/fuchsiagw/wire/member_json.hpp
@@ -44,9 +44,10 @@
 
 [[nodiscard]] std::string toJson(const core::execute_request &request);
 [[nodiscard]] std::string toJson(const core::execute_answer &answer);
-[[nodiscard]] std::string toJson(const core::member_status &status);
 
-/// @brief Answer to `POST /accept_term`, `POST /lead` and `POST /follow`.
+/// @brief Answer to `GET /status` and `GET /wait`, and to `POST /lead` and `POST /follow`, whose
+/// success shows in the role and the term.
+[[nodiscard]] std::string toJson(const core::member_status &status);
 [[nodiscard]] std::string toJson(const core::accept_term_answer &answer);
 [[nodiscard]] std::string toJson(const term_request &request);
 [[nodiscard]] std::string toJson(const follow_request &request);
--- a/testing/standin_member.cpp
+++ b/testing/standin_member.cpp
@@ -153,8 +153,12 @@
         wait(request, connection);
     else if (path == "/execute")
         admit(request, connection);
+    else if (path == "/accept_term")
+        acceptTerm(request, connection);
+    else if (path == "/lead")
+        lead(request, connection);
     else
-        changeTerm(request, connection);
+        follow(request, connection);
 }
 
 void standin_member::wait(const net::http_request &request, connection_number connection)
@@ -178,30 +182,42 @@
     answerWaits();
 }
 
-void standin_member::changeTerm(const net::http_request &request, connection_number connection)
+void standin_member::acceptTerm(const net::http_request &request, connection_number connection)
 {
-    core::accept_term_answer result;
-    if (request.target == "/follow") {
-        wire::follow_request parsed;
-        if (const auto error = wire::fromJson(request.body, parsed)) {
-            answer(connection, errorResponse(error));
-            return;
-        }
-        result = follow(model, parsed.term, parsed.primary);
-    } else {
-        wire::term_request parsed;
-        if (const auto error = wire::fromJson(request.body, parsed)) {
-            answer(connection, errorResponse(error));
-            return;
-        }
-        result = request.target == "/lead" ? lead(model, parsed.term, net::currentTime())
-                                           : acceptTerm(model, parsed.term);
+    wire::term_request parsed;
+    if (const auto error = wire::fromJson(request.body, parsed)) {
+        answer(connection, errorResponse(error));
+        return;
     }
+    const core::accept_term_answer result = testing::acceptTerm(model, parsed.term);
     hooks_.logChanged();
-    result.status = statusOf(model);
     answer(connection, jsonResponse(200, wire::toJson(result)));
 }
 
+void standin_member::lead(const net::http_request &request, connection_number connection)
+{
+    wire::term_request parsed;
+    if (const auto error = wire::fromJson(request.body, parsed)) {
+        answer(connection, errorResponse(error));
+        return;
+    }
+    testing::lead(model, parsed.term, net::currentTime());
+    hooks_.logChanged();
+    answerStatus(connection);
+}
+
+void standin_member::follow(const net::http_request &request, connection_number connection)
+{
+    wire::follow_request parsed;
+    if (const auto error = wire::fromJson(request.body, parsed)) {
+        answer(connection, errorResponse(error));
+        return;
+    }
+    testing::follow(model, parsed.term, parsed.primary);
+    hooks_.logChanged();
+    answerStatus(connection);
+}
+
 void standin_member::admit(const net::http_request &request, connection_number connection)
 {
     job next;
--- a/tests/unit-standin-group.cpp
+++ b/tests/unit-standin-group.cpp
@@ -124,14 +124,22 @@
         return answerOf(finish(sendStatement(to, kind, statement, key, term)));
     }
 
-    bool control(std::size_t member, const char *target, const std::string &body)
+    bool acceptTerm(std::size_t member, const char *body)
     {
         core::accept_term_answer answer;
-        const auto each = finish(send(open(member), "POST", target, body));
+        const auto each = finish(send(open(member), "POST", "/accept_term", body));
         CHECK_FALSE(wire::fromJson(each->outcome.response.body, answer));
         return answer.accepted;
     }
 
+    core::member_status order(std::size_t member, const char *target, const char *body)
+    {
+        core::member_status status;
+        const auto each = finish(send(open(member), "POST", target, body));
+        CHECK_FALSE(wire::fromJson(each->outcome.response.body, status));
+        return status;
+    }
+
     void setFault(const char *member, member_fault kind, bool on,
                   std::optional<std::uint64_t> value = {})
     {
@@ -195,17 +203,18 @@
     setFault("g-1", member_fault::Isolate, true);
     CHECK_TRUE(run(old, statement_kind::Write, "set k lost").status == execute_status::Ok);
     for (const std::size_t member : { 1, 2 })
-        CHECK_TRUE(control(member, "/accept_term", R"({"term":9})"));
-    CHECK_TRUE(control(1, "/lead", R"({"term":9})"));
-    CHECK_TRUE(control(2, "/follow", R"({"term":9,"primary":"g-2"})"));
+        CHECK_TRUE(acceptTerm(member, R"({"term":9})"));
+    CHECK_TRUE(order(1, "/lead", R"({"term":8})").role == core::member_role::Replica);
+    CHECK_TRUE(order(1, "/lead", R"({"term":9})").role == core::member_role::Primary);
+    CHECK_EQUAL(9, order(2, "/follow", R"({"term":9,"primary":"g-2"})").term);
     const auto next = open(1);
     const auto kept = run(next, statement_kind::Write, "append k +", "", 9);
     STRCMP_EQUAL("1+", kept.rows.at(0).at(0).c_str());
     CHECK_TRUE(statusOf(2).last == kept.position);
 
-    CHECK_TRUE(control(0, "/accept_term", R"({"term":9})"));
+    CHECK_TRUE(acceptTerm(0, R"({"term":9})"));
     CHECK_TRUE(run(old, statement_kind::Write, "set k 2").status == execute_status::Refused);
-    CHECK_TRUE(control(0, "/follow", R"({"term":9,"primary":"g-2"})"));
+    CHECK_EQUAL(9, order(0, "/follow", R"({"term":9,"primary":"g-2"})").term);
     CHECK_TRUE(statusOf(0).last < kept.position);
     setFault("g-1", member_fault::Isolate, false);
     CHECK_TRUE(statusOf(0).last == kept.position);
@@ -230,7 +239,7 @@
     CHECK_FALSE(wire::fromJson(finish(missed)->outcome.response.body, status));
     CHECK_TRUE(status.last < until);
     CHECK_FALSE(fenced->finished);
-    CHECK_TRUE(control(2, "/accept_term", R"({"term":5})"));
+    CHECK_TRUE(acceptTerm(2, R"({"term":5})"));
     CHECK_FALSE(wire::fromJson(finish(fenced)->outcome.response.body, status));
     CHECK_EQUAL(5, status.term);
 }
