Add fuchsiagwctl and the admin API's routes, bodies and signed statements

Cause: operators need a command to change the configuration and to see what is in force.

The handlers of the admin port are pure functions from values to a status and a body. Convenience commands make a release note on the newest version and submit it; a submit whose answer is lost is sent again, because a note is applied once, and ends with exit code 4 if the outcome stays open. A key is shown once and only its hash is sent.

A statement of an operator (proof d) signs a challenge of the instance, so its age counts from the challenge and it can't be used again. The command can renew statements from an instance that reads the platform.

Ruled out: the flag parser of Abseil, which ends with 1 on a mistake where 2 is promised. The flags themselves are Abseil's.

--- a/include/fuchsiagw/core/config_spread.hpp
+++ b/include/fuchsiagw/core/config_spread.hpp
@@ -46,6 +46,9 @@
     // Digest only
     std::uint16_t included = 0; ///< bit i: the receiver's acknowledgement of wave-1-i was counted
     std::uint32_t windowMicroseconds = 0; ///< remaining time in which an acknowledgement counts
+    /// Digest: version that every listed instance held at the end of a wave; 0: not known.
+    /// Acknowledgement: least version held in the subtree.
+    configuration_version oldest = 0;
     // Acknowledgement only
     configuration_version newest = 0; ///< greatest version held in the subtree
     std::uint32_t count = 0; ///< instances in the subtree that answered
@@ -133,6 +136,7 @@
     configuration_version evidenceVersion = 0;
     std::uint64_t provenWave = 0; ///< of the current root
     configuration_version provenVersion = 0;
+    configuration_version everywhere = 0; ///< every listed instance holds it or a newer one
 };
 
 /// @brief Creates the state of an instance that has just started.
--- /dev/null
+++ b/include/fuchsiagw/ctl/table.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// @brief Tables for people.
+
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::ctl {
+
+/// Rows of equal length; the first one has the titles.
+using text_table = std::vector<std::vector<std::string>>;
+
+/// @brief Prints a table with aligned columns.
+/// @complexity linear in the size of the table
+void printTable(std::ostream &out, const text_table &table);
+
+} // namespace fuchsiagw::ctl
--- /dev/null
+++ b/include/fuchsiagw/wire/vouch.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// @brief The operator's signed statement that a version was the newest, proof (d).
+///
+/// The instance issues a challenge; the operator signs the challenge with the version. The age of
+/// the proof counts from the issue of the challenge, so neither side needs the other's clock, and
+/// an old statement can't be used again.
+
+#pragma once
+
+#include <fuchsiagw/core/config_spread.hpp>
+#include <fuchsiagw/wire/admin_json.hpp>
+
+#include <deque>
+
+namespace fuchsiagw::wire {
+
+/// Challenges that were issued and not yet used. Invariant: at most 16, oldest first.
+struct vouch_challenges
+{
+    struct challenge
+    {
+        std::string text;
+        std::uint64_t root = 0; ///< wave that was running, see onOperatorStatement()
+        std::uint64_t wave = 0;
+        core::time_point issuedAt;
+    };
+    std::deque<challenge> open;
+};
+
+/// @brief Signs a statement.
+/// @param secretHash BLAKE2b-256 of the operators' secret in hexadecimal
+/// @return a MAC in hexadecimal
+[[nodiscard]] std::string signStatement(std::string_view secretHash,
+                                        const core::instance_id &instance,
+                                        std::string_view challenge,
+                                        core::configuration_version version);
+
+/// @brief Issues a challenge and answers `POST /v1/admin/vouch/challenge`.
+[[nodiscard]] admin_answer answerChallenge(vouch_challenges &challenges,
+                                           const core::spread_state &spread,
+                                           core::configuration_version held, core::time_point now);
+
+/// @brief Answers `POST /v1/admin/vouch` with `{challenge, version, mac}`. A challenge is used
+/// once.
+[[nodiscard]] admin_answer answerVouch(vouch_challenges &challenges, core::spread_state &spread,
+                                       core::freshness &proofs, std::string_view body,
+                                       std::string_view secretHash, core::time_point now);
+
+} // namespace fuchsiagw::wire
--- a/src/core/config_spread.cpp
+++ b/src/core/config_spread.cpp
@@ -68,6 +68,7 @@
     message.provenWave = state.provenWave;
     message.provenVersion = state.provenVersion;
     message.included = child.counted & state.included;
+    message.oldest = state.everywhere;
     const auto left = std::chrono::duration_cast<std::chrono::microseconds>(state.windowEnd - now
                                                                             - state.settings.hop);
     message.windowMicroseconds =
@@ -135,6 +136,7 @@
 {
     spread_message report = messageOf(state, proofs, spread_kind::Acknowledgement);
     report.newest = proofs.held;
+    report.oldest = proofs.held;
     report.count = 1;
     report.memberSum = memberHash(state.self.instance);
     report.hasUnsettledSubmit = state.hasUnsettledSubmit;
@@ -145,6 +147,7 @@
             continue;
         const spread_message &part = child.report;
         report.newest = std::max(report.newest, part.newest);
+        report.oldest = std::min(report.oldest, part.oldest);
         report.count += part.count;
         report.memberSum += part.memberSum;
         report.hasUnsettledSubmit = report.hasUnsettledSubmit || part.hasUnsettledSubmit;
@@ -193,7 +196,10 @@
     proof_source source = proof_source::Platform;
     std::uint64_t wave = report.provenWave;
     configuration_version version = report.provenVersion;
-    if (wave < state.wave && isFullReport(state, report)) {
+    const bool isFull = isFullReport(state, report);
+    if (isFull)
+        state.everywhere = std::max(state.everywhere, report.oldest);
+    if (wave < state.wave && isFull && !report.hasUnsettledSubmit) {
         wave = state.wave;
         version = report.newest;
         source = proof_source::Report;
@@ -285,6 +291,7 @@
     state.included = message.included;
     state.provenWave = message.provenWave;
     state.provenVersion = message.provenVersion;
+    state.everywhere = std::max(state.everywhere, message.oldest);
     useProof(state, proofs, proof_source::Peer);
     passOn(state, proofs, now, actions);
     closeIfDone(state, proofs, now, actions);
--- /dev/null
+++ b/src/ctl/instance_commands.cpp
@@ -0,0 +1,212 @@
+/// @file
+/// @brief Commands on groups, instances and freshness.
+
+#include <fuchsiagw/ctl/commands.hpp>
+#include <fuchsiagw/ctl/flags.hpp>
+#include <fuchsiagw/ctl/table.hpp>
+#include <fuchsiagw/wire/vouch.hpp>
+
+#include <absl/flags/flag.h>
+
+namespace fuchsiagw::ctl {
+
+namespace {
+
+using nlohmann::json;
+
+/// Statements are renewed well within the shortest wait that daemons may be set to, 1 s.
+constexpr std::chrono::milliseconds vouchPause{ 500 };
+
+std::string textOf(const json &object, const char *name)
+{
+    const auto field = object.find(name);
+    if (field == object.end() || field->is_null())
+        return "-";
+    if (!field->is_string())
+        return field->dump();
+    return field->get<std::string>().empty() ? "-" : field->get<std::string>();
+}
+
+admin_result get(const command_context &context, const std::string &target)
+{
+    return callAdmin(context.transport, absl::GetFlag(FLAGS_address), "GET", target, {}, false);
+}
+
+exit_code listGroups(const command_context &context, const std::string &only)
+{
+    const admin_result result = get(context, "/v1/admin/groups");
+    if (result.code != exit_code::Done)
+        return report(context, result);
+    if (absl::GetFlag(FLAGS_json)) {
+        context.out << result.text << '\n';
+        return exit_code::Done;
+    }
+    text_table table{ { "GROUP", "MEMBER", "ROLE", "ZONE", "ADDRESS", "APPLIED", "STATE" } };
+    bool isFound = only.empty();
+    for (const json &group : result.json.value("groups", json::array())) {
+        const std::string name = textOf(group, "group");
+        if (!only.empty() && name != only)
+            continue;
+        isFound = true;
+        for (const json &member : group.value("members", json::array())) {
+            const json applied = member.value("applied", json::object());
+            table.push_back({ name, textOf(member, "member"), textOf(member, "role"),
+                              textOf(member, "zone"), textOf(member, "address"),
+                              textOf(applied, "term") + "/" + textOf(applied, "index"),
+                              textOf(member, "state") });
+        }
+    }
+    if (!isFound) {
+        context.err << "there is no group '" << only
+                    << "'\nnext: 'fuchsiagwctl group list' shows them\n";
+        return exit_code::Refused;
+    }
+    printTable(context.out, table);
+    return exit_code::Done;
+}
+
+/// Hands one statement to the instance. @param result the last answer
+exit_code vouchOnce(const command_context &context, admin_result &result)
+{
+    const std::string address = absl::GetFlag(FLAGS_address);
+    result =
+            callAdmin(context.transport, address, "POST", "/v1/admin/vouch/challenge", "{}", false);
+    if (result.code != exit_code::Done)
+        return result.code;
+    const std::string challenge = textOf(result.json, "challenge");
+    const std::string instance = textOf(result.json, "instance");
+    core::configuration_version version = absl::GetFlag(FLAGS_version);
+    const std::string against = absl::GetFlag(FLAGS_against);
+    if (!against.empty()) {
+        // The reference is asked after the challenge was issued and must read the platform.
+        result = callAdmin(context.transport, against, "GET", "/v1/admin/status", {}, false);
+        if (result.code != exit_code::Done)
+            return result.code;
+        const json proof = result.json.value("proof", json::object());
+        if (!proof.value("proven", false) || proof.value("source", "") != "platform") {
+            result.code = exit_code::Refused;
+            result.problem = "the instance at " + against
+                             + " has no proof of its own from the platform"
+                               "\nnext: name another one with --against";
+            return result.code;
+        }
+        version = result.json.value("version", core::configuration_version{ 0 });
+    }
+    const json statement = { { "challenge", challenge },
+                             { "version", version },
+                             { "mac", wire::signStatement(context.secretHash(), { instance },
+                                                          challenge, version) } };
+    result = callAdmin(context.transport, address, "POST", "/v1/admin/vouch", statement.dump(),
+                       false);
+    return result.code;
+}
+
+} // namespace
+
+exit_code runGroupList(const command_context &context,
+                       const std::vector<std::string> & /*parameters*/)
+{
+    return listGroups(context, {});
+}
+
+exit_code runGroupShow(const command_context &context, const std::vector<std::string> &parameters)
+{
+    return listGroups(context, parameters[0]);
+}
+
+exit_code runGroupPromote(const command_context &context,
+                          const std::vector<std::string> &parameters)
+{
+    if (!core::isName(parameters[0]))
+        return refuseUsage(context, "'" + parameters[0] + "' is not the name of a group");
+    json body = json::object();
+    if (parameters.size() > 1)
+        body["member"] = parameters[1];
+    const admin_result result =
+            callAdmin(context.transport, absl::GetFlag(FLAGS_address), "POST",
+                      "/v1/admin/groups/" + parameters[0] + "/promote", body.dump(), true);
+    if (result.code != exit_code::Done) {
+        const exit_code code = report(context, result);
+        if (code == exit_code::Unknown)
+            context.err << "next: 'fuchsiagwctl group show " << parameters[0]
+                        << "' shows the primary; a repeated promotion is safe\n";
+        return code;
+    }
+    if (absl::GetFlag(FLAGS_json))
+        context.out << result.text << '\n';
+    else
+        context.out << "group " << parameters[0] << " has primary " << textOf(result.json, "member")
+                    << " under term " << textOf(result.json, "term") << '\n';
+    return exit_code::Done;
+}
+
+exit_code runInstanceList(const command_context &context,
+                          const std::vector<std::string> & /*parameters*/)
+{
+    const admin_result result = get(context, "/v1/admin/instances");
+    if (result.code != exit_code::Done)
+        return report(context, result);
+    if (absl::GetFlag(FLAGS_json)) {
+        context.out << result.text << '\n';
+        return exit_code::Done;
+    }
+    text_table table{ { "INSTANCE", "KIND", "ZONE", "ADDRESS", "STATE" } };
+    for (const json &each : result.json.value("instances", json::array()))
+        table.push_back({ textOf(each, "instance"), textOf(each, "kind"), textOf(each, "zone"),
+                          textOf(each, "address"), textOf(each, "state") });
+    printTable(context.out, table);
+    return exit_code::Done;
+}
+
+exit_code runVouch(const command_context &context, const std::vector<std::string> & /*parameters*/)
+{
+    if ((absl::GetFlag(FLAGS_version) == 0) == absl::GetFlag(FLAGS_against).empty())
+        return refuseUsage(context, "give either --version N, which you know to be the newest, or "
+                                    "--against with the address of an instance that reads the "
+                                    "platform");
+    const std::chrono::seconds span(absl::GetFlag(FLAGS_for_s));
+    admin_result result;
+    do {
+        const exit_code code = vouchOnce(context, result);
+        if (code != exit_code::Done)
+            return report(context, result);
+        if (span.count() > 0)
+            context.sleep(vouchPause);
+    } while (context.elapsed() < span);
+    if (absl::GetFlag(FLAGS_json))
+        context.out << result.text << '\n';
+    else
+        context.out << "the instance holds version " << textOf(result.json, "version")
+                    << (result.json.value("proven", false)
+                                ? " and accepts keys for another "
+                                          + textOf(result.json, "proven_ms") + " ms\n"
+                                : " and accepts no keys: it lacks the version vouched for\n");
+    return result.json.value("proven", false) ? exit_code::Done : exit_code::Refused;
+}
+
+exit_code runStatus(const command_context &context, const std::vector<std::string> & /*parameters*/)
+{
+    const admin_result result = get(context, "/v1/admin/status");
+    if (result.code != exit_code::Done)
+        return report(context, result);
+    if (absl::GetFlag(FLAGS_json)) {
+        context.out << result.text << '\n';
+        return exit_code::Done;
+    }
+    const json proof = result.json.value("proof", json::object());
+    printTable(context.out,
+               { { "instance", textOf(result.json, "instance") },
+                 { "zone", textOf(result.json, "zone") },
+                 { "state", textOf(result.json, "state") },
+                 { "version", textOf(result.json, "version") },
+                 { "in force everywhere", textOf(result.json, "in_force_everywhere") },
+                 { "accepts keys", proof.value("proven", false) ? "yes" : "no" },
+                 { "proof", textOf(proof, "source") + ", " + textOf(proof, "age_ms") + " ms old" },
+                 { "platform reachable", textOf(result.json, "platform_reachable") },
+                 { "parent", textOf(result.json, "parent") },
+                 { "children", textOf(result.json, "children") },
+                 { "instances listed", textOf(result.json, "listed") } });
+    return exit_code::Done;
+}
+
+} // namespace fuchsiagw::ctl
--- /dev/null
+++ b/tests/unit-ctl.cpp
@@ -0,0 +1,295 @@
+/// @file
+/// @brief Tests of the operators' command and of the admin API behind it.
+
+#include <fuchsiagw/ctl/commands.hpp>
+#include <fuchsiagw/ctl/flags.hpp>
+#include <fuchsiagw/ctl/note_file.hpp>
+#include <fuchsiagw/wire/admin_json.hpp>
+#include <fuchsiagw/wire/configuration_json.hpp>
+#include <fuchsiagw/wire/key_hash.hpp>
+#include <fuchsiagw/wire/note_json.hpp>
+#include <fuchsiagw/wire/vouch.hpp>
+
+#include <absl/flags/reflection.h>
+
+#include <map>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw;
+using ctl::exit_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string secret = "operators";
+
+/// A daemon whose submits take effect at once. The command reaches it without a network.
+struct fake_daemon
+{
+    core::config_store store;
+    core::spread_state spread = core::startSpread({ { "a" }, { "i1" } }, 7, {}, core::time_point{});
+    core::freshness proofs;
+    wire::vouch_challenges challenges;
+    std::map<std::string, core::configuration_version> notes;
+    int lostAnswers = 0; ///< submits that take effect without an answer
+    bool isDown = false;
+    std::string sentBodies;
+    milliseconds elapsed{ 0 };
+    std::ostringstream out;
+    std::ostringstream err;
+
+    fake_daemon()
+    {
+        core::configuration config;
+        config.version = 4;
+        config.groups[{ "hire" }] = { { { { "m1" }, { { "a" }, "127.0.0.1:1" } } }, 2, 16 };
+        config.workspaces[{ "cafe" }].rate = 5;
+        config.workspaces[{ "cafe" }].burst = 9;
+        config.workspaces[{ "cafe" }].keys[core::key_hash(64, 'a')] = core::key_state::Valid;
+        takeInNow(config);
+    }
+
+    void takeInNow(const core::configuration &config)
+    {
+        (void)core::takeIn(store, { { "p" }, config.version, "" }, wire::writeConfiguration(config),
+                           wire::configurationCodec());
+        core::setHeld(proofs, config.version);
+    }
+
+    wire::admin_answer submit(const std::string &body)
+    {
+        core::release_note note;
+        core::submit_result result;
+        std::string problem;
+        CHECK_FALSE(wire::readNote(body, note, problem));
+        const auto known = notes.find(note.id);
+        core::configuration next;
+        if (known != notes.end()) {
+            result.version = known->second;
+            result.wasAppliedBefore = true;
+        } else {
+            result.error = core::applyNote(*store.current, note, next, result.problem);
+            result.version = next.version;
+            if (!result.error) {
+                notes[note.id] = next.version;
+                takeInNow(next);
+            }
+        }
+        return wire::answerSubmit(store, note, result);
+    }
+
+    ctl::admin_reply handle(const std::string &method, const std::string &target,
+                            const std::string &body)
+    {
+        if (isDown)
+            return {};
+        sentBodies += body;
+        const wire::admin_match match = wire::matchAdminRoute(method, target);
+        CHECK_FALSE(match.error.has_value());
+        wire::admin_answer answer;
+        const auto note = notes.find(match.argument);
+        const std::optional<core::configuration_version> noVersion;
+        switch (match.route) {
+        case wire::admin_route::Configuration:
+            answer = wire::answerConfiguration(store);
+            break;
+        case wire::admin_route::SubmitNote:
+            answer = submit(body);
+            if (lostAnswers-- > 0)
+                return { true, 0, {} };
+            break;
+        case wire::admin_route::CheckNote:
+            answer = wire::answerCheck(store, body);
+            break;
+        case wire::admin_route::NoteStatus:
+            answer = wire::answerNoteStatus(match.argument,
+                                            note == notes.end() ? noVersion : note->second, store,
+                                            elapsed > milliseconds(900) ? 99 : 0);
+            break;
+        case wire::admin_route::Challenge:
+            answer = wire::answerChallenge(challenges, spread, proofs.held, core::time_point{});
+            break;
+        case wire::admin_route::Vouch:
+            answer = wire::answerVouch(challenges, spread, proofs, body, wire::hashKey(secret),
+                                       core::time_point{});
+            break;
+        default:
+            answer = wire::answerError(core::error_kind::NotReady);
+        }
+        return { true, answer.status, answer.body };
+    }
+
+    exit_code run(const std::vector<std::string> &arguments)
+    {
+        const absl::FlagSaver saver;
+        out.str({});
+        err.str({});
+        const ctl::command_context context{
+            [this](const std::string & /*address*/, const std::string &method,
+                   const std::string &target,
+                   const std::string &body) { return handle(method, target, body); },
+            [] { return wire::hashKey(secret); },
+            out,
+            err,
+            [this](milliseconds pause) { elapsed += pause; },
+            [this] { return elapsed; }
+        };
+        return ctl::runCommandLine(arguments, context);
+    }
+};
+
+void checkCode(exit_code expected, exit_code code, const fake_daemon &daemon)
+{
+    CHECK_EQUAL_TEXT(static_cast<int>(expected), static_cast<int>(code),
+                     (daemon.out.str() + daemon.err.str()).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(ctl)
+{
+    fake_daemon daemon;
+};
+
+// Guards against a mistake that is sent, or that a script takes for a refusal.
+TEST(ctl, wrongCommandLinesExitWithUsage)
+{
+    const std::vector<std::vector<std::string>> lines{ {},
+                                                       { "note" },
+                                                       { "note", "submit" },
+                                                       { "key", "issue", "a", "b" },
+                                                       { "status", "--verbose" },
+                                                       { "status", "--timeout_ms=soon" },
+                                                       { "status", "--address" },
+                                                       { "workspace", "rate", "cafe" },
+                                                       { "switch", "off", "everything" },
+                                                       { "vouch" },
+                                                       { "key", "withdraw", "cafe", "fgw_secret" },
+                                                       { "note", "check", "/nonexistent" } };
+    for (const auto &line : lines) {
+        checkCode(exit_code::Usage, daemon.run(line), daemon);
+        CHECK_FALSE(daemon.err.str().empty());
+    }
+    STRCMP_EQUAL("", daemon.sentBodies.c_str());
+}
+
+// Guards against a command without help or an example that does not parse.
+TEST(ctl, everyCommandHasHelp)
+{
+    for (const ctl::command &each : ctl::allCommands()) {
+        const std::size_t space = each.words.find(' ');
+        std::vector<std::string> line{ each.words.substr(0, space) };
+        if (space != std::string::npos)
+            line.push_back(each.words.substr(space + 1));
+        line.emplace_back("--help");
+        checkCode(exit_code::Done, daemon.run(line), daemon);
+        CHECK_TRUE(daemon.out.str().find("example") != std::string::npos);
+        CHECK_TRUE(each.example.starts_with(each.words));
+    }
+}
+
+// Guards against a key that is lost, shown twice, or sent to a daemon.
+TEST(ctl, keyIsShownOnceAndNeverSent)
+{
+    checkCode(exit_code::Done, daemon.run({ "key", "issue", "cafe" }), daemon);
+    const std::string text = daemon.out.str();
+    const std::size_t at = text.find(wire::keyPrefix);
+    const std::string key = text.substr(at, text.find('\n', at) - at);
+    CHECK_TRUE(text.find(key, at + 1) == std::string::npos);
+    CHECK_TRUE(daemon.sentBodies.find(key) == std::string::npos);
+    const std::string hash = wire::hashKey(key);
+    CHECK_TRUE(daemon.store.current->workspaces.at({ "cafe" }).keys.contains(hash));
+    checkCode(exit_code::Done, daemon.run({ "key", "withdraw", "cafe", hash.substr(0, 12) }),
+              daemon);
+    CHECK_TRUE(daemon.store.current->workspaces.at({ "cafe" }).keys.at(hash)
+               == core::key_state::Withdrawn);
+}
+
+// Guards against a note that is applied twice, or called failed, after a lost answer.
+TEST(ctl, lostAnswerIsAskedAgain)
+{
+    daemon.lostAnswers = 2;
+    checkCode(exit_code::Done, daemon.run({ "workspace", "rate", "cafe", "--rate", "7" }), daemon);
+    LONGS_EQUAL(5, daemon.store.current->version);
+    daemon.lostAnswers = 1000;
+    checkCode(exit_code::Unknown, daemon.run({ "switch", "off", "all" }), daemon);
+    CHECK_TRUE(daemon.err.str().find("note status") != std::string::npos);
+    LONGS_EQUAL(6, daemon.store.current->version);
+    daemon.isDown = true;
+    checkCode(exit_code::Unreachable, daemon.run({ "status" }), daemon);
+}
+
+// Guards against --wait that returns before the change is in force everywhere.
+TEST(ctl, waitsUntilInForceEverywhere)
+{
+    checkCode(exit_code::Done, daemon.run({ "switch", "off", "loans", "--wait" }), daemon);
+    CHECK_TRUE(daemon.elapsed > milliseconds(900));
+    CHECK_TRUE(daemon.out.str().find("in force everywhere") != std::string::npos);
+    checkCode(exit_code::Refused, daemon.run({ "note", "status", "unknown-note" }), daemon);
+    checkCode(exit_code::Refused, daemon.run({ "workspace", "rate", "nobody", "--rate=1" }),
+              daemon);
+}
+
+// Guards against a statement for another instance or version, and against one used twice.
+TEST(ctl, vouchNeedsAFreshChallengeAndTheSecret)
+{
+    checkCode(exit_code::Done, daemon.run({ "vouch", "--version", "4" }), daemon);
+    CHECK_TRUE(daemon.proofs.usable.source == core::proof_source::Operator);
+    checkCode(exit_code::Refused, daemon.run({ "status" }), daemon);
+    const auto challenge =
+            nlohmann::json::parse(daemon.handle("POST", "/v1/admin/vouch/challenge", "{}").body);
+    const std::string text = challenge.at("challenge");
+    const std::string mac = wire::signStatement(wire::hashKey(secret), { "i2" }, text, 4);
+    const nlohmann::json forged{ { "challenge", text }, { "version", 4 }, { "mac", mac } };
+    LONGS_EQUAL(403, daemon.handle("POST", "/v1/admin/vouch", forged.dump()).status);
+    const nlohmann::json valid{ { "challenge", text },
+                                { "version", 4 },
+                                { "mac",
+                                  wire::signStatement(wire::hashKey(secret), { "i1" }, text, 4) } };
+    LONGS_EQUAL(200, daemon.handle("POST", "/v1/admin/vouch", valid.dump()).status);
+    LONGS_EQUAL(400, daemon.handle("POST", "/v1/admin/vouch", valid.dump()).status);
+}
+
+TEST_GROUP(admin_json){};
+
+TEST(admin_json, matchesRoutesAndSecrets)
+{
+    CHECK_TRUE(wire::matchAdminRoute("GET", "/v1/admin/notes/check").route
+               == wire::admin_route::NoteStatus);
+    STRCMP_EQUAL("hire-1",
+                 wire::matchAdminRoute("POST", "/v1/admin/groups/hire-1/promote").argument.c_str());
+    CHECK_TRUE(wire::matchAdminRoute("DELETE", "/v1/admin/groups").error
+               == core::error_kind::MethodNotAllowed);
+    for (const char *target : { "/v1/admin/", "/v1/admin/groups//promote", "/v1/admin/notes/a/b",
+                                "/v1/admin/notes/", "/v1/statements" })
+        CHECK_TRUE(wire::matchAdminRoute("GET", target).error == core::error_kind::UnknownRoute);
+    CHECK_TRUE(wire::isOperator("Bearer " + secret, wire::hashKey(secret)));
+    for (const char *header : { "", "Bearer ", "Bearer operator", "operators", "bearer operators" })
+        CHECK_FALSE(wire::isOperator(header, wire::hashKey(secret)));
+}
+
+TEST_GROUP(note_file){};
+
+// Guards against names that turn into numbers, and against mistakes without a place.
+TEST(note_file, readsYamlAndJsonAlike)
+{
+    const std::string yaml = "id: 20261204\nbase: 4\nadded:\n"
+                             "  - {section: workspace, workspace: mesa, groups: [1, hire]}\n"
+                             "  - {section: rate, workspace: mesa, rate: 0.5, burst: 3}\n"
+                             "changed:\n  - {section: switch, switch: all, on: false}\n";
+    core::release_note note;
+    STRCMP_EQUAL("", ctl::parseNote(yaml, note).c_str());
+    STRCMP_EQUAL("20261204", note.id.c_str());
+    LONGS_EQUAL(2, note.list.added.size());
+    core::release_note again;
+    STRCMP_EQUAL("", ctl::parseNote(wire::writeNote(note), again).c_str());
+    CHECK_TRUE(again == note);
+    STRCMP_CONTAINS("line 2", ctl::parseNote("id: a\nid: b\n", note).c_str());
+    STRCMP_CONTAINS("line 2", ctl::parseNote("id: a\n\tbase: [\n", note).c_str());
+    STRCMP_CONTAINS(
+            "added[0].hash",
+            ctl::parseNote("id: a\nbase: 1\nadded: [{section: key, workspace: w}]", note).c_str());
+    STRCMP_CONTAINS("base", ctl::parseNote("id: a\nbase: \"1\"\n", note).c_str());
+}
