Add membership and fuzz tests of everything that reads from a network

What an instance said lately prevails over the platform's list, which lags. Silence counts only for neighbours in the tree and for instances that did not answer. Incarnations are random and have no order, so a message of another incarnation is believed only if the known one is silent or at its second message; otherwise a late message of a dead predecessor would replace its successor. Suspected instances are probed with backoff, since two sides of a healed partition would otherwise wait for each other.

The fuzz tests also bound the largest allocation that an input causes.

--- a/include/fuchsiagw/wire/peer_message.hpp
+++ b/include/fuchsiagw/wire/peer_message.hpp
@@ -10,6 +10,7 @@
 #include <fuchsiagw/core/error_kind.hpp>
 #include <fuchsiagw/core/ids.hpp>
 #include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/membership.hpp>
 #include <fuchsiagw/core/statement.hpp>
 #include <fuchsiagw/core/time.hpp>
 
@@ -28,6 +29,7 @@
 enum class peer_kind : std::uint8_t {
     Hello = 1, ///< TCP: sender_info, first message on each link in both directions
     Digest = 2, ///< UDP: digest_message
+    Probe = 3, ///< UDP: probe_message
     LeaseRequest = 10,
     LeasePromise = 11,
     VoteRequest = 12,
@@ -57,6 +59,7 @@
 inline constexpr auto peerKinds = std::to_array<peer_kind_row>({
         { peer_kind::Hello, "hello", peer_transport::Stream },
         { peer_kind::Digest, "digest", peer_transport::Datagram },
+        { peer_kind::Probe, "probe", peer_transport::Datagram },
         { peer_kind::LeaseRequest, "lease_request", peer_transport::Datagram },
         { peer_kind::LeasePromise, "lease_promise", peer_transport::Datagram },
         { peer_kind::VoteRequest, "vote_request", peer_transport::Datagram },
@@ -86,13 +89,7 @@
     return row == nullptr ? "unknown" : row->name;
 }
 
-enum class sender_state : std::uint8_t {
-    Live,
-    Leaving, ///< gets no new work
-    Gone, ///< last message before the process ends
-};
-
-inline constexpr std::array<std::string_view, 3> senderStateNames{ "live", "leaving", "gone" };
+using core::sender_state;
 
 /// Who sends. The incarnation stands in the header.
 struct sender_info
@@ -125,6 +122,19 @@
     }
 };
 
+/// Asks an instance that was silent for a sign of life, or gives one.
+struct probe_message
+{
+    sender_info sender;
+    bool isAnswer = false; ///< an answer is not answered
+
+    template <typename archive>
+    void serialize(archive &ar)
+    {
+        ar(sender, isAnswer);
+    }
+};
+
 /// A statement that the owner of the group or of the transaction shall carry out.
 struct forward_request
 {
@@ -247,6 +257,10 @@
 {
     return value.state <= sender_state::Gone;
 }
+[[nodiscard]] inline bool isValid(const probe_message &value)
+{
+    return isValid(value.sender);
+}
 [[nodiscard]] inline bool isValid(const forward_request &value)
 {
     return value.kind <= core::statement_kind::Rollback && value.remainingMicros >= 0;
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,269 @@
+/// @file
+/// @brief Changes of belief about the other instances.
+
+#include <fuchsiagw/core/membership.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::core {
+
+namespace {
+
+using changes = std::vector<membership_change>;
+
+bool wasHeardLately(const known_instance &known, const membership_times &times, time_point now)
+{
+    return known.heardAt != time_point::min() && now < known.heardAt + times.keepHeard;
+}
+
+peer_state stateOf(const known_instance &known, const membership_times &times, time_point now)
+{
+    const bool isFresh = wasHeardLately(known, times, now);
+    if (known.said == sender_state::Gone || (!known.isListed && !isFresh))
+        return peer_state::Gone;
+    if (known.isSuspected)
+        return peer_state::Suspected;
+    const bool isLeaving = known.said == sender_state::Leaving;
+    // A restarted instance may be listed as its predecessor was.
+    if (isLeaving || (!isFresh && known.isListedLeaving))
+        return peer_state::Leaving;
+    return peer_state::Live;
+}
+
+membership_event eventOf(peer_state state)
+{
+    switch (state) {
+    case peer_state::Live:
+        return membership_event::BecameLive;
+    case peer_state::Suspected:
+        return membership_event::BecameSuspected;
+    case peer_state::Leaving:
+        return membership_event::BecameLeaving;
+    case peer_state::Gone:
+        break;
+    }
+    return membership_event::BecameGone;
+}
+
+void update(const membership &state, known_instance &known, time_point now, changes &result)
+{
+    const peer_state next = stateOf(known, state.times, now);
+    if (next == known.state)
+        return;
+    known.state = next;
+    known.goneSince = next == peer_state::Gone ? now : noDeadline;
+    result.push_back({ eventOf(next), known.instance, known.incarnation, 0 });
+}
+
+void suspect(known_instance &known, const membership_times &times, time_point now)
+{
+    if (known.isSuspected)
+        return;
+    known.isSuspected = true;
+    known.probePause = times.firstProbe;
+    known.nextProbe = now + times.firstProbe;
+}
+
+/// Forgets everything that was known of the last incarnation.
+void replaceIncarnation(membership &state, known_instance &known, incarnation_id incarnation)
+{
+    state.byIncarnation.erase(known.incarnation);
+    known.incarnation = incarnation;
+    if (incarnation != 0)
+        state.byIncarnation[incarnation] = known.instance;
+    known.heardAt = time_point::min();
+    known.said = sender_state::Live;
+    known.isSuspected = false;
+    known.candidate = 0;
+    known.nextProbe = time_point::min();
+    known.probePause = duration(0);
+}
+
+/// Tells whether a message of another incarnation than the known one shall be believed.
+bool isSuccessor(known_instance &known, const heard_sender &sender, const membership_times &times,
+                 time_point now)
+{
+    if (sender.state == sender_state::Gone)
+        return false;
+    const bool isKnownSilent = known.incarnation == 0 || known.said == sender_state::Gone
+                               || known.heardAt == time_point::min()
+                               || now >= known.heardAt + times.replaceAfter;
+    if (isKnownSilent || known.candidate == sender.incarnation)
+        return true;
+    known.candidate = sender.incarnation;
+    return false;
+}
+
+} // namespace
+
+std::vector<membership_change> onInstanceList(membership &state, const instance_list &list,
+                                              time_point now)
+{
+    changes result;
+    std::set<instance_id> listed;
+    for (const instance_entry &entry : list.instances) {
+        if (entry.kind != instance_kind::Entry || entry.instance == state.self)
+            continue;
+        listed.insert(entry.instance);
+        const auto [where, isNew] = state.instances.try_emplace(entry.instance);
+        known_instance &known = where->second;
+        if (isNew) {
+            known.instance = entry.instance;
+            known.state = peer_state::Gone; // so that it becomes live with an event
+        } else if (!known.isListed && known.state == peer_state::Gone) {
+            // Listed anew after it was gone: another start, of which nothing was heard yet.
+            replaceIncarnation(state, known, 0);
+        }
+        known.isListed = true;
+        known.isListedLeaving = entry.state == instance_state::Leaving;
+        if (!wasHeardLately(known, state.times, now)) {
+            known.zone = entry.zone;
+            known.address = entry.address;
+        }
+        update(state, known, now, result);
+    }
+    for (auto &[instance, known] : state.instances) {
+        if (!known.isListed || listed.contains(instance))
+            continue;
+        known.isListed = false;
+        known.isListedLeaving = false;
+        update(state, known, now, result);
+    }
+    return result;
+}
+
+std::vector<membership_change> onHeard(membership &state, const heard_sender &sender,
+                                       time_point now)
+{
+    changes result;
+    if (sender.instance == state.self || sender.incarnation == 0)
+        return result;
+    // Incarnations are random, so two instances with the same one are a fault of one of them.
+    const auto owner = state.byIncarnation.find(sender.incarnation);
+    if (owner != state.byIncarnation.end() && owner->second != sender.instance)
+        return result;
+    const auto [where, isNew] = state.instances.try_emplace(sender.instance);
+    known_instance &known = where->second;
+    if (isNew) {
+        known.instance = sender.instance;
+        known.state = peer_state::Gone; // so that it becomes live with an event
+        known.goneSince = now;
+    }
+    if (known.incarnation != sender.incarnation) {
+        if (!isSuccessor(known, sender, state.times, now))
+            return result;
+        const incarnation_id predecessor = known.incarnation;
+        replaceIncarnation(state, known, sender.incarnation);
+        if (predecessor != 0)
+            result.push_back({ membership_event::Restarted, known.instance, sender.incarnation,
+                               predecessor });
+    } else if (known.said == sender_state::Gone) {
+        return result; // sent before its farewell
+    }
+    known.zone = sender.zone;
+    known.address = sender.address;
+    known.heardAt = now;
+    // An instance never takes back that it is leaving; a late message may say otherwise.
+    known.said = std::max(known.said, sender.state);
+    if (known.said == sender_state::Gone)
+        known.farewellUntil = now + state.times.farewellLasts;
+    known.isSuspected = false;
+    known.candidate = 0;
+    update(state, known, now, result);
+    return result;
+}
+
+std::vector<membership_change> onNoAnswer(membership &state, const instance_id &instance,
+                                          time_point now)
+{
+    changes result;
+    const auto entry = state.instances.find(instance);
+    if (entry == state.instances.end())
+        return result;
+    suspect(entry->second, state.times, now);
+    update(state, entry->second, now, result);
+    return result;
+}
+
+void setExpected(membership &state, const std::set<instance_id> &expected, time_point now)
+{
+    for (auto &[instance, known] : state.instances) {
+        const bool isExpected = expected.contains(instance);
+        if (isExpected && !known.isExpected)
+            known.expectedSince = now;
+        known.isExpected = isExpected;
+    }
+}
+
+std::vector<membership_change> tickMembership(membership &state, time_point now)
+{
+    changes result;
+    for (auto each = state.instances.begin(); each != state.instances.end();) {
+        known_instance &known = each->second;
+        const time_point silentSince = std::max(known.heardAt, known.expectedSince);
+        if (known.isExpected && now >= silentSince + state.times.suspectAfter)
+            suspect(known, state.times, now);
+        if (known.said == sender_state::Gone && known.isListed && now >= known.farewellUntil) {
+            known.said = sender_state::Live;
+            suspect(known, state.times, now);
+        }
+        update(state, known, now, result);
+        const bool isForgotten = known.state == peer_state::Gone && !known.isListed
+                                 && now - known.goneSince >= state.times.forgetAfter;
+        if (isForgotten) {
+            state.byIncarnation.erase(known.incarnation);
+            each = state.instances.erase(each);
+        } else {
+            ++each;
+        }
+    }
+    return result;
+}
+
+std::vector<instance_id> dueProbes(membership &state, std::size_t most, time_point now)
+{
+    std::vector<instance_id> result;
+    for (auto &[instance, known] : state.instances) {
+        const bool isUnknown = known.state == peer_state::Live && known.incarnation == 0
+                               && known.zone == state.zone;
+        if ((!isUnknown && known.state != peer_state::Suspected) || now < known.nextProbe)
+            continue;
+        if (result.size() >= most)
+            break;
+        known.probePause =
+                std::clamp(2 * known.probePause, state.times.firstProbe, state.times.longestProbe);
+        known.nextProbe = now + known.probePause;
+        result.push_back(instance);
+    }
+    return result;
+}
+
+const known_instance *findInstance(const membership &state, const instance_id &instance)
+{
+    const auto entry = state.instances.find(instance);
+    return entry == state.instances.end() ? nullptr : &entry->second;
+}
+
+const known_instance *findIncarnation(const membership &state, incarnation_id incarnation)
+{
+    const auto entry = state.byIncarnation.find(incarnation);
+    if (entry == state.byIncarnation.end())
+        return nullptr;
+    const known_instance *known = findInstance(state, entry->second);
+    assert(known != nullptr && known->incarnation == incarnation);
+    return known;
+}
+
+std::vector<const known_instance *> instancesIn(const membership &state,
+                                                std::initializer_list<peer_state> of)
+{
+    std::vector<const known_instance *> result;
+    for (const auto &[instance, known] : state.instances) {
+        if (std::find(of.begin(), of.end(), known.state) != of.end())
+            result.push_back(&known);
+    }
+    return result;
+}
+
+} // namespace fuchsiagw::core
--- /dev/null
+++ b/tests/unit-fuzz.cpp
@@ -0,0 +1,291 @@
+/// @file
+/// @brief Random and mutated input for everything that reads what comes over a network.
+///
+/// Seeds are fixed and counts are bounded. Every input must end in a value within its bounds or in
+/// an error, and must not make the reader allocate much more than the input's size.
+
+#include <fuchsiagw/daemon/log_event.hpp>
+#include <fuchsiagw/net/tcp_link.hpp>
+#include <fuchsiagw/wire/caller_json.hpp>
+#include <fuchsiagw/wire/peer_codec.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <CppUTest/PlatformSpecificFunctions_c.h>
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::wire;
+
+namespace {
+
+constexpr int rounds = 20'000;
+
+thread_local std::size_t largestAllocation = 0;
+
+/// CppUTest's operator new takes its memory from here.
+void *countedMalloc(std::size_t size)
+{
+    largestAllocation = std::max(largestAllocation, size);
+    return std::malloc(size);
+}
+
+/// Changes a few bytes, or cuts, doubles or joins pieces of the samples.
+std::string mutate(const std::vector<std::string> &samples, std::mt19937_64 &random)
+{
+    static constexpr std::string_view pieces[] = { "\"", "{",   "}",    "[",     "]",   ",",
+                                                   ":",  "\\u", "null", "1e999", "-",   "=",
+                                                   "; ", " ",   "\0",   "\xff",  "\xc3" };
+    std::string text = samples[random() % samples.size()];
+    for (std::size_t changes = 1 + random() % 4; changes > 0; --changes) {
+        const std::size_t at = random() % (text.size() + 1);
+        switch (random() % 6) {
+        case 0:
+            if (at < text.size())
+                text[at] = static_cast<char>(random());
+            break;
+        case 1:
+            text.resize(at);
+            break;
+        case 2:
+            text.insert(at, pieces[random() % std::size(pieces)]);
+            break;
+        case 3:
+            text.insert(at, text.substr(0, random() % 64));
+            break;
+        case 4:
+            text.replace(at, 8, std::string(8, static_cast<char>(random() % 2 == 0 ? -1 : 0)));
+            break;
+        default: {
+            const std::string &other = samples[random() % samples.size()];
+            text += other.substr(std::min(at, other.size()));
+        }
+        }
+    }
+    return text;
+}
+
+/// @param factor a string of 32 bytes may stand for 8 bytes of input, lists double when they grow
+void checkAllocation(std::size_t inputSize, std::size_t factor)
+{
+    CHECK_TRUE(largestAllocation <= 4'096 + factor * inputSize);
+}
+
+} // namespace
+
+TEST_GROUP(fuzz)
+{
+    std::mt19937_64 random{ 20'260'101 };
+
+    void setup() override
+    {
+        UT_PTR_SET(PlatformSpecificMalloc, &countedMalloc);
+    }
+};
+
+// Guards against a measurement that measures nothing.
+TEST(fuzz, allocationsAreSeen)
+{
+    largestAllocation = 0;
+    const std::vector<std::string> list(1'000);
+    CHECK_TRUE(largestAllocation >= list.size() * sizeof(std::string));
+}
+
+// Guards against bodies that crash the parser or slip through its bounds.
+TEST(fuzz, callerBodies)
+{
+    using parser = std::error_code (*)(std::string_view, parsed_statement &, std::string &);
+    const std::vector<std::string> samples{
+        R"({"group":"g","kind":"read","statement":"s","parameters":["1","2"],"read_class":"menu"})",
+        R"({"group":"g","kind":"write","statement":"s\u00e9","idempotency_key":"k","deadline_ms":5})",
+        R"({"kind":"write","statement":"\ud83d\ude00","parameters":[],"deadline_ms":60000})",
+        R"({"group":"g"})",
+        R"({"idempotency_key":"k"})",
+        "{}",
+        "",
+        "[[[[[[[[[[[[]]]]]]]]]]]]",
+        R"({"a":{"b":{"c":[1,2.5,-3,true,null]}}})"
+    };
+    int accepted = 0;
+    for (const parser parse : { &parseStatement, &parseBegin, &parseTransactionStatement,
+                                &parseCommit, &parseRollback }) {
+        for (int i = 0; i < rounds; ++i) {
+            const std::string body = mutate(samples, random);
+            parsed_statement parsed;
+            std::string problem;
+            largestAllocation = 0;
+            const std::error_code error = parse(body, parsed, problem);
+            checkAllocation(body.size(), 8);
+            CHECK_EQUAL(static_cast<bool>(error), !problem.empty());
+            if (error) {
+                CHECK_TRUE(error.category() == core::errorCategory());
+                CHECK_TRUE(core::kindOf(error) != core::error_kind::Internal);
+                continue;
+            }
+            ++accepted;
+            CHECK_TRUE(parsed.parameters.size() <= maxParameters);
+            CHECK_TRUE(parsed.idempotencyKey.size() <= maxIdempotencyKeyBytes);
+            CHECK_TRUE(parsed.timeLimit >= minTimeLimit && parsed.timeLimit <= maxTimeLimit);
+        }
+    }
+    CHECK_TRUE(accepted > 100);
+}
+
+// Guards against headers that give a key or token with characters that no key has.
+TEST(fuzz, callerHeaders)
+{
+    const std::vector<std::string> samples{ "Bearer fgw_abc-123._~+/=",
+                                            "bearer x",
+                                            "Basic abc",
+                                            "fuchsiagw_session=abc; a=b",
+                                            "a=b; fuchsiagw_session=\"abc\"",
+                                            "fuchsiagw_session=a; fuchsiagw_session=b",
+                                            "=;=;;=",
+                                            "0123456789abcdef-fedcba9876543210",
+                                            "127.0.0.1:80",
+                                            "[::1]:65535" };
+    const auto isClean = [](const std::string &text) {
+        return text.find_first_of(std::string_view(" ;,\"\0\n\r", 7)) == std::string::npos;
+    };
+    for (int i = 0; i < rounds; ++i) {
+        const std::string text = mutate(samples, random);
+        largestAllocation = 0;
+        if (const auto key = keyFromAuthorization(text))
+            CHECK_TRUE(!key->empty() && isClean(*key));
+        const named_session cookie = sessionFromHeaders(std::nullopt, text);
+        const named_session header = sessionFromHeaders(text, "");
+        checkAllocation(text.size(), 2);
+        CHECK_TRUE(isClean(cookie.token) && isClean(header.token));
+        CHECK_TRUE(header.named && (cookie.named || cookie.token.empty()));
+        if (const auto id = transactionFromText(text))
+            STRCMP_EQUAL(text.c_str(), toText(*id).c_str());
+        const daemon::field address = daemon::field::address(daemon::log_key::Address, text);
+        CHECK_TRUE(address.value().size() <= 64);
+    }
+}
+
+// Guards against forged or damaged messages that are accepted, and against those that cost memory.
+TEST(fuzz, peerMessages)
+{
+    const peer_keys keys{ { { 1, derivePeerKey("s") } }, 1 };
+    peer_codec sender(1, keys);
+    peer_codec receiver(2, keys);
+    std::vector<std::string> samples(3);
+    CHECK_FALSE(sender.seal(peer_kind::Probe, 2, probe_message{ { { "i" }, { "z" }, "a" }, true },
+                            samples[0]));
+    CHECK_FALSE(sender.seal(peer_kind::ForwardRequest, 2, forward_request{}, samples[1]));
+    CHECK_FALSE(sender.seal(peer_kind::Hello, 0, sender_info{}, samples[2]));
+    opened_message opened;
+    for (int i = 0; i < rounds; ++i) {
+        const std::string message = mutate(samples, random);
+        const bool isGenuine = std::find(samples.begin(), samples.end(), message) != samples.end();
+        for (const peer_transport transport :
+             { peer_transport::Datagram, peer_transport::Stream }) {
+            largestAllocation = 0;
+            const std::error_code error =
+                    receiver.open(message, transport, core::time_point{}, opened);
+            checkAllocation(0, 0);
+            CHECK_TRUE(error || isGenuine);
+        }
+    }
+}
+
+// Guards against bodies from a sender with the key whose program is wrong.
+TEST(fuzz, peerBodies)
+{
+    forward_request forward;
+    forward.text = "text";
+    forward.parameters = { "a", "b" };
+    forward.transaction = core::transaction_id{ 1, 2 };
+    core::statement_answer answer;
+    answer.rows = { { "a", "b" }, { "c" } };
+    answer.error = core::error_kind::NoPrimary;
+    std::vector<forward_answer> parts;
+    CHECK_FALSE(splitAnswer(answer, parts));
+    const std::vector<std::string> samples{
+        writeBody(forward), writeBody(parts[0]), parts[0].content,
+        writeBody(configuration_body{ 1, 2, 0, 1, "text" }),
+        writeBody(probe_message{ { { "i" }, { "z" }, "127.0.0.1:1" }, true })
+    };
+    const auto readAll = [](const std::string &body) {
+        forward_request request;
+        if (!readBody(body, request)) {
+            const core::statement_request made = toRequest(request, core::time_point{});
+            CHECK_TRUE(made.deadline < core::noDeadline);
+            CHECK_FALSE(toString(made.kind).empty());
+        }
+        forward_answer part;
+        if (!readBody(body, part)) {
+            part_joiner joiner;
+            static_cast<void>(joiner.add(part.part, part.parts, part.content));
+        }
+        core::statement_answer read;
+        if (!readAnswer({}, body, read) && read.error)
+            CHECK_FALSE(core::answerOf(*read.error).name.empty());
+        configuration_body configuration;
+        static_cast<void>(readBody(body, configuration));
+        probe_message probe;
+        if (!readBody(body, probe))
+            CHECK_TRUE(probe.sender.state <= sender_state::Gone);
+    };
+    for (int i = 0; i < rounds; ++i) {
+        const std::string body = mutate(samples, random);
+        largestAllocation = 0;
+        readAll(body);
+        checkAllocation(body.size(), 16);
+    }
+    // Lengths that claim as many elements as there are bytes, at every place.
+    const std::string filled = samples[2] + std::string(100'000, '\0');
+    for (std::size_t at = 1; at < samples[2].size(); ++at) {
+        std::string body = filled;
+        body.replace(at, 8, std::string("\xa0\x86\x01\0\0\0\0\0", 8));
+        largestAllocation = 0;
+        readAll(body);
+        checkAllocation(body.size(), 16);
+    }
+}
+
+// Guards against a stranger's bytes that stop the thread or stay in memory.
+TEST(fuzz, framesOfStrangers)
+{
+    boost::asio::io_context context;
+    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
+    std::size_t opened = 0;
+    std::size_t ended = 0;
+    net::tcp_links links(context, {},
+                         { [&](net::link_id, const net::endpoint &, bool) { ++opened; },
+                           [](net::link_id, std::string_view frame) {
+                               CHECK_TRUE(!frame.empty() && frame.size() <= 4'096);
+                           },
+                           [&](net::link_id, const net::link_end &) { ++ended; } });
+    CHECK_FALSE(links.listen({ loopback, 0 }));
+    const std::vector<std::string> samples{ std::string("\0\0\0\3abc\0\0\0\0", 11),
+                                            std::string("\0\0\x10\0", 4) + std::string(4'096, 'x'),
+                                            "GET / HTTP/1.1\r\n\r\n" };
+    constexpr std::size_t strangers = 300;
+    for (std::size_t i = 0; i < strangers; ++i) {
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({ loopback, links.local().port });
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(mutate(samples, random)), error);
+        socket.close(error);
+        context.poll();
+        context.restart();
+    }
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (ended < strangers && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    LONGS_EQUAL(strangers, opened);
+    LONGS_EQUAL(strangers, ended);
+    LONGS_EQUAL(0, links.size());
+}
