--- /dev/null
+++ b/tests/unit-failover.cpp
@@ -0,0 +1,221 @@
+/// @file
+/// @brief Tests of single decisions of the failover; unit-failover-matrix runs them together.
+
+#include <fuchsiagw/core/failover.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace fuchsiagw::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr term_number term = term_number{ 1 } << rankBits;
+
+member_status makeStatus(const char *id, term_number accepted, log_position last,
+                         member_role role = member_role::Replica)
+{
+    return { { id }, { "g" }, role, accepted, last, last, false };
+}
+
+std::size_t count(const failover_actions &actions, failover_step step)
+{
+    return static_cast<std::size_t>(
+            std::count_if(actions.begin(), actions.end(),
+                          [step](const failover_action &each) { return each.step == step; }));
+}
+
+} // namespace
+
+TEST_GROUP(failover)
+{
+    group_view view;
+    failover_state state;
+    failover_load load{ true, noDeadline, 10ms };
+    random_engine random{ 1 };
+    time_point now{ 10s };
+
+    void setup() override
+    {
+        group_settings settings;
+        for (const char *id : { "a", "b", "c" })
+            settings.members[{ id }] = {};
+        applySettings(view, { "g" }, settings);
+        hear({ "a", "b", "c" });
+    }
+
+    void hear(std::initializer_list<const char *> members)
+    {
+        for (const char *id : members) {
+            const auto role = *id == 'a' ? member_role::Primary : member_role::Replica;
+            observeStatus(view, makeStatus(id, term, { term, 5 }, role), now, now);
+        }
+    }
+
+    /// Ticks for a time while only @p members answer; stops at the first attempt.
+    failover_actions tickFor(duration time, std::initializer_list<const char *> members)
+    {
+        failover_actions all;
+        for (const time_point end = now + time; now < end && !state.attempt; now += failoverTick) {
+            hear(members);
+            const auto actions = onTick(state, view, load, now, random);
+            all.insert(all.end(), actions.begin(), actions.end());
+        }
+        return all;
+    }
+
+    failover_actions grant(const char *id, bool accepted, log_position last)
+    {
+        const term_number asked = state.attempt->term;
+        return onAcceptTerm(state, view, { accepted, makeStatus(id, asked, last) }, asked, now, now,
+                            random);
+    }
+};
+
+// Guards against promoters that use the same term, and terms that don't grow.
+TEST(failover, termsHoldTheRank)
+{
+    CHECK_TRUE(nextTerm(0, 3) != nextTerm(0, 4));
+    for (const std::uint8_t rank : { 0, 3, 255 }) {
+        CHECK_TRUE(nextTerm(nextTerm(0, 255), rank) > nextTerm(0, 255));
+        UNSIGNED_LONGS_EQUAL(rank, nextTerm(12345, rank) & 0xff);
+    }
+}
+
+// Guards against promotions while the primary answers, and against owners that never notice.
+TEST(failover, silenceLeadsToAnAttempt)
+{
+    tickFor(5s, { "a", "b", "c" });
+    CHECK_FALSE(state.attempt.has_value());
+    const time_point lost = now;
+    const failover_actions actions = tickFor(5s, { "b", "c" });
+    CHECK_TRUE(state.attempt && state.attempt->cause == failover_cause::Silence);
+    CHECK_TRUE(now - lost < 600ms);
+    CHECK_TRUE(count(actions, failover_step::Probe) >= probesBeforeSuspicion);
+    UNSIGNED_LONGS_EQUAL(3, count(actions, failover_step::AcceptTerm));
+}
+
+// Guards against attempts that can't succeed and only fence the members that are reached.
+TEST(failover, noAttemptWithoutAReachableMajority)
+{
+    tickFor(5s, { "b" });
+    CHECK_FALSE(state.attempt.has_value());
+    CHECK_TRUE(state.suspicion == failover_cause::Silence);
+}
+
+// Guards against an owner that was stopped and takes its own silence for that of the members.
+TEST(failover, resumedOwnerAsksFirst)
+{
+    tickFor(1s, { "a", "b", "c" });
+    now += 10s;
+    const failover_actions actions = tickFor(200ms, {});
+    CHECK_TRUE(count(actions, failover_step::Probe) >= 3);
+    CHECK_FALSE(state.suspicion.has_value());
+}
+
+// Guards against a promotion because of one cut way while a peer still hears the primary.
+TEST(failover, peerThatHearsThePrimaryPreventsAPromotion)
+{
+    for (int i = 0; i < 50; ++i) {
+        published_view peer{ { "g" }, term, { "a" }, false, true, 1000 };
+        CHECK_TRUE(onPeerView(state, view, peer, now, random).empty());
+        tickFor(100ms, { "b", "c" });
+    }
+    CHECK_FALSE(state.attempt.has_value());
+    tickFor(600ms, { "b", "c" });
+    CHECK_TRUE(state.attempt.has_value());
+}
+
+// Guards against flapping: slow replication grows, a primary that is cut off has none that does.
+TEST(failover, unconfirmedWritesCountOnlyWithoutProgress)
+{
+    load.oldestUnconfirmed = now;
+    log_index index = 5;
+    for (int i = 0; i < 100; ++i) {
+        observeStatus(view, makeStatus("b", term, { term, ++index }), now, now);
+        tickFor(50ms, { "a", "b", "c" });
+    }
+    CHECK_FALSE(state.attempt.has_value());
+    tickFor(1s, { "a", "b", "c" });
+    CHECK_TRUE(state.attempt && state.attempt->cause == failover_cause::Unconfirmed);
+    CHECK_TRUE(state.attempt->excluded == member_id{ "a" });
+}
+
+// Guards against a promotion while the switch is off, and against a command that does nothing.
+TEST(failover, switchedOffPromotesOnlyByHand)
+{
+    state.promotes = false;
+    tickFor(10s, { "b", "c" });
+    CHECK_FALSE(state.attempt.has_value());
+    CHECK_TRUE(count(promoteByHand(state, view, now, random), failover_step::AcceptTerm) == 3);
+    CHECK_TRUE(state.attempt->cause == failover_cause::ByHand);
+}
+
+// Guards against M11: a leaving primary is replaced at once, not when it falls silent.
+TEST(failover, leavingPrimaryIsReplaced)
+{
+    tickFor(1s, { "a", "b", "c" });
+    observeLeaving(view, { "a" }, true);
+    tickFor(100ms, { "a", "b", "c" });
+    CHECK_TRUE(state.attempt && state.attempt->cause == failover_cause::Leaving);
+}
+
+// Guards against a second lead under one term: only real grants count, and each term has one
+// choice.
+TEST(failover, leadsOneMemberWithTheGreatestPosition)
+{
+    tickFor(5s, { "b", "c" });
+    const term_number asked = state.attempt->term;
+    CHECK_TRUE(grant("b", false, { term, 9 }).empty());
+    CHECK_TRUE(grant("a", true, { term, 9 }).empty());
+    CHECK_TRUE(grant("c", true, { term, 6 }).empty());
+    const failover_actions actions = grant("b", true, { term, 7 });
+    UNSIGNED_LONGS_EQUAL(1, count(actions, failover_step::Lead));
+    CHECK_TRUE((actions.front().member == member_id{ "b" }));
+    for (now += attemptTimeout; state.attempt && state.attempt->term == asked; now += 25ms) {
+        for (const auto &each : onTick(state, view, load, now, random))
+            CHECK_TRUE(each.step != failover_step::Lead || each.member == member_id{ "b" });
+    }
+    CHECK_TRUE(state.suspected == member_id{ "b" });
+    CHECK_TRUE(!state.attempt || state.attempt->term > asked);
+}
+
+// Guards against members that keep their old primary: at once, and when they return late.
+TEST(failover, othersFollowTheNewPrimary)
+{
+    tickFor(5s, { "b", "c" });
+    const term_number asked = state.attempt->term;
+    grant("b", true, { term, 7 });
+    grant("c", true, { term, 6 });
+    failover_actions actions = onLead(state, view, { "b" }, asked, true, now, random);
+    CHECK_FALSE(state.attempt.has_value());
+    CHECK_TRUE(view.primary == member_id{ "b" });
+    UNSIGNED_LONGS_EQUAL(1, count(actions, failover_step::Follow));
+    UNSIGNED_LONGS_EQUAL(1, count(actions, failover_step::PublishView));
+    onFollow(state, { "c" }, asked, true);
+    now += 10s;
+    hear({ "a" });
+    actions = onTick(state, view, load, now, random);
+    UNSIGNED_LONGS_EQUAL(1, count(actions, failover_step::AcceptTerm));
+    actions = onAcceptTerm(state, view, { true, makeStatus("a", asked, { term, 9 }) }, asked, now,
+                           now, random);
+    UNSIGNED_LONGS_EQUAL(1, count(actions, failover_step::Follow));
+    CHECK_TRUE((actions.front().primary == member_id{ "b" }));
+}
+
+// Guards against a duel of two promoters that ask for ever higher terms at the same time.
+TEST(failover, higherTermOvertakesAnAttempt)
+{
+    tickFor(5s, { "b", "c" });
+    const term_number rival = nextTerm(state.attempt->term, 9);
+    const accept_term_answer refusal{ false, makeStatus("b", rival, { term, 7 }) };
+    CHECK_TRUE(onAcceptTerm(state, view, refusal, state.attempt->term, now, now, random).empty());
+    CHECK_FALSE(state.attempt.has_value());
+    // The rival gets its time; only then, and if a majority is reachable, it is this owner's turn.
+    tickFor(noPrimaryPatience, { "b", "c" });
+    CHECK_FALSE(state.attempt.has_value());
+    tickFor(1s, { "b", "c" });
+    CHECK_TRUE(state.attempt && state.attempt->term > rival);
+}
--- /dev/null
+++ b/tests/unit-group-view.cpp
@@ -0,0 +1,105 @@
+/// @file
+/// @brief Tests of what an owner knows about a group.
+
+#include <fuchsiagw/core/group_view.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now{ 10s };
+
+member_status makeStatus(const char *id, term_number term, log_position last,
+                         member_role role = member_role::Replica)
+{
+    return { { id }, { "g" }, role, term, last, last, false };
+}
+
+group_view makeView()
+{
+    group_view view;
+    group_settings settings;
+    for (const char *id : { "a", "b", "c" })
+        settings.members[{ id }] = {};
+    applySettings(view, { "g" }, settings);
+    return view;
+}
+
+} // namespace
+
+TEST_GROUP(group_view)
+{
+    group_view view = makeView();
+    random_engine random{ 1 };
+};
+
+// Guards against knowledge that goes back to an old term after a late status.
+TEST(group_view, termNeverGoesBack)
+{
+    observeStatus(view, makeStatus("a", 1, { 1, 5 }, member_role::Primary), now, now);
+    CHECK_TRUE(view.primary == member_id{ "a" });
+    observeStatus(view, makeStatus("b", 2, { 1, 4 }), now, now);
+    CHECK_FALSE(view.primary.has_value());
+    CHECK_FALSE(observeStatus(view, makeStatus("b", 1, { 1, 9 }), now, now));
+    CHECK_TRUE((view.members[{ "b" }].last == log_position{ 1, 4 }));
+    observeStatus(view, makeStatus("a", 1, { 1, 6 }, member_role::Primary), now, now);
+    CHECK_FALSE(view.primary.has_value());
+    observePrimary(view, { "b" }, 2, now);
+    observePrimary(view, { "c" }, 2, now);
+    CHECK_TRUE(view.primary == member_id{ "b" });
+    UNSIGNED_LONGS_EQUAL(2, view.highestTerm);
+}
+
+// Guards against a member that still counts as holding entries which it has truncated.
+TEST(group_view, truncatedLogShrinks)
+{
+    observeStatus(view, makeStatus("a", 2, { 1, 9 }), now, now);
+    observeStatus(view, makeStatus("a", 2, { 1, 7 }), now, now);
+    CHECK_TRUE((view.members[{ "a" }].last == log_position{ 1, 7 }));
+    observeStatus(view, makeStatus("a", 2, { 2, 8 }), now, now);
+    observeStatus(view, makeStatus("a", 2, { 1, 7 }), now, now);
+    CHECK_TRUE((view.members[{ "a" }].last == log_position{ 2, 8 }));
+}
+
+// Guards against ages computed from a primary that a majority may already have left.
+TEST(group_view, samplesNeedAMajority)
+{
+    observeStatus(view, makeStatus("a", 1, { 1, 5 }, member_role::Primary), now, now);
+    CHECK_FALSE(ageOf(view.ages, { 1, 5 }, now).has_value());
+    observeStatus(view, makeStatus("b", 1, { 1, 5 }), now + 1s, now + 1s);
+    CHECK_TRUE(ageOf(view.ages, { 1, 5 }, now + 1s) == duration(1s));
+}
+
+// Guards against statements that fail together and push a member out for seconds, and against a
+// member that stays out after it answered.
+TEST(group_view, failuresBackOffExponentially)
+{
+    for (int i = 0; i < 10; ++i)
+        observeFailure(view, { "a" }, member_failure::Silence, now, random);
+    const backoff &pause = view.members[{ "a" }].pause;
+    UNSIGNED_LONGS_EQUAL(1, pause.failures);
+    CHECK_TRUE(pause.until > now && pause.until <= now + backoffFirst);
+    time_point last = pause.until;
+    for (int i = 0; i < 10; ++i) {
+        last = pause.until;
+        observeFailure(view, { "a" }, member_failure::Refused, last, random);
+    }
+    CHECK_TRUE(pause.until - last > backoffLongest / 2 && pause.until - last <= backoffLongest);
+    observeStatus(view, makeStatus("a", 1, { 1, 5 }), now, now);
+    CHECK_FALSE(isBackedOff(pause, now));
+}
+
+// Guards against a member that is far behind and returns with its next answer.
+TEST(group_view, memberFarBehindStaysOutUntilItHasCaughtUp)
+{
+    observeStatus(view, makeStatus("a", 1, { 1, 9 }, member_role::Primary), now, now);
+    observeFailure(view, { "b" }, member_failure::FarBehind, now, random);
+    observeStatus(view, makeStatus("b", 1, { 1, 8 }), now, now);
+    CHECK_TRUE(view.members[{ "b" }].catchUp.has_value());
+    observeStatus(view, makeStatus("b", 1, { 1, 9 }), now, now);
+    CHECK_FALSE(view.members[{ "b" }].catchUp.has_value());
+    CHECK_FALSE(isBackedOff(view.members[{ "b" }].pause, now));
+}
