Name the rows of the share pool apart from the platform's

Cause: share_pool.hpp and platform_protocol.hpp both define table_row, row_check and row_put, so no source could include both.

Ruled out: a namespace for each; the other headers of core have none.

Conclusion: share_row, share_check and share_put are the decisions' forms, the others the platform's.

--- a/include/fuchsiagw/core/share_pool.hpp
+++ b/include/fuchsiagw/core/share_pool.hpp
@@ -44,35 +44,35 @@
     friend bool operator==(const pool_row &, const pool_row &) = default;
 };
 
-using table_row = std::variant<lease_row, pool_row>;
+using share_row = std::variant<lease_row, pool_row>;
 
-struct versioned_row
+struct versioned_share_row
 {
     std::uint64_t version = 0;
-    table_row row;
+    share_row row;
 };
 
 /// Rows by key as they were read. A row that is missing here does not exist.
-using table_view = std::map<std::string, versioned_row>;
+using table_view = std::map<std::string, versioned_share_row>;
 
-struct row_check
+struct share_check
 {
     std::string key;
     std::uint64_t version = 0; ///< 0: the row must not exist
 };
 
-struct row_put
+struct share_put
 {
     std::string key;
-    table_row row;
+    share_row row;
 };
 
 /// All of it happens or nothing.
 struct table_transaction
 {
     std::string id; ///< a repeated id has no second effect
-    std::vector<row_check> checks;
-    std::vector<row_put> puts;
+    std::vector<share_check> checks;
+    std::vector<share_put> puts;
     std::vector<std::string> deletes;
 };
 
--- a/src/core/share_pool.cpp
+++ b/src/core/share_pool.cpp
@@ -31,8 +31,8 @@
 struct draft
 {
     const table_view &view;
-    std::map<std::string, row_put> puts;
-    std::vector<row_check> checks;
+    std::map<std::string, share_put> puts;
+    std::vector<share_check> checks;
     std::vector<std::string> deletes;
 
     /// Copies a row into the draft at its first use.
@@ -45,7 +45,7 @@
             if (known == view.end() || !std::holds_alternative<row_type>(known->second.row))
                 return nullptr;
             checks.push_back({ key, known->second.version });
-            put = puts.emplace(key, row_put{ key, known->second.row }).first;
+            put = puts.emplace(key, share_put{ key, known->second.row }).first;
         }
         return &std::get<row_type>(put->second.row);
     }
@@ -212,7 +212,7 @@
     }
     const std::string key = leaseKey(row.incarnation);
     rows.checks.push_back({ key, 0 });
-    rows.puts.emplace(key, row_put{ key, std::move(row) });
+    rows.puts.emplace(key, share_put{ key, std::move(row) });
     move.transaction = rows.finish(id);
     return move;
 }
@@ -294,7 +294,7 @@
 
 transaction_state judge(const table_transaction &transaction, const table_view &view)
 {
-    for (const row_put &put : transaction.puts) {
+    for (const share_put &put : transaction.puts) {
         const auto entry = view.find(put.key);
         if (entry != view.end()
             && std::visit([&](const auto &row) { return row.writtenBy == transaction.id; },
@@ -305,7 +305,7 @@
     for (const std::string &key : transaction.deletes)
         if (!view.contains(key))
             return transaction_state::Committed;
-    for (const row_check &check : transaction.checks) {
+    for (const share_check &check : transaction.checks) {
         const auto entry = view.find(check.key);
         const std::uint64_t version = entry == view.end() ? 0 : entry->second.version;
         if (version != check.version)
--- a/tests/unit-share-pool.cpp
+++ b/tests/unit-share-pool.cpp
@@ -24,12 +24,12 @@
     /// Applies a transaction as the platform does.
     bool apply(const table_transaction &transaction)
     {
-        for (const row_check &check : transaction.checks) {
+        for (const share_check &check : transaction.checks) {
             const auto entry = table.find(check.key);
             if ((entry == table.end() ? 0 : entry->second.version) != check.version)
                 return false;
         }
-        for (const row_put &put : transaction.puts)
+        for (const share_put &put : transaction.puts)
             table[put.key] = { table[put.key].version + 1, put.row };
         for (const std::string &key : transaction.deletes)
             table.erase(key);
