--- a/testing/limits_world_node.cpp
+++ b/testing/limits_world_node.cpp
@@ -47,14 +47,14 @@
             auto known = world.remembered.find(transaction.id);
             if (known == world.remembered.end()) {
                 bool isValid = true;
-                for (const row_check &check : transaction.checks) {
+                for (const share_check &check : transaction.checks) {
                     const auto entry = world.table.find(check.key);
                     isValid = isValid
                               && (entry == world.table.end() ? 0 : entry->second.version)
                                          == check.version;
                 }
                 if (isValid) {
-                    for (const row_put &put : transaction.puts)
+                    for (const share_put &put : transaction.puts)
                         world.table[put.key] = { world.table[put.key].version + 1, put.row };
                     for (const std::string &key : transaction.deletes)
                         world.table.erase(key);
