Add the peer duty and the cluster part of the decisions

Cause: daemons must hear of each other, of newer configurations and of proofs, and forward statements.

Ruled out: reading the platform's version row on every instance; only the readers of the tree do. The version that all instances hold was missing in the serialized form of spread_message; it is added.

--- a/include/fuchsiagw/core/config_spread.hpp
+++ b/include/fuchsiagw/core/config_spread.hpp
@@ -59,7 +59,7 @@
     void serialize(archive &ar)
     {
         ar(kind, root, wave, held, heldTag, provenWave, provenVersion, included, windowMicroseconds,
-           newest, count, memberSum, hasUnsettledSubmit);
+           oldest, newest, count, memberSum, hasUnsettledSubmit);
     }
 };
 
--- a/include/fuchsiagw/daemon/settings.hpp
+++ b/include/fuchsiagw/daemon/settings.hpp
@@ -26,6 +26,7 @@
     net::endpoint adminAddress;
     net::endpoint peerAddress;
     net::endpoint platformAddress;
+    std::vector<std::string> seeds; ///< peer addresses to ask while the platform's list is missing
     shared_key clusterKey{};
     std::string operatorSecretHash;
     std::string logLevel;
--- a/include/fuchsiagw/wire/peer_message.hpp
+++ b/include/fuchsiagw/wire/peer_message.hpp
@@ -30,6 +30,7 @@
     Hello = 1, ///< TCP: sender_info, first message on each link in both directions
     Digest = 2, ///< UDP: digest_message
     Probe = 3, ///< UDP: probe_message
+    GroupView = 4, ///< UDP: core::published_view
     LeaseRequest = 10,
     LeasePromise = 11,
     VoteRequest = 12,
@@ -60,6 +61,7 @@
         { peer_kind::Hello, "hello", peer_transport::Stream },
         { peer_kind::Digest, "digest", peer_transport::Datagram },
         { peer_kind::Probe, "probe", peer_transport::Datagram },
+        { peer_kind::GroupView, "group_view", peer_transport::Datagram },
         { peer_kind::LeaseRequest, "lease_request", peer_transport::Datagram },
         { peer_kind::LeasePromise, "lease_promise", peer_transport::Datagram },
         { peer_kind::VoteRequest, "vote_request", peer_transport::Datagram },
--- /dev/null
+++ b/src/daemon/cluster.cpp
@@ -0,0 +1,366 @@
+/// @file
+/// @brief Membership, the tree of digests and the way of a configuration into force.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/cluster.hpp>
+
+#include <fuchsiagw/daemon/log_event.hpp>
+#include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/wire/configuration_json.hpp>
+#include <fuchsiagw/wire/note_json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+/// The list is read every second by few instances and more seldom by many: at 1,600 instances this
+/// makes 107 reads/s of the platform's 2,000.
+constexpr core::duration listEvery = std::chrono::seconds(1);
+constexpr core::duration listLongest = std::chrono::seconds(15);
+constexpr std::size_t instancesPerListSecond = 100;
+constexpr core::duration seedProbeEvery = std::chrono::seconds(1);
+constexpr std::size_t probesPerTick = 4;
+
+/// Stands for the instances that an instance without the platform's list can't know of, so that it
+/// never counts the ones it knows as all of them.
+const core::instance_id unknownInstances{ "?" };
+
+core::content_tag tagOf(std::string_view body)
+{
+    constexpr std::size_t tagDigits = 16;
+    const std::string digits = wire::digestOf(body).substr(0, tagDigits);
+    core::content_tag tag = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), tag, 16);
+    return tag;
+}
+
+log_event eventOf(core::membership_event event)
+{
+    switch (event) {
+    case core::membership_event::BecameLive:
+        return log_event::PeerLive;
+    case core::membership_event::BecameSuspected:
+        return log_event::PeerSuspected;
+    case core::membership_event::BecameLeaving:
+        return log_event::PeerLeaving;
+    case core::membership_event::BecameGone:
+        return log_event::PeerGone;
+    case core::membership_event::Restarted:
+        break;
+    }
+    return log_event::PeerRestarted;
+}
+
+} // namespace
+
+cluster::cluster(core::gateway &gateway, const settings &values, log_sink &log,
+                 cluster_outputs outputs)
+    : gateway_(gateway)
+    , settings_(values)
+    , log_(log)
+    , outputs_(std::move(outputs))
+{
+    members.self = values.instance;
+    members.zone = values.zone;
+}
+
+core::configuration_codec cluster::codec() const
+{
+    return { wire::writeConfiguration, wire::readConfiguration, wire::digestOf, wire::writeNote };
+}
+
+wire::sender_info cluster::senderInfo() const
+{
+    return { settings_.instance, settings_.zone, net::toString(settings_.peerAddress), state_ };
+}
+
+void cluster::start(core::time_point now)
+{
+    const core::tree_member self{ settings_.zone, settings_.instance };
+    spread = core::startSpread(self, gateway_.incarnation, {}, now);
+    nextList_ = now;
+    nextSeedProbe_ = now;
+    updateTree(now);
+}
+
+void cluster::tick(core::time_point now)
+{
+    if (now >= nextList_)
+        readList(now);
+    listen(now);
+    apply(core::tickMembership(members, now), now);
+    std::vector<core::spread_action> actions;
+    core::tickSpread(spread, gateway_.proof, now, actions);
+    perform(actions, now);
+    if (const auto next = core::nextFetch(store, now))
+        fetch(*next);
+}
+
+void cluster::listen(core::time_point now)
+{
+    const wire::probe_message probe{ senderInfo(), false };
+    for (const core::instance_id &each : core::dueProbes(members, probesPerTick, now)) {
+        if (const auto *known = core::findInstance(members, each))
+            outputs_.toPeers(send_datagram{ known->address, 0, probe });
+    }
+    if (hasList_ || now < nextSeedProbe_)
+        return;
+    nextSeedProbe_ = now + seedProbeEvery;
+    for (const std::string &address : settings_.seeds)
+        outputs_.toPeers(send_datagram{ address, 0, probe });
+}
+
+void cluster::readList(core::time_point now)
+{
+    const auto seconds = static_cast<std::int64_t>(list.instances.size() / instancesPerListSecond);
+    nextList_ =
+            now + std::clamp<core::duration>(std::chrono::seconds(seconds), listEvery, listLongest);
+    outputs_.toPlatform(platform::list_instances{}, [this](platform::platform_result &&result,
+                                                           core::time_point sentAt) {
+        const bool wasReachable = std::exchange(isPlatformReachable, result.isAnswered);
+        if (wasReachable != isPlatformReachable)
+            logEvent(log_,
+                     isPlatformReachable ? log_event::PlatformRegained : log_event::PlatformLost,
+                     {});
+        if (result.isAnswered)
+            takeList(std::move(result.instances), sentAt);
+    });
+}
+
+void cluster::takeList(core::instance_list &&newList, core::time_point now)
+{
+    list = std::move(newList);
+    hasList_ = true;
+    for (const core::instance_entry &each : list.instances) {
+        if (each.kind != core::instance_kind::Upstream)
+            continue;
+        const core::member_id member{ each.instance.value };
+        const bool isLeaving = each.state == core::instance_state::Leaving;
+        for (auto &[group, owner] : gateway_.owners)
+            core::observeLeaving(owner.view, member, isLeaving);
+    }
+    apply(core::onInstanceList(members, list, now), now);
+    updateTree(now);
+}
+
+void cluster::updateTree(core::time_point now)
+{
+    std::vector<core::tree_member> live{ { settings_.zone, settings_.instance } };
+    if (hasList_) {
+        live.clear();
+        for (const core::instance_entry &each : list.instances) {
+            if (each.kind == core::instance_kind::Entry)
+                live.push_back({ each.zone, each.instance });
+        }
+    } else {
+        for (const auto &[instance, known] : members.instances)
+            live.push_back({ known.zone, instance });
+        live.push_back({ settings_.zone, unknownInstances });
+    }
+    core::setLive(spread, live, now);
+    std::set<core::instance_id> expected;
+    for (const core::instance_id &each : spread.place.children)
+        expected.insert(each);
+    if (!spread.parent.empty())
+        expected.insert(spread.parent);
+    core::setExpected(members, expected, now);
+}
+
+void cluster::onHeard(const peer_heard &event, core::time_point now)
+{
+    const wire::sender_info &sender = event.sender;
+    const bool isNew = core::findInstance(members, sender.instance) == nullptr;
+    apply(core::onHeard(
+                  members,
+                  { event.incarnation, sender.instance, sender.zone, sender.address, sender.state },
+                  now),
+          now);
+    if (isNew && !hasList_)
+        updateTree(now);
+    const auto peer = gateway_.peers.find(sender.instance);
+    if (peer != gateway_.peers.end() && peer->second.incarnation == event.incarnation)
+        return;
+    updatePeers();
+    outputs_.onMembers();
+}
+
+void cluster::onDigest(core::incarnation_id from, const digest &message, core::time_point now)
+{
+    const core::known_instance *sender = core::findIncarnation(members, from);
+    if (sender == nullptr)
+        return;
+    std::vector<core::spread_action> actions;
+    core::onSpreadMessage(spread, gateway_.proof, sender->instance, message.report, now, actions);
+    perform(actions, now);
+}
+
+void cluster::onProbe(core::incarnation_id from, const wire::probe_message &message,
+                      core::time_point)
+{
+    if (!message.isAnswer)
+        outputs_.toPeers(send_datagram{ message.sender.address, from,
+                                        wire::probe_message{ senderInfo(), true } });
+}
+
+void cluster::onNoAnswer(const core::instance_id &instance, core::time_point now)
+{
+    apply(core::onNoAnswer(members, instance, now), now);
+}
+
+void cluster::perform(std::vector<core::spread_action> &actions, core::time_point now)
+{
+    using kind = core::spread_action::kind;
+    for (const core::spread_action &each : actions) {
+        const core::known_instance *peer = core::findInstance(members, each.peer);
+        if (each.what == kind::ReadPlatform) {
+            readVersion(each.root, each.wave);
+        } else if (peer != nullptr && each.what == kind::Send) {
+            outputs_.toPeers(send_datagram{ peer->address, peer->incarnation,
+                                            digest{ senderInfo(), each.message } });
+        } else if (peer != nullptr && each.what == kind::Fetch) {
+            if (const auto next =
+                        core::noteVersion(store, { each.peer, each.message.held, {} }, now))
+                fetch(*next);
+        }
+    }
+}
+
+void cluster::readVersion(std::uint64_t root, std::uint64_t wave)
+{
+    outputs_.toPlatform(
+            platform::read_row{ std::string(core::configurationRowKey) },
+            [this, root, wave](platform::platform_result &&result, core::time_point sentAt) {
+                core::configuration_row row;
+                // Without the row no configuration was ever accepted: version 0 is the newest.
+                const bool isEmpty = result.isAnswered && !result.isFound;
+                if (!isEmpty && (!result.isFound || !core::readRow(result.row.value, row)))
+                    return;
+                const core::time_point now = sentAt;
+                std::vector<core::spread_action> actions;
+                core::onPlatformVersion(spread, gateway_.proof, root, wave, row.version, sentAt,
+                                        now, actions);
+                perform(actions, now);
+                if (const auto next =
+                            core::noteVersion(store, { {}, row.version, row.objectName }, now))
+                    fetch(*next);
+            });
+}
+
+void cluster::fetch(const core::fetch_source &source)
+{
+    const core::known_instance *peer = core::findInstance(members, source.peer);
+    if (!source.peer.empty()) {
+        if (peer == nullptr)
+            core::onFetchFailed(store, source);
+        else
+            outputs_.toPeers(fetch_configuration{ peer->address, source.peer, source.version });
+        return;
+    }
+    outputs_.toPlatform(
+            platform::get_object{ source.objectName },
+            [this, source](platform::platform_result &&result, core::time_point sentAt) {
+                if (result.isFound)
+                    takeIn(source, result.object, sentAt);
+                else
+                    core::onFetchFailed(store, source);
+            });
+}
+
+void cluster::onConfigurationCame(const configuration_came &event, core::time_point now)
+{
+    const core::fetch_source source{ event.peer, event.asked, {} };
+    if (event.text.empty())
+        core::onFetchFailed(store, source);
+    else
+        takeIn(source, event.text, now);
+}
+
+void cluster::onConfigurationWanted(const configuration_wanted &event)
+{
+    outputs_.toPeers(send_configuration{ event.link, store.current->version, store.currentBody });
+}
+
+void cluster::takeIn(const core::fetch_source &source, std::string_view body, core::time_point now)
+{
+    const core::configuration_version before = store.current->version;
+    const core::take_in_result result = core::takeIn(store, source, body, codec());
+    if (result == core::take_in_result::Damaged) {
+        logEvent(log_, log_event::ConfigurationRefused,
+                 { field::number(log_key::Version, source.version),
+                   field::number(log_key::Base, before) });
+        core::onFetchFailed(store, source);
+    }
+    if (result != core::take_in_result::Taken)
+        return;
+    logEvent(log_, log_event::ConfigurationApplied,
+             { field::number(log_key::Version, store.current->version),
+               field::number(log_key::Base, before) });
+    outputs_.onConfiguration(*store.current);
+    std::vector<core::spread_action> actions;
+    core::onTakenIn(spread, gateway_.proof, store.current->version, tagOf(store.currentBody),
+                    actions);
+    perform(actions, now);
+}
+
+void cluster::setState(core::sender_state state, core::time_point now)
+{
+    state_ = state;
+    outputs_.toPeers(set_sender{ senderInfo() });
+    const wire::probe_message farewell{ senderInfo(), true };
+    for (const auto &[instance, known] : members.instances) {
+        if (known.incarnation != 0 && known.zone == settings_.zone)
+            outputs_.toPeers(send_datagram{ known.address, known.incarnation, farewell });
+    }
+    std::vector<core::spread_action> actions;
+    core::tickSpread(spread, gateway_.proof, now, actions);
+    perform(actions, now);
+}
+
+void cluster::apply(const std::vector<core::membership_change> &changes, core::time_point now)
+{
+    if (changes.empty())
+        return;
+    for (const core::membership_change &each : changes)
+        logEvent(log_, eventOf(each.event),
+                 { field::id(log_key::Instance, each.instance),
+                   field::incarnation(log_key::Incarnation, each.incarnation) });
+    updatePeers();
+    updateTree(now);
+    outputs_.onMembers();
+}
+
+void cluster::updatePeers()
+{
+    std::erase_if(gateway_.peers,
+                  [this](const auto &each) { return members.instances.count(each.first) == 0; });
+    for (const auto &[instance, known] : members.instances) {
+        core::peer_instance &peer = gateway_.peers[instance];
+        peer.incarnation = known.incarnation;
+        peer.zone = known.zone;
+        peer.address = known.address;
+        peer.isLive = known.state == core::peer_state::Live && known.incarnation != 0;
+    }
+    gateway_.nextOwnerCheck = {};
+}
+
+std::vector<core::peer_ref> cluster::livePeers() const
+{
+    std::vector<core::peer_ref> live;
+    for (const auto &[instance, known] : members.instances) {
+        if (known.state == core::peer_state::Live && known.incarnation != 0)
+            live.push_back({ known.incarnation, instance, known.zone });
+    }
+    return live;
+}
+
+const core::known_instance *cluster::find(core::incarnation_id incarnation) const
+{
+    return core::findIncarnation(members, incarnation);
+}
+
+} // namespace fuchsiagw::daemon
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -111,6 +111,22 @@
     return {};
 }
 
+std::string storeSeeds(const std::string &text, settings &into)
+{
+    into.seeds.clear();
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t comma = std::min(text.find(',', start), text.size());
+        const std::string address = text.substr(start, comma - start);
+        net::endpoint ignored;
+        if (net::parseEndpoint(address, ignored))
+            return "must be peer addresses divided by commas, such as "
+                   "127.0.0.1:8082,127.0.0.1:8182";
+        into.seeds.push_back(address);
+        start = comma + 1;
+    }
+    return {};
+}
+
 std::string storeLogLevel(const std::string &text, settings &into)
 {
     static const std::set<std::string> levels{ "debug", "info", "warn", "error" };
@@ -149,6 +165,11 @@
         { { "operator_secret_hash", "hexadecimal", "", "64 digits",
             "BLAKE2b-256 hash of the operators' secret" },
           storeSecretHash },
+        { { "seeds", "IP:port list", "-", "",
+            "peer addresses that a new instance asks while the platform is away; '-' for none" },
+          [](const std::string &text, settings &into) {
+              return text == "-" ? std::string() : storeSeeds(text, into);
+          } },
         { { "log.level", "name", "info", "debug, info, warn, error",
             "least severe event that is logged" },
           storeLogLevel },
