Add the matrix of faults and steps for changes of the configuration

Cause: a change must survive every fault at every step, and two at once.

12 instances in 3 zones, operators and a platform run in virtual time. 10 faults begin at 6 steps, alone (60 runs) and in all pairs, a fault with itself included (1,830 runs); in every run each fault began. The checkers are: in force everywhere within 12 s after the faults end and never reverted (M13), the exact list, a withdrawn key refused everywhere within the wait from its acceptance (M6), a note applied once at most, and operators told the truth. Each one finds a deliberate error.

The statement of an operator that rests on another instance now waits for a proof that is younger than the challenge; an older proof says nothing about the time of the challenge.

--- a/include/fuchsiagw/core/config_spread.hpp
+++ b/include/fuchsiagw/core/config_spread.hpp
@@ -24,9 +24,6 @@
 
 namespace fuchsiagw::core {
 
-/// First 64 bits of a configuration's digest; tells two contents of one version apart.
-using content_tag = std::uint64_t;
-
 enum class spread_kind : std::uint8_t {
     Digest, ///< parent to child
     Acknowledgement, ///< child to parent; wave 0 asks to be adopted
@@ -39,7 +36,6 @@
     std::uint64_t root = 0; ///< hash of the root's id and incarnation
     std::uint64_t wave = 0; ///< starts at 1 for each root
     configuration_version held = 0;
-    content_tag heldTag = 0;
     /// Digest: wave of the newest proof. Acknowledgement: newest wave that the subtree can prove.
     std::uint64_t provenWave = 0;
     configuration_version provenVersion = 0;
@@ -58,8 +54,8 @@
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, root, wave, held, heldTag, provenWave, provenVersion, included, windowMicroseconds,
-           newest, count, memberSum, hasUnsettledSubmit);
+        ar(kind, root, wave, held, provenWave, provenVersion, included, windowMicroseconds, newest,
+           count, memberSum, hasUnsettledSubmit);
     }
 };
 
@@ -69,13 +65,14 @@
     enum class kind : std::uint8_t {
         Send, ///< `message` to `peer`
         ReadPlatform, ///< read the version row; answer with onPlatformVersion() and `wave`
-        Fetch, ///< a newer version is known at `peer`
+        Fetch, ///< `version` is in force at `peer`, see noteVersion()
     };
     kind what = kind::Send;
     instance_id peer;
     spread_message message;
     std::uint64_t root = 0;
     std::uint64_t wave = 0;
+    configuration_version version = 0;
 };
 
 struct spread_settings
@@ -107,7 +104,6 @@
     tree_place place;
     std::map<instance_id, spread_child> children;
     bool hasUnsettledSubmit = false;
-    content_tag heldTag = 0;
 
     instance_id parent; ///< whose digests are taken; empty: this instance is a root
     time_point parentDeadline = time_point::min();
@@ -175,6 +171,6 @@
 
 /// @brief Notes that a version came into force here and announces it to the neighbours.
 void onTakenIn(spread_state &state, freshness &proofs, configuration_version version,
-               content_tag tag, std::vector<spread_action> &actions);
+               std::vector<spread_action> &actions);
 
 } // namespace fuchsiagw::core
--- a/include/fuchsiagw/core/config_store.hpp
+++ b/include/fuchsiagw/core/config_store.hpp
@@ -131,8 +131,10 @@
 [[nodiscard]] submit_action continueSubmit(submit_state &state, const platform_answer &answer,
                                            time_point now, const configuration_codec &codec);
 
-/// @return whether a version may exist that only this submit knows of; see
-/// spread_state::hasUnsettledSubmit
+/// @brief Tells whether a version may exist that only this submit knows of.
+///
+/// While a submit runs, and after one that ended unsettled until the next successful read of the
+/// platform, spread_state::hasUnsettledSubmit must be set.
 [[nodiscard]] bool isUnsettled(const submit_state &state);
 
 /// Where a version can be fetched. An empty instance is the platform.
--- a/src/core/config_spread.cpp
+++ b/src/core/config_spread.cpp
@@ -47,6 +47,7 @@
     action next;
     next.what = action::kind::Fetch;
     next.peer = peer;
+    next.version = version;
     actions.push_back(std::move(next));
 }
 
@@ -57,7 +58,6 @@
     message.root = state.root;
     message.wave = state.wave;
     message.held = proofs.held;
-    message.heldTag = state.heldTag;
     return message;
 }
 
@@ -436,10 +436,9 @@
 }
 
 void onTakenIn(spread_state &state, freshness &proofs, configuration_version version,
-               content_tag tag, std::vector<spread_action> &actions)
+               std::vector<spread_action> &actions)
 {
     setHeld(proofs, version);
-    state.heldTag = tag;
     const spread_message message = messageOf(state, proofs, spread_kind::Announcement);
     if (!isRoot(state))
         send(actions, state.parent, message);
--- a/src/ctl/instance_commands.cpp
+++ b/src/ctl/instance_commands.cpp
@@ -16,6 +16,8 @@
 
 /// Statements are renewed well within the shortest wait that daemons may be set to, 1 s.
 constexpr std::chrono::milliseconds vouchPause{ 500 };
+constexpr std::chrono::milliseconds referencePause{ 100 };
+constexpr std::chrono::milliseconds referenceTime{ 6000 }; ///< two proofs of the slowest kind
 
 std::string textOf(const json &object, const char *name)
 {
@@ -65,6 +67,32 @@
     return exit_code::Done;
 }
 
+/// Asks another instance until its proof is younger than the challenge, which was issued before
+/// this call: an older proof says nothing about the time of the challenge.
+exit_code askReference(const command_context &context, const std::string &against,
+                       core::configuration_version &version, admin_result &result)
+{
+    const std::chrono::milliseconds start = context.elapsed();
+    while (context.elapsed() - start < referenceTime) {
+        const std::chrono::milliseconds asked = context.elapsed() - start;
+        result = callAdmin(context.transport, against, "GET", "/v1/admin/status", {}, false);
+        if (result.code != exit_code::Done)
+            return result.code;
+        const json proof = result.json.value("proof", json::object());
+        if (proof.value("proven", false) && proof.value("source", "") != "operator"
+            && proof.value("age_ms", asked.count()) < asked.count()) {
+            version = result.json.value("version", core::configuration_version{ 0 });
+            return exit_code::Done;
+        }
+        context.sleep(referencePause);
+    }
+    result.code = exit_code::Refused;
+    result.problem = "the instance at " + against
+                     + " gets no new proof that its version is the newest"
+                       "\nnext: name another instance with --against";
+    return result.code;
+}
+
 /// Hands one statement to the instance. @param result the last answer
 exit_code vouchOnce(const command_context &context, admin_result &result)
 {
@@ -78,19 +106,9 @@
     core::configuration_version version = absl::GetFlag(FLAGS_version);
     const std::string against = absl::GetFlag(FLAGS_against);
     if (!against.empty()) {
-        // The reference is asked after the challenge was issued and must read the platform.
-        result = callAdmin(context.transport, against, "GET", "/v1/admin/status", {}, false);
-        if (result.code != exit_code::Done)
-            return result.code;
-        const json proof = result.json.value("proof", json::object());
-        if (!proof.value("proven", false) || proof.value("source", "") != "platform") {
-            result.code = exit_code::Refused;
-            result.problem = "the instance at " + against
-                             + " has no proof of its own from the platform"
-                               "\nnext: name another one with --against";
-            return result.code;
-        }
-        version = result.json.value("version", core::configuration_version{ 0 });
+        const exit_code code = askReference(context, against, version, result);
+        if (code != exit_code::Done)
+            return code;
     }
     const json statement = { { "challenge", challenge },
                              { "version", version },
--- /dev/null
+++ b/testing/config_world.cpp
@@ -0,0 +1,463 @@
+/// @file
+/// @brief Events of the world of instances, operators and a platform.
+
+#include <fuchsiagw/testing/config_world.hpp>
+
+#include <fuchsiagw/wire/configuration_json.hpp>
+#include <fuchsiagw/wire/note_json.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fuchsiagw::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using core::submit_step;
+
+constexpr auto requestTimeout = 1s; ///< of the platform and of peers
+constexpr auto submitTime = 5s; ///< of one submit at an instance
+constexpr auto operatorPause = 1s; ///< between attempts
+constexpr auto operatorTimeout = 7s; ///< for an instance that does not answer
+constexpr unsigned mostAttempts = 12;
+
+const core::configuration_codec &codec()
+{
+    return wire::configurationCodec();
+}
+
+bool changesPlatform(submit_step step)
+{
+    return step == submit_step::PutObject || step == submit_step::Commit;
+}
+
+} // namespace
+
+/// One submit under way at an instance.
+struct config_world::operation
+{
+    std::size_t index = 0;
+    std::uint64_t incarnation = 0;
+    core::submit_state state;
+    bool isOver = false;
+    std::function<void(const core::submit_result *)> tell; ///< null: no answer
+};
+
+config_world::config_world(const world_settings &settings)
+    : settings_(settings)
+    , random_(settings.seed)
+{
+    instances_.resize(settings.instances);
+    for (std::size_t i = 0; i < settings.instances; ++i) {
+        core::tree_member &self = instances_[i].self;
+        self.zone.value = "zone-" + std::to_string(i % settings.zones);
+        self.instance.value = "i" + std::to_string(10000 + i);
+        live_.push_back(self);
+        indexOf_[self.instance] = i;
+    }
+    for (std::size_t i = 0; i < settings.instances; ++i)
+        start(i);
+}
+
+core::duration config_world::draw(core::duration greatest)
+{
+    if (greatest <= core::duration::zero())
+        return {};
+    return core::duration(static_cast<std::int64_t>(
+            core::drawBelow(random_, static_cast<std::uint64_t>(greatest.count()))));
+}
+
+void config_world::at(core::time_point time, std::function<void()> event)
+{
+    events_.emplace(std::max(time, now_), std::move(event));
+}
+
+void config_world::onIncarnation(std::size_t index, core::time_point time,
+                                 std::function<void()> event)
+{
+    at(time, [this, index, incarnation = instances_[index].incarnation, event = std::move(event)] {
+        if (instances_[index].incarnation == incarnation)
+            event();
+    });
+}
+
+void config_world::runUntil(core::time_point end)
+{
+    while (!events_.empty() && events_.begin()->first <= end) {
+        auto next = events_.extract(events_.begin());
+        now_ = next.key();
+        next.mapped()();
+    }
+    now_ = end;
+}
+
+void config_world::start(std::size_t index)
+{
+    instance &own = instances_[index];
+    const core::tree_member self = own.self;
+    own = {};
+    own.self = self;
+    own.incarnation = random_();
+    own.spread = core::startSpread(self, own.incarnation, {}, now_ + draw(1s));
+    core::setLive(own.spread, live_, now_);
+    schedule(index);
+}
+
+void config_world::restart(std::size_t index)
+{
+    start(index);
+}
+
+void config_world::schedule(std::size_t index)
+{
+    instance &own = instances_[index];
+    core::time_point next = core::nextSpreadTime(own.spread);
+    if (own.store.isFetching)
+        next = std::min(next, own.store.fetchDeadline);
+    next = std::max(next, now_ + 1ms);
+    if (own.tickAt > now_ && own.tickAt <= next)
+        return;
+    own.tickAt = next;
+    onIncarnation(index, next, [this, index, next] {
+        if (instances_[index].tickAt == next)
+            tick(index);
+    });
+}
+
+void config_world::tick(std::size_t index)
+{
+    instance &own = instances_[index];
+    own.tickAt = core::noDeadline;
+    own.spread.hasUnsettledSubmit = own.openSubmits > 0 || own.hasOpenOutcome;
+    std::vector<core::spread_action> actions;
+    core::tickSpread(own.spread, own.proofs, now_, actions);
+    perform(index, actions);
+    fetch(index, core::nextFetch(own.store, now_));
+    schedule(index);
+}
+
+bool config_world::isReachable(std::size_t from, std::size_t to) const
+{
+    if (faults.cut.contains(from) || faults.cut.contains(to))
+        return false;
+    const auto isInside = [&](std::size_t index) {
+        return instances_[index].self.zone == faults.cutZone;
+    };
+    return !faults.cutZone || isInside(from) == isInside(to);
+}
+
+bool config_world::isSpreadStopped() const
+{
+    return settings_.error == sabotage::NoSpread && commits_.size() > 1;
+}
+
+void config_world::perform(std::size_t index, const std::vector<core::spread_action> &actions)
+{
+    for (const core::spread_action &each : actions) {
+        switch (each.what) {
+        case core::spread_action::kind::Send:
+            deliver(index, indexOf_.at(each.peer), each.message);
+            break;
+        case core::spread_action::kind::Fetch:
+            fetch(index, core::noteVersion(instances_[index].store, { each.peer, each.version, {} },
+                                           now_));
+            break;
+        case core::spread_action::kind::ReadPlatform: {
+            if (isSpreadStopped() && index != 0)
+                break;
+            core::submit_action read;
+            read.step = submit_step::ReadRow;
+            read.key = core::configurationRowKey;
+            callPlatform(index, read,
+                         [this, index, sentAt = now_, root = each.root,
+                          wave = each.wave](const core::platform_answer &answer) {
+                             core::configuration_row row;
+                             if (!answer.isAnswered
+                                 || (answer.isFound && !core::readRow(answer.value, row)))
+                                 return;
+                             instance &own = instances_[index];
+                             own.hasOpenOutcome = false;
+                             std::vector<core::spread_action> more;
+                             core::onPlatformVersion(own.spread, own.proofs, root, wave,
+                                                     row.version, sentAt, now_, more);
+                             perform(index, more);
+                             fetch(index,
+                                   core::noteVersion(own.store, { {}, row.version, row.objectName },
+                                                     now_));
+                             schedule(index);
+                         });
+            break;
+        }
+        }
+    }
+}
+
+void config_world::deliver(std::size_t from, std::size_t to, const core::spread_message &message)
+{
+    if (onMessage)
+        onMessage(from, message);
+    if (isSpreadStopped() || !isReachable(from, to)
+        || core::drawBelow(random_, 100) < faults.lossPercent)
+        return;
+    const bool isNear = instances_[from].self.zone == instances_[to].self.zone;
+    const unsigned copies = core::drawBelow(random_, 100) < faults.duplicatePercent ? 2 : 1;
+    for (unsigned i = 0; i < copies; ++i) {
+        const core::duration delay =
+                (isNear ? settings_.zoneDelay : settings_.crossDelay) + draw(faults.messageDelay);
+        onIncarnation(to, now_ + delay, [this, from, to, message] {
+            instance &own = instances_[to];
+            std::vector<core::spread_action> actions;
+            own.spread.hasUnsettledSubmit = own.openSubmits > 0 || own.hasOpenOutcome;
+            core::onSpreadMessage(own.spread, own.proofs, instances_[from].self.instance, message,
+                                  now_, actions);
+            perform(to, actions);
+            schedule(to);
+        });
+    }
+}
+
+void config_world::fetch(std::size_t index, const std::optional<core::fetch_source> &source)
+{
+    if (!source)
+        return;
+    if (source->peer.empty()) {
+        core::submit_action read;
+        read.step = submit_step::ReadObject;
+        read.key = source->objectName;
+        callPlatform(index, read,
+                     [this, index, source = *source](const core::platform_answer &answer) {
+                         if (answer.isAnswered && answer.isFound)
+                             takeIn(index, source, answer.value);
+                         else
+                             core::onFetchFailed(instances_[index].store, source);
+                     });
+        return;
+    }
+    const std::size_t peer = indexOf_.at(source->peer);
+    if (!isReachable(index, peer))
+        return; // the fetch's own deadline passes
+    onIncarnation(peer, now_ + settings_.crossDelay + draw(faults.messageDelay),
+                  [this, index, peer, source = *source] {
+                      const core::config_store &store = instances_[peer].store;
+                      if (!isReachable(peer, index))
+                          return;
+                      core::fetch_source sent = source;
+                      sent.objectName = store.currentName;
+                      onIncarnation(index, now_ + settings_.crossDelay,
+                                    [this, index, sent, body = store.currentBody] {
+                                        takeIn(index, sent, body);
+                                    });
+                  });
+}
+
+void config_world::takeIn(std::size_t index, const core::fetch_source &source,
+                          const std::string &body)
+{
+    instance &own = instances_[index];
+    const std::uint64_t incarnation = own.incarnation;
+    if (onBodyArrived && source.version > own.store.current->version)
+        onBodyArrived(index, source.version);
+    if (own.incarnation != incarnation)
+        return;
+    const core::take_in_result result = core::takeIn(own.store, source, body, codec());
+    if (result == core::take_in_result::Damaged)
+        core::onFetchFailed(own.store, source);
+    if (result != core::take_in_result::Taken)
+        return;
+    own.index = core::indexKeys(*own.store.current);
+    std::vector<core::spread_action> actions;
+    core::onTakenIn(own.spread, own.proofs, own.store.current->version, actions);
+    perform(index, actions);
+    if (settings_.error == sabotage::Revert && own.store.current->version > 1 && index == 1) {
+        at(now_ + 1s, [this, index] {
+            core::config_store &store = instances_[index].store;
+            if (!store.earlier.empty())
+                store.current = store.earlier.front();
+        });
+    }
+    if (onTakenIn)
+        onTakenIn(index, own.store.current->version);
+}
+
+core::platform_answer config_world::apply(const core::submit_action &action)
+{
+    core::platform_answer answer{ true, false, 0, {} };
+    const auto row = rows_.find(action.key);
+    const auto object = objects_.find(action.key);
+    switch (action.step) {
+    case submit_step::ReadRow:
+    case submit_step::ReadNote:
+        if (row != rows_.end())
+            answer = { true, true, row->second.first, row->second.second };
+        break;
+    case submit_step::ReadObject:
+        if (object != objects_.end())
+            answer = { true, true, 0, object->second };
+        break;
+    case submit_step::PutObject:
+        answer.isFound = objects_.emplace(action.key, action.body).first->second == action.body;
+        break;
+    case submit_step::Commit: {
+        const auto [known, isNew] = transactions_.emplace(action.transactionId, true);
+        const bool isRepeated = settings_.error == sabotage::RepeatedCommit;
+        if (isNew && !isRepeated) {
+            for (const auto &[key, version] : action.checks)
+                known->second =
+                        known->second && (rows_.contains(key) ? rows_.at(key).first : 0) == version;
+        }
+        answer.isFound = known->second;
+        if ((!isNew && !isRepeated) || !known->second)
+            break;
+        for (const auto &[key, value] : action.puts) {
+            rows_[key].first += 1;
+            rows_[key].second = value;
+        }
+        core::configuration_row next;
+        core::configuration config;
+        std::string problem;
+        if (core::readRow(action.puts.front().second, next)
+            && !codec().read(objects_.at(next.objectName), config, problem))
+            commits_.push_back({ now_, config, next.noteId });
+        break;
+    }
+    case submit_step::Finish:
+        break;
+    }
+    return answer;
+}
+
+void config_world::callPlatform(std::size_t index, const core::submit_action &action,
+                                platform_event done)
+{
+    const auto fail = [&] { onIncarnation(index, now_ + requestTimeout, [done] { done({}); }); };
+    const bool isCut = faults.cut.contains(index)
+                       || (faults.cutZone && instances_[index].self.zone == *faults.cutZone);
+    if (faults.platformDown || isCut) {
+        fail();
+        return;
+    }
+    const core::duration delay = settings_.platformDelay + draw(faults.platformDelay);
+    const core::time_point effect = now_ + delay / 2;
+    const core::time_point answered = now_ + delay;
+    const core::time_point timeout = now_ + requestTimeout;
+    // The request takes effect at the platform even if its sender is gone or no longer waits.
+    at(effect, [this, index, incarnation = instances_[index].incarnation, action, answered, timeout,
+                done = std::move(done)] {
+        const core::platform_answer answer = apply(action);
+        bool isLost = answered >= timeout || faults.platformDown;
+        if (changesPlatform(action.step) && faults.lostAnswers > 0) {
+            --faults.lostAnswers;
+            isLost = true;
+        }
+        if (instances_[index].incarnation != incarnation)
+            return;
+        onIncarnation(index, isLost ? timeout : answered,
+                      [done, answer, isLost] { done(isLost ? core::platform_answer{} : answer); });
+    });
+}
+
+void config_world::submit(const core::release_note &note, std::size_t index)
+{
+    operator_record &record = operators_[note.id];
+    record.note = note;
+    if (record.acceptedAt || record.isRefused || record.attempts >= mostAttempts)
+        return;
+    ++record.attempts;
+    const auto again = [this, note, index] { submit(note, (index + 1) % instances_.size()); };
+    auto run = std::make_shared<operation>();
+    run->index = index;
+    run->incarnation = instances_[index].incarnation;
+    run->tell = [this, id = note.id, again](const core::submit_result *result) {
+        operator_record &told = operators_.at(id);
+        const auto kind = result == nullptr ? core::error_kind::NoteOutcomeUnknown
+                                            : core::kindOf(result->error);
+        const bool isWrong = settings_.error == sabotage::WrongAnswer && result != nullptr;
+        if (isWrong || (result != nullptr && !result->error)) {
+            if (!told.acceptedAt)
+                told.acceptedAt = now_;
+        } else if (kind == core::error_kind::NoteConflict || kind == core::error_kind::NoteInvalid
+                   || kind == core::error_kind::NoteNotExact) {
+            told.isRefused = true;
+        } else {
+            at(now_ + operatorPause, again);
+        }
+    };
+    at(now_ + operatorTimeout, [run] {
+        if (!run->isOver)
+            run->tell(nullptr);
+        run->isOver = true;
+    });
+    ++instances_[index].openSubmits;
+    step(run, core::startSubmit(run->state, note, now_ + submitTime, codec()));
+}
+
+void config_world::step(const std::shared_ptr<operation> &run, const core::submit_action &action)
+{
+    if (action.step == submit_step::Finish) {
+        finish(run);
+        return;
+    }
+    if (action.notBefore > now_) {
+        core::submit_action later = action;
+        later.notBefore = core::time_point::min();
+        onIncarnation(run->index, action.notBefore, [this, run, later] { step(run, later); });
+        return;
+    }
+    if (onSubmitStep)
+        onSubmitStep(action.step, run->index);
+    if (instances_[run->index].incarnation != run->incarnation)
+        return;
+    core::submit_action sent = action;
+    if (settings_.error == sabotage::ExtraChange && action.step == submit_step::Commit) {
+        core::configuration spoiled = *run->state.next;
+        spoiled.switches[core::automatic_action::Probing] = false;
+        const std::string body = codec().write(spoiled);
+        const std::string name = core::objectNameOf(spoiled.version, codec().digest(body));
+        objects_[name] = body;
+        sent.puts.front().second = core::writeRow({ spoiled.version, run->state.note.id, name });
+    }
+    callPlatform(run->index, sent, [this, run](const core::platform_answer &answer) {
+        step(run, core::continueSubmit(run->state, answer, now_, codec()));
+    });
+}
+
+void config_world::finish(const std::shared_ptr<operation> &run)
+{
+    const core::submit_result &result = run->state.result;
+    const std::uint64_t incarnation = run->incarnation;
+    // An open outcome keeps the instance from vouching for its version by proof (c) until it has
+    // read the platform again.
+    if (instances_[run->index].incarnation == incarnation) {
+        instance &own = instances_[run->index];
+        --own.openSubmits;
+        own.hasOpenOutcome = own.hasOpenOutcome || core::isUnsettled(run->state);
+    }
+    if (result.newest)
+        takeIn(run->index, { {}, result.newest->version, result.newestName },
+               codec().write(*result.newest));
+    if (instances_[run->index].incarnation == incarnation && !run->isOver)
+        run->tell(&result);
+    run->isOver = run->isOver || instances_[run->index].incarnation == incarnation;
+}
+
+core::configuration_version config_world::versionOf(std::size_t index) const
+{
+    return instances_[index].store.current->version;
+}
+
+core::key_decision config_world::check(std::size_t index, const core::key_hash &hash) const
+{
+    const instance &own = instances_[index];
+    core::freshness proofs = own.proofs;
+    if (settings_.error == sabotage::NoProof)
+        core::provePlatform(proofs, proofs.held, now_);
+    return core::checkKey(own.index, hash, proofs, now_);
+}
+
+core::duration config_world::proofAge(std::size_t index) const
+{
+    return now_ - instances_[index].proofs.usable.at;
+}
+
+} // namespace fuchsiagw::testing
--- /dev/null
+++ b/tests/unit-config-matrix.cpp
@@ -0,0 +1,356 @@
+/// @file
+/// @brief Every fault at every step of a change of the configuration, alone and in all pairs.
+
+#include <fuchsiagw/testing/config_world.hpp>
+
+#include <array>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::testing;
+using namespace std::chrono_literals;
+using core::section_kind;
+using core::submit_step;
+
+namespace {
+
+/// Where a fault begins. ReadBack needs a lost answer of the commit, which the case adds.
+enum class stage : std::uint8_t { Read, PutObject, Commit, ReadBack, Spread, Apply };
+
+constexpr std::array<std::string_view, 6> stageNames{ "read",      "put_object", "commit",
+                                                      "read_back", "spread",     "apply" };
+
+enum class fault_kind : std::uint8_t {
+    PlatformDown,
+    PlatformSlow,
+    AnswerLost,
+    OperatorsRace,
+    DuplicateSubmit,
+    PeerCut,
+    ZoneCut,
+    LateMessages,
+    RestartSubmitter,
+    RestartOther,
+};
+
+constexpr std::array<std::string_view, 10> faultNames{
+    "platform_down", "platform_slow", "answer_lost",   "operators_race",    "duplicate_submit",
+    "peer_cut",      "zone_cut",      "late_messages", "restart_submitter", "restart_other"
+};
+
+constexpr std::size_t instanceCount = 12;
+constexpr std::size_t submitter = 4;
+constexpr std::size_t bystander = 7; ///< in another zone than the submitter
+constexpr auto faultTime = 8s; ///< longer than the wait for proofs
+constexpr core::duration inForceBound = 12s; ///< docs/design.md, 1.4
+constexpr auto observation = 50ms;
+const core::time_point changeAt{ 112s };
+const core::time_point lastEnd{ 165s };
+
+const core::key_hash keptKey(core::keyHashLength, 'a');
+const core::key_hash withdrawnKey(core::keyHashLength, 'b');
+
+core::release_note baseNote()
+{
+    core::release_note note{ "base", 0, {} };
+    auto &added = note.list.added;
+    added[{ section_kind::Group, "hire", "" }] = core::group_section{ 2, 16 };
+    added[{ section_kind::Member, "hire", "m1" }] =
+            core::member_settings{ { "zone-0" }, "127.0.0.1:1" };
+    added[{ section_kind::Workspace, "cafe", "" }] = core::workspace_section{ { { "hire" } } };
+    added[{ section_kind::Rate, "cafe", "" }] = core::rate_section{ 5, 5 };
+    added[{ section_kind::Key, "cafe", keptKey }] = core::key_section{};
+    added[{ section_kind::Key, "cafe", withdrawnKey }] = core::key_section{};
+    return note;
+}
+
+core::release_note changeNote()
+{
+    core::release_note note{ "change", 1, {} };
+    note.list.withdrawn = { { section_kind::Key, "cafe", withdrawnKey } };
+    note.list.changed[{ section_kind::Rate, "cafe", "" }] = core::rate_section{ 6, 6 };
+    return note;
+}
+
+core::release_note rivalNote()
+{
+    core::release_note note{ "rival", 1, {} };
+    note.list.changed[{ section_kind::Rate, "cafe", "" }] = core::rate_section{ 9, 9 };
+    return note;
+}
+
+struct planned_fault
+{
+    fault_kind kind = fault_kind::PlatformDown;
+    stage at = stage::Read;
+};
+
+std::string toString(const planned_fault &each)
+{
+    return std::string(faultNames.at(static_cast<std::size_t>(each.kind))) + "@"
+           + std::string(stageNames.at(static_cast<std::size_t>(each.at)));
+}
+
+/// One run with its faults, and what the checkers found.
+class matrix_case
+{
+public:
+    explicit matrix_case(std::vector<planned_fault> planned, sabotage error = sabotage::None)
+        : world_({ instanceCount, 3, 7, 300us, 4ms, 5ms, error })
+        , planned_(std::move(planned))
+        , hasStarted_(planned_.size(), false)
+        , versions_(instanceCount, 0)
+    { }
+
+    std::string run()
+    {
+        world_.onSubmitStep = [this](submit_step step, std::size_t /*instance*/) { onStep(step); };
+        world_.onTakenIn = [this](std::size_t /*instance*/, core::configuration_version version) {
+            if (version >= 2)
+                reach(stage::Spread);
+        };
+        world_.onBodyArrived = [this](std::size_t instance, core::configuration_version version) {
+            if (version >= 2 && instance != submitter)
+                reach(stage::Apply);
+        };
+        world_.at(core::time_point(103s), [this] { world_.submit(baseNote(), 0); });
+        world_.runUntil(changeAt);
+        for (std::size_t i = 0; i < world_.size(); ++i)
+            require(!world_.check(i, withdrawnKey).error.has_value(), "base is not in force");
+        world_.submit(changeNote(), submitter);
+        while (world_.now() < lastEnd) {
+            world_.runUntil(world_.now() + observation);
+            observe();
+        }
+        checkEnd();
+        return problem_;
+    }
+
+    /// Which of the planned faults began; a fault whose stage is never reached is no evidence.
+    [[nodiscard]] bool haveAllStarted() const
+    {
+        return std::find(hasStarted_.begin(), hasStarted_.end(), false) == hasStarted_.end();
+    }
+
+private:
+    void require(bool holds, const std::string &what)
+    {
+        if (!holds && problem_.empty())
+            problem_ = what + " at " + std::to_string((world_.now() - changeAt) / 1ms) + " ms";
+    }
+
+    void onStep(submit_step step)
+    {
+        if (world_.now() < changeAt)
+            return;
+        if (step == submit_step::ReadRow)
+            reach(hasCommitted_ ? stage::ReadBack : stage::Read);
+        if (step == submit_step::PutObject)
+            reach(stage::PutObject);
+        if (step == submit_step::Commit) {
+            hasCommitted_ = true;
+            for (std::size_t i = 0; i < planned_.size(); ++i) {
+                if (planned_[i].at == stage::ReadBack && !hasStarted_[i])
+                    world_.faults.lostAnswers = 1;
+            }
+            reach(stage::Commit);
+        }
+    }
+
+    void reach(stage reached)
+    {
+        for (std::size_t i = 0; i < planned_.size(); ++i) {
+            if (hasStarted_[i] || planned_[i].at != reached)
+                continue;
+            hasStarted_[i] = true;
+            begin(planned_[i].kind);
+            lastFaultEnd_ = std::max(lastFaultEnd_, world_.now() + faultTime);
+        }
+    }
+
+    void begin(fault_kind kind)
+    {
+        world_faults &faults = world_.faults;
+        const core::time_point end = world_.now() + faultTime;
+        switch (kind) {
+        case fault_kind::PlatformDown:
+            faults.platformDown = true;
+            world_.at(end, [&faults] { faults.platformDown = false; });
+            break;
+        case fault_kind::PlatformSlow:
+            faults.platformDelay = 1500ms;
+            world_.at(end, [&faults] { faults.platformDelay = {}; });
+            break;
+        case fault_kind::AnswerLost:
+            faults.lostAnswers += 2;
+            break;
+        case fault_kind::OperatorsRace:
+            world_.at(world_.now(), [this] { world_.submit(rivalNote(), bystander); });
+            break;
+        case fault_kind::DuplicateSubmit:
+            world_.at(world_.now(), [this] { world_.submit(changeNote(), bystander); });
+            break;
+        case fault_kind::PeerCut:
+            faults.cut.insert(bystander);
+            world_.at(end, [&faults] { faults.cut.erase(bystander); });
+            break;
+        case fault_kind::ZoneCut:
+            faults.cutZone = { "zone-2" };
+            world_.at(end, [&faults] { faults.cutZone.reset(); });
+            break;
+        case fault_kind::LateMessages:
+            faults.messageDelay = 1500ms;
+            faults.duplicatePercent = 30;
+            faults.lossPercent = 20;
+            world_.at(end, [&faults] {
+                faults.messageDelay = {};
+                faults.duplicatePercent = 0;
+                faults.lossPercent = 0;
+            });
+            break;
+        case fault_kind::RestartSubmitter:
+            restart(submitter);
+            break;
+        case fault_kind::RestartOther:
+            restart(bystander);
+            break;
+        }
+    }
+
+    void restart(std::size_t instance)
+    {
+        world_.restart(instance);
+        versions_[instance] = 0;
+    }
+
+    /// When the withdrawal is known to be accepted; a commit alone has been told to nobody.
+    [[nodiscard]] std::optional<core::time_point> acceptedAt() const
+    {
+        const auto record = world_.operators().find("change");
+        return record == world_.operators().end() ? std::nullopt : record->second.acceptedAt;
+    }
+
+    void observe()
+    {
+        const auto accepted = acceptedAt();
+        for (std::size_t i = 0; i < world_.size(); ++i) {
+            require(world_.versionOf(i) >= versions_[i], "M13: an instance reverted");
+            versions_[i] = world_.versionOf(i);
+            // M6: the wait counts from the acceptance, on cut instances too.
+            if (accepted && world_.now() > *accepted + core::defaultUnprovenWait)
+                require(world_.check(i, withdrawnKey).error.has_value(),
+                        "M6: the withdrawn key is accepted");
+        }
+        const core::time_point end = std::max(lastFaultEnd_, accepted.value_or(changeAt));
+        if (world_.now() < end + inForceBound || world_.commits().empty())
+            return;
+        const world_commit &newest = world_.commits().back();
+        if (world_.now() < newest.at + inForceBound)
+            return;
+        for (std::size_t i = 0; i < world_.size(); ++i) {
+            require(world_.versionOf(i) == newest.config.version,
+                    "M13: a version is not in force everywhere");
+            require(!world_.check(i, keptKey).error.has_value(), "a valid key is refused");
+        }
+    }
+
+    void checkEnd()
+    {
+        const std::map<std::string, core::release_note> notes{ { "base", baseNote() },
+                                                               { "change", changeNote() },
+                                                               { "rival", rivalNote() } };
+        std::map<std::string, unsigned> applied;
+        core::configuration before;
+        for (const world_commit &each : world_.commits()) {
+            require(++applied[each.noteId] == 1, "a note was applied twice");
+            require(core::describeDifference(before, each.config) == notes.at(each.noteId).list,
+                    "the change is not the note's list");
+            before = each.config;
+        }
+        for (const auto &[id, record] : world_.operators()) {
+            require(record.acceptedAt.has_value() != record.isRefused, "an outcome is not known");
+            require(record.acceptedAt.has_value() == (applied[id] == 1),
+                    "an operator was told a wrong outcome");
+        }
+        require(applied["change"] + applied["rival"] == 1, "not exactly one of the rivals won");
+    }
+
+    config_world world_;
+    std::vector<planned_fault> planned_;
+    std::vector<bool> hasStarted_;
+    std::vector<core::configuration_version> versions_;
+    core::time_point lastFaultEnd_ = changeAt;
+    bool hasCommitted_ = false;
+    std::string problem_;
+};
+
+std::vector<planned_fault> allFaults()
+{
+    std::vector<planned_fault> faults;
+    for (std::size_t kind = 0; kind < faultNames.size(); ++kind) {
+        for (std::size_t at = 0; at < stageNames.size(); ++at)
+            faults.push_back({ static_cast<fault_kind>(kind), static_cast<stage>(at) });
+    }
+    return faults;
+}
+
+} // namespace
+
+TEST_GROUP(config_matrix){};
+
+// Guards against any of the faults at any of the steps.
+TEST(config_matrix, everyFaultAtEveryStage)
+{
+    for (const planned_fault &each : allFaults()) {
+        matrix_case one({ each });
+        const std::string problem = one.run();
+        CHECK_TEXT(problem.empty(), (toString(each) + ": " + problem).c_str());
+        CHECK_TEXT(one.haveAllStarted(), (toString(each) + " never began").c_str());
+    }
+}
+
+// Guards against two faults at once, or one that comes twice.
+TEST(config_matrix, everyPairOfFaults)
+{
+    const std::vector<planned_fault> faults = allFaults();
+    std::size_t begun = 0;
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < faults.size(); ++i) {
+        for (std::size_t j = i; j < faults.size(); ++j) {
+            matrix_case pair({ faults[i], faults[j] });
+            const std::string problem = pair.run();
+            CHECK_TEXT(
+                    problem.empty(),
+                    (toString(faults[i]) + " and " + toString(faults[j]) + ": " + problem).c_str());
+            ++count;
+            begun += pair.haveAllStarted() ? 1 : 0;
+        }
+    }
+    LONGS_EQUAL(count, begun);
+}
+
+// Guards against checkers that see nothing: each finds its deliberate error.
+TEST(config_matrix, checkersFindDeliberateErrors)
+{
+    const std::vector<std::tuple<sabotage, planned_fault, std::string>> errors{
+        { sabotage::Revert, { fault_kind::AnswerLost, stage::Read }, "reverted" },
+        { sabotage::ExtraChange, { fault_kind::AnswerLost, stage::Read }, "the note's list" },
+        { sabotage::NoProof, { fault_kind::PeerCut, stage::Read }, "M6" },
+        { sabotage::RepeatedCommit,
+          { fault_kind::DuplicateSubmit, stage::Read },
+          "a note was applied twice" },
+        { sabotage::NoSpread,
+          { fault_kind::AnswerLost, stage::Read },
+          "M13: a version is not in force" },
+        { sabotage::WrongAnswer,
+          { fault_kind::OperatorsRace, stage::PutObject },
+          "an operator was told a wrong outcome" },
+    };
+    for (const auto &[error, fault, expected] : errors) {
+        const std::string problem = matrix_case({ fault }, error).run();
+        CHECK_TEXT(!problem.empty(), (expected + " was not found").c_str());
+        CHECK_TEXT(problem.find(expected) != std::string::npos, problem.c_str());
+    }
+}
--- a/tests/unit-ctl.cpp
+++ b/tests/unit-ctl.cpp
@@ -80,6 +80,17 @@
         return wire::answerSubmit(store, note, result);
     }
 
+    /// Reads the platform at every full second.
+    [[nodiscard]] wire::status_report statusReport() const
+    {
+        wire::status_report report;
+        report.version = proofs.held;
+        report.proof = core::proof_source::Platform;
+        report.proofAgeMs = elapsed.count() % 1000;
+        report.isProven = true;
+        return report;
+    }
+
     ctl::admin_reply handle(const std::string &method, const std::string &target,
                             const std::string &body)
     {
@@ -115,6 +126,9 @@
             answer = wire::answerVouch(challenges, spread, proofs, body, wire::hashKey(secret),
                                        core::time_point{});
             break;
+        case wire::admin_route::Status:
+            answer = wire::answerStatus(statusReport());
+            break;
         default:
             answer = wire::answerError(core::error_kind::NotReady);
         }
@@ -237,7 +251,7 @@
 {
     checkCode(exit_code::Done, daemon.run({ "vouch", "--version", "4" }), daemon);
     CHECK_TRUE(daemon.proofs.usable.source == core::proof_source::Operator);
-    checkCode(exit_code::Refused, daemon.run({ "status" }), daemon);
+    checkCode(exit_code::Refused, daemon.run({ "instance", "list" }), daemon);
     const auto challenge =
             nlohmann::json::parse(daemon.handle("POST", "/v1/admin/vouch/challenge", "{}").body);
     const std::string text = challenge.at("challenge");
@@ -252,6 +266,14 @@
     LONGS_EQUAL(400, daemon.handle("POST", "/v1/admin/vouch", valid.dump()).status);
 }
 
+// Guards against a statement that rests on a proof from before the challenge.
+TEST(ctl, vouchWaitsForAProofAfterTheChallenge)
+{
+    daemon.elapsed = milliseconds(300);
+    checkCode(exit_code::Done, daemon.run({ "vouch", "--against", "127.0.0.1:2" }), daemon);
+    CHECK_TRUE(daemon.elapsed >= milliseconds(1000));
+}
+
 TEST_GROUP(admin_json){};
 
 TEST(admin_json, matchesRoutesAndSecrets)
