Check the page's examples and the log with several duties

The examples of docs/api.md are now parsed by the program. The test of the log's ring uses four threads, as the duties do.

--- a/include/fuchsiagw/wire/caller_json.hpp
+++ b/include/fuchsiagw/wire/caller_json.hpp
@@ -25,7 +25,6 @@
 inline constexpr std::size_t maxParameterBytes = 524'288;
 inline constexpr std::size_t maxIdempotencyKeyBytes = 128;
 inline constexpr std::size_t maxKeyBytes = 256; ///< of a workspace's key
-inline constexpr std::size_t maxSessionTokenBytes = 4096;
 inline constexpr std::chrono::milliseconds minTimeLimit{ 1 };
 inline constexpr std::chrono::milliseconds maxTimeLimit{ 60'000 };
 /// Longer than the bound of a failover (5 s), so that a waiting write outlives one.
--- a/src/wire/caller_json.cpp
+++ b/src/wire/caller_json.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/wire/caller_json.hpp>
 
 #include <fuchsiagw/core/configuration.hpp>
+#include <fuchsiagw/wire/session_token.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -486,7 +487,7 @@
     if (header) {
         session.named = true;
         const std::string_view token = trim(*header);
-        if (isToken(token, maxSessionTokenBytes))
+        if (isToken(token, maxTokenLength))
             session.token = token;
         return session;
     }
@@ -501,7 +502,7 @@
         if (token.size() >= 2 && token.front() == '"' && token.back() == '"')
             token = token.substr(1, token.size() - 2);
         const bool isUsable =
-                isToken(token, maxSessionTokenBytes) && (!session.named || session.token == token);
+                isToken(token, maxTokenLength) && (!session.named || session.token == token);
         session.named = true;
         session.token = isUsable ? std::string(token) : std::string();
         if (!isUsable)
--- a/tests/unit-caller-json.cpp
+++ b/tests/unit-caller-json.cpp
@@ -5,10 +5,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include <CppUTest/TestHarness.h>
-
+#include <fstream>
+#include <sstream>
 #include <string>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace fuchsiagw;
 using core::error_kind;
 
@@ -133,6 +135,37 @@
     CHECK_TRUE(wire::parseBegin("", parsed, problem) == error_kind::MalformedBody);
 }
 
+// Guards against examples on the page that the program refuses.
+TEST(caller_body, examplesOfThePageAreAccepted)
+{
+    std::ifstream file(FUCHSIAGW_SOURCE_DIR "/docs/api.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    const std::string text = page.str();
+    int examples = 0;
+    for (std::size_t at = text.find("curl "); at != std::string::npos;
+         at = text.find("curl ", at + 1)) {
+        const std::string route = text.substr(at, text.find("\" -H", at) - at);
+        const std::size_t begin = text.find("-d '", at) + 4;
+        const std::string body = text.substr(begin, text.find('\'', begin) - begin);
+        const auto isRoute = [&route](const char *end) { return route.ends_with(end); };
+        wire::parsed_statement parsed;
+        std::string problem;
+        const std::error_code error =
+                isRoute("/v1/statements")     ? wire::parseStatement(body, parsed, problem)
+                : isRoute("/v1/transactions") ? wire::parseBegin(body, parsed, problem)
+                : isRoute("/commit")          ? wire::parseCommit(body, parsed, problem)
+                                     : wire::parseTransactionStatement(body, parsed, problem);
+        if (error) {
+            // The page shows one refusal with its answer.
+            const std::string answer = wire::errorBody(core::kindOf(error), problem, {});
+            CHECK_TRUE_TEXT(text.find(answer, begin) != std::string::npos, answer.c_str());
+        }
+        ++examples;
+    }
+    LONGS_EQUAL(6, examples);
+}
+
 TEST_GROUP(caller_answer){};
 
 // Guards against an error body without what the caller needs to decide about a retry.
--- a/tests/unit-log-event.cpp
+++ b/tests/unit-log-event.cpp
@@ -7,6 +7,7 @@
 #include <fuchsiagw/daemon/log_sink.hpp>
 
 #include <set>
+#include <thread>
 #include <type_traits>
 
 #include <unistd.h>
@@ -150,8 +151,15 @@
     std::uint64_t lost = 0;
     {
         daemon::log_sink sink({ .path = path, .level = daemon::log_level::Info, .ringLines = 8 });
-        for (std::uint64_t i = 0; i < total; ++i)
-            logEvent(sink, log_event::SettingsRefused, {});
+        std::vector<std::thread> duties;
+        for (std::uint64_t duty = 0; duty < 4; ++duty) {
+            duties.emplace_back([&sink] {
+                for (std::uint64_t i = 0; i < total / 4; ++i)
+                    logEvent(sink, log_event::SettingsRefused, {});
+            });
+        }
+        for (std::thread &duty : duties)
+            duty.join();
         lost = sink.lost();
     }
     std::uint64_t written = 0;
