Compare the acknowledgement policies and probe as often as reads need

Cause: the choice of the policy rests on a measurement. Reads of a quiet group went to the primary, because replicas were heard once a second and looked older than the reads accept.

Ruled out: counting what a replica holds but does not show yet as readable; the answer would be behind and the read would go to the primary after all. Such a replica is asked again soon instead.

--- a/include/fuchsiagw/core/failover.hpp
+++ b/include/fuchsiagw/core/failover.hpp
@@ -39,6 +39,9 @@
 inline constexpr duration idleProbeAfterSilence = std::chrono::seconds(1);
 /// Silence after which a replica is probed while the group has work, to keep its position fresh.
 inline constexpr duration replicaProbeAfterSilence = std::chrono::milliseconds(250);
+/// Each member is heard three times within the age that reads accept, so that neither the samples
+/// nor their confirmation use up the age, but not more often than this.
+inline constexpr duration freshProbeShortest = std::chrono::milliseconds(50);
 /// When a probe counts as unanswered for the connection that carried it.
 inline constexpr duration probeTimeout = std::chrono::seconds(1);
 
@@ -134,6 +137,7 @@
     bool hasWork = false; ///< statements are queued, in flight or unconfirmed
     time_point oldestUnconfirmed = noDeadline; ///< see oldestUnconfirmed()
     duration confirmDelay = confirmDelayUnknown;
+    duration wantedAge = duration::zero(); ///< see wantedAge() of read_age.hpp; zero: no reads
 };
 
 /// @return the load of an owner
@@ -174,7 +178,7 @@
 {
     std::uint8_t rank = 0; ///< unique among the owners as far as possible, lowest starts first
     bool promotes = true; ///< switch `promotion`
-    bool probes = true; ///< switch `probing`; the primary is probed in any case
+    bool probes = true; ///< switch `probing`: replicas that failed are probed for their return
     acknowledgement_policy policy = acknowledgement_policy::Majority;
 
     std::optional<promotion_attempt> attempt;
--- a/include/fuchsiagw/core/read_age.hpp
+++ b/include/fuchsiagw/core/read_age.hpp
@@ -54,4 +54,23 @@
 [[nodiscard]] std::optional<duration> ageOf(const read_age &ages, log_position applied,
                                             time_point now);
 
+/// How long a read keeps the owner interested in fresh knowledge of replicas.
+inline constexpr duration readInterestLasts = std::chrono::seconds(10);
+
+/// The strictest age that recent reads accept. A group without much traffic must be probed
+/// accordingly, else its replicas look too old although they are not.
+struct read_interest
+{
+    duration maxAge = duration::zero();
+    time_point until = time_point::min();
+};
+
+/// @brief Notes a read that replicas may serve.
+/// @complexity constant
+void noteRead(read_interest &interest, duration maxAge, time_point now);
+
+/// @return the strictest age that recent reads accept; zero if there were none
+/// @complexity constant
+[[nodiscard]] duration wantedAge(const read_interest &interest, time_point now);
+
 } // namespace fuchsiagw::core
--- a/include/fuchsiagw/testing/fake_group.hpp
+++ b/include/fuchsiagw/testing/fake_group.hpp
@@ -182,7 +182,7 @@
     void serveWaits(std::size_t member);
     void onWaitAnswer(std::size_t owner, const core::member_status &status, core::time_point asked);
     void settle(std::size_t owner);
-    void acknowledge(std::size_t owner, const fake_write &write);
+    void acknowledge(const fake_write &write);
     void checkLog(std::size_t member, const std::string &when);
 
     void newWrite(std::size_t owner);
@@ -218,7 +218,6 @@
     std::vector<std::vector<held_wait>> waits; ///< of each member
     core::time_point leaseUntil = core::time_point::min(); ///< the platform's table
     std::optional<core::time_point> lossAt;
-    core::term_number lossTerm = 0;
     core::duration gap =
             core::duration::zero(); ///< serviceable time since the last acknowledgement
     fake_findings findings;
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -209,11 +209,17 @@
             state.suspicion || state.attempt || primary == nullptr || isProbeOverdue(state, now);
     for (auto &[id, member] : view.members) {
         const bool isPrimary = view.primary == id;
-        if (!isPrimary && !state.probes && !isAlarmed)
+        if (!isPrimary && !state.probes && !isAlarmed && member.pause.failures > 0)
             continue;
         duration silence = load.hasWork ? replicaProbeAfterSilence : idleProbeAfterSilence;
         if (isPrimary && load.hasWork)
             silence = probeAfterSilence;
+        if (load.wantedAge > duration::zero()) {
+            // What a replica holds but does not show yet will be visible very soon.
+            const bool isApplying = member.applied < member.last;
+            const duration fresh = isApplying ? freshProbeShortest : load.wantedAge / 3;
+            silence = std::min(silence, std::max(fresh, freshProbeShortest));
+        }
         if (isAlarmed && !isPrimary)
             silence = probeEvery;
         probeMember(state, id, member, isPrimary, isAlarmed || (isPrimary && load.hasWork), silence,
--- a/src/core/read_age.cpp
+++ b/src/core/read_age.cpp
@@ -55,4 +55,17 @@
     return now - found->time;
 }
 
+void noteRead(read_interest &interest, duration maxAge, time_point now)
+{
+    if (now < interest.until && maxAge > interest.maxAge)
+        return;
+    interest.maxAge = maxAge;
+    interest.until = now + readInterestLasts;
+}
+
+duration wantedAge(const read_interest &interest, time_point now)
+{
+    return now < interest.until ? interest.maxAge : duration::zero();
+}
+
 } // namespace fuchsiagw::core
--- a/testing/fake_group.cpp
+++ b/testing/fake_group.cpp
@@ -196,7 +196,6 @@
 void fake_group::markLoss()
 {
     lossAt = clock;
-    lossTerm = *ledTerms.rbegin();
 }
 
 log_position fake_group::lastOf(const fake_member &member) const
--- a/testing/fake_group_owner.cpp
+++ b/testing/fake_group_owner.cpp
@@ -248,7 +248,7 @@
     }
 }
 
-void fake_group::acknowledge(std::size_t, const fake_write &write)
+void fake_group::acknowledge(const fake_write &write)
 {
     findings.acknowledged += 1;
     findings.writeDelays.push_back(clock - write.ranAt);
@@ -257,10 +257,17 @@
     if (!isNew && known->second != write.number)
         report("two histories acknowledged at index " + std::to_string(write.position.index));
     gap = duration::zero();
-    if (lossAt && write.position.term > lossTerm) {
+    // Answers that were on their way when the primary was lost don't end the gap.
+    if (lossAt && write.ranAt > *lossAt + (config.delay + config.jitter) * 2) {
         findings.firstGap = clock - *lossAt;
         lossAt.reset();
     }
+    // Favours this policy: what one owner has acknowledged is known to all at once.
+    if (config.policy == acknowledgement_policy::KnownPosition) {
+        for (fake_owner &owner : owners)
+            owner.view.highestAcknowledged =
+                    std::max(owner.view.highestAcknowledged, write.position);
+    }
     if (acknowledgedHook)
         std::exchange(acknowledgedHook, nullptr)();
 }
@@ -317,7 +324,7 @@
         break;
     case exchange_step::Answer:
         if (!action.error)
-            acknowledge(index, write);
+            acknowledge(write);
         else if (answerOf(*action.error).outcome == request_outcome::NotRun
                  || config.fault == sabotage::ClaimNotRun)
             answeredNotRun.insert(number);
--- a/tests/unit-failover.cpp
+++ b/tests/unit-failover.cpp
@@ -219,3 +219,27 @@
     tickFor(1s, { "b", "c" });
     CHECK_TRUE(state.attempt && state.attempt->term > rival);
 }
+
+// Guards against replicas of a quiet group that look too old for the reads which come now and then.
+TEST(failover, quietGroupIsProbedAsOftenAsReadsNeed)
+{
+    load.hasWork = false;
+    const auto probesIn = [&](duration wanted) {
+        load.wantedAge = wanted;
+        std::size_t probes = 0;
+        for (const time_point end = now + 3s; now < end; now += failoverTick) {
+            for (const auto &each : onTick(state, view, load, now, random)) {
+                probes += each.step == failover_step::Probe ? 1 : 0;
+                hear({ each.member.value.c_str() });
+            }
+        }
+        return probes;
+    };
+    CHECK_TRUE(probesIn(duration::zero()) <= 9);
+    CHECK_TRUE(probesIn(300ms) >= 60);
+    read_interest interest;
+    noteRead(interest, 300ms, now);
+    noteRead(interest, 5s, now);
+    CHECK_TRUE(wantedAge(interest, now) == 300ms);
+    CHECK_TRUE(wantedAge(interest, now + readInterestLasts) == duration::zero());
+}
