--- /dev/null
+++ b/tests/unit-limit-keeper.cpp
@@ -0,0 +1,523 @@
+/// @file
+/// @brief Tests of keepers with a fake table and a fake network in virtual time.
+
+#include <fuchsiagw/core/limit_keeper.hpp>
+#include <fuchsiagw/core/rendezvous.hpp>
+#include <fuchsiagw/core/share_table.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+
+using namespace fuchsiagw::core;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr duration stepLength = milliseconds(5);
+const workspace_id workspace{ "libros" };
+const group_id group{ "g1" };
+const resource_id workspaceLimit{ resource_kind::Workspace, "libros" };
+const resource_id groupLimit{ resource_kind::Connections, "g1" };
+
+struct node
+{
+    limit_keeper keeper;
+    bool isAlive = true;
+    time_point pausedUntil{};
+    double offered = 0; ///< statements per second
+    double arrivals = 0; ///< fraction of the next statement
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+    std::uint32_t demand = 0; ///< connections that it would open
+    std::uint32_t limit = 0;
+    std::uint32_t open = 0;
+    time_point closeAt = noDeadline; ///< when exchanges above the limit have ended
+    bool isExpired = false;
+};
+
+struct event
+{
+    time_point at{};
+    std::uint64_t number = 0;
+    std::function<void()> run;
+
+    friend bool operator<(const event &left, const event &right)
+    {
+        return left.at == right.at ? left.number > right.number : left.at > right.at;
+    }
+};
+
+struct world
+{
+    time_point now{ seconds(100) };
+    random_engine random{ 7 };
+    std::vector<std::unique_ptr<node>> nodes;
+    std::priority_queue<event> events;
+    std::uint64_t nextEvent = 0;
+    configuration config;
+    std::map<std::string, table_row> table;
+    std::map<std::string, transact_answer> remembered;
+    time_point darkUntil{};
+    int answersToLose = 0;
+    std::uint64_t scans = 0;
+    std::uint64_t writes = 0;
+    share_count connections = 16; ///< greatest sum that is allowed now
+
+    void after(duration delay, std::function<void()> run)
+    {
+        events.push({ now + delay, nextEvent++, std::move(run) });
+    }
+
+    std::vector<peer_ref> live() const
+    {
+        std::vector<peer_ref> all;
+        for (const auto &each : nodes)
+            if (each->isAlive && !each->keeper.isLeaving)
+                all.push_back(each->keeper.self);
+        return all;
+    }
+
+    /// The owner of the group in a zone.
+    node &owner(int zone)
+    {
+        const zone_name name{ "z" + std::to_string(zone) };
+        std::vector<instance_id> instances;
+        for (const peer_ref &each : live())
+            if (each.zone == name)
+                instances.push_back(each.instance);
+        const instance_id first = rankInstances(ownerKey(group, name), instances).front();
+        return **std::find_if(nodes.begin(), nodes.end(), [&](const auto &each) {
+            return each->isAlive && each->keeper.self.instance == first;
+        });
+    }
+
+    /// Tells everybody who is live and who owns the group.
+    void announce()
+    {
+        const auto peers = live();
+        const std::set<const node *> owners{ &owner(0), &owner(1), &owner(2) };
+        for (auto &each : nodes) {
+            if (!each->isAlive)
+                continue;
+            const bool isOwner = owners.contains(each.get());
+            apply(*each, [&](keeper_actions &actions) {
+                onPeers(each->keeper, peers, now, random, actions);
+                onOwnedGroups(each->keeper,
+                              isOwner ? std::set<group_id>{ group } : std::set<group_id>{}, now,
+                              random, actions);
+            });
+        }
+    }
+
+    node &add(int zone)
+    {
+        const auto id = static_cast<incarnation_id>(nodes.size() + 1);
+        const peer_ref self{ id, instance_id{ "i" + std::to_string(id) },
+                             zone_name{ "z" + std::to_string(zone) } };
+        node &added = *nodes.emplace_back(std::make_unique<node>());
+        added.keeper = makeKeeper(self, {}, now);
+        apply(added, [&](keeper_actions &actions) {
+            onConfiguration(added.keeper, config, now, random, actions);
+        });
+        return added;
+    }
+
+    transact_answer transact(const transact_request &request)
+    {
+        const auto known = remembered.find(request.id);
+        if (known != remembered.end())
+            return known->second;
+        transact_answer answer{ true, {} };
+        for (const row_check &check : request.checks)
+            if (table[check.key].version != check.version) {
+                answer.committed = false;
+                answer.conflicts.push_back(check.key);
+            }
+        if (answer.committed) {
+            ++writes;
+            for (const row_put &put : request.puts)
+                table[put.key] = { put.key, table[put.key].version + 1, put.value };
+            for (const std::string &key : request.deletes)
+                table.erase(key);
+        }
+        return remembered[request.id] = answer;
+    }
+
+    void call(node &from, const keeper_call &order)
+    {
+        if (now < darkUntil) {
+            after(seconds(1), [this, &from, order] { answer(from, order, {}, {}); });
+            return;
+        }
+        after(milliseconds(10), [this, &from, order] {
+            if (const auto *prefix = std::get_if<std::string>(&order.order)) {
+                ++scans;
+                scan_answer rows;
+                for (const auto &[key, row] : table)
+                    if (key.starts_with(*prefix) && row.version > 0)
+                        rows.rows.push_back(row);
+                after(milliseconds(10),
+                      [this, &from, order, rows] { answer(from, order, rows, {}); });
+                return;
+            }
+            const transact_answer result = transact(std::get<transact_request>(order.order));
+            const bool isLost = answersToLose > 0 && result.committed;
+            answersToLose -= isLost ? 1 : 0;
+            after(isLost ? seconds(1) : milliseconds(10), [this, &from, order, result, isLost] {
+                answer(from, order, {}, isLost ? std::nullopt : std::optional(result));
+            });
+        });
+    }
+
+    void answer(node &to, const keeper_call &order, const std::optional<scan_answer> &rows,
+                const std::optional<transact_answer> &result)
+    {
+        apply(to, [&](keeper_actions &actions) {
+            if (std::holds_alternative<std::string>(order.order))
+                onScan(to.keeper, order.number, rows, now, random, actions);
+            else
+                onTransact(to.keeper, order.number, result, now, random, actions);
+        });
+    }
+
+    void apply(node &at, const std::function<void(keeper_actions &)> &run)
+    {
+        if (!at.isAlive)
+            return;
+        if (now < at.pausedUntil) {
+            after(at.pausedUntil - now, [this, &at, run] { apply(at, run); });
+            return;
+        }
+        keeper_actions actions;
+        run(actions);
+        for (const keeper_action &each : actions) {
+            if (const auto *message = std::get_if<keeper_send>(&each))
+                deliver(at, *message);
+            else if (const auto *order = std::get_if<keeper_call>(&each))
+                call(at, *order);
+            else if (const auto *admitted = std::get_if<keeper_admitted>(&each))
+                ++(admitted->granted ? at.granted : at.refused);
+            else if (const auto *allowed = std::get_if<keeper_connections>(&each))
+                at.limit = allowed->limit;
+            else
+                at.isExpired = true;
+        }
+    }
+
+    void deliver(const node &from, const keeper_send &message)
+    {
+        const incarnation_id sender = from.keeper.self.incarnation;
+        after(milliseconds(4), [this, sender, message] {
+            node &to = *nodes.at(message.to - 1);
+            apply(to, [&, message](keeper_actions &actions) {
+                onMessage(to.keeper, sender, message.body, now, random, actions);
+            });
+        });
+    }
+
+    /// Opens connections up to the limit; those above it end just before connectionWindDown.
+    void useConnections(node &each)
+    {
+        if (each.open <= each.limit)
+            each.closeAt = noDeadline;
+        else if (each.closeAt == noDeadline)
+            each.closeAt = now + connectionWindDown - milliseconds(50);
+        if (now >= each.closeAt)
+            each.open = each.limit;
+        else if (each.open <= each.limit)
+            each.open = std::min(each.limit, each.demand);
+        setGroupDemand(each.keeper, group, each.open,
+                       each.demand > each.open ? each.demand - each.open : 0, now);
+    }
+
+    void step()
+    {
+        now += stepLength;
+        while (!events.empty() && events.top().at <= now) {
+            const event next = events.top();
+            events.pop();
+            next.run();
+        }
+        for (auto &pointer : nodes) {
+            node &each = *pointer;
+            if (!each.isAlive || now < each.pausedUntil)
+                continue;
+            useConnections(each);
+            apply(each, [&](keeper_actions &actions) {
+                each.arrivals += each.offered * std::chrono::duration<double>(stepLength).count();
+                for (; each.arrivals >= 1; each.arrivals -= 1) {
+                    const admission decision =
+                            admitStatement(each.keeper, workspace, 0, now, actions);
+                    each.granted += decision == admission::Granted ? 1 : 0;
+                    each.refused += decision == admission::Refused ? 1 : 0;
+                }
+                if (nextKeeperTick(each.keeper) <= now)
+                    tickKeeper(each.keeper, now, random, actions);
+            });
+        }
+        check();
+    }
+
+    void check()
+    {
+        share_count shares = 0;
+        share_count links = 0;
+        share_count open = 0;
+        for (auto &each : nodes) {
+            if (!each->isAlive || each->isExpired)
+                continue;
+            shares += usableShares(each->keeper.rates.limits.at(workspaceLimit).book, now);
+            open += each->open;
+            const auto entry = each->keeper.connections.limits.find(groupLimit);
+            if (entry != each->keeper.connections.limits.end())
+                links += usableShares(entry->second.book, now);
+        }
+        CHECK_TRUE(shares <= workspaceShares);
+        CHECK_TRUE(links <= connections);
+        CHECK_TRUE(open <= connections);
+    }
+
+    void run(duration length)
+    {
+        for (const time_point end = now + length; now < end;)
+            step();
+    }
+
+    share_count home(const resource_id &resource) const
+    {
+        share_count sum = 0;
+        for (const auto &[key, row] : table)
+            if (const auto parsed = parseShareRow(key, row.value))
+                if (const auto *lease = std::get_if<lease_row>(&*parsed))
+                    sum += lease->homes.contains(resource) ? lease->homes.at(resource) : 0;
+        return sum;
+    }
+
+    pool_row pool(const resource_id &resource) const
+    {
+        return std::get<pool_row>(
+                *parseShareRow(poolKey(resource), table.at(poolKey(resource)).value));
+    }
+
+    void count(std::uint64_t &granted, std::uint64_t &refused)
+    {
+        granted = refused = 0;
+        for (const auto &each : nodes) {
+            granted += each->granted;
+            refused += each->refused;
+            each->granted = each->refused = 0;
+        }
+    }
+};
+
+} // namespace
+
+TEST_GROUP(limit_keeper)
+{
+    world all;
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+
+    void start(int count)
+    {
+        all.config.version = 1;
+        all.config.workspaces[workspace] = { 100, 100, { group }, {}, {} };
+        all.config.groups[group].connections = 16;
+        for (int i = 0; i < count; ++i)
+            all.add(i % 3);
+        all.announce();
+        all.run(seconds(12));
+        all.writes = all.scans = 0;
+        all.count(granted, refused);
+    }
+    void kill(std::size_t index)
+    {
+        all.nodes[index]->isAlive = false;
+        all.after(seconds(1), [this] { all.announce(); });
+    }
+    void configure()
+    {
+        for (auto &each : all.nodes)
+            all.apply(*each, [&](keeper_actions &actions) {
+                onConfiguration(each->keeper, all.config, all.now, all.random, actions);
+            });
+    }
+};
+
+// Guards against instances that do not join, and against shares that nobody gets.
+TEST(limit_keeper, joinDividesEverything)
+{
+    start(9);
+    LONGS_EQUAL(workspaceShares, all.home(workspaceLimit));
+    LONGS_EQUAL(16, all.home(groupLimit));
+    std::uint32_t sum = 0;
+    for (int zone = 0; zone < 3; ++zone) {
+        CHECK_TRUE(all.owner(zone).limit >= 5);
+        sum += all.owner(zone).limit;
+    }
+    LONGS_EQUAL(16, sum);
+    all.run(seconds(60));
+    LONGS_EQUAL(0, all.writes);
+    CHECK_TRUE(all.scans <= 18); // at most one late look by each, which reads two rows
+}
+
+// Guards against refusals inside the rate when the load meets one instance, also while the
+// platform is dark.
+TEST(limit_keeper, servesUnevenDemandWithoutPlatform)
+{
+    start(9);
+    all.nodes[4]->offered = 80;
+    all.run(seconds(5));
+    all.count(granted, refused);
+    LONGS_EQUAL(0, refused);
+    all.darkUntil = all.now + seconds(60);
+    all.run(seconds(60));
+    all.count(granted, refused);
+    LONGS_EQUAL(0, refused);
+    CHECK_TRUE(granted >= 4'780);
+    all.nodes[4]->offered = 300;
+    all.run(seconds(10));
+    all.count(granted, refused);
+    CHECK_TRUE(granted >= 950 && granted <= 1'101); // the rate plus at most one burst
+}
+
+// Guards against connections that stay where nobody uses them, and against a limit that ends
+// before the exchanges have.
+TEST(limit_keeper, lendsConnectionsToTheBusyOwner)
+{
+    start(9);
+    node &first = all.owner(0);
+    node &second = all.owner(2);
+    first.demand = 12;
+    all.run(seconds(5));
+    CHECK_TRUE(first.open >= 11);
+    for (int i = 0; i < 100; ++i) {
+        all.run(milliseconds(200));
+        CHECK_TRUE(first.limit >= 11);
+    }
+    first.demand = 0;
+    second.demand = 12;
+    all.run(seconds(12));
+    CHECK_TRUE(second.open >= 11);
+}
+
+// Guards against shares that a planned stop leaves behind, and against one that never ends.
+TEST(limit_keeper, leavesWithAllShares)
+{
+    start(9);
+    node &owner = all.owner(0);
+    node &busy = all.owner(1).keeper.self.instance.value == "i5" ? *all.nodes[1] : *all.nodes[4];
+    owner.demand = 3;
+    busy.offered = 80;
+    all.run(seconds(5));
+    busy.offered = 0;
+    for (node *each : { &owner, &busy })
+        all.apply(*each, [&](keeper_actions &actions) {
+            startLeaving(each->keeper, all.now, all.random, actions);
+        });
+    all.announce();
+    all.run(seconds(3));
+    owner.demand = 0;
+    all.run(seconds(9));
+    for (const node *each : { &owner, &busy }) {
+        CHECK_TRUE(hasLeft(each->keeper));
+        LONGS_EQUAL(0, all.table.count(leaseKey(each->keeper.self.incarnation)));
+    }
+    all.run(seconds(40));
+    LONGS_EQUAL(16, all.home(groupLimit));
+    CHECK_TRUE(all.home(workspaceLimit) >= workspaceShares * 99 / 100);
+}
+
+// Guards against shares that die with an instance.
+TEST(limit_keeper, reclaimsTheSharesOfADeadInstance)
+{
+    start(9);
+    const std::array<incarnation_id, 2> dead{ all.owner(0).keeper.self.incarnation, 8 };
+    for (const incarnation_id each : dead)
+        kill(each - 1);
+    all.run(seconds(50));
+    for (const incarnation_id each : dead)
+        LONGS_EQUAL(0, all.table.count(leaseKey(each)));
+    LONGS_EQUAL(16, all.home(groupLimit));
+    CHECK_TRUE(all.home(workspaceLimit) >= workspaceShares * 99 / 100);
+    CHECK_TRUE(all.writes <= 40);
+}
+
+// Guards against a paused instance that uses shares which were reclaimed meanwhile.
+TEST(limit_keeper, expiredIncarnationGrantsNothing)
+{
+    start(4);
+    node &paused = *all.nodes[3];
+    paused.demand = 0;
+    paused.pausedUntil = all.now + seconds(30);
+    all.run(seconds(35));
+    CHECK_TRUE(paused.isExpired);
+    LONGS_EQUAL(0, all.table.count(leaseKey(4)));
+    keeper_actions actions;
+    CHECK_TRUE(admitStatement(paused.keeper, workspace, 1, all.now, actions) == admission::Refused);
+}
+
+// Guards against a transaction that counts twice, or not at all, when its answer is lost.
+TEST(limit_keeper, readsBackAfterALostAnswer)
+{
+    all.answersToLose = 6;
+    start(5);
+    LONGS_EQUAL(0, all.answersToLose);
+    all.answersToLose = 4;
+    all.add(0);
+    all.announce();
+    all.run(seconds(30));
+    LONGS_EQUAL(0, all.answersToLose);
+    for (const auto &each : all.nodes) {
+        const auto row = parseShareRow(leaseKey(each->keeper.self.incarnation),
+                                       all.table[leaseKey(each->keeper.self.incarnation)].value);
+        LONGS_EQUAL(std::get<lease_row>(*row).homes.at(workspaceLimit),
+                    each->keeper.rates.limits.at(workspaceLimit).book.home);
+    }
+    LONGS_EQUAL(workspaceShares, all.home(workspaceLimit) + all.pool(workspaceLimit).free);
+}
+
+// Guards against a change of a group's connections that never reaches the pool.
+TEST(limit_keeper, followsTheConfiguration)
+{
+    start(9);
+    for (int zone = 0; zone < 3; ++zone)
+        all.owner(zone).demand = 16;
+    all.config.groups[group].connections = 30;
+    all.connections = 30;
+    configure();
+    all.run(seconds(8));
+    LONGS_EQUAL(30, all.home(groupLimit));
+    LONGS_EQUAL(30, all.owner(0).open + all.owner(1).open + all.owner(2).open);
+    all.config.groups[group].connections = 7;
+    configure();
+    all.run(seconds(12));
+    all.connections = 7;
+    all.run(seconds(1));
+    LONGS_EQUAL(7, all.home(groupLimit));
+    LONGS_EQUAL(7, all.pool(groupLimit).total);
+    all.config.workspaces.clear();
+    configure();
+    all.run(seconds(8));
+    LONGS_EQUAL(0, all.home(workspaceLimit));
+}
+
+// Guards against a row that is read although it was damaged.
+TEST(limit_keeper, rowsAreParsedStrictly)
+{
+    const lease_row lease{ 5,        instance_id{ "i5" },   zone_name{ "a" },
+                           { 1, 2 }, { { groupLimit, 3 } }, "5-1" };
+    const std::string text = *toValue(lease);
+    CHECK_TRUE(std::get<lease_row>(*parseShareRow("lease/5", text)) == lease);
+    CHECK_FALSE(parseShareRow("lease/6", text).has_value());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        CHECK_FALSE(parseShareRow("lease/5", text.substr(0, i)).has_value());
+        CHECK_FALSE(parseShareRow("lease/5", text.substr(0, i) + ' ' + text.substr(i)).has_value());
+    }
+    CHECK_FALSE(toValue(lease_row{ 5, instance_id{ "a b" }, zone_name{ "a" }, {}, {}, "t" }));
+}
