Connect peers, forwarding, membership and the keeper of the limits to the decisions

Cause: statements must reach the owner of their group, and limits hold over all instances together.

Ruled out: a share of its own for the incarnation of the limits; an expired incarnation gives the whole process a new one, so that peers see it as restarted.

Conclusion: the gateway stays free of I/O with all of its parts, so that it can run in virtual time.

--- a/include/fuchsiagw/core/gateway.hpp
+++ b/include/fuchsiagw/core/gateway.hpp
@@ -9,8 +9,8 @@
 #include <fuchsiagw/core/gateway_action.hpp>
 #include <fuchsiagw/core/group_owner.hpp>
 #include <fuchsiagw/core/key_check.hpp>
+#include <fuchsiagw/core/limit_keeper.hpp>
 #include <fuchsiagw/core/session.hpp>
-#include <fuchsiagw/core/share_book.hpp>
 
 #include <cstdint>
 #include <map>
@@ -51,6 +51,7 @@
     session known; ///< what the answer's token is made from
     std::optional<instance_id> forwardedTo;
     std::uint32_t forwards = 0;
+    bool isWaiting = false; ///< for a token of its workspace
     bool mayHaveRun = false; ///< a forward was written whose answer never came
 };
 
@@ -71,7 +72,8 @@
 
     std::map<instance_id, peer_instance> peers; ///< without this instance
     std::map<group_id, group_owner> owners;
-    std::map<workspace_id, share_book> books; ///< rate and burst of each workspace
+    limit_keeper keeper; ///< rates, bursts and connections over all instances
+    std::set<incarnation_id> ownIncarnations; ///< all that this process has had
     std::map<std::uint64_t, entry_statement> entries; ///< by handle
     std::set<std::pair<time_point, std::uint64_t>> deadlines;
     std::uint64_t nextHandle = 1;
@@ -87,6 +89,22 @@
     gateway_actions &actions;
 };
 
+/// @brief Prepares a gateway without configuration.
+/// @param self its zone and instance; the incarnation is a fresh random number
+[[nodiscard]] gateway makeGateway(const peer_ref &self, const keeper_settings &settings,
+                                  time_point now);
+
+/// @brief Takes in which entry instances are live.
+void onLivePeers(gateway_turn &turn, std::vector<peer_ref> live);
+
+/// @brief Hands an event to the keeper of the limits and passes its actions on.
+/// @param step calls one of the functions of limit_keeper.hpp
+template <typename function>
+void withKeeper(gateway_turn &turn, function &&step);
+
+/// @brief Turns the keeper's actions into the gateway's.
+void passOn(gateway_turn &turn, keeper_actions &&actions);
+
 /// @brief Puts a configuration in force. Versions only go forward.
 /// @return false if @p config is not newer than the one in force
 /// @complexity linear in the configuration
@@ -119,19 +137,31 @@
 /// @return the time at which advance() must be called again at the latest
 [[nodiscard]] time_point nextWakeup(const gateway &state);
 
-/// @brief Sets the number of connections that this instance may have to a group.
-void setConnectionLimit(gateway_turn &turn, const group_id &group, std::uint32_t limit);
+/// @brief Begins a planned stop: owns nothing more, returns its shares when nothing is left to
+/// answer.
+void startDraining(gateway_turn &turn);
 
 /// @return the instance that owns the zone's connections to a group; next ones in order after it
 [[nodiscard]] std::vector<instance_id> rankOwners(const gateway &state, const group_id &group,
                                                   time_point now);
 
+/// @return the owners of a group in the other zones, as far as this instance knows
+[[nodiscard]] std::vector<instance_id> rankOtherOwners(const gateway &state, const group_id &group);
+
 /// @return whether every accepted request is answered and no transaction is open
 [[nodiscard]] bool isDrained(const gateway &state);
 
 /// @brief Turns an owner's actions into the gateway's; answers go to whoever sent the statement.
 void passOn(gateway_turn &turn, const group_id &group, owner_actions &&actions);
 
+template <typename function>
+void withKeeper(gateway_turn &turn, function &&step)
+{
+    keeper_actions actions;
+    step(turn.state.keeper, actions);
+    passOn(turn, std::move(actions));
+}
+
 template <typename function>
 void withOwner(gateway_turn &turn, const group_id &group, function &&step)
 {
--- a/include/fuchsiagw/core/gateway_action.hpp
+++ b/include/fuchsiagw/core/gateway_action.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/core/ids.hpp>
+#include <fuchsiagw/core/limit_keeper.hpp>
 #include <fuchsiagw/core/owner_action.hpp>
 #include <fuchsiagw/core/session.hpp>
 #include <fuchsiagw/core/statement.hpp>
@@ -48,7 +49,14 @@
     statement_answer answer;
 };
 
-using gateway_action = std::variant<group_action, caller_reply, forward_statement, forward_result>;
+/// The incarnation was voted expired; the process goes on under this new one.
+struct incarnation_changed
+{
+    incarnation_id incarnation = 0;
+};
+
+using gateway_action = std::variant<group_action, caller_reply, forward_statement, forward_result,
+                                    keeper_send, keeper_call, incarnation_changed>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/include/fuchsiagw/daemon/decide.hpp
+++ b/include/fuchsiagw/daemon/decide.hpp
@@ -3,9 +3,10 @@
 
 #pragma once
 
-#include <fuchsiagw/core/config_store.hpp>
 #include <fuchsiagw/core/gateway.hpp>
+#include <fuchsiagw/daemon/cluster.hpp>
 #include <fuchsiagw/daemon/log_event.hpp>
+#include <fuchsiagw/daemon/peer_duty.hpp>
 #include <fuchsiagw/daemon/settings.hpp>
 #include <fuchsiagw/daemon/upstream.hpp>
 #include <fuchsiagw/platform/platform_client.hpp>
@@ -39,6 +40,8 @@
     std::function<void(core::caller_reply &&)> reply;
     std::function<void(core::group_action &&)> toUpstream;
     std::function<void(platform_request &&)> toPlatform;
+    std::function<void(peer_order &&)> toPeers;
+    std::function<void(core::incarnation_id)> setIncarnation;
     std::function<void(bool)> setReady;
 };
 
@@ -53,20 +56,27 @@
     void onCaller(core::caller_request &request);
     void onUpstream(upstream_event &event);
     void onPlatform(platform_event &event);
+    void onPeer(peer_event &event);
+
+    [[nodiscard]] core::incarnation_id incarnation() const { return gateway_.incarnation; }
 
     /// @brief Begins a planned stop; @p done is called once when nothing is left to answer.
     void drain(std::function<void()> done);
 
 private:
-    using platform_handler =
-            std::function<void(platform::platform_result &&, core::time_point sentAt)>;
-
     struct pending_request
     {
         platform_handler done;
         core::time_point sentAt;
     };
 
+    /// Where the answer to a forward that was taken in goes.
+    struct forward_origin
+    {
+        net::link_id link = 0;
+        core::request_id request;
+    };
+
     void tick();
     void flush();
     void perform(core::gateway_action &&action);
@@ -74,9 +84,20 @@
     void log(const core::group_id &group, const core::owner_notice &notice);
     void log(const core::caller_reply &reply);
     void callPlatform(platform::platform_order order, platform_handler done);
-    void watchConfiguration();
-    void fetch(const core::fetch_source &source);
-    void takeIn(const core::fetch_source &source, std::string_view body);
+    void callKeeperOrder(core::keeper_call &&call);
+    void onMembers();
+    void claim(const core::group_id &group, core::term_number term);
+    void send(core::keeper_send &&message);
+    void send(core::forward_statement &&forward);
+    void send(core::forward_result &&result);
+    void send(const core::group_id &group, const core::publish_to_owners &view);
+    void take(peer_heard &event);
+    void take(peer_message &event);
+    void take(peer_forward &event);
+    void take(forward_answered &event);
+    void take(forward_lost &event);
+    void take(configuration_wanted &event);
+    void take(configuration_came &event);
     [[nodiscard]] core::gateway_turn turn();
 
     boost::asio::steady_timer timer_;
@@ -86,10 +107,10 @@
     core::random_engine random_;
     core::gateway gateway_;
     core::gateway_actions actions_;
-    core::config_store store_;
+    cluster cluster_;
     core::time_point now_;
-    core::time_point nextWatch_;
-    bool isWatching_ = false;
+    std::map<std::uint64_t, forward_origin> origins_; ///< of forwards taken in, by ticket
+    std::uint64_t nextOrigin_ = 1;
     std::map<std::uint64_t, pending_request> requests_;
     std::uint64_t nextRequest_ = 1;
     std::function<void()> drained_;
--- a/include/fuchsiagw/daemon/peer_duty.hpp
+++ b/include/fuchsiagw/daemon/peer_duty.hpp
@@ -136,6 +136,9 @@
 
     void perform(peer_order &order);
 
+    /// @brief Goes on under another incarnation; links of the old one are closed by the peers.
+    void setIncarnation(core::incarnation_id self);
+
     [[nodiscard]] peer_traffic traffic() const;
 
 private:
@@ -179,6 +182,7 @@
                                  core::incarnation_id receiver, const type &body);
     void sayHello(net::link_id link);
 
+    wire::peer_keys keys_;
     wire::peer_codec codec_;
     wire::sender_info sender_;
     net::endpoint listenAt_;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -114,12 +114,6 @@
     return kind != statement_kind::Commit && kind != statement_kind::Rollback;
 }
 
-bool takeTokenOf(gateway &state, const workspace_id &workspace, time_point now)
-{
-    const auto book = state.books.find(workspace);
-    return book != state.books.end() && takeToken(book->second, now);
-}
-
 void setSession(statement_request &statement, const caller_request &request)
 {
     std::optional<log_position> position = log_position{};
@@ -187,7 +181,7 @@
 
 void dispatchTransaction(gateway_turn &turn, std::uint64_t handle, incarnation_id owner)
 {
-    if (owner == turn.state.incarnation) {
+    if (turn.state.ownIncarnations.count(owner) != 0) {
         submitHere(turn, handle);
         return;
     }
@@ -236,11 +230,14 @@
 void chooseOwners(gateway_turn &turn)
 {
     gateway &state = turn.state;
+    std::set<group_id> owned;
     for (const auto &[group, settings] : state.config.groups) {
         const std::vector<instance_id> ranked = rankOwners(state, group, turn.now);
         const bool isOwner = !ranked.empty() && ranked.front() == state.instance;
         if (!isOwner && state.owners.count(group) == 0)
             continue;
+        if (isOwner)
+            owned.insert(group);
         group_owner &owner = ownerOf(state, group);
         owner.isWatching = isOwner;
         owner.failover.rank = ownerRank(state);
@@ -248,6 +245,71 @@
         owner.failover.promotes = isAutomatic(state.config, automatic_action::Promotion);
         owner.failover.probes = isAutomatic(state.config, automatic_action::Probing);
     }
+    withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
+        onOwnedGroups(keeper, owned, turn.now, turn.random, actions);
+    });
+}
+
+/// Takes a token of the workspace, or waits for one.
+void admit(gateway_turn &turn, std::uint64_t handle)
+{
+    entry_statement &entry = turn.state.entries.at(handle);
+    admission result = admission::Refused;
+    keeper_actions actions;
+    result = admitStatement(turn.state.keeper, entry.request.workspace, handle, turn.now, actions);
+    entry.isWaiting = result == admission::Wait;
+    passOn(turn, std::move(actions));
+    if (result == admission::Granted)
+        dispatch(turn, handle);
+    else if (result == admission::Refused)
+        fail(turn, handle, error_kind::RateLimited);
+}
+
+void onAdmitted(gateway_turn &turn, const keeper_admitted &outcome)
+{
+    const auto entry = turn.state.entries.find(outcome.ticket);
+    if (entry == turn.state.entries.end() || !entry->second.isWaiting)
+        return;
+    entry->second.isWaiting = false;
+    if (outcome.granted)
+        dispatch(turn, outcome.ticket);
+    else
+        fail(turn, outcome.ticket, error_kind::RateLimited);
+}
+
+void limitConnections(gateway_turn &turn, const group_id &group, std::uint32_t limit)
+{
+    owner_actions actions;
+    setConnectionLimit(ownerOf(turn.state, group), limit, turn.now, turn.random, actions);
+    passOn(turn, group, std::move(actions));
+}
+
+void reportDemand(gateway &state, const group_owner &owner, time_point now)
+{
+    const std::size_t waiting = owner.queue.length + owner.readyCount;
+    setGroupDemand(state.keeper, owner.group,
+                   static_cast<std::uint32_t>(owner.pool.connections.size()),
+                   static_cast<std::uint32_t>(waiting), now);
+}
+
+/// A process that was paused for too long has lost its shares to the others. It joins anew.
+void startAnew(gateway_turn &turn)
+{
+    gateway &state = turn.state;
+    state.incarnation = turn.random();
+    state.ownIncarnations.insert(state.incarnation);
+    const peer_ref self{ state.incarnation, state.instance, state.zone };
+    state.keeper = makeKeeper(self, state.keeper.settings, turn.now);
+    turn.actions.emplace_back(incarnation_changed{ state.incarnation });
+    withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
+        onConfiguration(keeper, state.config, turn.now, turn.random, actions);
+    });
+    for (auto &[group, owner] : state.owners) {
+        owner_actions actions;
+        setConnectionLimit(owner, 0, turn.now, turn.random, actions);
+        passOn(turn, group, std::move(actions));
+    }
+    state.nextOwnerCheck = turn.now;
 }
 
 bool mayRepeat(const statement_request &request)
@@ -277,18 +339,14 @@
     state.keys = indexKeys(config);
     state.nextOwnerCheck = turn.now;
     setHeld(state.proof, config.version);
-    for (const auto &[id, workspace] : config.workspaces) {
-        share_book &book = state.books[id];
-        setLimit(book, static_cast<std::int64_t>(workspace.rate * oneToken),
-                 static_cast<token_amount>(workspace.burst * oneToken), workspaceShares, turn.now);
-    }
-    std::erase_if(state.books,
-                  [&](const auto &each) { return config.workspaces.count(each.first) == 0; });
     for (auto &[group, owner] : state.owners) {
         const auto settings = config.groups.find(group);
         if (settings != config.groups.end())
             applySettings(owner.view, group, settings->second);
     }
+    withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
+        onConfiguration(keeper, config, turn.now, turn.random, actions);
+    });
     return true;
 }
 
@@ -314,16 +372,17 @@
         refuse(turn, request, key.workspace, *problem);
         return;
     }
-    if (costsToken(request.statement.kind) && !takeTokenOf(state, key.workspace, turn.now)) {
-        refuse(turn, request, key.workspace, error_kind::RateLimited);
-        return;
-    }
     entry_statement entry;
     entry.ticket = request.ticket;
     entry.request = request.statement;
     setSession(entry.request, request);
     entry.known = request.known.value_or(session{ key.workspace, {}, request.sessionNamed });
-    dispatch(turn, insertEntry(state, std::move(entry)));
+    const bool isLimited = costsToken(entry.request.kind);
+    const std::uint64_t handle = insertEntry(state, std::move(entry));
+    if (isLimited)
+        admit(turn, handle);
+    else
+        dispatch(turn, handle);
 }
 
 void onForwarded(gateway_turn &turn, const instance_id &from, std::uint64_t ticket,
@@ -380,17 +439,25 @@
         advance(owner, turn.now, turn.random, actions);
         passOn(turn, group, std::move(actions));
     }
-    // An owner answers at the deadline itself; only what was forwarded can be left.
+    withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
+        tickKeeper(keeper, turn.now, turn.random, actions);
+        if (state.isDraining && state.entries.empty() && !keeper.isLeaving)
+            startLeaving(keeper, turn.now, turn.random, actions);
+    });
+    // An owner answers at the deadline itself; only what was forwarded or not admitted is left.
     constexpr duration answerMargin = std::chrono::milliseconds(50);
     while (!state.deadlines.empty() && state.deadlines.begin()->first + answerMargin <= turn.now) {
         const std::uint64_t handle = state.deadlines.begin()->second;
-        fail(turn, handle, lostForward(state.entries.at(handle).request));
+        const entry_statement &entry = state.entries.at(handle);
+        if (entry.isWaiting)
+            abandonStatement(state.keeper, entry.request.workspace, handle);
+        fail(turn, handle, entry.isWaiting ? error_kind::RateLimited : lostForward(entry.request));
     }
 }
 
 time_point nextWakeup(const gateway &state)
 {
-    time_point next = noDeadline;
+    time_point next = nextKeeperTick(state.keeper);
     for (const auto &[group, owner] : state.owners)
         next = std::min(next, nextWakeup(owner));
     if (!state.deadlines.empty())
@@ -398,14 +465,29 @@
     return next;
 }
 
-void setConnectionLimit(gateway_turn &turn, const group_id &group, std::uint32_t limit)
+gateway makeGateway(const peer_ref &self, const keeper_settings &settings, time_point now)
 {
-    if (turn.state.config.groups.count(group) == 0)
-        return;
-    group_owner &owner = ownerOf(turn.state, group);
-    owner_actions actions;
-    setConnectionLimit(owner, limit, turn.now, turn.random, actions);
-    passOn(turn, group, std::move(actions));
+    gateway state;
+    state.instance = self.instance;
+    state.zone = self.zone;
+    state.incarnation = self.incarnation;
+    state.ownIncarnations.insert(self.incarnation);
+    state.keeper = makeKeeper(self, settings, now);
+    return state;
+}
+
+void onLivePeers(gateway_turn &turn, std::vector<peer_ref> live)
+{
+    withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
+        onPeers(keeper, std::move(live), turn.now, turn.random, actions);
+    });
+    turn.state.nextOwnerCheck = turn.now;
+}
+
+void startDraining(gateway_turn &turn)
+{
+    turn.state.isDraining = true;
+    turn.state.nextOwnerCheck = turn.now;
 }
 
 std::vector<instance_id> rankOwners(const gateway &state, const group_id &group, time_point now)
@@ -420,6 +502,19 @@
     return rankInstances(ownerKey(group, state.zone), candidates);
 }
 
+std::vector<instance_id> rankOtherOwners(const gateway &state, const group_id &group)
+{
+    std::map<zone_name, std::vector<instance_id>> zones;
+    for (const auto &[instance, peer] : state.peers) {
+        if (peer.isLive && peer.zone != state.zone)
+            zones[peer.zone].push_back(instance);
+    }
+    std::vector<instance_id> owners;
+    for (const auto &[zone, candidates] : zones)
+        owners.push_back(rankInstances(ownerKey(group, zone), candidates).front());
+    return owners;
+}
+
 bool isDrained(const gateway &state)
 {
     return state.entries.empty()
@@ -435,6 +530,27 @@
         else
             turn.actions.emplace_back(group_action{ group, std::move(each) });
     }
+    const auto owner = turn.state.owners.find(group);
+    if (owner != turn.state.owners.end())
+        reportDemand(turn.state, owner->second, turn.now);
+}
+
+void passOn(gateway_turn &turn, keeper_actions &&actions)
+{
+    for (keeper_action &each : actions) {
+        if (const auto *admitted = std::get_if<keeper_admitted>(&each)) {
+            onAdmitted(turn, *admitted);
+        } else if (const auto *limit = std::get_if<keeper_connections>(&each)) {
+            if (turn.state.config.groups.count(limit->group) != 0)
+                limitConnections(turn, limit->group, limit->limit);
+        } else if (auto *message = std::get_if<keeper_send>(&each)) {
+            turn.actions.emplace_back(std::move(*message));
+        } else if (auto *call = std::get_if<keeper_call>(&each)) {
+            turn.actions.emplace_back(std::move(*call));
+        } else {
+            startAnew(turn);
+        }
+    }
 }
 
 } // namespace fuchsiagw::core
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -11,7 +11,6 @@
 #include <fuchsiagw/wire/note_json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 namespace fuchsiagw::daemon {
@@ -30,15 +29,6 @@
 /// never counts the ones it knows as all of them.
 const core::instance_id unknownInstances{ "?" };
 
-core::content_tag tagOf(std::string_view body)
-{
-    constexpr std::size_t tagDigits = 16;
-    const std::string digits = wire::digestOf(body).substr(0, tagDigits);
-    core::content_tag tag = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), tag, 16);
-    return tag;
-}
-
 log_event eventOf(core::membership_event event)
 {
     switch (event) {
@@ -302,8 +292,7 @@
                field::number(log_key::Base, before) });
     outputs_.onConfiguration(*store.current);
     std::vector<core::spread_action> actions;
-    core::onTakenIn(spread, gateway_.proof, store.current->version, tagOf(store.currentBody),
-                    actions);
+    core::onTakenIn(spread, gateway_.proof, store.current->version, actions);
     perform(actions, now);
 }
 
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -7,8 +7,6 @@
 
 #include <fuchsiagw/daemon/log_sink.hpp>
 #include <fuchsiagw/net/clock.hpp>
-#include <fuchsiagw/wire/configuration_json.hpp>
-#include <fuchsiagw/wire/note_json.hpp>
 
 #include <sodium.h>
 
@@ -19,7 +17,6 @@
 namespace {
 
 constexpr core::duration tickEvery = std::chrono::milliseconds(10);
-constexpr core::duration watchEvery = std::chrono::seconds(1);
 constexpr core::duration platformLimit = std::chrono::seconds(2);
 
 std::uint64_t drawNumber()
@@ -29,11 +26,6 @@
     return number;
 }
 
-core::configuration_codec makeCodec()
-{
-    return { wire::writeConfiguration, wire::readConfiguration, wire::digestOf, wire::writeNote };
-}
-
 } // namespace
 
 decide::decide(boost::asio::io_context &context, const settings &values, log_sink &log,
@@ -43,12 +35,21 @@
     , log_(log)
     , outputs_(std::move(outputs))
     , random_(drawNumber())
+    , gateway_(core::makeGateway({ drawNumber(), values.instance, values.zone }, {},
+                                 net::currentTime()))
+    , cluster_(gateway_, values, log,
+               cluster_outputs{ outputs_.toPeers,
+                                [this](platform::platform_order order, platform_handler done) {
+                                    callPlatform(std::move(order), std::move(done));
+                                },
+                                [this](const core::configuration &config) {
+                                    core::gateway_turn step = turn();
+                                    applyConfiguration(step, config);
+                                    outputs_.setReady(true);
+                                },
+                                [this] { onMembers(); } })
     , now_(net::currentTime())
-    , nextWatch_(now_)
 {
-    gateway_.instance = values.instance;
-    gateway_.incarnation = drawNumber();
-    gateway_.zone = values.zone;
     gateway_.queueBound = values.queueCapacity;
     gateway_.limits.answerLimit = values.answerLimit;
     gateway_.limits.connectLimit = values.connectLimit;
@@ -68,6 +69,8 @@
                field::incarnation(log_key::Incarnation, gateway_.incarnation),
                field::id(log_key::Zone, settings_.zone),
                field::address(log_key::Address, net::toString(settings_.callerAddress)) });
+    now_ = net::currentTime();
+    cluster_.start(now_);
     tick();
 }
 
@@ -75,10 +78,9 @@
 {
     core::gateway_turn step = turn();
     advance(step);
+    cluster_.tick(now_);
     flush();
-    if (now_ >= nextWatch_ && !isWatching_)
-        watchConfiguration();
-    if (drained_ && isDrained(gateway_))
+    if (drained_ && isDrained(gateway_) && hasLeft(gateway_.keeper))
         std::exchange(drained_, nullptr)();
     const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
     timer_.expires_at(net::toSteady(std::max(next, now_ + std::chrono::milliseconds(1))));
@@ -131,56 +133,163 @@
     outputs_.toPlatform({ number, std::move(order), now_ + platformLimit });
 }
 
-void decide::watchConfiguration()
+void decide::callKeeperOrder(core::keeper_call &&call)
+{
+    const std::uint64_t number = call.number;
+    if (auto *prefix = std::get_if<std::string>(&call.order)) {
+        callPlatform(platform::scan_rows{ std::move(*prefix) },
+                     [this, number](platform::platform_result &&result, core::time_point) {
+                         core::gateway_turn step = turn();
+                         withKeeper(step, [&](core::limit_keeper &keeper,
+                                              core::keeper_actions &actions) {
+                             const auto rows = result.isAnswered
+                                                       ? std::optional(std::move(result.scan))
+                                                       : std::nullopt;
+                             onScan(keeper, number, rows, now_, random_, actions);
+                         });
+                     });
+        return;
+    }
+    callPlatform(
+            std::get<core::transact_request>(std::move(call.order)),
+            [this, number](platform::platform_result &&result, core::time_point) {
+                core::gateway_turn step = turn();
+                withKeeper(step, [&](core::limit_keeper &keeper, core::keeper_actions &actions) {
+                    const auto answer = result.isAnswered
+                                                ? std::optional(std::move(result.transaction))
+                                                : std::nullopt;
+                    onTransact(keeper, number, answer, now_, random_, actions);
+                });
+            });
+}
+
+void decide::onMembers()
 {
-    isWatching_ = true;
-    nextWatch_ = now_ + watchEvery;
-    callPlatform(platform::read_row{ std::string(core::configurationRowKey) },
-                 [this](platform::platform_result &&result, core::time_point sentAt) {
-                     isWatching_ = false;
-                     core::configuration_row row;
-                     if (!result.isFound || !core::readRow(result.row.value, row))
-                         return;
-                     provePlatform(gateway_.proof, row.version, sentAt);
-                     if (const auto next =
-                                 noteVersion(store_, { {}, row.version, row.objectName }, now_))
-                         fetch(*next);
-                 });
+    core::gateway_turn step = turn();
+    onLivePeers(step, cluster_.livePeers());
 }
 
-void decide::fetch(const core::fetch_source &source)
+void decide::onPeer(peer_event &event)
 {
-    callPlatform(platform::get_object{ source.objectName },
-                 [this, source](platform::platform_result &&result, core::time_point) {
-                     if (result.isFound)
-                         takeIn(source, result.object);
-                     else
-                         onFetchFailed(store_, source);
-                 });
+    now_ = net::currentTime();
+    std::visit([this](auto &each) { take(each); }, event);
+    flush();
 }
 
-void decide::takeIn(const core::fetch_source &source, std::string_view body)
+void decide::take(peer_heard &event)
 {
-    const core::configuration_version before = store_.current->version;
-    if (core::takeIn(store_, source, body, makeCodec()) != core::take_in_result::Taken) {
-        onFetchFailed(store_, source);
+    cluster_.onHeard(event, now_);
+}
+
+void decide::take(peer_message &event)
+{
+    if (const auto *message = std::get_if<digest>(&event.body)) {
+        cluster_.onDigest(event.from, *message, now_);
+        return;
+    }
+    if (const auto *message = std::get_if<wire::probe_message>(&event.body)) {
+        cluster_.onProbe(event.from, *message, now_);
         return;
     }
     core::gateway_turn step = turn();
-    applyConfiguration(step, *store_.current);
-    logEvent(log_, log_event::ConfigurationApplied,
-             { field::number(log_key::Version, store_.current->version),
-               field::number(log_key::Base, before) });
-    // Until shares are taken from the pool, this instance uses the whole limits.
-    for (auto &[id, book] : gateway_.books) {
-        setHomeUntil(book, core::noDeadline, now_);
-        if (book.home == 0)
-            addHome(book, core::workspaceShares, book.burst, now_);
+    if (const auto *view = std::get_if<core::published_view>(&event.body)) {
+        withOwner(step, view->group, [&](core::group_owner &owner, core::owner_actions &actions) {
+            onPeerView(owner, *view, now_, random_, actions);
+        });
+        return;
+    }
+    std::visit(
+            [&](auto &body) {
+                if constexpr (std::is_constructible_v<core::keeper_body, decltype(body)>) {
+                    withKeeper(step,
+                               [&](core::limit_keeper &keeper, core::keeper_actions &actions) {
+                                   onMessage(keeper, event.from, core::keeper_body(std::move(body)),
+                                             now_, random_, actions);
+                               });
+                }
+            },
+            event.body);
+}
+
+void decide::take(peer_forward &event)
+{
+    const std::uint64_t ticket = nextOrigin_++;
+    origins_[ticket] = { event.link, event.request.id };
+    core::gateway_turn step = turn();
+    onForwarded(step, event.from, ticket, std::move(event.request));
+}
+
+void decide::take(forward_answered &event)
+{
+    const auto entry = gateway_.entries.find(event.handle);
+    if (entry == gateway_.entries.end() || !entry->second.forwardedTo)
+        return;
+    const core::instance_id from = *entry->second.forwardedTo;
+    core::gateway_turn step = turn();
+    onForwardResult(step, from, event.handle, std::move(event.answer));
+}
+
+void decide::take(forward_lost &event)
+{
+    const auto entry = gateway_.entries.find(event.handle);
+    if (entry != gateway_.entries.end() && entry->second.forwardedTo)
+        cluster_.onNoAnswer(*entry->second.forwardedTo, now_);
+    core::gateway_turn step = turn();
+    onForwardFailed(step, event.handle, event.wasWritten);
+}
+
+void decide::take(configuration_wanted &event)
+{
+    cluster_.onConfigurationWanted(event);
+}
+
+void decide::take(configuration_came &event)
+{
+    cluster_.onConfigurationCame(event, now_);
+}
+
+void decide::send(core::keeper_send &&message)
+{
+    const core::known_instance *peer = cluster_.find(message.to);
+    if (peer == nullptr)
+        return;
+    std::visit(
+            [&](auto &body) {
+                outputs_.toPeers(
+                        send_datagram{ peer->address, message.to, peer_body(std::move(body)) });
+            },
+            message.body);
+}
+
+void decide::send(core::forward_statement &&forward)
+{
+    const auto peer = gateway_.peers.find(forward.to);
+    if (peer == gateway_.peers.end()) {
+        core::gateway_turn step = turn();
+        onForwardFailed(step, forward.handle, false);
+        return;
+    }
+    outputs_.toPeers(send_forward{ peer->second.address, peer->second.incarnation, forward.handle,
+                                   std::move(forward.request) });
+}
+
+void decide::send(core::forward_result &&result)
+{
+    const auto origin = origins_.find(result.ticket);
+    if (origin == origins_.end())
+        return;
+    outputs_.toPeers(send_forward_answer{ origin->second.link, origin->second.request,
+                                          std::move(result.answer) });
+    origins_.erase(origin);
+}
+
+void decide::send(const core::group_id &group, const core::publish_to_owners &view)
+{
+    // The owners of the other zones: the first in rendezvous order of each zone's instances.
+    for (const core::instance_id &owner : rankOtherOwners(gateway_, group)) {
+        const core::peer_instance &peer = gateway_.peers.at(owner);
+        outputs_.toPeers(send_datagram{ peer.address, peer.incarnation, view.view });
     }
-    for (const auto &[group, each] : store_.current->groups)
-        setConnectionLimit(step, group, each.connections);
-    outputs_.setReady(true);
-    flush();
 }
 
 void decide::flush()
@@ -199,13 +308,37 @@
         outputs_.reply(std::move(*reply));
         return;
     }
-    auto *group = std::get_if<core::group_action>(&action);
-    if (group == nullptr)
+    if (auto *message = std::get_if<core::keeper_send>(&action)) {
+        send(std::move(*message));
         return;
+    }
+    if (auto *call = std::get_if<core::keeper_call>(&action)) {
+        callKeeperOrder(std::move(*call));
+        return;
+    }
+    if (auto *forward = std::get_if<core::forward_statement>(&action)) {
+        send(std::move(*forward));
+        return;
+    }
+    if (auto *result = std::get_if<core::forward_result>(&action)) {
+        send(std::move(*result));
+        return;
+    }
+    if (const auto *changed = std::get_if<core::incarnation_changed>(&action)) {
+        logEvent(log_, log_event::IncarnationExpired,
+                 { field::incarnation(log_key::Incarnation, changed->incarnation) });
+        outputs_.setIncarnation(changed->incarnation);
+        return;
+    }
+    auto *group = std::get_if<core::group_action>(&action);
     if (const auto *decided = std::get_if<core::route_decided>(&group->action))
         log(group->group, *decided);
     else if (const auto *notice = std::get_if<core::owner_notice>(&group->action))
         log(group->group, *notice);
+    else if (const auto *view = std::get_if<core::publish_to_owners>(&group->action))
+        send(group->group, *view);
+    else if (std::holds_alternative<core::claim_promotion>(group->action))
+        claim(group->group, std::get<core::claim_promotion>(group->action).term);
     else
         outputs_.toUpstream(std::move(*group));
 }
@@ -253,9 +386,25 @@
                field::name(log_key::Outcome, row.outcome) });
 }
 
+void decide::claim(const core::group_id &group, core::term_number term)
+{
+    core::transact_request order;
+    order.id = "promotion/" + group.value + "/" + std::to_string(term);
+    order.puts.push_back(
+            { "promotion/" + group.value, settings_.instance.value + " " + std::to_string(term) });
+    callPlatform(std::move(order), [this, group](platform::platform_result &&result,
+                                                 core::time_point) {
+        const auto owner = gateway_.owners.find(group);
+        if (owner != gateway_.owners.end())
+            onClaim(owner->second, !result.isAnswered || result.transaction.committed, now_);
+    });
+}
+
 void decide::drain(std::function<void()> done)
 {
-    gateway_.isDraining = true;
+    core::gateway_turn step = turn();
+    startDraining(step);
+    cluster_.setState(core::sender_state::Leaving, now_);
     drained_ = std::move(done);
 }
 
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -29,7 +29,8 @@
 
 peer_duty::peer_duty(boost::asio::io_context &context, const settings &values,
                      core::incarnation_id self, event_sink sink)
-    : codec_(self, makeKeys(values))
+    : keys_(makeKeys(values))
+    , codec_(self, keys_)
     , sender_{ values.instance, values.zone, net::toString(values.peerAddress),
                core::sender_state::Live }
     , listenAt_(values.peerAddress)
@@ -52,6 +53,11 @@
     return links_.listen(listenAt_);
 }
 
+void peer_duty::setIncarnation(core::incarnation_id self)
+{
+    codec_ = wire::peer_codec(self, keys_);
+}
+
 peer_traffic peer_duty::traffic() const
 {
     const net::udp_counters &counters = datagrams_.counters();
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/daemon/front.hpp>
 #include <fuchsiagw/daemon/log_event.hpp>
 #include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/daemon/peer_duty.hpp>
 #include <fuchsiagw/daemon/supervisor.hpp>
 #include <fuchsiagw/daemon/upstream.hpp>
 #include <fuchsiagw/net/channel.hpp>
@@ -49,10 +50,12 @@
     boost::asio::io_context &decideContext;
     boost::asio::io_context &upstreamContext;
     boost::asio::io_context &platformContext;
+    boost::asio::io_context &peerContext;
 
     std::optional<front> callers;
     std::optional<decide> decisions;
     std::optional<upstream> members;
+    std::optional<peer_duty> peers;
     net::http_client platformClient;
 
     net::channel<core::caller_request> frontToDecide;
@@ -61,6 +64,8 @@
     net::channel<upstream_event> upstreamToDecide;
     net::channel<platform_request> decideToPlatform;
     net::channel<platform_event> platformToDecide;
+    net::channel<peer_order> decideToPeers;
+    net::channel<peer_event> peersToDecide;
 
     daemon_process(const settings &settingsOfProcess, log_sink &sink);
 
@@ -83,6 +88,7 @@
     , decideContext(root.add("decide"))
     , upstreamContext(root.add("upstream"))
     , platformContext(root.add("platform"))
+    , peerContext(root.add("peer"))
     , platformClient(platformContext)
     , frontToDecide(decideContext, ringMessages,
                     [this](auto &message) { decisions->onCaller(message); })
@@ -95,6 +101,9 @@
     , decideToPlatform(platformContext, ringMessages, [this](auto &message) { request(message); })
     , platformToDecide(decideContext, ringMessages,
                        [this](auto &message) { decisions->onPlatform(message); })
+    , decideToPeers(peerContext, ringMessages, [this](auto &message) { peers->perform(message); })
+    , peersToDecide(decideContext, ringMessages,
+                    [this](auto &message) { decisions->onPeer(message); })
 {
     wire::token_keys tokens;
     tokens.keys[1] = wire::deriveTokenKey(
@@ -109,6 +118,9 @@
         static_cast<void>(upstreamToDecide.push(std::move(event)));
     });
     decisions.emplace(decideContext, values, log, outputs());
+    peers.emplace(peerContext, values, decisions->incarnation(), [this](peer_event &&event) {
+        static_cast<void>(peersToDecide.push(std::move(event)));
+    });
 }
 
 decide_outputs daemon_process::outputs()
@@ -123,6 +135,12 @@
     to.toPlatform = [this](platform_request &&message) {
         static_cast<void>(decideToPlatform.push(std::move(message)));
     };
+    to.toPeers = [this](peer_order &&message) {
+        static_cast<void>(decideToPeers.push(std::move(message)));
+    };
+    to.setIncarnation = [this](core::incarnation_id incarnation) {
+        boost::asio::post(peerContext, [this, incarnation] { peers->setIncarnation(incarnation); });
+    };
     to.setReady = [this](bool ready) { callers->setReady(ready); };
     return to;
 }
@@ -177,7 +195,7 @@
 {
     const core::time_point startedAt = net::currentTime();
     daemon_process process(values, log);
-    if (process.callers->start())
+    if (process.callers->start() || process.peers->start())
         return exit_code::Failed;
     process.start();
     process.root.start();
