Lend idle connections, and never take an answer for a predecessor's call

Cause: open but idle connections counted as used, so an owner whose connections had all been opened once lent nothing and never gave borrowed ones back. A keeper that starts anew numbered its calls from 1 again, so a late answer to its predecessor could have been taken for its own.

Ruled out: giving the shares of idle connections away at once; a peer might open its connection before the idle one is closed. The limit is lowered first and the shares go with the next request.

Conclusion: setGroupDemand() takes the number of idle connections; without it the behaviour is as before.

--- a/include/fuchsiagw/core/limit_keeper.hpp
+++ b/include/fuchsiagw/core/limit_keeper.hpp
@@ -104,6 +104,11 @@
     time_point lookAt = noDeadline; ///< when the pool row is to be read
     duration lookPause{ 0 }; ///< doubles while the pool has nothing to take
     share_count reserve = 0; ///< of connections that end before they are returned
+    std::uint32_t idle = 0; ///< open connections that carry nothing
+    std::uint32_t busyPeak = 0; ///< greatest number of busy connections of late
+    time_point busyPeakUntil{};
+    share_count yield = 0; ///< of idle connections that are closed because a peer asks for them
+    time_point yieldUntil{};
     std::optional<std::uint32_t> announced; ///< connections
     std::deque<waiting_admission> waiting;
 };
@@ -179,7 +184,8 @@
     time_point nextWork{};
     time_point nextReclaim{};
     duration workPause{ 0 }; ///< doubles while the platform does not answer
-    std::uint64_t nextCall = 1;
+    std::uint64_t nextCall = 1; ///< starts at the incarnation: answers to a predecessor's calls are
+                                ///< never taken for its own
     std::uint64_t nextTransaction = 1;
     std::uint64_t transactions = 0; ///< that were sent, repetitions included
     std::uint64_t scans = 0;
@@ -211,9 +217,11 @@
 /// @brief Sets the demand for a group's connections. Call it before any other function whenever a
 /// connection was opened or closed: shares of open connections are not given away.
 /// @param inUse open connections, the idle ones included
+/// @param idle open connections that can be closed at once; the limit is lowered for a peer that
+/// asks for them, and if they are borrowed
 /// @complexity logarithmic in the limits
 void setGroupDemand(limit_keeper &keeper, const group_id &group, std::uint32_t inUse,
-                    std::uint32_t waiting, time_point now);
+                    std::uint32_t waiting, time_point now, std::uint32_t idle = 0);
 
 /// @brief Decides on a statement. After admission::Wait a keeper_admitted action with its ticket
 /// follows, at the latest after the admission wait.
--- a/src/core/limit_keeper.cpp
+++ b/src/core/limit_keeper.cpp
@@ -23,6 +23,12 @@
 
 constexpr std::size_t fullWitnesses = 3;
 
+/// Idle connections that a peer needs stay closed until its next requests have come.
+constexpr duration yieldTime = std::chrono::milliseconds(500);
+
+/// A burst of exchanges is expected to repeat within this time.
+constexpr duration busyPeakTime = std::chrono::seconds(2);
+
 template <typename body_type>
 void send(keeper_actions &actions, incarnation_id to, body_type body)
 {
@@ -53,6 +59,26 @@
     sendLoans(poll(keeper.connections, now), actions);
 }
 
+/// Lets idle connections be closed, so that half of the spare ones can be lent at the next request.
+void yieldIdle(limit_keeper &keeper, const loan_ask &ask, time_point now)
+{
+    const auto limit = keeper.limits.find(ask.resource);
+    if (limit == keeper.limits.end() || ask.shares == 0 || !keeper.connections.areLoansOn)
+        return;
+    const limit_entry &entry = keeper.connections.limits.at(ask.resource);
+    const share_count held = sharesUntil(entry.book, now + announceHorizon);
+    const share_count unlent = now < entry.book.homeUntil ? entry.book.home - entry.book.lent : 0;
+    const share_count busy = entry.inUse - limit->second.idle;
+    const share_count spare = std::min(held - busy - entry.waiting, unlent);
+    const share_count lent = std::min(ask.shares, (spare + 1) / 2);
+    const share_count unopened = std::max<share_count>(held - entry.inUse, 0);
+    if (lent <= unopened / 2)
+        return;
+    // The desk lends half of what is not open.
+    limit->second.yield = std::min<share_count>(2 * lent, unopened + limit->second.idle);
+    limit->second.yieldUntil = now + yieldTime;
+}
+
 void onRequest(limit_keeper &keeper, const loan_request &request, time_point now,
                keeper_actions &actions)
 {
@@ -69,9 +95,22 @@
         raised.emplace_back(&entry, entry.inUse);
         entry.inUse += static_cast<std::uint32_t>(endingShares(entry, now));
     }
+    const std::size_t before = actions.size();
     sendLoans(onLoanRequest(desk, request, now), actions);
     for (const auto &[entry, inUse] : raised)
         entry->inUse = inUse;
+    // What was lent may be enough; otherwise the next request asks for the rest.
+    const bool isLent = std::any_of(actions.begin() + static_cast<std::ptrdiff_t>(before),
+                                    actions.end(), [](const keeper_action &each) {
+                                        const auto *sent = std::get_if<keeper_send>(&each);
+                                        return sent != nullptr
+                                               && std::holds_alternative<loan_grant>(sent->body);
+                                    });
+    for (const loan_ask &ask : request.asks)
+        if (!isLent)
+            yieldIdle(keeper, ask, now);
+        else if (const auto limit = keeper.limits.find(ask.resource); limit != keeper.limits.end())
+            limit->second.yield = 0;
 }
 
 void onGrant(limit_keeper &keeper, incarnation_id from, loan_grant grant, time_point now,
@@ -166,8 +205,10 @@
 {
     if (keeper.isExpired)
         return 0;
-    const keeper_limit &limit = keeper.limits.at(resource);
+    keeper_limit &limit = keeper.limits.at(resource);
     const limit_entry &entry = keeper.connections.limits.at(resource);
+    if (now >= limit.busyPeakUntil)
+        limit.busyPeak = entry.inUse - std::min(entry.inUse, limit.idle);
     advance(bookOf(keeper, resource), now);
     share_count held = std::min(sharesUntil(entry.book, now + announceHorizon), entry.book.total);
     // An instance that shall not have the connections keeps some for the statements in its queue.
@@ -175,6 +216,12 @@
         held = std::min<share_count>(held, entry.waiting > 0 ? entry.inUse + entry.waiting : 0);
     else
         held = std::max<share_count>(held - limit.reserve, 0);
+    if (now < limit.yieldUntil)
+        held = std::max<share_count>(held - limit.yield, 0);
+    // Borrowed connections that stay idle are closed and then given back.
+    const share_count unlent = now < entry.book.homeUntil ? entry.book.home - entry.book.lent : 0;
+    if (entry.book.usable > unlent && limit.idle > 0 && entry.waiting == 0)
+        held = std::min(held, std::max(unlent, (limit.busyPeak * share_count{ 3 } + 1) / 2));
     return static_cast<std::uint32_t>(held);
 }
 
@@ -302,17 +349,25 @@
     keeper.witness.startedAt = now;
     keeper.rates = makeDesk(self, settings.rates, now);
     keeper.connections = makeDesk(self, settings.connections, now);
+    keeper.nextCall = std::max<std::uint64_t>(self.incarnation, 1);
     keeper.nextWork = now;
     keeper.tickedAt = now;
     return keeper;
 }
 
 void setGroupDemand(limit_keeper &keeper, const group_id &group, std::uint32_t inUse,
-                    std::uint32_t waiting, time_point now)
+                    std::uint32_t waiting, time_point now, std::uint32_t idle)
 {
     const resource_id resource = resourceOf(group);
-    if (!keeper.limits.contains(resource))
+    const auto limit = keeper.limits.find(resource);
+    if (limit == keeper.limits.end())
         return;
+    limit->second.idle = std::min(idle, inUse);
+    const std::uint32_t busy = inUse - limit->second.idle;
+    if (busy >= limit->second.busyPeak || now >= limit->second.busyPeakUntil) {
+        limit->second.busyPeak = busy;
+        limit->second.busyPeakUntil = now + busyPeakTime;
+    }
     advance(bookOf(keeper, resource), now);
     setConnections(keeper.connections, resource, inUse, waiting);
 }
--- a/src/core/limit_keeper_limits.cpp
+++ b/src/core/limit_keeper_limits.cpp
@@ -72,6 +72,34 @@
     setCandidates(desk, resource, holders, keeper.live, random);
 }
 
+/// Opens the limits of owned groups and marks those of others as unused.
+void useOwnedGroups(limit_keeper &keeper)
+{
+    for (auto &[resource, limit] : keeper.limits) {
+        const group_id group{ resource.name };
+        const bool isGroup = resource.kind == resource_kind::Connections;
+        if (isGroup && limit.isUsed
+            && !(keeper.owned.contains(group) && keeper.groups.contains(group))) {
+            limit.isUsed = false;
+            keeper.stale.insert(resource);
+        }
+    }
+    for (const group_id &group : keeper.owned) {
+        const auto settings = keeper.groups.find(group);
+        if (settings == keeper.groups.end())
+            continue;
+        const resource_id resource = resourceOf(group);
+        keeper_limit &limit = keeper.limits[resource];
+        const auto total = static_cast<share_count>(settings->second);
+        if (limit.isUsed && limit.total == total)
+            continue;
+        limit.isUsed = true;
+        limit.isTotalUnchecked = true;
+        limit.total = total;
+        keeper.stale.insert(resource);
+    }
+}
+
 bool isSmall(share_count difference, share_count fair)
 {
     return std::abs(difference) * smallPart < fair;
@@ -189,35 +217,18 @@
         keeper.groups.emplace(group, settings.connections);
     for (const auto &[resource, limit] : keeper.limits)
         keeper.stale.insert(resource);
-    onOwnedGroups(keeper, std::set<group_id>(keeper.owned), now, random, actions);
+    useOwnedGroups(keeper);
+    reconcileLimits(keeper, now, actions);
+    tickKeeper(keeper, now, random, actions);
 }
 
 void onOwnedGroups(limit_keeper &keeper, const std::set<group_id> &owned, time_point now,
                    random_engine &random, keeper_actions &actions)
 {
+    if (owned == keeper.owned)
+        return;
     keeper.owned = owned;
-    for (auto &[resource, limit] : keeper.limits) {
-        const group_id group{ resource.name };
-        const bool isGroup = resource.kind == resource_kind::Connections;
-        if (isGroup && limit.isUsed && !(owned.contains(group) && keeper.groups.contains(group))) {
-            limit.isUsed = false;
-            keeper.stale.insert(resource);
-        }
-    }
-    for (const group_id &group : owned) {
-        const auto settings = keeper.groups.find(group);
-        if (settings == keeper.groups.end())
-            continue;
-        const resource_id resource = resourceOf(group);
-        keeper_limit &limit = keeper.limits[resource];
-        const auto total = static_cast<share_count>(settings->second);
-        if (limit.isUsed && limit.total == total)
-            continue;
-        limit.isUsed = true;
-        limit.isTotalUnchecked = true;
-        limit.total = total;
-        keeper.stale.insert(resource);
-    }
+    useOwnedGroups(keeper);
     reconcileLimits(keeper, now, actions);
     tickKeeper(keeper, now, random, actions);
 }
--- a/tests/unit-limit-keeper.cpp
+++ b/tests/unit-limit-keeper.cpp
@@ -220,19 +220,21 @@
         });
     }
 
-    /// Opens connections up to the limit; those above it end just before connectionWindDown.
+    /// Opens connections up to the limit and keeps them open. Above the limit idle ones are closed
+    /// at once and the others just before connectionWindDown.
     void useConnections(node &each)
     {
+        each.open = std::max(each.open, std::min(each.limit, each.demand));
         if (each.open <= each.limit)
             each.closeAt = noDeadline;
         else if (each.closeAt == noDeadline)
             each.closeAt = now + connectionWindDown - milliseconds(50);
-        if (now >= each.closeAt)
-            each.open = each.limit;
-        else if (each.open <= each.limit)
-            each.open = std::min(each.limit, each.demand);
-        setGroupDemand(each.keeper, group, each.open,
-                       each.demand > each.open ? each.demand - each.open : 0, now);
+        if (each.open > each.limit)
+            each.open = now >= each.closeAt
+                                ? each.limit
+                                : std::max(each.limit, std::min(each.open, each.demand));
+        const std::uint32_t busy = std::min(each.open, each.demand);
+        setGroupDemand(each.keeper, group, each.open, each.demand - busy, now, each.open - busy);
     }
 
     void step()
@@ -393,6 +395,12 @@
     start(9);
     node &first = all.owner(0);
     node &second = all.owner(2);
+    // All connections are open and idle at first.
+    for (const std::uint32_t demand : { 16, 0 }) {
+        for (int zone = 0; zone < 3; ++zone)
+            all.owner(zone).demand = demand;
+        all.run(seconds(3));
+    }
     first.demand = 12;
     all.run(seconds(5));
     CHECK_TRUE(first.open >= 11);
