Give each thread a ring of its own in front of the log

Each thread now has a queue with one producer, and the log's thread writes their lines in the order of time. A thread takes a lock once, when it writes its first line.

--- a/include/fuchsiagw/daemon/log_sink.hpp
+++ b/include/fuchsiagw/daemon/log_sink.hpp
@@ -19,16 +19,17 @@
     log_level level = log_level::Info; ///< lines below it are dropped
     std::size_t maxFileBytes = 16'000'000; ///< the file is then rolled; instances are diskless
     int oldFiles = 2; ///< rolled files that are kept
-    std::size_t ringLines = 8192; ///< at most 60000
+    std::size_t ringLines = 8192; ///< of each thread; at most 60000
 };
 
-/// Duties never wait for the log: when the ring is full, the line is counted and dropped.
+/// Duties never wait for the log: each thread has a ring, and when it is full, the line is counted
+/// and dropped. At most 64 threads can write to one sink.
 class log_sink
 {
 public:
     /// @throw std::exception if the file can't be opened or the thread can't start
     explicit log_sink(const log_settings &settings);
-    /// Writes what the ring holds.
+    /// Writes what the rings hold.
     ~log_sink();
     log_sink(const log_sink &) = delete;
     log_sink &operator=(const log_sink &) = delete;
@@ -36,7 +37,7 @@
     [[nodiscard]] bool accepts(log_level level) const { return level >= level_; }
 
     /// @brief Hands over a line. Any thread may call it; it never blocks.
-    /// @return false if the ring was full and the line is lost
+    /// @return false if the thread's ring was full and the line is lost
     bool write(log_level level, std::string line);
 
     /// @return lines lost so far
--- a/src/daemon/log_sink.cpp
+++ b/src/daemon/log_sink.cpp
@@ -3,7 +3,7 @@
 
 #include <fuchsiagw/daemon/log_sink.hpp>
 
-#include <boost/lockfree/queue.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -15,16 +15,18 @@
 #include <cstdio>
 #include <ctime>
 #include <fstream>
+#include <mutex>
 #include <system_error>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace fuchsiagw::daemon {
 
 namespace {
 
-constexpr std::size_t maxRingLines =
-        60'000; ///< Boost.Lockfree indexes a bounded queue with 16 bits
+constexpr std::size_t maxRingLines = 60'000;
+constexpr std::size_t maxProducers = 64; ///< threads that write to one sink, dead ones included
 
 struct log_record
 {
@@ -33,6 +35,13 @@
     std::string line;
 };
 
+/// A queue with many producers would be simpler, but Boost.Lockfree's reads nodes that another
+/// thread may be writing, which is a data race by the rules of the language.
+using line_ring = boost::lockfree::spsc_queue<log_record *>;
+
+/// The rings of this thread, by number of the sink. Numbers are never used again.
+thread_local std::vector<std::pair<std::uint64_t, line_ring *>> ownRings;
+
 std::string timeText(std::chrono::system_clock::time_point time)
 {
     using std::chrono::microseconds;
@@ -96,7 +105,11 @@
 
 struct log_sink::worker
 {
-    boost::lockfree::queue<log_record *, boost::lockfree::fixed_sized<true>> ring;
+    const std::uint64_t number = nextNumber();
+    const std::size_t capacity;
+    std::mutex registration; ///< taken once by each thread
+    std::array<std::unique_ptr<line_ring>, maxProducers> rings; ///< the first `producers` are set
+    std::atomic<std::size_t> producers{ 0 };
     std::atomic<std::uint32_t> written{ 0 }; ///< changes with every line, so that the thread wakes
     std::atomic<bool> stopping{ false };
     std::atomic<std::uint64_t> &lost;
@@ -105,7 +118,7 @@
     std::thread thread;
 
     worker(const log_settings &settings, std::atomic<std::uint64_t> &lostCount)
-        : ring(std::clamp<std::size_t>(settings.ringLines, 1, maxRingLines))
+        : capacity(std::clamp<std::size_t>(settings.ringLines, 1, maxRingLines))
         , lost(lostCount)
         , logger(makeLogger(settings))
         , thread([this] { run(); })
@@ -128,19 +141,60 @@
         written.notify_one();
     }
 
+    static std::uint64_t nextNumber()
+    {
+        static std::atomic<std::uint64_t> last{ 0 };
+        return ++last;
+    }
+
+    /// @return the ring of the calling thread, nullptr if there are too many threads
+    line_ring *ownRing()
+    {
+        for (const auto &[sink, ring] : ownRings) {
+            if (sink == number)
+                return ring;
+        }
+        const std::lock_guard lock(registration);
+        const std::size_t index = producers.load();
+        if (index >= maxProducers)
+            return nullptr;
+        rings.at(index) = std::make_unique<line_ring>(capacity);
+        producers.store(index + 1);
+        ownRings.emplace_back(number, rings.at(index).get());
+        return ownRings.back().second;
+    }
+
     void run()
     {
         for (;;) {
             const std::uint32_t before = written.load();
             const bool isLast = stopping;
-            log_record *next = nullptr;
-            while (ring.pop(next))
-                append(*std::unique_ptr<log_record>(next));
+            const bool isEmpty = writeAll();
             reportLost();
-            if (isLast)
+            if (isLast && isEmpty)
                 return;
-            written.wait(before);
+            if (isEmpty)
+                written.wait(before);
+        }
+    }
+
+    /// Writes what the rings hold, in the order of time.
+    /// @return whether they were empty
+    bool writeAll()
+    {
+        std::vector<std::unique_ptr<log_record>> records;
+        const auto take = [&records](log_record *each) { records.emplace_back(each); };
+        for (std::size_t i = 0; i < producers.load(); ++i) {
+            // Bounded, since a busy thread may push as fast as this one takes.
+            for (std::size_t taken = 0; taken < capacity && rings.at(i)->consume_one(take);)
+                ++taken;
         }
+        std::stable_sort(records.begin(), records.end(), [](const auto &left, const auto &right) {
+            return left->time < right->time;
+        });
+        for (const auto &record : records)
+            append(*record);
+        return records.empty();
     }
 
     void append(const log_record &record) noexcept
@@ -178,7 +232,8 @@
 {
     auto record = std::make_unique<log_record>(
             log_record{ std::chrono::system_clock::now(), level, std::move(line) });
-    const bool isTaken = worker_->ring.bounded_push(record.get());
+    line_ring *ring = worker_->ownRing();
+    const bool isTaken = ring != nullptr && ring->push(record.get());
     if (isTaken)
         record.release(); // NOLINT(bugprone-unused-return-value) the ring owns it now
     else
