Tell an operator of an acceptance only when another instance holds the version

Cause: an instance that accepted a note, could not reach its peers and restarted during an outage of the platform took its acceptance with it. The others then proved the version before by a full report (proof c) and accepted the withdrawn key again. The matrix found it when the wait was counted from the commit, with platform_down and restart_submitter at the spread.

isHeldElsewhere() tells when the answer may be given.

Ruled out: leaving a restarted instance out of full reports until it has read the platform, which would make every key unproven after one restart in an outage.

--- a/include/fuchsiagw/core/config_spread.hpp
+++ b/include/fuchsiagw/core/config_spread.hpp
@@ -133,6 +133,7 @@
     std::uint64_t provenWave = 0; ///< of the current root
     configuration_version provenVersion = 0;
     configuration_version everywhere = 0; ///< every listed instance holds it or a newer one
+    configuration_version heldByPeer = 0; ///< greatest version that a peer said it holds
 };
 
 /// @brief Creates the state of an instance that has just started.
@@ -173,4 +174,11 @@
 void onTakenIn(spread_state &state, freshness &proofs, configuration_version version,
                std::vector<spread_action> &actions);
 
+/// @brief Tells whether an operator may be told that @p version is accepted.
+///
+/// Another instance must hold it as well. Otherwise a restart of this one during an outage of the
+/// platform would lose it, and proof (c) would vouch for the version before.
+/// @return true also if this instance is the only listed one
+[[nodiscard]] bool isHeldElsewhere(const spread_state &state, configuration_version version);
+
 } // namespace fuchsiagw::core
--- a/include/fuchsiagw/core/config_store.hpp
+++ b/include/fuchsiagw/core/config_store.hpp
@@ -87,8 +87,9 @@
     std::string value; ///< of the row, or body of the object
 };
 
-/// How a submit ended. Invariant: `newest` is set if `error` is empty, and the instance takes it in
-/// before it answers the operator. The acceptance is then visible to proof (c).
+/// How a submit ended. Invariant: `newest` is set if `error` is empty. The instance takes it in and
+/// waits for isHeldElsewhere() before it answers the operator; if that does not come in time, the
+/// answer is NoteOutcomeUnknown. An acceptance that was told is then visible to proof (c).
 struct submit_result
 {
     std::error_code error; ///< empty: applied
--- a/include/fuchsiagw/testing/config_world.hpp
+++ b/include/fuchsiagw/testing/config_world.hpp
@@ -25,6 +25,7 @@
     core::duration platformDelay{}; ///< greatest; each answer draws its own
     unsigned lostAnswers = 0; ///< next changes of the platform whose answers are lost
     std::set<std::size_t> cut; ///< instances without peers and platform
+    std::set<std::size_t> silent; ///< instances without peers, but with the platform
     std::optional<core::zone_name> cutZone; ///< talks only within itself
     core::duration messageDelay{}; ///< greatest
     unsigned duplicatePercent = 0;
@@ -39,6 +40,7 @@
     NoProof, ///< keys are accepted without a freshness proof
     RepeatedCommit, ///< the platform applies the same transaction again
     NoSpread, ///< after the first version no message is sent and only one reads the platform
+    EarlyAnswer, ///< an operator is told before another instance holds the version
     WrongAnswer, ///< every operator is told that the note was applied
 };
 
@@ -130,6 +132,7 @@
     core::platform_answer apply(const core::submit_action &action);
     void step(const std::shared_ptr<operation> &run, const core::submit_action &action);
     void finish(const std::shared_ptr<operation> &run);
+    void confirm(const std::shared_ptr<operation> &run);
     [[nodiscard]] bool isSpreadStopped() const;
     [[nodiscard]] bool isReachable(std::size_t from, std::size_t to) const;
     [[nodiscard]] core::duration draw(core::duration greatest);
--- a/src/core/config_spread.cpp
+++ b/src/core/config_spread.cpp
@@ -395,6 +395,7 @@
 {
     if (from == state.self.instance)
         return;
+    state.heldByPeer = std::max(state.heldByPeer, message.held);
     switch (message.kind) {
     case spread_kind::Digest:
         onDigest(state, proofs, from, message, now, actions);
@@ -446,4 +447,9 @@
         send(actions, peer, message);
 }
 
+bool isHeldElsewhere(const spread_state &state, configuration_version version)
+{
+    return state.heldByPeer >= version || (state.place.isListed && state.live.size() == 1);
+}
+
 } // namespace fuchsiagw::core
--- a/testing/config_world.cpp
+++ b/testing/config_world.cpp
@@ -20,6 +20,7 @@
 constexpr auto submitTime = 5s; ///< of one submit at an instance
 constexpr auto operatorPause = 1s; ///< between attempts
 constexpr auto operatorTimeout = 7s; ///< for an instance that does not answer
+constexpr auto confirmPause = 10ms; ///< between looks for a peer that holds the version
 constexpr unsigned mostAttempts = 12;
 
 const core::configuration_codec &codec()
@@ -139,7 +140,10 @@
 
 bool config_world::isReachable(std::size_t from, std::size_t to) const
 {
-    if (faults.cut.contains(from) || faults.cut.contains(to))
+    const auto isAlone = [this](std::size_t index) {
+        return faults.cut.contains(index) || faults.silent.contains(index);
+    };
+    if (isAlone(from) || isAlone(to))
         return false;
     const auto isInside = [&](std::size_t index) {
         return instances_[index].self.zone == faults.cutZone;
@@ -436,9 +440,23 @@
     if (result.newest)
         takeIn(run->index, { {}, result.newest->version, result.newestName },
                codec().write(*result.newest));
-    if (instances_[run->index].incarnation == incarnation && !run->isOver)
-        run->tell(&result);
-    run->isOver = run->isOver || instances_[run->index].incarnation == incarnation;
+    if (instances_[run->index].incarnation == incarnation)
+        confirm(run);
+}
+
+void config_world::confirm(const std::shared_ptr<operation> &run)
+{
+    const core::submit_result &result = run->state.result;
+    if (run->isOver)
+        return; // the operator has gone
+    const core::spread_state &spread = instances_[run->index].spread;
+    if (settings_.error != sabotage::EarlyAnswer && !result.error
+        && !core::isHeldElsewhere(spread, result.newest->version)) {
+        onIncarnation(run->index, now_ + confirmPause, [this, run] { confirm(run); });
+        return;
+    }
+    run->isOver = true;
+    run->tell(&result);
 }
 
 core::configuration_version config_world::versionOf(std::size_t index) const
--- a/tests/unit-config-matrix.cpp
+++ b/tests/unit-config-matrix.cpp
@@ -17,10 +17,11 @@
 namespace {
 
 /// Where a fault begins. ReadBack needs a lost answer of the commit, which the case adds.
-enum class stage : std::uint8_t { Read, PutObject, Commit, ReadBack, Spread, Apply };
+enum class stage : std::uint8_t { Read, PutObject, Commit, ReadBack, Spread, Apply, Accepted };
 
-constexpr std::array<std::string_view, 6> stageNames{ "read",      "put_object", "commit",
-                                                      "read_back", "spread",     "apply" };
+constexpr std::array<std::string_view, 7> stageNames{ "read",      "put_object", "commit",
+                                                      "read_back", "spread",     "apply",
+                                                      "accepted" };
 
 enum class fault_kind : std::uint8_t {
     PlatformDown,
@@ -31,19 +32,21 @@
     PeerCut,
     ZoneCut,
     LateMessages,
+    SubmitterSilent,
     RestartSubmitter,
     RestartOther,
 };
 
-constexpr std::array<std::string_view, 10> faultNames{
-    "platform_down", "platform_slow", "answer_lost",   "operators_race",    "duplicate_submit",
-    "peer_cut",      "zone_cut",      "late_messages", "restart_submitter", "restart_other"
+constexpr std::array<std::string_view, 11> faultNames{
+    "platform_down",    "platform_slow",     "answer_lost",  "operators_race",
+    "duplicate_submit", "peer_cut",          "zone_cut",     "late_messages",
+    "submitter_silent", "restart_submitter", "restart_other"
 };
 
 constexpr std::size_t instanceCount = 12;
 constexpr std::size_t submitter = 4;
 constexpr std::size_t bystander = 7; ///< in another zone than the submitter
-constexpr auto faultTime = 8s; ///< longer than the wait for proofs
+constexpr core::duration faultTime = 8s; ///< longer than the wait for proofs
 constexpr core::duration inForceBound = 12s; ///< docs/design.md, 1.4
 constexpr auto observation = 50ms;
 const core::time_point changeAt{ 112s };
@@ -85,6 +88,7 @@
 {
     fault_kind kind = fault_kind::PlatformDown;
     stage at = stage::Read;
+    core::duration time = faultTime;
 };
 
 std::string toString(const planned_fault &each)
@@ -128,10 +132,16 @@
         return problem_;
     }
 
-    /// Which of the planned faults began; a fault whose stage is never reached is no evidence.
+    /// Whether the planned faults began; a fault whose stage is never reached is no evidence. After
+    /// a rival has won there is no acceptance to wait for.
     [[nodiscard]] bool haveAllStarted() const
     {
-        return std::find(hasStarted_.begin(), hasStarted_.end(), false) == hasStarted_.end();
+        for (std::size_t i = 0; i < planned_.size(); ++i) {
+            const bool isMoot = planned_[i].at == stage::Accepted && !acceptedAt();
+            if (!hasStarted_[i] && !isMoot)
+                return false;
+        }
+        return true;
     }
 
 private:
@@ -165,16 +175,16 @@
             if (hasStarted_[i] || planned_[i].at != reached)
                 continue;
             hasStarted_[i] = true;
-            begin(planned_[i].kind);
-            lastFaultEnd_ = std::max(lastFaultEnd_, world_.now() + faultTime);
+            begin(planned_[i]);
+            lastFaultEnd_ = std::max(lastFaultEnd_, world_.now() + planned_[i].time);
         }
     }
 
-    void begin(fault_kind kind)
+    void begin(const planned_fault &fault)
     {
         world_faults &faults = world_.faults;
-        const core::time_point end = world_.now() + faultTime;
-        switch (kind) {
+        const core::time_point end = world_.now() + fault.time;
+        switch (fault.kind) {
         case fault_kind::PlatformDown:
             faults.platformDown = true;
             world_.at(end, [&faults] { faults.platformDown = false; });
@@ -210,6 +220,10 @@
                 faults.lossPercent = 0;
             });
             break;
+        case fault_kind::SubmitterSilent:
+            faults.silent.insert(submitter);
+            world_.at(end, [&faults] { faults.silent.erase(submitter); });
+            break;
         case fault_kind::RestartSubmitter:
             restart(submitter);
             break;
@@ -235,6 +249,8 @@
     void observe()
     {
         const auto accepted = acceptedAt();
+        if (accepted)
+            reach(stage::Accepted);
         for (std::size_t i = 0; i < world_.size(); ++i) {
             require(world_.versionOf(i) >= versions_[i], "M13: an instance reverted");
             versions_[i] = world_.versionOf(i);
@@ -331,6 +347,19 @@
     LONGS_EQUAL(count, begun);
 }
 
+// Guards against an acceptance that only one instance knows of when it restarts during an outage.
+TEST(config_matrix, acceptanceSurvivesTheSubmitter)
+{
+    const std::vector<planned_fault> faults{
+        { fault_kind::SubmitterSilent, stage::Commit, 3s },
+        { fault_kind::PlatformDown, stage::Spread, 30s },
+        { fault_kind::RestartSubmitter, stage::Accepted },
+    };
+    STRCMP_EQUAL("", matrix_case(faults).run().c_str());
+    const std::string early = matrix_case(faults, sabotage::EarlyAnswer).run();
+    STRCMP_CONTAINS("M6: the withdrawn key is accepted", early.c_str());
+}
+
 // Guards against checkers that see nothing: each finds its deliberate error.
 TEST(config_matrix, checkersFindDeliberateErrors)
 {
