Keep the stand-ins' signal handlers until the end

A second SIGTERM during the shutdown, as a process group gets it from some callers, met the default action: one run of the upstream stand-in ended with status 143 instead of 0. The handlers now outlive the stand-in.

--- a/testing/platform-standin-main.cpp
+++ b/testing/platform-standin-main.cpp
@@ -22,6 +22,8 @@
     absl::ParseCommandLine(argc, argv);
     using namespace fuchsiagw;
     boost::asio::io_context context(1);
+    // It outlives the stand-in, so that a second signal does not end the process abnormally.
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     testing::platform_standin platform(context, absl::GetFlag(FLAGS_port),
                                        absl::GetFlag(FLAGS_fault_port));
     if (const auto error = platform.start()) {
@@ -31,7 +33,6 @@
     std::printf("ready fault=%s platform=%s\n", net::toString(platform.faultAddress()).c_str(),
                 net::toString(platform.address()).c_str());
     std::fflush(stdout);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
     context.run();
     return 0;
--- a/testing/upstream-standin-main.cpp
+++ b/testing/upstream-standin-main.cpp
@@ -83,6 +83,8 @@
         return 2;
     }
     boost::asio::io_context context(1);
+    // It outlives the stand-in, so that a second signal does not end the process abnormally.
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     testing::group_standin group(context, settings);
     if (const auto error = group.start()) {
         std::fprintf(stderr, "upstream-standin: can't bind a port: %s\n", error.message().c_str());
@@ -93,7 +95,6 @@
         line += " " + each.status.member.value + "=" + each.address;
     std::puts(line.c_str());
     std::fflush(stdout);
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
     context.run();
     return 0;
