--- a/include/fuchsiagw/core/share_pool.hpp
+++ b/include/fuchsiagw/core/share_pool.hpp
@@ -44,35 +44,35 @@
     friend bool operator==(const pool_row &, const pool_row &) = default;
 };
 
-using table_row = std::variant<lease_row, pool_row>;
+using share_row = std::variant<lease_row, pool_row>;
 
-struct versioned_row
+struct versioned_share_row
 {
     std::uint64_t version = 0;
-    table_row row;
+    share_row row;
 };
 
 /// Rows by key as they were read. A row that is missing here does not exist.
-using table_view = std::map<std::string, versioned_row>;
+using table_view = std::map<std::string, versioned_share_row>;
 
-struct row_check
+struct share_check
 {
     std::string key;
     std::uint64_t version = 0; ///< 0: the row must not exist
 };
 
-struct row_put
+struct share_put
 {
     std::string key;
-    table_row row;
+    share_row row;
 };
 
 /// All of it happens or nothing.
 struct table_transaction
 {
     std::string id; ///< a repeated id has no second effect
-    std::vector<row_check> checks;
-    std::vector<row_put> puts;
+    std::vector<share_check> checks;
+    std::vector<share_put> puts;
     std::vector<std::string> deletes;
 };
 
@@ -105,7 +105,7 @@
 [[nodiscard]] const pool_row *findPool(const table_view &view, const resource_id &resource);
 
 /// @brief Orders the instances that hold home shares of a workspace. A burst that is too small to
-/// give every instance two whole tokens is kept by fewer, spread over the zones; the others borrow.
+/// give every instance eight tokens is kept by fewer, spread over the zones; the others borrow.
 /// @complexity linear in the peers, times logarithm
 [[nodiscard]] std::vector<incarnation_id>
 shareHolders(const resource_id &resource, token_amount burst, const std::vector<peer_ref> &live);
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -98,14 +98,15 @@
 {
     const std::int64_t factor = patienceFactor(state);
     const duration patience = suspectAfter * factor;
-    // A peer that still hears the primary knows better: only the way from here is cut.
+    // A peer that has heard the primary since knows better: only the way from here is cut. A
+    // refusal is a sign of the member's own host, so only what a peer heard after it counts.
+    if (state.refusedSince != noDeadline && now >= state.refusedSince + suspectAfterRefused * factor
+        && state.peerHeard < state.refusedSince)
+        return true;
     const bool isHeardByPeer = state.peerHeard != time_point::min()
                                && state.peerHeard + patience + probeAfterSilence > now;
     if (isHeardByPeer)
         return false;
-    if (state.refusedSince != noDeadline
-        && now >= state.refusedSince + suspectAfterRefused * factor)
-        return true;
     return state.silentSince != noDeadline && now >= state.silentSince + patience;
 }
 
@@ -208,11 +209,17 @@
             state.suspicion || state.attempt || primary == nullptr || isProbeOverdue(state, now);
     for (auto &[id, member] : view.members) {
         const bool isPrimary = view.primary == id;
-        if (!isPrimary && !state.probes && !isAlarmed)
+        if (!isPrimary && !state.probes && !isAlarmed && member.pause.failures > 0)
             continue;
         duration silence = load.hasWork ? replicaProbeAfterSilence : idleProbeAfterSilence;
         if (isPrimary && load.hasWork)
             silence = probeAfterSilence;
+        if (load.wantedAge > duration::zero()) {
+            // What a replica holds but does not show yet will be visible very soon.
+            const bool isApplying = member.applied < member.last;
+            const duration fresh = isApplying ? freshProbeShortest : load.wantedAge / 3;
+            silence = std::min(silence, std::max(fresh, freshProbeShortest));
+        }
         if (isAlarmed && !isPrimary)
             silence = probeEvery;
         probeMember(state, id, member, isPrimary, isAlarmed || (isPrimary && load.hasWork), silence,
