Bound the traffic of loans and measure the limits

Loans of tokens leave half of the budget to loans of rate now, and last 0.05 s so that they need no return.

--- a/include/fuchsiagw/core/loan_policy.hpp
+++ b/include/fuchsiagw/core/loan_policy.hpp
@@ -35,8 +35,10 @@
     duration longestRetry = std::chrono::seconds(1);
     std::size_t fanout = 3; ///< peers that are asked at once for rate
     std::size_t candidates = 24; ///< peers that are asked in turn, per resource
-    std::int64_t bytesPerSecond = 1'000; ///< of requests; the answers cost about as much
-    std::int64_t byteBurst = 30'000;
+    /// Of all loan messages that an instance sends. With 360 B/s for its lease this leaves 440 B/s
+    /// of a daemon's 3 KB/s for everything else.
+    std::int64_t bytesPerSecond = 2'200;
+    std::int64_t byteBurst = 12'000;
 };
 
 /// One limit as an instance sees it.
--- a/include/fuchsiagw/core/share_book.hpp
+++ b/include/fuchsiagw/core/share_book.hpp
@@ -158,7 +158,7 @@
 {
     duration length = std::chrono::seconds(4); ///< of loan_kind::Rate, the longest
     /// Of loan_kind::Tokens: several round trips between zones.
-    duration tokenLength = std::chrono::milliseconds(100);
+    duration tokenLength = std::chrono::milliseconds(50);
     /// 0.5 % of the length; crystal clocks differ by less than 0.05 %.
     duration driftMargin = std::chrono::milliseconds(20);
 };
--- a/include/fuchsiagw/testing/limits_world.hpp
+++ b/include/fuchsiagw/testing/limits_world.hpp
@@ -59,6 +59,7 @@
     core::loan_settings loans;
     core::lease_times leases;
     bool areLoansOn = true;
+    bool isFixedDivision = false; ///< every instance holds the same part of every limit
     core::duration inZone = std::chrono::microseconds(300);
     core::duration betweenZones = std::chrono::milliseconds(4);
     core::duration toPlatform = std::chrono::milliseconds(10);
@@ -108,6 +109,7 @@
     core::lease_witness witness;
     core::loan_desk desk;
     core::time_point homeUntil{};
+    std::vector<core::peer_ref> knownPeers;
     std::shared_ptr<platform_call> call; ///< at most one at a time
     core::time_point nextPlatform{};
     core::time_point diesAt = core::noDeadline; ///< bound of a graceful stop
@@ -146,6 +148,8 @@
     std::deque<world_node> nodes; ///< a deque keeps references valid when a node is added
     std::map<core::incarnation_id, std::size_t> nodeByIncarnation;
     std::vector<listed_peer> list;
+    std::vector<core::peer_ref> holdersList; ///< for which holders was computed
+    std::map<core::resource_id, std::vector<core::incarnation_id>> holders;
     core::incarnation_id nextIncarnation = 1;
     std::uint64_t nextTransaction = 1;
 
--- a/src/core/loan_policy.cpp
+++ b/src/core/loan_policy.cpp
@@ -26,6 +26,9 @@
 /// Less is not worth a message. Only homes that hold less than two tokens give parts of one.
 constexpr token_amount leastTokens = oneToken / 8;
 
+/// A loan of this part of the total, or more, is large.
+constexpr share_count largePart = 8;
+
 /// More waiting statements than this are no random peak.
 constexpr std::uint32_t longQueue = 3;
 
@@ -112,6 +115,12 @@
     return take(desk.budget, bytes * oneToken, now);
 }
 
+/// Loans of rate carry the most, so loans of tokens leave them a half of the budget.
+bool canSpareBytes(const loan_desk &desk)
+{
+    return 2 * desk.budget.level >= desk.budget.capacity;
+}
+
 /// Collects the asks of one poll by peer.
 using ask_sheet =
         std::map<incarnation_id, std::map<std::pair<resource_id, loan_kind>, share_count>>;
@@ -144,7 +153,7 @@
 void askForTokens(const loan_desk &desk, const resource_id &resource, limit_entry &entry,
                   ask_sheet &sheet, time_point now)
 {
-    if (now < entry.nextTokenAsk || entry.candidates.empty())
+    if (now < entry.nextTokenAsk || entry.candidates.empty() || !canSpareBytes(desk))
         return;
     const token_amount missing = missingTokens(entry, now);
     if (missing == 0)
@@ -195,7 +204,8 @@
         giveBack(desk, resource, entry, id, returns, now);
 }
 
-/// Returns tokens that came too late or from two peers.
+/// Returns tokens that came too late or from two peers. A loan that is a large part of a small
+/// burst is returned even when its tokens are used, because its refill is lost meanwhile.
 void returnUnusedTokens(const loan_desk &desk, const resource_id &resource, limit_entry &entry,
                         return_sheet &returns, time_point now)
 {
@@ -209,7 +219,8 @@
         const share_book &book = entry.book;
         const share_count own = book.usable - book.in.at(id).shares;
         const token_amount room = partOf(book.burst, std::min(own, book.total), book.total);
-        if (book.bucket.level >= room + leastTokens)
+        const bool isLarge = book.in.at(id).shares * largePart >= book.total;
+        if (isLarge || book.bucket.level >= room + leastTokens)
             giveBack(desk, resource, entry, id, returns, now);
     }
 }
@@ -314,10 +325,14 @@
     return messages;
 }
 
-void appendReturns(std::vector<loan_message> &messages, return_sheet &&returns)
+/// Appends returns. They are sent even beyond the budget, which then delays the next requests.
+void appendReturns(loan_desk &desk, time_point now, std::vector<loan_message> &messages,
+                   return_sheet &&returns)
 {
-    for (auto &[lender, body] : returns)
+    for (auto &[lender, body] : returns) {
         messages.push_back({ lender, std::move(body) });
+        takeUpTo(desk.budget, sizeOf(messages.back()) * oneToken, now);
+    }
 }
 
 } // namespace
@@ -459,6 +474,7 @@
 
 std::vector<loan_message> poll(loan_desk &desk, time_point now)
 {
+    refill(desk.budget, now);
     ask_sheet sheet;
     return_sheet returns;
     const auto visit = [&](const resource_id &resource, limit_entry &entry) {
@@ -486,7 +502,7 @@
     std::erase_if(desk.urgent,
                   [&desk](const resource_id &each) { return desk.limits.at(each).waiting == 0; });
     std::vector<loan_message> messages = sendRequests(desk, sheet, now);
-    appendReturns(messages, std::move(returns));
+    appendReturns(desk, now, messages, std::move(returns));
     return messages;
 }
 
@@ -505,8 +521,11 @@
     if (request.number <= last || request.borrower == desk.self.incarnation)
         return {};
     last = request.number;
+    refill(desk.budget, now);
     loan_grant grant{ request.borrower, request.sentAt, {} };
     return_sheet returns;
+    // A lender without budget lends nothing; the returns that it owes are still sent.
+    const bool canLend = desk.areLoansOn && desk.budget.level >= answerBytesBound * oneToken;
     for (const loan_ask &ask : request.asks) {
         const auto found = desk.limits.find(ask.resource);
         if (found == desk.limits.end())
@@ -516,7 +535,8 @@
         const share_count need = currentNeed(entry, now);
         if (entry.waiting == 0)
             returnSurplus(desk, ask.resource, entry, static_cast<double>(need), returns, now);
-        if (!desk.areLoansOn || (entry.book.rate > 0 && entry.waiting > 0))
+        const bool isAffordable = ask.kind == loan_kind::Rate || canSpareBytes(desk);
+        if (!canLend || !isAffordable || (entry.book.rate > 0 && entry.waiting > 0))
             continue;
         const lent_part part = ask.kind == loan_kind::Rate ? rateToLend(entry, ask, need, lendable)
                                                            : tokensToLend(entry, ask, lendable);
@@ -528,9 +548,11 @@
             grant.loans.push_back(std::move(*terms));
     }
     std::vector<loan_message> messages;
-    appendReturns(messages, std::move(returns));
-    if (!grant.loans.empty())
+    appendReturns(desk, now, messages, std::move(returns));
+    if (!grant.loans.empty()) {
         messages.push_back({ request.borrower, std::move(grant) });
+        takeUpTo(desk.budget, sizeOf(messages.back()) * oneToken, now);
+    }
     return messages;
 }
 
--- a/testing/limits_world.cpp
+++ b/testing/limits_world.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr duration drainTime = std::chrono::seconds(6);
+constexpr duration drainTime = std::chrono::seconds(8);
 
 token_amount amountOf(double tokens)
 {
@@ -395,7 +395,6 @@
 {
     const peer_ref self = world.nodes[node].self;
     world.nodes[node].isLeaving = true;
-    world.nodes[node].desk.areLoansOn = false;
     world.nodes[node].nextPlatform = world.now;
     world.nodes[node].diesAt = world.now + drainTime;
     for (listed_peer &each : world.list)
--- a/testing/limits_world_node.cpp
+++ b/testing/limits_world_node.cpp
@@ -112,15 +112,28 @@
     return "t" + std::to_string(world.nextTransaction++);
 }
 
-share_count fairOf(const limits_world &world, const resource_id &resource, const world_node &node,
+/// The holders of a resource, computed once for each state of the list.
+const std::vector<incarnation_id> &holdersOf(limits_world &world, const resource_id &resource,
+                                             token_amount burst, const std::vector<peer_ref> &live)
+{
+    if (live != world.holdersList) {
+        world.holdersList = live;
+        world.holders.clear();
+    }
+    const auto [entry, isNew] = world.holders.try_emplace(resource);
+    const bool isForAll =
+            resource.kind == resource_kind::Connections || world.settings.isFixedDivision;
+    if (isNew)
+        entry->second = shareHolders(resource, isForAll ? maxTokenRate : burst, live);
+    return entry->second;
+}
+
+share_count fairOf(limits_world &world, const resource_id &resource, const world_node &node,
                    const std::vector<peer_ref> &live)
 {
-    const auto &book = node.desk.limits.at(resource).book;
-    const token_amount burst =
-            resource.kind == resource_kind::Workspace ? book.burst : maxTokenRate;
-    return fairPart(resource.kind == resource_kind::Workspace ? workspaceShares
-                                                              : world.settings.connections,
-                    shareHolders(resource, burst, live), node.self.incarnation);
+    const share_book &book = node.desk.limits.at(resource).book;
+    return fairPart(book.total, holdersOf(world, resource, book.burst, live),
+                    node.self.incarnation);
 }
 
 void joinTable(limits_world &world, std::size_t index)
@@ -164,6 +177,7 @@
 {
     world_node &node = world.nodes[index];
     const time_point local = localTime(world, node);
+    node.desk.areLoansOn = false;
     std::map<incarnation_id, loan_returns> returns;
     std::map<resource_id, removed_home> given;
     bool hasLent = false;
@@ -238,6 +252,8 @@
         return;
     const auto live = livePeers(world);
     const time_point local = localTime(world, node);
+    const bool isListNew = node.knownPeers != live;
+    node.knownPeers = live;
     std::map<resource_id, share_count> wanted;
     std::map<resource_id, removed_home> given;
     for (auto &[resource, entry] : node.desk.limits) {
@@ -251,12 +267,9 @@
             wanted[resource] = difference;
         else if (difference < 0)
             given[resource] = removeHome(entry.book, -difference, local);
-        setCandidates(node.desk, resource,
-                      shareHolders(resource,
-                                   resource.kind == resource_kind::Workspace ? entry.book.burst
-                                                                             : maxTokenRate,
-                                   live),
-                      live, world.random);
+        if (isListNew)
+            setCandidates(node.desk, resource, holdersOf(world, resource, entry.book.burst, live),
+                          live, world.random);
     }
     if (auto move = moveShares(nextId(world), world.table, node.self.incarnation, wanted, given))
         startMove(world, index, std::move(*move));
