--- a/include/fuchsiagw/wire/configuration_json.hpp
+++ b/include/fuchsiagw/wire/configuration_json.hpp
@@ -28,4 +28,7 @@
 /// @return BLAKE2b-256 of @p text in lower-case hexadecimal
 [[nodiscard]] std::string digestOf(std::string_view text);
 
+/// @return the first 64 bits of digestOf() as a number, for the messages between instances
+[[nodiscard]] std::uint64_t contentTagOf(std::string_view text);
+
 } // namespace fuchsiagw::wire
--- a/src/core/config_spread.cpp
+++ b/src/core/config_spread.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t maxSentAcknowledgements = 16; ///< as many as `included` has bits
 constexpr unsigned firstFastWaves = 4;
 constexpr int windowPercent = 70; ///< part of the period in which acknowledgements count
-constexpr int resendPercent = 40; ///< part of the window after which a digest is sent again
+constexpr int resendPercent = 40; ///< part of the window's rest after which a digest is repeated
+constexpr auto shortestResend = std::chrono::milliseconds(100); ///< rest of a window
 constexpr int missedPeriods = 3; ///< a child that is silent for so long is not waited for
 constexpr auto adoptionPause = std::chrono::milliseconds(300);
 
@@ -371,7 +372,9 @@
     if (isRoot(state) && now >= state.nextWave)
         startWave(state, proofs, now, actions);
     if (state.isOpen && now >= state.resendAt) {
-        state.resendAt = time_point::max();
+        const duration left = state.windowEnd - now;
+        state.resendAt =
+                left < shortestResend ? time_point::max() : now + left * resendPercent / 100;
         for (const auto &[peer, child] : state.children) {
             if (child.acknowledgedWave != state.wave && isWaitedFor(state, child, now))
                 sendDigest(state, proofs, peer, child, now, actions);
--- a/src/wire/configuration_json.cpp
+++ b/src/wire/configuration_json.cpp
@@ -180,4 +180,10 @@
     return hashKey(text);
 }
 
+std::uint64_t contentTagOf(std::string_view text)
+{
+    constexpr std::size_t digits = 16;
+    return std::stoull(digestOf(text).substr(0, digits), nullptr, 16);
+}
+
 } // namespace fuchsiagw::wire
