--- a/include/fuchsiagw/core/config_spread.hpp
+++ b/include/fuchsiagw/core/config_spread.hpp
@@ -54,8 +54,8 @@
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, root, wave, held, provenWave, provenVersion, included, windowMicroseconds, newest,
-           count, memberSum, hasUnsettledSubmit);
+        ar(kind, root, wave, held, provenWave, provenVersion, included, windowMicroseconds, oldest,
+           newest, count, memberSum, hasUnsettledSubmit);
     }
 };
 
--- /dev/null
+++ b/src/daemon/decide.cpp
@@ -0,0 +1,411 @@
+/// @file
+/// @brief Events in, actions out, and the clock that drives both.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/decide.hpp>
+
+#include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/net/clock.hpp>
+
+#include <sodium.h>
+
+#include <algorithm>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+constexpr core::duration tickEvery = std::chrono::milliseconds(10);
+constexpr core::duration platformLimit = std::chrono::seconds(2);
+
+std::uint64_t drawNumber()
+{
+    std::uint64_t number = 0;
+    randombytes_buf(&number, sizeof number);
+    return number;
+}
+
+} // namespace
+
+decide::decide(boost::asio::io_context &context, const settings &values, log_sink &log,
+               decide_outputs outputs)
+    : timer_(context)
+    , settings_(values)
+    , log_(log)
+    , outputs_(std::move(outputs))
+    , random_(drawNumber())
+    , gateway_(core::makeGateway({ drawNumber(), values.instance, values.zone }, {},
+                                 net::currentTime()))
+    , cluster_(gateway_, values, log,
+               cluster_outputs{ outputs_.toPeers,
+                                [this](platform::platform_order order, platform_handler done) {
+                                    callPlatform(std::move(order), std::move(done));
+                                },
+                                [this](const core::configuration &config) {
+                                    core::gateway_turn step = turn();
+                                    applyConfiguration(step, config);
+                                    outputs_.setReady(true);
+                                },
+                                [this] { onMembers(); } })
+    , now_(net::currentTime())
+{
+    gateway_.queueBound = values.queueCapacity;
+    gateway_.limits.answerLimit = values.answerLimit;
+    gateway_.limits.connectLimit = values.connectLimit;
+    gateway_.proof.unprovenWait = values.unprovenWait;
+}
+
+core::gateway_turn decide::turn()
+{
+    now_ = net::currentTime();
+    return { gateway_, now_, random_, actions_ };
+}
+
+void decide::start()
+{
+    logEvent(log_, log_event::ProcessStarted,
+             { field::id(log_key::Instance, settings_.instance),
+               field::incarnation(log_key::Incarnation, gateway_.incarnation),
+               field::id(log_key::Zone, settings_.zone),
+               field::address(log_key::Address, net::toString(settings_.callerAddress)) });
+    now_ = net::currentTime();
+    cluster_.start(now_);
+    tick();
+}
+
+void decide::tick()
+{
+    core::gateway_turn step = turn();
+    advance(step);
+    cluster_.tick(now_);
+    flush();
+    if (drained_ && isDrained(gateway_) && hasLeft(gateway_.keeper))
+        std::exchange(drained_, nullptr)();
+    const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
+    timer_.expires_at(net::toSteady(std::max(next, now_ + std::chrono::milliseconds(1))));
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+void decide::onCaller(core::caller_request &request)
+{
+    core::gateway_turn step = turn();
+    onCallerRequest(step, std::move(request));
+    flush();
+}
+
+void decide::onUpstream(upstream_event &event)
+{
+    core::gateway_turn step = turn();
+    withOwner(step, event.group, [&](core::group_owner &owner, core::owner_actions &actions) {
+        if (const auto *opened = std::get_if<connection_opened>(&event.what))
+            onConnected(owner, opened->id, opened->isOpen, now_, random_, actions);
+        else if (const auto *executed = std::get_if<statement_executed>(&event.what))
+            onExecuted(owner, executed->id, executed->answer, executed->wasSent,
+                       executed->wasSilent, now_, random_, actions);
+        else if (const auto *ended = std::get_if<connection_ended>(&event.what))
+            onConnectionClosed(owner, ended->id, now_, random_, actions);
+        else if (const auto *control = std::get_if<control_answered>(&event.what))
+            onControlAnswer(owner, control->answer, now_, random_, actions);
+    });
+    flush();
+}
+
+void decide::onPlatform(platform_event &event)
+{
+    const auto entry = requests_.find(event.number);
+    if (entry == requests_.end())
+        return;
+    pending_request request = std::move(entry->second);
+    requests_.erase(entry);
+    now_ = net::currentTime();
+    request.done(std::move(event.result), request.sentAt);
+    flush();
+}
+
+void decide::callPlatform(platform::platform_order order, platform_handler done)
+{
+    const std::uint64_t number = nextRequest_++;
+    requests_[number] = { std::move(done), now_ };
+    outputs_.toPlatform({ number, std::move(order), now_ + platformLimit });
+}
+
+void decide::callKeeperOrder(core::keeper_call &&call)
+{
+    const std::uint64_t number = call.number;
+    if (auto *prefix = std::get_if<std::string>(&call.order)) {
+        callPlatform(platform::scan_rows{ std::move(*prefix) },
+                     [this, number](platform::platform_result &&result, core::time_point) {
+                         core::gateway_turn step = turn();
+                         withKeeper(step, [&](core::limit_keeper &keeper,
+                                              core::keeper_actions &actions) {
+                             const auto rows = result.isAnswered
+                                                       ? std::optional(std::move(result.scan))
+                                                       : std::nullopt;
+                             onScan(keeper, number, rows, now_, random_, actions);
+                         });
+                     });
+        return;
+    }
+    callPlatform(
+            std::get<core::transact_request>(std::move(call.order)),
+            [this, number](platform::platform_result &&result, core::time_point) {
+                core::gateway_turn step = turn();
+                withKeeper(step, [&](core::limit_keeper &keeper, core::keeper_actions &actions) {
+                    const auto answer = result.isAnswered
+                                                ? std::optional(std::move(result.transaction))
+                                                : std::nullopt;
+                    onTransact(keeper, number, answer, now_, random_, actions);
+                });
+            });
+}
+
+void decide::onMembers()
+{
+    core::gateway_turn step = turn();
+    onLivePeers(step, cluster_.livePeers());
+}
+
+void decide::onPeer(peer_event &event)
+{
+    now_ = net::currentTime();
+    std::visit([this](auto &each) { take(each); }, event);
+    flush();
+}
+
+void decide::take(peer_heard &event)
+{
+    cluster_.onHeard(event, now_);
+}
+
+void decide::take(peer_message &event)
+{
+    if (const auto *message = std::get_if<digest>(&event.body)) {
+        cluster_.onDigest(event.from, *message, now_);
+        return;
+    }
+    if (const auto *message = std::get_if<wire::probe_message>(&event.body)) {
+        cluster_.onProbe(event.from, *message, now_);
+        return;
+    }
+    core::gateway_turn step = turn();
+    if (const auto *view = std::get_if<core::published_view>(&event.body)) {
+        withOwner(step, view->group, [&](core::group_owner &owner, core::owner_actions &actions) {
+            onPeerView(owner, *view, now_, random_, actions);
+        });
+        return;
+    }
+    std::visit(
+            [&](auto &body) {
+                if constexpr (std::is_constructible_v<core::keeper_body, decltype(body)>) {
+                    withKeeper(step,
+                               [&](core::limit_keeper &keeper, core::keeper_actions &actions) {
+                                   onMessage(keeper, event.from, core::keeper_body(std::move(body)),
+                                             now_, random_, actions);
+                               });
+                }
+            },
+            event.body);
+}
+
+void decide::take(peer_forward &event)
+{
+    const std::uint64_t ticket = nextOrigin_++;
+    origins_[ticket] = { event.link, event.request.id };
+    core::gateway_turn step = turn();
+    onForwarded(step, event.from, ticket, std::move(event.request));
+}
+
+void decide::take(forward_answered &event)
+{
+    const auto entry = gateway_.entries.find(event.handle);
+    if (entry == gateway_.entries.end() || !entry->second.forwardedTo)
+        return;
+    const core::instance_id from = *entry->second.forwardedTo;
+    core::gateway_turn step = turn();
+    onForwardResult(step, from, event.handle, std::move(event.answer));
+}
+
+void decide::take(forward_lost &event)
+{
+    const auto entry = gateway_.entries.find(event.handle);
+    if (entry != gateway_.entries.end() && entry->second.forwardedTo)
+        cluster_.onNoAnswer(*entry->second.forwardedTo, now_);
+    core::gateway_turn step = turn();
+    onForwardFailed(step, event.handle, event.wasWritten);
+}
+
+void decide::take(configuration_wanted &event)
+{
+    cluster_.onConfigurationWanted(event);
+}
+
+void decide::take(configuration_came &event)
+{
+    cluster_.onConfigurationCame(event, now_);
+}
+
+void decide::send(core::keeper_send &&message)
+{
+    const core::known_instance *peer = cluster_.find(message.to);
+    if (peer == nullptr)
+        return;
+    std::visit(
+            [&](auto &body) {
+                outputs_.toPeers(
+                        send_datagram{ peer->address, message.to, peer_body(std::move(body)) });
+            },
+            message.body);
+}
+
+void decide::send(core::forward_statement &&forward)
+{
+    const auto peer = gateway_.peers.find(forward.to);
+    if (peer == gateway_.peers.end()) {
+        core::gateway_turn step = turn();
+        onForwardFailed(step, forward.handle, false);
+        return;
+    }
+    outputs_.toPeers(send_forward{ peer->second.address, peer->second.incarnation, forward.handle,
+                                   std::move(forward.request) });
+}
+
+void decide::send(core::forward_result &&result)
+{
+    const auto origin = origins_.find(result.ticket);
+    if (origin == origins_.end())
+        return;
+    outputs_.toPeers(send_forward_answer{ origin->second.link, origin->second.request,
+                                          std::move(result.answer) });
+    origins_.erase(origin);
+}
+
+void decide::send(const core::group_id &group, const core::publish_to_owners &view)
+{
+    // The owners of the other zones: the first in rendezvous order of each zone's instances.
+    for (const core::instance_id &owner : rankOtherOwners(gateway_, group)) {
+        const core::peer_instance &peer = gateway_.peers.at(owner);
+        outputs_.toPeers(send_datagram{ peer.address, peer.incarnation, view.view });
+    }
+}
+
+void decide::flush()
+{
+    while (!actions_.empty()) {
+        core::gateway_actions actions = std::exchange(actions_, {});
+        for (core::gateway_action &each : actions)
+            perform(std::move(each));
+    }
+}
+
+void decide::perform(core::gateway_action &&action)
+{
+    if (auto *reply = std::get_if<core::caller_reply>(&action)) {
+        log(*reply);
+        outputs_.reply(std::move(*reply));
+        return;
+    }
+    if (auto *message = std::get_if<core::keeper_send>(&action)) {
+        send(std::move(*message));
+        return;
+    }
+    if (auto *call = std::get_if<core::keeper_call>(&action)) {
+        callKeeperOrder(std::move(*call));
+        return;
+    }
+    if (auto *forward = std::get_if<core::forward_statement>(&action)) {
+        send(std::move(*forward));
+        return;
+    }
+    if (auto *result = std::get_if<core::forward_result>(&action)) {
+        send(std::move(*result));
+        return;
+    }
+    if (const auto *changed = std::get_if<core::incarnation_changed>(&action)) {
+        logEvent(log_, log_event::IncarnationExpired,
+                 { field::incarnation(log_key::Incarnation, changed->incarnation) });
+        outputs_.setIncarnation(changed->incarnation);
+        return;
+    }
+    auto *group = std::get_if<core::group_action>(&action);
+    if (const auto *decided = std::get_if<core::route_decided>(&group->action))
+        log(group->group, *decided);
+    else if (const auto *notice = std::get_if<core::owner_notice>(&group->action))
+        log(group->group, *notice);
+    else if (const auto *view = std::get_if<core::publish_to_owners>(&group->action))
+        send(group->group, *view);
+    else if (std::holds_alternative<core::claim_promotion>(group->action))
+        claim(group->group, std::get<core::claim_promotion>(group->action).term);
+    else
+        outputs_.toUpstream(std::move(*group));
+}
+
+void decide::log(const core::group_id &group, const core::route_decided &decided)
+{
+    std::vector<std::pair<core::member_id, core::pass_reason>> candidates;
+    for (const core::route_candidate &each : decided.decision.candidates)
+        candidates.emplace_back(each.member, each.reason);
+    if (decided.decision.member) {
+        logEvent(log_, log_event::RouteChosen,
+                 { field::id(log_key::Request, decided.request), field::id(log_key::Group, group),
+                   field::name(log_key::Kind, decided.kind),
+                   field::id(log_key::Member, *decided.decision.member),
+                   field::name(log_key::Reason, decided.decision.reason),
+                   field::members(log_key::Candidates, candidates) });
+        return;
+    }
+    const bool isPrimary = decided.decision.reason == core::route_reason::NoPrimary;
+    logEvent(log_, log_event::RouteMissing,
+             { field::id(log_key::Request, decided.request), field::id(log_key::Group, group),
+               field::name(log_key::Kind, decided.kind),
+               field::error(log_key::Error,
+                            isPrimary ? core::error_kind::NoPrimary : core::error_kind::NoMember),
+               field::members(log_key::Candidates, candidates) });
+}
+
+void decide::log(const core::group_id &group, const core::owner_notice &notice)
+{
+    if (notice.event == core::owner_event::ForeignAnswer)
+        logEvent(log_, log_event::ForeignAnswerDropped,
+                 { field::id(log_key::Group, group), field::id(log_key::Member, notice.member) });
+}
+
+void decide::log(const core::caller_reply &reply)
+{
+    if (!reply.answer.error)
+        return;
+    const core::error_answer &row = core::answerOf(*reply.answer.error);
+    const bool ran = row.outcome != core::request_outcome::NotRun;
+    logEvent(log_, ran ? log_event::RequestFailed : log_event::RequestRefused,
+             { field::id(log_key::Request, reply.answer.id),
+               field::id(log_key::Workspace, reply.workspace),
+               field::name(log_key::Kind, reply.kind), field::error(log_key::Error, row.kind),
+               field::name(log_key::Outcome, row.outcome) });
+}
+
+void decide::claim(const core::group_id &group, core::term_number term)
+{
+    core::transact_request order;
+    order.id = "promotion/" + group.value + "/" + std::to_string(term);
+    order.puts.push_back(
+            { "promotion/" + group.value, settings_.instance.value + " " + std::to_string(term) });
+    callPlatform(std::move(order), [this, group](platform::platform_result &&result,
+                                                 core::time_point) {
+        const auto owner = gateway_.owners.find(group);
+        if (owner != gateway_.owners.end())
+            onClaim(owner->second, !result.isAnswered || result.transaction.committed, now_);
+    });
+}
+
+void decide::drain(std::function<void()> done)
+{
+    core::gateway_turn step = turn();
+    startDraining(step);
+    cluster_.setState(core::sender_state::Leaving, now_);
+    drained_ = std::move(done);
+}
+
+} // namespace fuchsiagw::daemon
