Test freshness while instances learn of a changed list one after the other

Cause: a replaced root moves every place in its zone, and the copies of the list differ for seconds.

--- a/tests/unit-freshness.cpp
+++ b/tests/unit-freshness.cpp
@@ -2,6 +2,7 @@
 /// @brief Tests of freshness proofs and of the waves that carry them.
 
 #include <fuchsiagw/core/config_spread.hpp>
+#include <fuchsiagw/core/random.hpp>
 
 #include <deque>
 #include <map>
@@ -110,6 +111,39 @@
     }
 };
 
+/// Replaces the root while every instance learns of it at a time of its own within 3 s.
+void changeList(std::uint64_t seed)
+{
+    small_cluster cluster(60);
+    cluster.runFor(5s);
+    std::vector<tree_member> live{ { { "a" }, { "i09" } } };
+    for (const auto &[id, each] : cluster.instances) {
+        if (id.value != "i10")
+            live.push_back(each.spread.self);
+    }
+    cluster.cut.insert({ "i10" });
+    auto &added = cluster.instances[{ "i09" }];
+    added.spread = startSpread(live.front(), 99, {}, cluster.now);
+    setLive(added.spread, live, cluster.now);
+    setHeld(added.proofs, 1);
+    random_engine random(seed);
+    std::map<instance_id, int> learnsAt; // steps of 50 ms
+    for (const auto &[id, each] : cluster.instances)
+        learnsAt[id] = static_cast<int>(drawBelow(random, 60));
+    for (int i = 0; i < 240; ++i) {
+        for (auto &[id, each] : cluster.instances) {
+            if (learnsAt.at(id) == i && id.value != "i10")
+                setLive(each.spread, live, cluster.now);
+        }
+        cluster.runFor(50ms);
+        if (i >= 20) // the new instance has had a second for its first proof
+            LONGS_EQUAL(61, cluster.countProven());
+    }
+    cluster.hasPlatform = false;
+    cluster.runFor(10s);
+    LONGS_EQUAL(60, cluster.countProven());
+}
+
 } // namespace
 
 TEST_GROUP(freshness){};
@@ -202,6 +236,14 @@
     }
 }
 
+// Guards against refusals while instances learn of a change of the list one after the other. The
+// new instance becomes the root, so every place in its zone changes.
+TEST(config_spread, changingListLeavesNoGap)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        changeList(seed);
+}
+
 // Guards against an operator's statement that reaches one instance only (d).
 TEST(config_spread, operatorStatementServesTheSubtree)
 {
