Serve one workspace from several daemons

Cause: with four daemons in three zones, statements that entered at an instance that is not the zone's owner were refused or waited until their deadline.

Ruled out: refusing forwards at an owner without connections: its queue is the demand that brings a loan of connections. Instances that were listed but not heard could not lend, because loans are addressed by incarnation; they are now asked for a sign of life.

--- a/include/fuchsiagw/core/gateway.hpp
+++ b/include/fuchsiagw/core/gateway.hpp
@@ -50,7 +50,6 @@
     statement_request request;
     session known; ///< what the answer's token is made from
     std::optional<instance_id> forwardedTo;
-    std::uint32_t forwards = 0;
     bool isWaiting = false; ///< for a token of its workspace
     bool mayHaveRun = false; ///< a forward was written whose answer never came
 };
@@ -76,6 +75,7 @@
     std::set<incarnation_id> ownIncarnations; ///< all that this process has had
     std::map<std::uint64_t, entry_statement> entries; ///< by handle
     std::set<std::pair<time_point, std::uint64_t>> deadlines;
+    std::set<std::pair<time_point, std::uint64_t>> retries; ///< of the dispatch, by time
     std::uint64_t nextHandle = 1;
     time_point nextOwnerCheck{};
 };
--- a/include/fuchsiagw/core/owner_action.hpp
+++ b/include/fuchsiagw/core/owner_action.hpp
@@ -88,16 +88,14 @@
 /// Events that deserve a log line of their own.
 enum class owner_event : std::uint8_t {
     PromotionStarted,
-    PromotionEnded,
     PrimaryChanged,
     MemberFailed,
     ForeignAnswer,
     ConnectionLimit,
 };
 
-inline constexpr std::array<std::string_view, 6> ownerEventNames{
-    "promotion_started", "promotion_ended", "primary_changed",
-    "member_failed",     "foreign_answer",  "connection_limit",
+inline constexpr std::array<std::string_view, 5> ownerEventNames{
+    "promotion_started", "primary_changed", "member_failed", "foreign_answer", "connection_limit",
 };
 
 struct owner_notice
@@ -105,7 +103,8 @@
     owner_event event = owner_event::MemberFailed;
     member_id member;
     term_number term = 0;
-    std::string_view detail; ///< from a table of names
+    member_failure failure = member_failure::Silence; ///< of MemberFailed
+    std::uint32_t connections = 0;                    ///< of ConnectionLimit
 };
 
 /// Tell the owners of the group in other zones what this one knows.
--- a/include/fuchsiagw/daemon/decide.hpp
+++ b/include/fuchsiagw/daemon/decide.hpp
@@ -78,6 +78,7 @@
     };
 
     void tick();
+    void finishDrain();
     void flush();
     void perform(core::gateway_action &&action);
     void log(const core::group_id &group, const core::route_decided &decided);
@@ -114,6 +115,8 @@
     std::map<std::uint64_t, pending_request> requests_;
     std::uint64_t nextRequest_ = 1;
     std::function<void()> drained_;
+    core::time_point shareReturnDeadline_ =
+            core::noDeadline; ///< set once nothing is left to answer
 };
 
 } // namespace fuchsiagw::daemon
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -18,8 +18,8 @@
 /// How often the owners are chosen anew; a change of configuration or peers does it at once.
 constexpr duration ownerCheckEvery = std::chrono::milliseconds(500);
 
-/// Forwards of one statement; each goes to the next instance in order.
-constexpr std::uint32_t maxForwards = 4;
+/// Pause before a statement that no instance of the zone could take is dispatched again.
+constexpr duration forwardPause = std::chrono::milliseconds(25);
 
 /// The upper half of a transaction's number tells its group.
 constexpr unsigned groupShift = 32;
@@ -162,8 +162,12 @@
     statement.maxAge = maxAgeOf(state.config, entry.request);
     statement.session = entry.ticket;
     group_owner &owner = ownerOf(state, entry.request.group);
-    if (entry.from && owner.pool.limit == 0) {
-        fail(turn, handle, error_kind::PeerUnreachable);
+    // An owner without connections queues the statement, so that its demand brings a loan.
+    if (owner.pool.limit == 0 && !owner.isWatching) {
+        if (entry.from)
+            fail(turn, handle, error_kind::PeerUnreachable);
+        else
+            state.retries.emplace(turn.now + forwardPause, handle);
         return;
     }
     owner_actions actions;
@@ -175,7 +179,6 @@
 {
     entry_statement &entry = turn.state.entries.at(handle);
     entry.forwardedTo = to;
-    ++entry.forwards;
     turn.actions.emplace_back(forward_statement{ to, handle, entry.request });
 }
 
@@ -210,7 +213,7 @@
         return;
     }
     const std::vector<instance_id> ranked = rankOwners(state, entry.request.group, turn.now);
-    if (ranked.empty() || ranked.front() == state.instance || entry.forwards >= maxForwards)
+    if (ranked.empty() || ranked.front() == state.instance)
         submitHere(turn, handle);
     else
         forwardTo(turn, handle, ranked.front());
@@ -250,6 +253,20 @@
     });
 }
 
+void dispatchAgain(gateway_turn &turn)
+{
+    auto &retries = turn.state.retries;
+    std::vector<std::uint64_t> due;
+    while (!retries.empty() && retries.begin()->first <= turn.now) {
+        due.push_back(retries.begin()->second);
+        retries.erase(retries.begin());
+    }
+    for (const std::uint64_t handle : due) {
+        if (turn.state.entries.count(handle) != 0)
+            dispatch(turn, handle);
+    }
+}
+
 /// Takes a token of the workspace, or waits for one.
 void admit(gateway_turn &turn, std::uint64_t handle)
 {
@@ -439,6 +456,7 @@
         advance(owner, turn.now, turn.random, actions);
         passOn(turn, group, std::move(actions));
     }
+    dispatchAgain(turn);
     withKeeper(turn, [&](limit_keeper &keeper, keeper_actions &actions) {
         tickKeeper(keeper, turn.now, turn.random, actions);
         if (state.isDraining && state.entries.empty() && !keeper.isLeaving)
@@ -451,7 +469,10 @@
         const entry_statement &entry = state.entries.at(handle);
         if (entry.isWaiting)
             abandonStatement(state.keeper, entry.request.workspace, handle);
-        fail(turn, handle, entry.isWaiting ? error_kind::RateLimited : lostForward(entry.request));
+        const error_kind lost = entry.mayHaveRun || entry.forwardedTo
+                                        ? lostForward(entry.request)
+                                        : error_kind::DeadlineExceeded;
+        fail(turn, handle, entry.isWaiting ? error_kind::RateLimited : lost);
     }
 }
 
@@ -462,6 +483,8 @@
         next = std::min(next, nextWakeup(owner));
     if (!state.deadlines.empty())
         next = std::min(next, state.deadlines.begin()->first);
+    if (!state.retries.empty())
+        next = std::min(next, state.retries.begin()->first);
     return next;
 }
 
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -127,7 +127,7 @@
         return;
     owner_turn turn{ owner, now, random, actions };
     owner.pool.limit = limit;
-    actions.emplace_back(owner_notice{ owner_event::ConnectionLimit, {}, limit, "connections" });
+    actions.emplace_back(owner_notice{ owner_event::ConnectionLimit, {}, 0, {}, limit });
     for (const connection_id id : surplusConnections(owner.pool))
         drop(turn, id);
     pump(turn);
--- a/src/core/owner_control.cpp
+++ b/src/core/owner_control.cpp
@@ -46,7 +46,7 @@
     }
     if (action.step == failover_step::Lead)
         turn.actions.emplace_back(
-                owner_notice{ owner_event::PromotionStarted, action.member, action.term, "lead" });
+                owner_notice{ owner_event::PromotionStarted, action.member, action.term, {}, 0 });
     call(turn, std::move(order));
 }
 
@@ -186,8 +186,8 @@
         return;
     owner.reportedPrimary = owner.view.primary;
     const member_id primary = owner.view.primary.value_or(member_id{});
-    turn.actions.emplace_back(owner_notice{ owner_event::PrimaryChanged, primary,
-                                            owner.view.highestTerm, "observed" });
+    turn.actions.emplace_back(
+            owner_notice{ owner_event::PrimaryChanged, primary, owner.view.highestTerm, {}, 0 });
 }
 
 } // namespace fuchsiagw::detail
--- a/src/core/owner_exchange.cpp
+++ b/src/core/owner_exchange.cpp
@@ -21,8 +21,7 @@
 void noteFailure(owner_turn &turn, const member_id &member, member_failure failure)
 {
     observeFailure(turn.owner.view, member, failure, turn.now, turn.random);
-    turn.actions.emplace_back(
-            owner_notice{ owner_event::MemberFailed, member, 0, toString(failure) });
+    turn.actions.emplace_back(owner_notice{ owner_event::MemberFailed, member, 0, failure, 0 });
 }
 
 answer_verdict verdictOn(owner_turn &turn, const owned_statement &statement,
@@ -57,8 +56,8 @@
     owned_statement &statement = owner.statements.at(handle);
     const answer_verdict verdict = verdictOn(turn, statement, answer);
     if (verdict == answer_verdict::Drop) {
-        turn.actions.emplace_back(owner_notice{ owner_event::ForeignAnswer,
-                                                statement.progress.member, 0, toString(verdict) });
+        turn.actions.emplace_back(
+                owner_notice{ owner_event::ForeignAnswer, statement.progress.member, 0, {}, 0 });
     } else {
         observeAnswer(owner.view, statement.progress.member, answer, statement.progress.term,
                       statement.sentAt, turn.now);
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t instancesPerListSecond = 100;
 constexpr core::duration seedProbeEvery = std::chrono::seconds(1);
 constexpr std::size_t probesPerTick = 4;
+/// About 1 KB/s until every listed instance is known.
+constexpr std::size_t unknownPerSecond = 8;
 
 /// Stands for the instances that an instance without the platform's list can't know of, so that it
 /// never counts the ones it knows as all of them.
@@ -98,9 +100,20 @@
         if (const auto *known = core::findInstance(members, each))
             outputs_.toPeers(send_datagram{ known->address, 0, probe });
     }
-    if (hasList_ || now < nextSeedProbe_)
+    if (now < nextSeedProbe_)
         return;
     nextSeedProbe_ = now + seedProbeEvery;
+    // Loans, witnesses and other zones' owners are addressed by incarnation, which only they can
+    // tell.
+    std::size_t left = unknownPerSecond;
+    for (const auto &[instance, known] : members.instances) {
+        if (known.incarnation != 0 || left == 0)
+            continue;
+        --left;
+        outputs_.toPeers(send_datagram{ known.address, 0, probe });
+    }
+    if (hasList_)
+        return;
     for (const std::string &address : settings_.seeds)
         outputs_.toPeers(send_datagram{ address, 0, probe });
 }
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr core::duration tickEvery = std::chrono::milliseconds(10);
+constexpr core::duration shareReturnLimit = std::chrono::seconds(5);
 constexpr core::duration platformLimit = std::chrono::seconds(2);
 
 std::uint64_t drawNumber()
@@ -80,8 +81,8 @@
     advance(step);
     cluster_.tick(now_);
     flush();
-    if (drained_ && isDrained(gateway_) && hasLeft(gateway_.keeper))
-        std::exchange(drained_, nullptr)();
+    if (drained_ && isDrained(gateway_))
+        finishDrain();
     const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
     timer_.expires_at(net::toSteady(std::max(next, now_ + std::chrono::milliseconds(1))));
     timer_.async_wait([this](const boost::system::error_code &error) {
@@ -90,6 +91,15 @@
     });
 }
 
+void decide::finishDrain()
+{
+    // The others take the shares back from an incarnation that could not return them.
+    if (shareReturnDeadline_ == core::noDeadline)
+        shareReturnDeadline_ = now_ + shareReturnLimit;
+    if (hasLeft(gateway_.keeper) || now_ >= shareReturnDeadline_)
+        std::exchange(drained_, nullptr)();
+}
+
 void decide::onCaller(core::caller_request &request)
 {
     core::gateway_turn step = turn();
@@ -368,9 +378,28 @@
 
 void decide::log(const core::group_id &group, const core::owner_notice &notice)
 {
-    if (notice.event == core::owner_event::ForeignAnswer)
-        logEvent(log_, log_event::ForeignAnswerDropped,
-                 { field::id(log_key::Group, group), field::id(log_key::Member, notice.member) });
+    const field ofGroup = field::id(log_key::Group, group);
+    const field ofMember = field::id(log_key::Member, notice.member);
+    const field ofTerm = field::number(log_key::Term, notice.term);
+    switch (notice.event) {
+    case core::owner_event::PromotionStarted:
+        logEvent(log_, log_event::PromotionStarted, { ofGroup, ofMember, ofTerm });
+        return;
+    case core::owner_event::PrimaryChanged:
+        logEvent(log_, log_event::PrimaryChanged, { ofGroup, ofMember, ofTerm });
+        return;
+    case core::owner_event::MemberFailed:
+        logEvent(log_, log_event::MemberFailed,
+                 { ofGroup, ofMember, field::name(log_key::Reason, notice.failure) });
+        return;
+    case core::owner_event::ForeignAnswer:
+        logEvent(log_, log_event::ForeignAnswerDropped, { ofGroup, ofMember });
+        return;
+    case core::owner_event::ConnectionLimit:
+        logEvent(log_, log_event::ConnectionLimitChanged,
+                 { ofGroup, field::number(log_key::Connections, notice.connections) });
+        return;
+    }
 }
 
 void decide::log(const core::caller_reply &reply)
