--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -72,6 +72,8 @@
                field::address(log_key::Address, net::toString(settings_.callerAddress)) });
     now_ = net::currentTime();
     cluster_.start(now_);
+    // An instance without any peer takes its shares too.
+    onMembers();
     tick();
 }
 
