--- a/include/fuchsiagw/daemon/decide.hpp
+++ b/include/fuchsiagw/daemon/decide.hpp
@@ -79,6 +79,7 @@
 
     void tick();
     void finishDrain();
+    void updateReady();
     void flush();
     void perform(core::gateway_action &&action);
     void log(const core::group_id &group, const core::route_decided &decided);
@@ -110,6 +111,8 @@
     core::gateway_actions actions_;
     cluster cluster_;
     core::time_point now_;
+    core::time_point startedAt_;
+    bool isReady_ = false;
     std::map<std::uint64_t, forward_origin> origins_; ///< of forwards taken in, by ticket
     std::uint64_t nextOrigin_ = 1;
     std::map<std::uint64_t, pending_request> requests_;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -436,8 +436,10 @@
         peer->second.avoidUntil = turn.now + avoidFor;
     entry.forwardedTo.reset();
     entry.mayHaveRun |= wasWritten;
+    // What was never sent can't commit, so the transaction of an owner that is gone is rolled back.
+    const bool isGone = peer == turn.state.peers.end() || !peer->second.isLive;
     if (entry.request.transaction && !wasWritten)
-        fail(turn, handle, error_kind::PeerUnreachable);
+        fail(turn, handle, isGone ? error_kind::TransactionLost : error_kind::PeerUnreachable);
     else if (wasWritten && !mayRepeat(entry.request))
         fail(turn, handle, lostForward(entry.request));
     else
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -18,6 +18,8 @@
 
 constexpr core::duration tickEvery = std::chrono::milliseconds(10);
 constexpr core::duration shareReturnLimit = std::chrono::seconds(5);
+/// After this time an instance with a configuration serves with what it has.
+constexpr core::duration readyLimit = std::chrono::seconds(3);
 constexpr core::duration platformLimit = std::chrono::seconds(2);
 
 std::uint64_t drawNumber()
@@ -50,6 +52,7 @@
                                 },
                                 [this] { onMembers(); } })
     , now_(net::currentTime())
+    , startedAt_(now_)
 {
     gateway_.queueBound = values.queueCapacity;
     gateway_.limits.answerLimit = values.answerLimit;
@@ -83,6 +86,7 @@
     advance(step);
     cluster_.tick(now_);
     flush();
+    updateReady();
     if (drained_ && isDrained(gateway_))
         finishDrain();
     const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
@@ -93,6 +97,25 @@
     });
 }
 
+// Before its shares are taken and its peers are known an instance would refuse statements that are
+// inside their workspace's rate. Without the platform it can only wait for its peers' loans.
+void decide::updateReady()
+{
+    if (isReady_ || gateway_.config.version == 0)
+        return;
+    const bool knowsPeers =
+            std::all_of(gateway_.peers.begin(), gateway_.peers.end(),
+                        [](const auto &each) { return each.second.incarnation != 0; });
+    const bool isWaitOver = now_ >= startedAt_ + readyLimit;
+    isReady_ = (gateway_.keeper.hasJoined && knowsPeers) || isWaitOver;
+    if (!isReady_)
+        return;
+    logEvent(log_, log_event::ProcessReady,
+             { field::number(log_key::Version, gateway_.config.version),
+               field::lapse(log_key::Elapsed, now_ - startedAt_) });
+    outputs_.setReady(true);
+}
+
 void decide::finishDrain()
 {
     // The others take the shares back from an incarnation that could not return them.
