--- a/tests/unit-fuzz.cpp
+++ b/tests/unit-fuzz.cpp
@@ -218,8 +218,8 @@
         parts[0].content,
         writeBody(configuration_body{ 1, 2, 0, 1, "text" }),
         writeBody(probe_message{ { { "i" }, { "z" }, "127.0.0.1:1" }, true }),
-        writeBody(core::loan_request{ 1, 2, 3, { { {}, 4 }, { {}, 5 } } }),
-        writeBody(core::loan_grant{ 1, 2, { {}, {} } }),
+        writeBody(core::loan_request{ 1, 2, 3, std::vector<core::loan_ask>(2) }),
+        writeBody(core::loan_grant{ 1, 2, std::vector<core::loan_terms>(2) }),
         writeBody(core::lease_request{ 1, { 2, 3 }, 4 })
     };
     const auto readAll = [](const std::string &body) {
