Let a new instance find its predecessor's shares sooner

In the trace of a planned replacement the new instance had no home for 2 to 3 s, because the lagging list did not show it to itself, and spent its budget on asks. It counts itself among the live instances now and looks into the pool every 0.2 s at first.

--- a/include/fuchsiagw/core/loan_policy.hpp
+++ b/include/fuchsiagw/core/loan_policy.hpp
@@ -38,7 +38,7 @@
     /// Of all loan messages that an instance sends. With 360 B/s for its lease this leaves 440 B/s
     /// of a daemon's 3 KB/s for everything else.
     std::int64_t bytesPerSecond = 2'200;
-    std::int64_t byteBurst = 12'000;
+    std::int64_t byteBurst = 30'000; ///< a new instance borrows every limit at once
 };
 
 /// One limit as an instance sees it.
--- a/include/fuchsiagw/testing/limits_world.hpp
+++ b/include/fuchsiagw/testing/limits_world.hpp
@@ -112,6 +112,7 @@
     std::vector<core::peer_ref> knownPeers;
     std::shared_ptr<platform_call> call; ///< at most one at a time
     core::time_point nextPlatform{};
+    core::time_point eagerUntil{};
     core::time_point diesAt = core::noDeadline; ///< bound of a graceful stop
     std::map<core::resource_id, std::deque<waiting_statement>> waiting;
     std::vector<std::function<void()>> inbox; ///< arrived while paused
--- a/testing/limits_world.cpp
+++ b/testing/limits_world.cpp
@@ -371,6 +371,7 @@
     node = world_node{};
     node.self = self;
     node.isAlive = true;
+    node.eagerUntil = world.now + std::chrono::seconds(5);
     world.nodeByIncarnation[self.incarnation] = index;
     node.clockRate = 1 + (2 * drawUnit(world.random) - 1) * world.settings.clockDrift;
     node.clockOffset = std::chrono::seconds(drawBelow(world.random, 1'000));
--- a/testing/limits_world_node.cpp
+++ b/testing/limits_world_node.cpp
@@ -15,6 +15,7 @@
 constexpr duration tickEvery = std::chrono::milliseconds(10);
 constexpr duration platformTimeout = std::chrono::seconds(1);
 constexpr duration rebalanceEvery = std::chrono::seconds(1);
+constexpr duration eagerEvery = std::chrono::milliseconds(200);
 constexpr duration joinRetry = std::chrono::milliseconds(50);
 
 bool isPlatformReachable(const limits_world &world, const world_node &node)
@@ -136,10 +137,19 @@
                     node.self.incarnation);
 }
 
+/// The list lags, so a new instance may not find itself in it.
+std::vector<peer_ref> livePeersWith(const limits_world &world, const peer_ref &self)
+{
+    std::vector<peer_ref> live = livePeers(world);
+    if (std::find(live.begin(), live.end(), self) == live.end())
+        live.push_back(self);
+    return live;
+}
+
 void joinTable(limits_world &world, std::size_t index)
 {
     world_node &node = world.nodes[index];
-    std::vector<peer_ref> live = livePeers(world);
+    const std::vector<peer_ref> live = livePeersWith(world, node.self);
     const time_point promised = homeUntil(node.lease);
     if (!node.lease.current.empty() && promised <= localTime(world, node)) {
         if (!lostWitnesses(node.lease, world.settings.leases, localTime(world, node)).empty())
@@ -147,9 +157,6 @@
         return;
     }
     const std::vector<incarnation_id> witnesses = node.lease.current;
-    if (std::none_of(live.begin(), live.end(),
-                     [&](const peer_ref &each) { return each == node.self; }))
-        live.push_back(node.self);
     std::map<resource_id, share_count> wanted;
     for (const auto &[resource, entry] : node.desk.limits)
         wanted[resource] = fairOf(world, resource, node, live);
@@ -250,7 +257,7 @@
     const lease_row *own = findLease(world.table, node.self.incarnation);
     if (own == nullptr)
         return;
-    const auto live = livePeers(world);
+    const std::vector<peer_ref> live = livePeersWith(world, node.self);
     const time_point local = localTime(world, node);
     const bool isListNew = node.knownPeers != live;
     node.knownPeers = live;
@@ -391,7 +398,8 @@
     }
     askWitnesses(world, index);
     if (!node.call && world.now >= node.nextPlatform && isPlatformReachable(world, node)) {
-        node.nextPlatform = world.now + rebalanceEvery;
+        // A new instance looks more often for shares that its predecessor returns.
+        node.nextPlatform = world.now + (world.now < node.eagerUntil ? eagerEvery : rebalanceEvery);
         if (node.isLeaving)
             leaveTable(world, index);
         else if (!node.hasJoined) {
