--- a/bench/bench-limits.cpp
+++ b/bench/bench-limits.cpp
@@ -301,7 +301,8 @@
         rusage before{};
         getrusage(RUSAGE_SELF, &before);
         const auto world = makeWorld(settings);
-        runFor(*world, seconds(warmUpSeconds));
+        // Long enough to use up the burst of the budget after the common start.
+        runFor(*world, seconds(25));
         world->results.clear();
         std::vector<std::uint64_t> sent;
         for (const world_node &node : world->nodes)
--- a/src/core/loan_policy.cpp
+++ b/src/core/loan_policy.cpp
@@ -19,7 +19,7 @@
 constexpr duration surplusTime = std::chrono::milliseconds(500);
 
 /// Capacity below which random peaks empty a bucket whatever its rate, and burst below which a
-/// division between two instances costs more than it gives.
+/// division costs more than it gives; twice that if the borrower needs less than a half.
 constexpr token_amount leastRateCapacity = 4 * oneToken;
 constexpr token_amount leastRateBurst = 16 * oneToken;
 
@@ -84,9 +84,11 @@
         need = std::min(book.total, std::max(need, book.usable + book.usable / 2));
     const bool isLow = book.rate == 0 || book.bucket.level < book.bucket.capacity / 2
                        || book.bucket.level < oneToken;
-    const bool isUsable = book.rate == 0
-                          || (book.burst >= leastRateBurst
-                              && partOf(book.burst, need, book.total) >= leastRateCapacity);
+    const bool isDivisible =
+            book.burst >= (2 * need >= book.total ? leastRateBurst : 2 * leastRateBurst);
+    const bool isUsable =
+            book.rate == 0
+            || (isDivisible && partOf(book.burst, need, book.total) >= leastRateCapacity);
     return isLow && isUsable ? std::max<share_count>(need - book.usable, 0) : 0;
 }
 
