Keep the shares of open connections when loans are returned

Cause: the loan policy returns a loan that is needed by less than a half, which suits rates.

Ruled out: a change of the policy for rates, whose loans hold no resource of their own.

Conclusion: the keeper decides itself when borrowed connections go back.

--- a/include/fuchsiagw/core/limit_keeper.hpp
+++ b/include/fuchsiagw/core/limit_keeper.hpp
@@ -109,6 +109,7 @@
     time_point busyPeakUntil{};
     share_count yield = 0; ///< of idle connections that are closed because a peer asks for them
     time_point yieldUntil{};
+    time_point surplusSince = noDeadline; ///< since when borrowed connections could be returned
     std::optional<std::uint32_t> announced; ///< connections
     std::deque<waiting_admission> waiting;
 };
--- a/src/core/limit_keeper.cpp
+++ b/src/core/limit_keeper.cpp
@@ -5,7 +5,7 @@
 #include <fuchsiagw/detail/keeper_steps.hpp>
 
 #include <algorithm>
-#include <cassert>
+#include <utility>
 
 namespace fuchsiagw::core {
 
@@ -26,6 +26,9 @@
 /// Idle connections that a peer needs stay closed until its next requests have come.
 constexpr duration yieldTime = std::chrono::milliseconds(500);
 
+/// Borrowed connections are returned once they were not needed for this time.
+constexpr duration surplusTime = std::chrono::milliseconds(500);
+
 /// A burst of exchanges is expected to repeat within this time.
 constexpr duration busyPeakTime = std::chrono::seconds(2);
 
@@ -49,13 +52,47 @@
                                  0);
 }
 
+/// Returns borrowed connections that are neither open nor expected to be.
+/// @param isAsked a peer asks for them, so they are not kept for surplusTime
+void returnSpare(limit_keeper &keeper, const resource_id &resource, bool isAsked, time_point now,
+                 keeper_actions &actions)
+{
+    keeper_limit &limit = keeper.limits.at(resource);
+    limit_entry &entry = keeper.connections.limits.at(resource);
+    advance(entry.book, now);
+    std::vector<std::pair<share_count, loan_id>> loans;
+    for (const auto &[id, loan] : entry.book.in)
+        if (loan.shares > 0)
+            loans.emplace_back(loan.shares, id);
+    std::sort(loans.begin(), loans.end());
+    const share_count expected = (limit.busyPeak * share_count{ 3 } + 1) / 2;
+    const share_count needed = std::max<share_count>(entry.inUse, expected) + entry.waiting;
+    share_count held = sharesUntil(entry.book, now + announceHorizon);
+    if (loans.empty() || held - loans.front().first < needed) {
+        limit.surplusSince = noDeadline;
+        return;
+    }
+    limit.surplusSince = std::min(limit.surplusSince, now);
+    if (!isAsked && now < limit.surplusSince + surplusTime)
+        return;
+    for (const auto &[shares, id] : loans) {
+        if (held - shares < needed)
+            break;
+        if (auto back = returnLoan(entry.book, resource, id,
+                                   keeper.connections.settings.times.length, now))
+            send(actions, id.lender, loan_returns{ { std::move(*back) } });
+        held -= shares;
+    }
+}
+
 void pollDesks(limit_keeper &keeper, time_point now, keeper_actions &actions)
 {
     sendLoans(poll(keeper.rates, now), actions);
-    // While one loan ends no other is returned: its shares may be needed by open connections.
-    for (auto &[resource, entry] : keeper.connections.limits)
-        if (endingShares(entry, now) > 0)
-            entry.surplusSince = noDeadline;
+    // The desk may return a loan that is needed by less than a half; open connections need all.
+    for (auto &[resource, entry] : keeper.connections.limits) {
+        entry.surplusSince = noDeadline;
+        returnSpare(keeper, resource, false, now, actions);
+    }
     sendLoans(poll(keeper.connections, now), actions);
 }
 
@@ -89,16 +126,30 @@
         sendLoans(onLoanRequest(desk, request, now), actions);
         return;
     }
-    // Shares that end soon are no spare: open connections would be left without.
-    std::vector<std::pair<limit_entry *, std::uint32_t>> raised;
+    for (const loan_ask &ask : request.asks)
+        if (desk.limits.contains(ask.resource))
+            returnSpare(keeper, ask.resource, true, now, actions);
+    // Shares that end soon are no spare: open connections would be left without. Loans are hidden
+    // from the desk, which returns those that are needed by less than a half.
+    struct hidden_part
+    {
+        limit_entry *entry = nullptr;
+        std::uint32_t inUse = 0;
+        std::map<loan_id, loan_in> loans;
+    };
+    std::vector<hidden_part> hidden;
     for (auto &[resource, entry] : desk.limits) {
-        raised.emplace_back(&entry, entry.inUse);
-        entry.inUse += static_cast<std::uint32_t>(endingShares(entry, now));
+        const auto ending = static_cast<std::uint32_t>(endingShares(entry, now));
+        hidden.push_back({ &entry, entry.inUse, std::exchange(entry.book.in, {}) });
+        entry.inUse += ending;
     }
     const std::size_t before = actions.size();
     sendLoans(onLoanRequest(desk, request, now), actions);
-    for (const auto &[entry, inUse] : raised)
-        entry->inUse = inUse;
+    for (hidden_part &each : hidden) {
+        each.entry->inUse = each.inUse;
+        each.entry->book.in = std::move(each.loans);
+        setHomeUntil(each.entry->book, each.entry->book.homeUntil, now);
+    }
     // What was lent may be enough; otherwise the next request asks for the rest.
     const bool isLent = std::any_of(actions.begin() + static_cast<std::ptrdiff_t>(before),
                                     actions.end(), [](const keeper_action &each) {
--- a/tests/unit-limit-keeper.cpp
+++ b/tests/unit-limit-keeper.cpp
@@ -105,9 +105,9 @@
             if (!each->isAlive)
                 continue;
             const bool isOwner = owners.contains(each.get());
-            apply(*each, [&](keeper_actions &actions) {
-                onPeers(each->keeper, peers, now, random, actions);
-                onOwnedGroups(each->keeper,
+            apply(*each, [this, &at = *each, peers, isOwner](keeper_actions &actions) {
+                onPeers(at.keeper, peers, now, random, actions);
+                onOwnedGroups(at.keeper,
                               isOwner ? std::set<group_id>{ group } : std::set<group_id>{}, now,
                               random, actions);
             });
@@ -177,7 +177,7 @@
     void answer(node &to, const keeper_call &order, const std::optional<scan_answer> &rows,
                 const std::optional<transact_answer> &result)
     {
-        apply(to, [&](keeper_actions &actions) {
+        apply(to, [this, &to, order, rows, result](keeper_actions &actions) {
             if (std::holds_alternative<std::string>(order.order))
                 onScan(to.keeper, order.number, rows, now, random, actions);
             else
@@ -185,6 +185,7 @@
         });
     }
 
+    /// Runs an event now, or after the node's pause; it must own what it uses.
     void apply(node &at, const std::function<void(keeper_actions &)> &run)
     {
         if (!at.isAlive)
@@ -214,7 +215,7 @@
         const incarnation_id sender = from.keeper.self.incarnation;
         after(milliseconds(4), [this, sender, message] {
             node &to = *nodes.at(message.to - 1);
-            apply(to, [&, message](keeper_actions &actions) {
+            apply(to, [this, &to, sender, message](keeper_actions &actions) {
                 onMessage(to.keeper, sender, message.body, now, random, actions);
             });
         });
