Reclaim from an earlier incarnation of the same instance without votes

Cause: the shares of an incarnation are reclaimed by a majority of its witnesses.

Ruled out: reclaim of any row with dead witnesses; a zone that is cut off and serves from its own shares looks the same to the others. Witnesses in other zones; a zone that is cut off must keep its shares.

Conclusion: a new incarnation has the name and address of its predecessor, which is therefore dead. Shares of an instance that never returns under its name still need its witnesses.

--- a/include/fuchsiagw/core/limit_keeper.hpp
+++ b/include/fuchsiagw/core/limit_keeper.hpp
@@ -120,12 +120,13 @@
     Rebalance, ///< and creation and change of pools
     Witnesses, ///< replacement in the own row
     Reclaim, ///< of a dead incarnation's shares
+    Predecessor, ///< reclaim from an earlier incarnation of this instance, without votes
     Leave,
 };
 
-inline constexpr std::array<std::string_view, 6> keeperGoalNames{ "none",      "join",
-                                                                  "rebalance", "witnesses",
-                                                                  "reclaim",   "leave" };
+inline constexpr std::array<std::string_view, 7> keeperGoalNames{
+    "none", "join", "rebalance", "witnesses", "reclaim", "predecessor", "leave"
+};
 
 [[nodiscard]] constexpr std::string_view toString(keeper_goal goal)
 {
@@ -151,7 +152,7 @@
     std::set<std::string> damaged; ///< keys of rows that can't be read
     share_move move;
     std::set<resource_id> resources; ///< of a rebalancing
-    incarnation_id dead = 0; ///< of a reclaim
+    incarnation_id dead = 0; ///< whose shares are reclaimed
     bool hasPools = false; ///< the pools are read too, of a reclaim
     bool isResize = false; ///< creates or changes pools and moves no shares
 };
@@ -184,6 +185,8 @@
     keeper_work work;
     time_point nextWork{};
     time_point nextReclaim{};
+    time_point nextPredecessor{}; ///< when the rows are searched for earlier incarnations
+    bool wasShort = false; ///< the pools had less than the fair parts when it joined
     duration workPause{ 0 }; ///< doubles while the platform does not answer
     std::uint64_t nextCall = 1; ///< starts at the incarnation: answers to a predecessor's calls are
                                 ///< never taken for its own
--- a/src/core/limit_keeper_moves.cpp
+++ b/src/core/limit_keeper_moves.cpp
@@ -27,6 +27,12 @@
 /// A dead incarnation's shares whose pools can't be read are looked at this often.
 constexpr duration reclaimRetry = std::chrono::seconds(10);
 
+/// Earlier incarnations of this instance are searched for this often while a pool is short.
+constexpr duration predecessorRetry = std::chrono::minutes(10);
+
+/// Keeps the searches of instances that were started together apart.
+constexpr duration searchSpread = std::chrono::seconds(30);
+
 std::string nextId(limit_keeper &keeper)
 {
     return std::to_string(keeper.self.incarnation) + '-' + std::to_string(keeper.nextTransaction++);
@@ -205,6 +211,44 @@
     return true;
 }
 
+/// Reclaims from an earlier incarnation whose witnesses can't vote any more because too many of
+/// them are gone too. It is dead because this process has its name and address; the loans that it
+/// granted have ended before the search begins.
+bool preparePredecessor(limit_keeper &keeper, time_point now)
+{
+    keeper_work &work = keeper.work;
+    keeper.nextPredecessor = now + predecessorRetry;
+    keeper.wasShort = false;
+    const auto isLive = [&keeper](incarnation_id witness) {
+        return std::any_of(keeper.live.begin(), keeper.live.end(),
+                           [witness](const auto &peer) { return peer.incarnation == witness; });
+    };
+    for (auto &[key, versioned] : work.view) {
+        auto *row = std::get_if<lease_row>(&versioned.row);
+        if (row == nullptr || row->instance != keeper.self.instance
+            || row->incarnation == keeper.self.incarnation)
+            continue;
+        const auto live = std::count_if(row->witnesses.begin(), row->witnesses.end(), isLive);
+        const bool isComplete =
+                std::all_of(row->homes.begin(), row->homes.end(), [&work](const auto &home) {
+                    return findPool(work.view, home.first) != nullptr;
+                });
+        if (2 * live > std::ssize(row->witnesses) || !isComplete)
+            continue;
+        // This instance stands for the witnesses; the row itself is only deleted.
+        row->witnesses = { keeper.self.incarnation };
+        auto reclaim = reclaimLease(nextId(keeper), work.view, row->incarnation,
+                                    { keeper.self.incarnation });
+        if (!reclaim)
+            continue;
+        keeper.nextPredecessor = now;
+        keeper.wasShort = true; // there may be more
+        work.move.transaction = std::move(*reclaim);
+        return true;
+    }
+    return false;
+}
+
 bool prepareLeave(limit_keeper &keeper, time_point now)
 {
     keeper_work &work = keeper.work;
@@ -259,6 +303,8 @@
         return prepareWitnesses(keeper, now, actions);
     case keeper_goal::Reclaim:
         return prepareReclaim(keeper, now);
+    case keeper_goal::Predecessor:
+        return preparePredecessor(keeper, now);
     case keeper_goal::Leave:
         return prepareLeave(keeper, now);
     case keeper_goal::None:
@@ -280,8 +326,11 @@
         keeper.hasJoined = true;
         applyLease(keeper, now);
         addShares(keeper, work.move.gained, now, random, actions);
-        for (const auto &[resource, limit] : keeper.limits)
+        for (const auto &[resource, limit] : keeper.limits) {
             scheduleLook(keeper, resource, now, random);
+            keeper.wasShort = keeper.wasShort || 2 * bookOf(keeper, resource).home < limit.fair;
+        }
+        keeper.nextPredecessor = now + drawPause(random, searchSpread);
         break;
     case keeper_goal::Rebalance:
     case keeper_goal::Leave:
@@ -304,6 +353,7 @@
             onReclaimed(keeper.witness, work.dead);
         keeper.nextReclaim = now;
         break;
+    case keeper_goal::Predecessor:
     case keeper_goal::None:
         break;
     }
--- a/src/core/limit_keeper_work.cpp
+++ b/src/core/limit_keeper_work.cpp
@@ -14,6 +14,10 @@
 constexpr duration firstPause = std::chrono::milliseconds(50);
 constexpr duration longestPause = std::chrono::seconds(5);
 
+/// Pause between looks at a pool that is short, from which on all lease rows are searched. A
+/// reclaim by votes takes less than the pauses until then.
+constexpr duration predecessorPause = std::chrono::seconds(16);
+
 /// With more pool rows than these one scan of all is cheaper.
 constexpr std::size_t singlePools = 4;
 
@@ -177,6 +181,19 @@
     return !hasMore || (hasSome && !keeper.hasReturned);
 }
 
+/// Another incarnation may hold what is missing: the pools were short at the join, or have been for
+/// so long that nobody can be about to reclaim it by votes.
+bool isPredecessorDue(const limit_keeper &keeper, time_point now)
+{
+    const duration wait = keeper.settings.leases.promise + longestLoan(keeper);
+    if (now < std::max(keeper.nextPredecessor, keeper.witness.startedAt + wait))
+        return false;
+    return keeper.wasShort
+           || std::any_of(keeper.limits.begin(), keeper.limits.end(), [](const auto &entry) {
+                  return entry.second.isUsed && entry.second.lookPause >= predecessorPause;
+              });
+}
+
 bool isJoinDue(const limit_keeper &keeper, time_point now)
 {
     return keeper.hasConfiguration && !keeper.live.empty() && keeper.stale.empty()
@@ -218,6 +235,10 @@
             work.resources.insert(resource);
             keys.insert(poolKey(resource));
         }
+    if (keys.empty() && isPredecessorDue(keeper, now)) {
+        work.goal = keeper_goal::Predecessor;
+        return { std::string(leasePrefix), pools };
+    }
     if (keys.empty())
         return {};
     work.goal = keeper_goal::Rebalance;
--- a/tests/unit-limit-keeper.cpp
+++ b/tests/unit-limit-keeper.cpp
@@ -114,11 +114,12 @@
         }
     }
 
-    node &add(int zone)
+    node &add(int zone, std::string instance = {})
     {
         const auto id = static_cast<incarnation_id>(nodes.size() + 1);
-        const peer_ref self{ id, instance_id{ "i" + std::to_string(id) },
-                             zone_name{ "z" + std::to_string(zone) } };
+        if (instance.empty())
+            instance = "i" + std::to_string(id);
+        const peer_ref self{ id, instance_id{ instance }, zone_name{ "z" + std::to_string(zone) } };
         node &added = *nodes.emplace_back(std::make_unique<node>());
         added.keeper = makeKeeper(self, {}, now);
         apply(added, [&](keeper_actions &actions) {
@@ -457,6 +458,22 @@
     CHECK_TRUE(all.writes <= 40);
 }
 
+// Guards against shares that nobody can reclaim because the witnesses died with their holders.
+TEST(limit_keeper, restartOfAllInstancesFindsTheShares)
+{
+    start(4);
+    for (int i = 0; i < 4; ++i) {
+        all.nodes[static_cast<std::size_t>(i)]->isAlive = false;
+        all.add(i % 3, "i" + std::to_string(i + 1));
+    }
+    all.announce();
+    all.run(seconds(180));
+    for (incarnation_id old = 1; old <= 4; ++old)
+        LONGS_EQUAL(0, all.table.count(leaseKey(old)));
+    LONGS_EQUAL(workspaceShares, all.home(workspaceLimit));
+    LONGS_EQUAL(16, all.home(groupLimit));
+}
+
 // Guards against a paused instance that uses shares which were reclaimed meanwhile.
 TEST(limit_keeper, expiredIncarnationGrantsNothing)
 {
