--- a/src/core/limit_keeper_moves.cpp
+++ b/src/core/limit_keeper_moves.cpp
@@ -30,8 +30,8 @@
 /// Earlier incarnations of this instance are searched for this often while a pool is short.
 constexpr duration predecessorRetry = std::chrono::minutes(10);
 
-/// Keeps the searches of instances that were started together apart.
-constexpr duration searchSpread = std::chrono::seconds(30);
+/// Keeps the searches of instances that were started together apart, per instance.
+constexpr duration searchSpread = std::chrono::milliseconds(20);
 
 std::string nextId(limit_keeper &keeper)
 {
@@ -330,7 +330,7 @@
             scheduleLook(keeper, resource, now, random);
             keeper.wasShort = keeper.wasShort || 2 * bookOf(keeper, resource).home < limit.fair;
         }
-        keeper.nextPredecessor = now + drawPause(random, searchSpread);
+        keeper.nextPredecessor = now + drawPause(random, searchSpread * std::ssize(keeper.live));
         break;
     case keeper_goal::Rebalance:
     case keeper_goal::Leave:
--- a/src/core/limit_keeper_work.cpp
+++ b/src/core/limit_keeper_work.cpp
@@ -185,8 +185,9 @@
 /// so long that nobody can be about to reclaim it by votes.
 bool isPredecessorDue(const limit_keeper &keeper, time_point now)
 {
-    const duration wait = keeper.settings.leases.promise + longestLoan(keeper);
-    if (now < std::max(keeper.nextPredecessor, keeper.witness.startedAt + wait))
+    // Before that loans of the earlier incarnation may still be in use.
+    const time_point earliest = keeper.witness.startedAt + longestLoan(keeper);
+    if (now < std::max(keeper.nextPredecessor, earliest))
         return false;
     return keeper.wasShort
            || std::any_of(keeper.limits.begin(), keeper.limits.end(), [](const auto &entry) {
