Tell the keeper which connections are idle, and count unheard instances for fair parts

Cause: the keeper took idle connections for used ones, so they were neither lent nor returned, and fair parts were too large while most peers had not been heard.

Ruled out: counting only reserved and busy connections as open; the keeper needs both numbers to lower the limit before it gives the shares away.

--- a/include/fuchsiagw/daemon/cluster.hpp
+++ b/include/fuchsiagw/daemon/cluster.hpp
@@ -53,7 +53,7 @@
     /// @brief Tells the others what this instance is about to do.
     void setState(core::sender_state state, core::time_point now);
 
-    /// @return the live instances whose incarnation is known
+    /// @return the live instances; those not heard yet have incarnation 0 and count for fair parts only
     [[nodiscard]] std::vector<core::peer_ref> livePeers() const;
 
     [[nodiscard]] const core::known_instance *find(core::incarnation_id incarnation) const;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -303,10 +303,13 @@
 
 void reportDemand(gateway &state, const group_owner &owner, time_point now)
 {
+    const auto &connections = owner.pool.connections;
+    const auto idle = std::count_if(connections.begin(), connections.end(), [](const auto &each) {
+        return each.second.state == connection_state::Idle;
+    });
     const std::size_t waiting = owner.queue.length + owner.readyCount;
-    setGroupDemand(state.keeper, owner.group,
-                   static_cast<std::uint32_t>(owner.pool.connections.size()),
-                   static_cast<std::uint32_t>(waiting), now);
+    setGroupDemand(state.keeper, owner.group, static_cast<std::uint32_t>(connections.size()),
+                   static_cast<std::uint32_t>(waiting), now, static_cast<std::uint32_t>(idle));
 }
 
 /// A process that was paused for too long has lost its shares to the others. It joins anew.
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -354,7 +354,7 @@
 {
     std::vector<core::peer_ref> live;
     for (const auto &[instance, known] : members.instances) {
-        if (known.state == core::peer_state::Live && known.incarnation != 0)
+        if (known.state == core::peer_state::Live)
             live.push_back({ known.incarnation, instance, known.zone });
     }
     return live;
