Repeat lead when its request fails, and name the term in the claim

Cause: a caller that reports a failed lead request ended the attempt at once, so one lost answer passed over a member that may lead already. The claim in the platform's table carried no term.

Ruled out: telling refusals from failures here; a refusal comes with a status whose higher term already ends the attempt.

--- a/include/fuchsiagw/core/failover.hpp
+++ b/include/fuchsiagw/core/failover.hpp
@@ -125,7 +125,7 @@
     member_id member; ///< empty for PublishView and Claim
     term_number term = 0;
     member_id primary; ///< only for Follow
-    duration timeout = probeTimeout; ///< when to report the failure of the request
+    duration timeout = probeTimeout; ///< of the request; only a failed probe must be reported
     bool suspects = false; ///< only for PublishView
 };
 
@@ -241,8 +241,9 @@
                                             time_point askedAt, time_point now,
                                             random_engine &random);
 
-/// @brief The answer to lead arrived.
-/// @param leads whether the member leads @p term now
+/// @brief The answer to lead arrived, or the request failed.
+/// @param leads whether the member leads @p term now; false repeats the request to the same member,
+/// and gives the attempt up after leadTries
 [[nodiscard]] failover_actions onLead(failover_state &state, group_view &view,
                                       const member_id &member, term_number term, bool leads,
                                       time_point now, random_engine &random);
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -388,7 +388,8 @@
     if (!state.suspicion) {
         const auto jitter = static_cast<std::uint64_t>(staggerJitter.count());
         state.startAt = now + staggerPerRank * state.rank + duration(drawBelow(random, jitter));
-        actions.push_back(makeAction(failover_step::Claim, {}, 0));
+        const term_number next = nextTerm(std::max(view.highestTerm, state.triedTerm), state.rank);
+        actions.push_back(makeAction(failover_step::Claim, {}, next));
     }
     state.suspicion = cause;
     if (now < state.startAt || now < state.notBefore)
@@ -531,9 +532,12 @@
             state.attempt && state.attempt->term == term && state.attempt->chosen == member;
     if (leads)
         observePrimary(view, member, term, now);
-    else if (isOwn)
-        failAttempt(state, now, random);
     followEvents(state, view, now, actions);
+    if (!leads && isOwn && state.attempt) {
+        // Repeats the request, or gives the attempt up after the last try.
+        state.attempt->deadline = now;
+        advanceAttempt(state, view, now, random, actions);
+    }
     return actions;
 }
 
@@ -586,7 +590,7 @@
     if (!state.attempt) {
         state.notBefore = time_point::min();
         startAttempt(state, view, failover_cause::ByHand, now, actions);
-        actions.push_back(makeAction(failover_step::Claim, {}, 0));
+        actions.push_back(makeAction(failover_step::Claim, {}, state.attempt->term));
     } else {
         advanceAttempt(state, view, now, random, actions);
     }
