--- a/include/fuchsiagw/testing/limits_world.hpp
+++ b/include/fuchsiagw/testing/limits_world.hpp
@@ -63,6 +63,7 @@
     core::duration inZone = std::chrono::microseconds(300);
     core::duration betweenZones = std::chrono::milliseconds(4);
     core::duration toPlatform = std::chrono::milliseconds(10);
+    core::duration tickEvery = std::chrono::milliseconds(10); ///< of the nodes' periodic work
     core::duration listLag = std::chrono::seconds(2);
     double lost = 0; ///< part of the messages
     double doubled = 0;
--- a/tests/unit-limits-matrix.cpp
+++ b/tests/unit-limits-matrix.cpp
@@ -156,6 +156,8 @@
     settings.zones = 2;
     settings.workspaces = { { "uneven", 40, 20, 38, { 6, 1, 0, 0, 1 } }, { "tiny", 5, 5, 4, {} } };
     settings.connections = 8;
+    // Half the usual pace keeps the matrix inside the time limit under the sanitizers.
+    settings.tickEvery = milliseconds(20);
     return settings;
 }
 
