--- a/src/core/share_pool.cpp
+++ b/src/core/share_pool.cpp
@@ -12,7 +12,7 @@
 
 /// Each zone has a holder of at least this part of the burst if possible, so that a zone that is
 /// cut off can serve. Smaller holders would be full, and lose their refill, most of the time.
-constexpr token_amount minTokensPerZone = 6 * oneToken;
+constexpr token_amount minTokensPerZone = 4 * oneToken;
 
 /// More holders than this allows would each run empty at small random peaks.
 constexpr token_amount minTokensPerHolder = 8 * oneToken;
