Serve operators and metrics on the admin address

The daemon had no port for operators: release notes could only be written into the platform's table by hand, and what the duties count was not shown.

The duty 'admin' answers the open routes itself and hands operators' requests to the decisions through a bounded ring. The operator desk runs on the decisions' thread, because it reads and changes their state.

A promotion may name a member. It is only a preference among members with equal last positions, so the rule that the greatest position leads still holds.

Checked by hand: every command of fuchsiagwctl against two daemons and the stand-ins.

--- a/include/fuchsiagw/core/failover.hpp
+++ b/include/fuchsiagw/core/failover.hpp
@@ -151,6 +151,7 @@
     term_number term = 0;
     failover_cause cause = failover_cause::Silence;
     std::optional<member_id> excluded; ///< not to be chosen if a majority exists without it
+    std::optional<member_id> preferred; ///< chosen among members with equal positions
     std::map<member_id, member_status> grants; ///< as granted
     std::optional<member_id> chosen;
     std::uint32_t tries = 0; ///< of lead
@@ -193,6 +194,7 @@
     time_point lastPublished = time_point::min();
     time_point resumedAt = time_point::min();
     time_point handUntil = time_point::min();
+    std::optional<member_id> preferred; ///< named with the newest promotion by hand
     term_number triedTerm = 0; ///< highest term of an own attempt
     std::uint32_t failedAttempts = 0; ///< in a row
     std::vector<time_point> promotions; ///< changes of primary within promotionMemory
--- a/include/fuchsiagw/daemon/cluster.hpp
+++ b/include/fuchsiagw/daemon/cluster.hpp
@@ -50,6 +50,10 @@
     /// @brief Takes in a configuration that a submit of this instance has made.
     void takeIn(const core::fetch_source &source, std::string_view body, core::time_point now);
 
+    /// @brief Sets whether a version may exist that only a submit of this instance knows of, see
+    /// core::isUnsettled().
+    void setUnsettledSubmit(bool isUnsettled) { spread.hasUnsettledSubmit = isUnsettled; }
+
     /// @brief Tells the others what this instance is about to do.
     void setState(core::sender_state state, core::time_point now);
 
--- a/include/fuchsiagw/daemon/decide.hpp
+++ b/include/fuchsiagw/daemon/decide.hpp
@@ -5,7 +5,9 @@
 
 #include <fuchsiagw/core/gateway.hpp>
 #include <fuchsiagw/daemon/cluster.hpp>
+#include <fuchsiagw/daemon/decision_meter.hpp>
 #include <fuchsiagw/daemon/log_event.hpp>
+#include <fuchsiagw/daemon/operator_desk.hpp>
 #include <fuchsiagw/daemon/peer_duty.hpp>
 #include <fuchsiagw/daemon/settings.hpp>
 #include <fuchsiagw/daemon/upstream.hpp>
@@ -43,6 +45,7 @@
     std::function<void(peer_order &&)> toPeers;
     std::function<void(core::incarnation_id)> setIncarnation;
     std::function<void(bool)> setReady;
+    std::function<void(admin_result &&)> toAdmin;
 };
 
 /// Lives on the thread of its context.
@@ -57,6 +60,10 @@
     void onUpstream(upstream_event &event);
     void onPlatform(platform_event &event);
     void onPeer(peer_event &event);
+    void onAdmin(admin_request &request);
+
+    /// @return what the decisions count; one thread may read it
+    [[nodiscard]] snapshot_buffer<metrics> &published() { return meter_.published(); }
 
     [[nodiscard]] core::incarnation_id incarnation() const { return gateway_.incarnation; }
 
@@ -108,6 +115,8 @@
     core::gateway gateway_;
     core::gateway_actions actions_;
     cluster cluster_;
+    operator_desk desk_;
+    decision_meter meter_;
     core::time_point now_;
     std::map<std::uint64_t, forward_origin> origins_; ///< of forwards taken in, by ticket
     std::uint64_t nextOrigin_ = 1;
--- a/include/fuchsiagw/daemon/front.hpp
+++ b/include/fuchsiagw/daemon/front.hpp
@@ -4,14 +4,19 @@
 #pragma once
 
 #include <fuchsiagw/core/gateway.hpp>
+#include <fuchsiagw/daemon/metrics.hpp>
 #include <fuchsiagw/daemon/settings.hpp>
+#include <fuchsiagw/daemon/snapshot_buffer.hpp>
 #include <fuchsiagw/net/http_server.hpp>
 #include <fuchsiagw/wire/caller_json.hpp>
 #include <fuchsiagw/wire/session_token.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <atomic>
 #include <functional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace fuchsiagw::daemon {
 
@@ -35,6 +40,12 @@
     /// @brief Takes no new connections and closes the others after their next answer.
     void drain();
 
+    /// @return whether requests are accepted; any thread may ask
+    [[nodiscard]] bool isReady() const { return isReady_ && !isDraining_; }
+
+    /// @return what this duty counts, published each second; one thread may read it
+    [[nodiscard]] snapshot_buffer<metrics> &published() { return published_; }
+
     void setReady(bool ready) { isReady_ = ready; }
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
@@ -46,8 +57,12 @@
     {
         net::http_reply reply;
         core::time_point arrivedAt;
+        core::statement_kind kind = core::statement_kind::Read;
+        bool mayUseReplica = false;
     };
 
+    void publish();
+    void count(const open_request &request, const core::caller_reply &reply);
     void onRequest(net::http_request &&request, net::http_reply &&reply);
     void handleStatement(const net::http_request &request, net::http_reply &&reply);
     void answer(net::http_reply &reply, net::http_response &&response);
@@ -58,7 +73,11 @@
     wire::token_keys tokens_;
     request_sink sink_;
     net::http_server server_;
+    boost::asio::steady_timer timer_;
     core::random_engine random_;
+    metrics counts_;
+    snapshot_buffer<metrics> published_;
+    std::unordered_set<net::connection_number> connections_; ///< that have sent a request
     std::unordered_map<std::uint64_t, open_request> open_; ///< by ticket
     std::uint64_t nextTicket_ = 1;
     std::atomic<bool> isReady_{ false };
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -298,6 +298,8 @@
     attempt.term = nextTerm(std::max(view.highestTerm, state.triedTerm), state.rank);
     attempt.cause = cause;
     attempt.excluded = view.primary ? view.primary : state.suspected;
+    if (cause == failover_cause::ByHand)
+        attempt.preferred = state.preferred;
     attempt.startedAt = now;
     const duration timeout = doubled(attemptTimeout, state.failedAttempts, attemptTimeoutLongest);
     attempt.deadline = now + timeout;
@@ -443,8 +445,11 @@
     for (const auto &[id, status] : attempt.grants) {
         if (isEnough && id == attempt.excluded)
             continue;
-        const bool isBetter = best == nullptr || status.last > best->last
-                              || (status.last == best->last && best->leaving && !status.leaving);
+        const bool isEqual = best != nullptr && status.last == best->last;
+        const bool isBetter =
+                best == nullptr || status.last > best->last
+                || (isEqual && best->leaving && !status.leaving)
+                || (isEqual && id == attempt.preferred && status.leaving == best->leaving);
         if (isBetter)
             best = &status;
     }
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -48,6 +48,13 @@
                                     outputs_.setReady(true);
                                 },
                                 [this] { onMembers(); } })
+    , desk_(gateway_, cluster_, values, log,
+            operator_desk_outputs{ outputs_.toAdmin,
+                                   [this](platform::platform_order order, platform_handler done) {
+                                       callPlatform(std::move(order), std::move(done));
+                                   },
+                                   [this] { return turn(); } })
+    , meter_(gateway_)
     , now_(net::currentTime())
 {
     gateway_.queueBound = values.queueCapacity;
@@ -79,6 +86,8 @@
     core::gateway_turn step = turn();
     advance(step);
     cluster_.tick(now_);
+    desk_.tick(now_);
+    meter_.tick(cluster_, now_);
     flush();
     if (drained_ && isDrained(gateway_) && hasLeft(gateway_.keeper))
         std::exchange(drained_, nullptr)();
@@ -114,8 +123,16 @@
     flush();
 }
 
+void decide::onAdmin(admin_request &request)
+{
+    now_ = net::currentTime();
+    desk_.onRequest(request, now_);
+    flush();
+}
+
 void decide::onPlatform(platform_event &event)
 {
+    meter_.onPlatformResult(event.result.isAnswered);
     const auto entry = requests_.find(event.number);
     if (entry == requests_.end())
         return;
@@ -128,6 +145,7 @@
 
 void decide::callPlatform(platform::platform_order order, platform_handler done)
 {
+    meter_.onPlatformRequest();
     const std::uint64_t number = nextRequest_++;
     requests_[number] = { std::move(done), now_ };
     outputs_.toPlatform({ number, std::move(order), now_ + platformLimit });
@@ -303,6 +321,7 @@
 
 void decide::perform(core::gateway_action &&action)
 {
+    meter_.onAction(action, cluster_.isPlatformReachable, now_);
     if (auto *reply = std::get_if<core::caller_reply>(&action)) {
         log(*reply);
         outputs_.reply(std::move(*reply));
--- a/src/daemon/front.cpp
+++ b/src/daemon/front.cpp
@@ -22,6 +22,7 @@
 using core::statement_kind;
 
 constexpr std::size_t maxBody = 1024 * 1024; // bytes, of one request
+constexpr core::duration publishEvery = std::chrono::seconds(1);
 constexpr std::string_view versionBody = R"({"name":"fuchsiagw","version":"0.1.0"})";
 constexpr std::string_view transactionsPrefix = "/v1/transactions/";
 
@@ -137,15 +138,62 @@
                   options.maxConnections = values.callerConnections;
                   return options;
               }(),
-              [this](net::http_request &&request, net::connection_number, net::http_reply &&reply) {
+              [this](net::http_request &&request, net::connection_number connection,
+                     net::http_reply &&reply) {
+                  connections_.insert(connection);
                   onRequest(std::move(request), std::move(reply));
-              })
+              },
+              [this](net::connection_number connection) { connections_.erase(connection); })
+    , timer_(context)
     , random_(drawSeed())
 { }
 
 std::error_code front::start()
 {
-    return server_.start();
+    const std::error_code error = server_.start();
+    if (!error)
+        publish();
+    return error;
+}
+
+void front::publish()
+{
+    counts_.set(gauge::CallerConnections, static_cast<double>(connections_.size()));
+    published_.publish(counts_);
+    timer_.expires_after(publishEvery);
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            publish();
+    });
+}
+
+void front::count(const open_request &request, const core::caller_reply &reply)
+{
+    workspace_counters *const workspace =
+            reply.workspace.empty() ? nullptr : &counts_.of(reply.workspace);
+    if (workspace != nullptr)
+        ++workspace->requests;
+    if (reply.answer.error) {
+        const core::error_answer &row = core::answerOf(*reply.answer.error);
+        ++counts_.errors[row.kind];
+        if (workspace != nullptr && row.outcome == core::request_outcome::NotRun)
+            ++workspace->refused;
+        return;
+    }
+    if (workspace != nullptr)
+        ++workspace->served;
+    const core::duration lapse = net::currentTime() - request.arrivedAt;
+    if (request.kind == statement_kind::Read) {
+        counts_.count(counter::Reads);
+        counts_.count(counter::ReadsReplicaAllowed, request.mayUseReplica ? 1 : 0);
+        counts_.count(counter::ReadsReplicaServed, reply.answer.fromReplica ? 1 : 0);
+        counts_.add(delay::Read, lapse);
+    } else if (request.kind == statement_kind::Write) {
+        counts_.count(counter::Writes);
+        counts_.add(delay::Write, lapse);
+    } else if (request.kind == statement_kind::Begin) {
+        counts_.count(counter::Transactions);
+    }
 }
 
 void front::answer(net::http_reply &reply, net::http_response &&response)
@@ -156,6 +204,7 @@
 void front::refuse(net::http_reply &reply, error_kind kind, std::string_view problem,
                    const core::request_id &id)
 {
+    ++counts_.errors[kind];
     answer(reply,
            jsonResponse(core::answerOf(kind).httpStatus, wire::errorBody(kind, problem, id)));
 }
@@ -202,11 +251,15 @@
     asked.statement = wire::toRequest(std::move(parsed), id, {}, now);
     asked.statement.transaction = match.transaction;
     const std::uint64_t ticket = asked.ticket;
+    const statement_kind kind = asked.statement.kind;
+    const bool isSessionUsable = asked.known.has_value() || !asked.sessionNamed;
+    const bool mayUseReplica = kind == statement_kind::Read && !match.transaction && isSessionUsable
+                               && !asked.statement.readClass.empty();
     if (!sink_(std::move(asked))) {
         refuse(reply, error_kind::Overloaded, {}, id);
         return;
     }
-    open_.emplace(ticket, open_request{ std::move(reply), now });
+    open_.emplace(ticket, open_request{ std::move(reply), now, kind, mayUseReplica });
     waiting_ = open_.size();
 }
 
@@ -215,6 +268,7 @@
     const auto entry = open_.find(reply.ticket);
     if (entry == open_.end())
         return;
+    count(entry->second, reply);
     net::http_reply http = std::move(entry->second.reply);
     open_.erase(entry);
     waiting_ = open_.size();
--- /dev/null
+++ b/src/daemon/operator_desk.cpp
@@ -0,0 +1,506 @@
+/// @file
+/// @brief Submits, promotions, vouching and reports for operators.
+
+#include <utility>
+
+#include <fuchsiagw/daemon/operator_desk.hpp>
+
+#include <fuchsiagw/core/rendezvous.hpp>
+#include <fuchsiagw/daemon/log_event.hpp>
+#include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/wire/note_json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+using core::error_kind;
+using wire::admin_route;
+
+/// fuchsiagwctl waits 12 s for an answer.
+constexpr core::duration submitLimit = std::chrono::seconds(10);
+constexpr core::duration submitAnswerLimit = std::chrono::seconds(11);
+constexpr core::duration statusLimit = std::chrono::seconds(4);
+constexpr core::duration promotionLimit = core::handPatience + std::chrono::milliseconds(500);
+/// Longer than the limit of a request to the platform. It covers one that a full ring has dropped.
+constexpr core::duration platformAnswerLimit = std::chrono::seconds(4);
+constexpr core::duration readBackEvery = std::chrono::milliseconds(500);
+/// An owner that does not watch a group any more says nothing about members not heard since.
+constexpr core::duration knownFor = std::chrono::seconds(5);
+
+using note_id = core::named_id<struct note_tag>;
+
+field noteField(const core::release_note &note)
+{
+    return field::id(log_key::Note, note_id{ note.id });
+}
+
+field actionField(operator_action action)
+{
+    return field::name(log_key::Action, action, operatorActionNames);
+}
+
+field outcomeField(operator_outcome outcome)
+{
+    return field::name(log_key::Outcome, outcome, operatorOutcomeNames);
+}
+
+operator_outcome outcomeOf(error_kind error)
+{
+    const bool isUnknown = core::answerOf(error).outcome == core::request_outcome::Unknown;
+    return isUnknown ? operator_outcome::Unknown : operator_outcome::Refused;
+}
+
+platform::platform_order orderOf(const core::submit_action &action)
+{
+    switch (action.step) {
+    case core::submit_step::ReadRow:
+    case core::submit_step::ReadNote:
+        return platform::read_row{ action.key };
+    case core::submit_step::ReadObject:
+        return platform::get_object{ action.key };
+    case core::submit_step::PutObject:
+        return platform::put_object{ action.key, action.body };
+    case core::submit_step::Commit:
+    case core::submit_step::Finish:
+        break;
+    }
+    core::transact_request commit;
+    commit.id = action.transactionId;
+    for (const auto &[key, version] : action.checks)
+        commit.checks.push_back({ key, version });
+    for (const auto &[key, value] : action.puts)
+        commit.puts.push_back({ key, value });
+    return commit;
+}
+
+core::platform_answer answerOf(core::submit_step step, platform::platform_result &&result)
+{
+    core::platform_answer answer;
+    answer.isAnswered = result.isAnswered;
+    answer.isFound =
+            step == core::submit_step::Commit ? result.transaction.committed : result.isFound;
+    answer.rowVersion = result.row.version;
+    answer.value = step == core::submit_step::ReadObject ? std::move(result.object)
+                                                         : std::move(result.row.value);
+    return answer;
+}
+
+/// Reads the version at the beginning of a note's row.
+std::optional<core::configuration_version> versionOfNote(std::string_view row)
+{
+    core::configuration_version version = 0;
+    const auto read = std::from_chars(row.data(), row.data() + row.size(), version);
+    return read.ec == std::errc{} ? std::optional(version) : std::nullopt;
+}
+
+std::string stateOf(const core::member_view &member, bool isWatched, core::time_point now)
+{
+    if (member.leaving)
+        return "leaving";
+    const bool isHeard = member.lastHeard != core::time_point::min();
+    if (!isHeard || (!isWatched && member.lastHeard + knownFor < now))
+        return "unknown";
+    if (member.catchUp)
+        return "behind";
+    return member.pause.failures > 0 ? "silent" : "live";
+}
+
+} // namespace
+
+operator_desk::operator_desk(core::gateway &gateway, cluster &instances, const settings &values,
+                             log_sink &log, operator_desk_outputs outputs)
+    : gateway_(gateway)
+    , cluster_(instances)
+    , settings_(values)
+    , log_(log)
+    , outputs_(std::move(outputs))
+{ }
+
+void operator_desk::onRequest(admin_request &request, core::time_point now)
+{
+    const std::uint64_t ticket = request.ticket;
+    switch (request.route) {
+    case admin_route::Configuration:
+        answer(ticket, wire::answerConfiguration(cluster_.store));
+        return;
+    case admin_route::CheckNote:
+        answer(ticket, wire::answerCheck(cluster_.store, request.body));
+        return;
+    case admin_route::SubmitNote:
+        submit(request, now);
+        return;
+    case admin_route::NoteStatus:
+        noteStatus(request, now);
+        return;
+    case admin_route::Groups:
+        answer(ticket, wire::answerGroups(groups(now)));
+        return;
+    case admin_route::Promote:
+        promote(request, now);
+        return;
+    case admin_route::Instances:
+        answer(ticket, wire::answerInstances(cluster_.list));
+        return;
+    case admin_route::Challenge:
+        answer(ticket,
+               wire::answerChallenge(challenges_, cluster_.spread, gateway_.proof.held, now));
+        return;
+    case admin_route::Vouch:
+        vouch(request, now);
+        return;
+    case admin_route::Status:
+        break;
+    }
+    answer(ticket, wire::answerStatus(status(now)));
+}
+
+void operator_desk::tick(core::time_point now)
+{
+    tickSubmit(now);
+    tickPromotions(now);
+    if (hasOpenOutcome_ && !running_ && now >= nextReadBack_)
+        readBack(now);
+    std::vector<std::uint64_t> due;
+    for (const auto &[ticket, each] : late_) {
+        if (each.deadline <= now)
+            due.push_back(ticket);
+    }
+    for (const std::uint64_t ticket : due) {
+        const late_answer each = late_.at(ticket);
+        answer(ticket, wire::answerError(each.error, each.problem));
+    }
+}
+
+void operator_desk::answer(std::uint64_t ticket, wire::admin_answer &&body)
+{
+    late_.erase(ticket);
+    outputs_.answer({ ticket, std::move(body) });
+}
+
+// ---- release notes ----
+
+void operator_desk::submit(admin_request &request, core::time_point now)
+{
+    queued_submit asked{ request.ticket, {}, now + submitLimit };
+    std::string problem;
+    if (const std::error_code error = wire::readNote(request.body, asked.note, problem); error) {
+        answer(request.ticket, wire::answerError(core::kindOf(error), problem));
+        return;
+    }
+    if (queue_.size() >= maxQueuedSubmits) {
+        answer(request.ticket,
+               wire::answerError(error_kind::Overloaded, "too many submits wait at this instance"));
+        return;
+    }
+    late_[request.ticket] = { now + submitAnswerLimit, error_kind::NoteOutcomeUnknown, {} };
+    queue_.push_back(std::move(asked));
+    startNextSubmit(now);
+}
+
+void operator_desk::startNextSubmit(core::time_point now)
+{
+    while (!running_ && !queue_.empty()) {
+        queued_submit next = std::move(queue_.front());
+        queue_.pop_front();
+        if (next.deadline <= now) {
+            answer(next.ticket,
+                   wire::answerError(error_kind::PlatformUnavailable,
+                                     "the submits before this one took too long; nothing was "
+                                     "changed"));
+            continue;
+        }
+        running_submit &submitting = running_.emplace();
+        submitting.ticket = next.ticket;
+        submitting.action = core::startSubmit(submitting.state, std::move(next.note), next.deadline,
+                                              cluster_.codec());
+        updateUnsettled();
+        startRequest(now);
+    }
+}
+
+void operator_desk::startRequest(core::time_point now)
+{
+    running_submit &submitting = *running_;
+    if (submitting.action.notBefore > now)
+        return;
+    const std::uint64_t attempt = nextAttempt_++;
+    submitting.attempt = attempt;
+    submitting.answerBy = now + platformAnswerLimit;
+    const core::submit_step step = submitting.action.step;
+    outputs_.toPlatform(
+            orderOf(submitting.action),
+            [this, attempt, step](platform::platform_result &&result, core::time_point) {
+                if (running_ && running_->attempt == attempt)
+                    take(daemon::answerOf(step, std::move(result)), outputs_.turn().now);
+            });
+}
+
+void operator_desk::take(const core::platform_answer &result, core::time_point now)
+{
+    running_submit &submitting = *running_;
+    submitting.attempt = 0;
+    submitting.action = core::continueSubmit(submitting.state, result, now, cluster_.codec());
+    if (submitting.action.step == core::submit_step::Finish)
+        finishSubmit(now);
+    else
+        startRequest(now);
+}
+
+void operator_desk::finishSubmit(core::time_point now)
+{
+    const running_submit ended = std::move(*running_);
+    const core::submit_result &result = ended.state.result;
+    const core::release_note &note = ended.state.note;
+    // In this order: the version counts in this instance's reports before they stop to say that a
+    // submit is unsettled.
+    if (result.newest)
+        cluster_.takeIn({ {}, result.newest->version, result.newestName },
+                        cluster_.codec().write(*result.newest), now);
+    running_.reset();
+    if (core::isUnsettled(ended.state)) {
+        hasOpenOutcome_ = true;
+        nextReadBack_ = now + readBackEvery;
+    }
+    updateUnsettled();
+    if (result.error)
+        logEvent(log_, log_event::NoteRefused,
+                 { noteField(note), field::number(log_key::Base, note.base),
+                   field::error(log_key::Error, result.error) });
+    else
+        logEvent(log_, log_event::NoteAccepted,
+                 { noteField(note), field::number(log_key::Version, result.version),
+                   field::number(log_key::Base, note.base) });
+    if (late_.count(ended.ticket) != 0)
+        answer(ended.ticket, wire::answerSubmit(cluster_.store, note, result));
+    startNextSubmit(now);
+}
+
+void operator_desk::tickSubmit(core::time_point now)
+{
+    if (running_ && running_->attempt == 0)
+        startRequest(now);
+    else if (running_ && running_->answerBy <= now)
+        take({}, now);
+}
+
+void operator_desk::updateUnsettled()
+{
+    cluster_.setUnsettledSubmit(running_.has_value() || hasOpenOutcome_);
+}
+
+void operator_desk::readBack(core::time_point now)
+{
+    nextReadBack_ = now + platformAnswerLimit;
+    outputs_.toPlatform(
+            platform::read_row{ std::string(core::configurationRowKey) },
+            [this, before = nextAttempt_](platform::platform_result &&result, core::time_point) {
+                // A read from before a further submit says nothing about that one.
+                if (before == nextAttempt_)
+                    takeRow(result, outputs_.turn().now);
+            });
+}
+
+void operator_desk::takeRow(const platform::platform_result &result, core::time_point now)
+{
+    nextReadBack_ = now + readBackEvery;
+    core::configuration_row row;
+    if (!result.isAnswered || (result.isFound && !core::readRow(result.row.value, row)))
+        return;
+    if (row.version <= cluster_.store.current->version) {
+        hasOpenOutcome_ = false;
+        updateUnsettled();
+        return;
+    }
+    // The version that the submit may have made has to count in this instance's reports first.
+    const core::fetch_source source{ {}, row.version, row.objectName };
+    outputs_.toPlatform(platform::get_object{ row.objectName },
+                        [this, source](platform::platform_result &&object, core::time_point) {
+                            if (object.isFound)
+                                cluster_.takeIn(source, object.object, outputs_.turn().now);
+                        });
+}
+
+void operator_desk::noteStatus(const admin_request &request, core::time_point now)
+{
+    const std::uint64_t ticket = request.ticket;
+    late_[ticket] = { now + statusLimit, error_kind::PlatformUnavailable,
+                      "the platform did not say whether the note was applied" };
+    outputs_.toPlatform(
+            platform::read_row{ core::noteRowKey(request.argument) },
+            [this, ticket, id = request.argument](platform::platform_result &&result,
+                                                  core::time_point) {
+                if (late_.count(ticket) == 0)
+                    return;
+                if (!result.isAnswered) {
+                    const late_answer unanswered = late_.at(ticket);
+                    answer(ticket, wire::answerError(unanswered.error, unanswered.problem));
+                    return;
+                }
+                const auto version =
+                        result.isFound ? versionOfNote(result.row.value) : std::nullopt;
+                if (result.isFound && !version)
+                    answer(ticket, wire::answerError(error_kind::Internal,
+                                                     "the platform's row of this note is damaged"));
+                else
+                    answer(ticket, wire::answerNoteStatus(id, version, cluster_.store,
+                                                          cluster_.spread.everywhere));
+            });
+}
+
+// ---- groups ----
+
+std::vector<wire::group_report> operator_desk::groups(core::time_point now) const
+{
+    std::vector<wire::group_report> reports;
+    for (const auto &[group, configured] : gateway_.config.groups) {
+        const auto owner = gateway_.owners.find(group);
+        const core::group_view *view =
+                owner == gateway_.owners.end() ? nullptr : &owner->second.view;
+        wire::group_report report;
+        report.group = group;
+        if (view != nullptr) {
+            report.primary = view->primary.value_or(core::member_id{});
+            report.term = view->highestTerm;
+        }
+        for (const auto &[id, member] : configured.members) {
+            wire::group_report::member &entry = report.members.emplace_back();
+            entry.member = id;
+            entry.zone = member.zone;
+            entry.address = member.address;
+            entry.state = "unknown";
+            const core::member_view *known =
+                    view == nullptr ? nullptr : core::findMember(*view, id);
+            if (known == nullptr)
+                continue;
+            entry.role = known->role;
+            entry.applied = known->applied;
+            entry.state = stateOf(*known, owner->second.isWatching, now);
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+void operator_desk::promote(const admin_request &request, core::time_point now)
+{
+    const core::group_id group{ request.argument };
+    core::member_id member;
+    std::string problem;
+    const auto refuse = [&](error_kind error, const std::string &text) {
+        logEvent(log_, log_event::OperatorAction,
+                 { actionField(operator_action::Promote), field::id(log_key::Group, group),
+                   outcomeField(outcomeOf(error)) });
+        answer(request.ticket, wire::answerError(error, text));
+    };
+    if (const std::error_code error = wire::readPromotion(request.body, member, problem); error) {
+        refuse(core::kindOf(error), problem);
+        return;
+    }
+    const auto configured = gateway_.config.groups.find(group);
+    if (configured == gateway_.config.groups.end()) {
+        refuse(error_kind::GroupUnknown, "there is no group '" + group.value + "'");
+        return;
+    }
+    if (!member.empty() && configured->second.members.count(member) == 0) {
+        refuse(error_kind::InvalidValue,
+               "member: '" + member.value + "' is no member of group '" + group.value + "'");
+        return;
+    }
+    const auto owner = gateway_.owners.find(group);
+    if (owner == gateway_.owners.end() || !owner->second.isWatching) {
+        const auto ranked = core::rankOwners(gateway_, group, now);
+        refuse(error_kind::InvalidValue,
+               "group: this instance does not watch '" + group.value + "'; send the command to "
+                       + (ranked.empty() ? std::string("an instance of another zone")
+                                         : "instance '" + ranked.front().value + "'"));
+        return;
+    }
+    core::group_view &view = owner->second.view;
+    if (!member.empty() && view.primary == member) {
+        answer(request.ticket, wire::answerPromotion(group, member, view.highestTerm));
+        return;
+    }
+    promotions_.push_back({ request.ticket, group, view.highestTerm, now + promotionLimit });
+    late_[request.ticket] = { now + promotionLimit, error_kind::OutcomeUnknown,
+                              "no new primary in time; a majority of the members must be in "
+                              "reach, and the promotion may still take effect" };
+    core::gateway_turn turn = outputs_.turn();
+    core::withOwner(turn, group, [&](core::group_owner &each, core::owner_actions &actions) {
+        each.failover.preferred = member.empty() ? std::nullopt : std::optional(member);
+        core::promote(each, now, turn.random, actions);
+    });
+}
+
+void operator_desk::tickPromotions(core::time_point now)
+{
+    std::erase_if(promotions_, [&](const waiting_promotion &each) {
+        const auto owner = gateway_.owners.find(each.group);
+        const core::group_view *view =
+                owner == gateway_.owners.end() ? nullptr : &owner->second.view;
+        const bool isDone = view != nullptr && view->primary && view->highestTerm > each.before;
+        if (!isDone && now < each.deadline)
+            return false;
+        if (isDone)
+            logEvent(log_, log_event::OperatorAction,
+                     { actionField(operator_action::Promote), field::id(log_key::Group, each.group),
+                       field::id(log_key::Member, *view->primary),
+                       outcomeField(operator_outcome::Done) });
+        else
+            logEvent(log_, log_event::OperatorAction,
+                     { actionField(operator_action::Promote), field::id(log_key::Group, each.group),
+                       outcomeField(operator_outcome::Unknown) });
+        if (isDone)
+            answer(each.ticket,
+                   wire::answerPromotion(each.group, *view->primary, view->highestTerm));
+        return true;
+    });
+}
+
+// ---- freshness and state ----
+
+void operator_desk::vouch(const admin_request &request, core::time_point now)
+{
+    wire::admin_answer body = wire::answerVouch(challenges_, cluster_.spread, gateway_.proof,
+                                                request.body, settings_.operatorSecretHash, now);
+    constexpr int statusOk = 200;
+    logEvent(log_, log_event::OperatorAction,
+             { actionField(operator_action::Vouch),
+               field::id(log_key::Instance, settings_.instance),
+               outcomeField(body.status == statusOk ? operator_outcome::Done
+                                                    : operator_outcome::Refused) });
+    answer(request.ticket, std::move(body));
+}
+
+wire::status_report operator_desk::status(core::time_point now) const
+{
+    const core::freshness_proof &usable = gateway_.proof.usable;
+    wire::status_report report;
+    report.self = cluster_.spread.self;
+    report.state = "serving";
+    if (cluster_.store.current->version == 0)
+        report.state = "starting";
+    if (gateway_.isDraining)
+        report.state = "draining";
+    report.version = cluster_.store.current->version;
+    report.everywhere = cluster_.spread.everywhere;
+    report.proof = usable.source;
+    if (usable.source != core::proof_source::None)
+        report.proofAgeMs =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - usable.at).count();
+    report.isProven = core::isProven(gateway_.proof, now);
+    report.isPlatformReachable = cluster_.isPlatformReachable;
+    report.parent = cluster_.spread.parent;
+    report.children = cluster_.spread.children.size();
+    report.listed = static_cast<std::size_t>(
+            std::count_if(cluster_.list.instances.begin(), cluster_.list.instances.end(),
+                          [](const core::instance_entry &each) {
+                              return each.kind == core::instance_kind::Entry;
+                          }));
+    return report;
+}
+
+} // namespace fuchsiagw::daemon
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/daemon/process.hpp>
 
+#include <fuchsiagw/daemon/admin.hpp>
 #include <fuchsiagw/daemon/decide.hpp>
 #include <fuchsiagw/daemon/front.hpp>
 #include <fuchsiagw/daemon/log_event.hpp>
@@ -34,6 +35,14 @@
     logEvent(log, log_event::DutyFailed, { field::id(log_key::Duty, core::instance_id{ duty }) });
 }
 
+metrics metricsOf(const peer_traffic &traffic)
+{
+    metrics counts;
+    counts.count(counter::ControlBytesSent, traffic.datagramBytesSent);
+    counts.count(counter::ControlBytesReceived, traffic.datagramBytesReceived);
+    return counts;
+}
+
 /// Everything that lives as long as the process. Members are ended in reverse order: the contexts
 /// of `root` outlive the rings and the duties that use them.
 struct daemon_process
@@ -51,11 +60,14 @@
     boost::asio::io_context &upstreamContext;
     boost::asio::io_context &platformContext;
     boost::asio::io_context &peerContext;
+    boost::asio::io_context &adminContext;
 
     std::optional<front> callers;
     std::optional<decide> decisions;
     std::optional<upstream> members;
     std::optional<peer_duty> peers;
+    snapshot_buffer<metrics> peerMetrics;
+    std::optional<admin> operators;
     net::http_client platformClient;
 
     net::channel<core::caller_request> frontToDecide;
@@ -66,6 +78,8 @@
     net::channel<platform_event> platformToDecide;
     net::channel<peer_order> decideToPeers;
     net::channel<peer_event> peersToDecide;
+    net::channel<admin_request> adminToDecide;
+    net::channel<admin_result> decideToAdmin;
 
     daemon_process(const settings &settingsOfProcess, log_sink &sink);
 
@@ -74,6 +88,7 @@
     void finish(exit_code code);
     void request(platform_request &order);
     [[nodiscard]] decide_outputs outputs();
+    [[nodiscard]] admin_inputs adminInputs();
 };
 
 daemon_process::daemon_process(const settings &settingsOfProcess, log_sink &sink)
@@ -89,6 +104,7 @@
     , upstreamContext(root.add("upstream"))
     , platformContext(root.add("platform"))
     , peerContext(root.add("peer"))
+    , adminContext(root.add("admin"))
     , platformClient(platformContext)
     , frontToDecide(decideContext, ringMessages,
                     [this](auto &message) { decisions->onCaller(message); })
@@ -104,6 +120,10 @@
     , decideToPeers(peerContext, ringMessages, [this](auto &message) { peers->perform(message); })
     , peersToDecide(decideContext, ringMessages,
                     [this](auto &message) { decisions->onPeer(message); })
+    , adminToDecide(decideContext, maxAdminRequests,
+                    [this](auto &message) { decisions->onAdmin(message); })
+    , decideToAdmin(adminContext, maxAdminRequests,
+                    [this](auto &message) { operators->onAnswer(message); })
 {
     wire::token_keys tokens;
     tokens.keys[1] = wire::deriveTokenKey(
@@ -121,6 +141,22 @@
     peers.emplace(peerContext, values, decisions->incarnation(), [this](peer_event &&event) {
         static_cast<void>(peersToDecide.push(std::move(event)));
     });
+    operators.emplace(adminContext, values, log, adminInputs());
+}
+
+admin_inputs daemon_process::adminInputs()
+{
+    admin_inputs from;
+    from.request = [this](admin_request &&message) {
+        return adminToDecide.push(std::move(message));
+    };
+    from.isReady = [this] { return callers->isReady(); };
+    from.sample = [this] {
+        boost::asio::post(peerContext,
+                          [this] { peerMetrics.publish(metricsOf(peers->traffic())); });
+    };
+    from.sources = { &callers->published(), &decisions->published(), &peerMetrics };
+    return from;
 }
 
 decide_outputs daemon_process::outputs()
@@ -141,6 +177,10 @@
     to.setIncarnation = [this](core::incarnation_id incarnation) {
         boost::asio::post(peerContext, [this, incarnation] { peers->setIncarnation(incarnation); });
     };
+    to.toAdmin = [this](admin_result &&message) {
+        // The admin duty has no more requests open than the ring holds.
+        static_cast<void>(decideToAdmin.push(std::move(message)));
+    };
     to.setReady = [this](bool ready) { callers->setReady(ready); };
     return to;
 }
@@ -195,7 +235,7 @@
 {
     const core::time_point startedAt = net::currentTime();
     daemon_process process(values, log);
-    if (process.callers->start() || process.peers->start())
+    if (process.callers->start() || process.peers->start() || process.operators->start())
         return exit_code::Failed;
     process.start();
     process.root.start();
