--- a/src/daemon/decision_meter.cpp
+++ b/src/daemon/decision_meter.cpp
@@ -88,7 +88,7 @@
     switch (notice.event) {
     case core::owner_event::MemberFailed:
         // A member that is far behind has answered; its connection lives on.
-        if (notice.detail != toString(core::member_failure::FarBehind))
+        if (notice.failure != core::member_failure::FarBehind)
             counts_.count(counter::UpstreamConnectionsLost);
         return;
     case core::owner_event::ForeignAnswer:
@@ -98,7 +98,6 @@
         onPrimary(owner->second, notice, now);
         return;
     case core::owner_event::PromotionStarted:
-    case core::owner_event::PromotionEnded:
     case core::owner_event::ConnectionLimit:
         return;
     }
--- a/src/daemon/operator_desk.cpp
+++ b/src/daemon/operator_desk.cpp
@@ -23,6 +23,8 @@
 /// fuchsiagwctl waits 12 s for an answer.
 constexpr core::duration submitLimit = std::chrono::seconds(10);
 constexpr core::duration submitAnswerLimit = std::chrono::seconds(11);
+/// For a request to the platform that is under way at the deadline of its submit.
+constexpr core::duration lastAnswerLimit = std::chrono::milliseconds(500);
 constexpr core::duration statusLimit = std::chrono::seconds(4);
 constexpr core::duration promotionLimit = core::handPatience + std::chrono::milliseconds(500);
 /// Longer than the limit of a request to the platform. It covers one that a full ring has dropped.
@@ -203,23 +205,23 @@
 
 void operator_desk::startNextSubmit(core::time_point now)
 {
-    while (!running_ && !queue_.empty()) {
-        queued_submit next = std::move(queue_.front());
+    // All submits have the same limit, so the first one's deadline comes first.
+    while (!queue_.empty() && queue_.front().deadline <= now) {
+        answer(queue_.front().ticket,
+               wire::answerError(error_kind::PlatformUnavailable,
+                                 "the submits before this one took too long; nothing was changed"));
         queue_.pop_front();
-        if (next.deadline <= now) {
-            answer(next.ticket,
-                   wire::answerError(error_kind::PlatformUnavailable,
-                                     "the submits before this one took too long; nothing was "
-                                     "changed"));
-            continue;
-        }
-        running_submit &submitting = running_.emplace();
-        submitting.ticket = next.ticket;
-        submitting.action = core::startSubmit(submitting.state, std::move(next.note), next.deadline,
-                                              cluster_.codec());
-        updateUnsettled();
-        startRequest(now);
     }
+    if (running_ || queue_.empty())
+        return;
+    queued_submit next = std::move(queue_.front());
+    queue_.pop_front();
+    running_submit &submitting = running_.emplace();
+    submitting.ticket = next.ticket;
+    submitting.action = core::startSubmit(submitting.state, std::move(next.note), next.deadline,
+                                          cluster_.codec());
+    updateUnsettled();
+    startRequest(now);
 }
 
 void operator_desk::startRequest(core::time_point now)
@@ -229,7 +231,9 @@
         return;
     const std::uint64_t attempt = nextAttempt_++;
     submitting.attempt = attempt;
-    submitting.answerBy = now + platformAnswerLimit;
+    // The submit has ended before its request gets the late answer, which knows less.
+    submitting.answerBy = std::min(now + platformAnswerLimit,
+                                   std::max(now, submitting.state.deadline) + lastAnswerLimit);
     const core::submit_step step = submitting.action.step;
     outputs_.toPlatform(
             orderOf(submitting.action),
@@ -285,6 +289,7 @@
         startRequest(now);
     else if (running_ && running_->answerBy <= now)
         take({}, now);
+    startNextSubmit(now);
 }
 
 void operator_desk::updateUnsettled()
--- /dev/null
+++ b/tests/unit-decision-meter.cpp
@@ -0,0 +1,115 @@
+/// @file
+/// @brief Tests of the failover gap and of wrongful refusals as they are counted.
+
+#include <fuchsiagw/daemon/decision_meter.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::core;
+using namespace fuchsiagw::daemon;
+using namespace std::chrono_literals;
+
+TEST_GROUP(decision_meter)
+{
+    const time_point start{ 100s };
+    gateway state;
+    decision_meter meter{ state };
+    group_owner *owner = nullptr;
+
+    void setup() override
+    {
+        owner = &state.owners[{ "g" }];
+        owner->group = { "g" };
+        owner->isWatching = true;
+        owner->view.members[{ "a" }].lastHeard = start;
+        owner->view.members[{ "b" }].lastHeard = start;
+        notice("a", 256, start);
+        write(256, start);
+    }
+
+    void notice(const char *primary, term_number term, time_point at)
+    {
+        const owner_notice changed{ owner_event::PrimaryChanged, { primary }, term, {}, 0 };
+        meter.onAction(group_action{ { "g" }, changed }, true, at);
+    }
+
+    void write(term_number term, time_point at)
+    {
+        caller_reply reply;
+        reply.kind = statement_kind::Write;
+        reply.answer.group = { "g" };
+        reply.answer.position = { term, 1 };
+        meter.onAction(reply, true, at);
+    }
+
+    void addWaitingWrite()
+    {
+        owner->statements[1].request.kind = statement_kind::Write;
+    }
+
+    const delay_histogram &gaps() const
+    {
+        return meter.counts().value(delay::FailoverGap);
+    }
+};
+
+// Guards against a gap that starts when the loss is noticed, after the last answer.
+TEST(decision_meter, gapLastsFromTheLastAnswerToTheFirstWrite)
+{
+    LONGS_EQUAL(0, gaps().count());
+    addWaitingWrite();
+    notice("", 512, start + 300ms);
+    notice("b", 512, start + 400ms);
+    write(256, start + 410ms); // confirmed late under the old term
+    LONGS_EQUAL(0, gaps().count());
+    write(512, start + 450ms);
+    write(512, start + 460ms);
+    LONGS_EQUAL(1, gaps().count());
+    DOUBLES_EQUAL(0.45, gaps().sumSeconds(), 1e-9);
+}
+
+// Guards against an idle group whose next write comes an hour later.
+TEST(decision_meter, gapLeavesOutTheTimeWithoutAnyWrite)
+{
+    notice("b", 512, start + 400ms);
+    write(512, start + 3600s);
+    DOUBLES_EQUAL(0.4, gaps().sumSeconds(), 1e-9);
+}
+
+// Guards against a second loss that hides the first one from a write that waits through both.
+TEST(decision_meter, gapSpansASecondLossWhileAWriteWaits)
+{
+    addWaitingWrite();
+    notice("b", 512, start + 400ms);
+    owner->view.members[{ "b" }].lastHeard = start + 400ms;
+    notice("", 768, start + 700ms);
+    notice("a", 768, start + 800ms);
+    write(768, start + 900ms);
+    LONGS_EQUAL(1, gaps().count());
+    DOUBLES_EQUAL(0.9, gaps().sumSeconds(), 1e-9);
+}
+
+// Guards against figures of an instance that does not watch the group.
+TEST(decision_meter, countsNoGapWithoutWatching)
+{
+    owner->isWatching = false;
+    notice("b", 512, start + 400ms);
+    write(512, start + 500ms);
+    LONGS_EQUAL(0, gaps().count());
+}
+
+// Guards against a rate limit that counts as wrongful, and a platform outage that does not.
+TEST(decision_meter, countsWrongfulRefusals)
+{
+    caller_reply reply;
+    reply.workspace = { "w" };
+    for (const error_kind each : { error_kind::RateLimited, error_kind::UpstreamFailed,
+                                   error_kind::NoPrimary, error_kind::KeyUnproven }) {
+        reply.answer.error = each;
+        meter.onAction(reply, false, start);
+    }
+    LONGS_EQUAL(2, meter.counts().value(counter::WrongfulRefusals));
+    LONGS_EQUAL(1, meter.counts().value(counter::WrongfulRefusalsPlatform));
+    LONGS_EQUAL(2, meter.counts().workspaces.at({ "w" }).wrongfullyRefused);
+}
--- a/tests/unit-failover.cpp
+++ b/tests/unit-failover.cpp
@@ -243,3 +243,19 @@
     CHECK_TRUE(wantedAge(interest, now) == 300ms);
     CHECK_TRUE(wantedAge(interest, now + readInterestLasts) == duration::zero());
 }
+
+// Guards against an operator's wish that outweighs the log: the greatest position always leads.
+TEST(failover, namedMemberLeadsOnlyAmongEqualPositions)
+{
+    promotion_attempt attempt;
+    attempt.excluded = member_id{ "a" };
+    attempt.preferred = member_id{ "c" };
+    attempt.grants[{ "b" }] = makeStatus("b", term, { term, 5 });
+    attempt.grants[{ "c" }] = makeStatus("c", term, { term, 5 });
+    const auto choose = [&] {
+        return choosePrimary(attempt, view, acknowledgement_policy::Majority, true);
+    };
+    CHECK_TRUE(choose() == member_id{ "c" });
+    attempt.grants[{ "b" }].last.index = 6;
+    CHECK_TRUE(choose() == member_id{ "b" });
+}
