Finish submits before a stop and show one primary

A planned stop could end the process while a submit waited for the platform, so its outcome stayed unknown. The stop now waits for the desk, and submits and promotions that come later are refused with 'draining'.

The list of groups showed a lost primary that was not heard since as a second primary. The role now follows from the group's view.

--- a/include/fuchsiagw/daemon/operator_desk.hpp
+++ b/include/fuchsiagw/daemon/operator_desk.hpp
@@ -75,6 +75,9 @@
     /// @complexity linear in the requests that wait for an answer
     void tick(core::time_point now);
 
+    /// @return whether no request waits for its answer
+    [[nodiscard]] bool isIdle() const { return !running_ && late_.empty(); }
+
 private:
     struct queued_submit
     {
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -90,7 +90,7 @@
     desk_.tick(now_);
     meter_.tick(cluster_, now_);
     flush();
-    if (drained_ && isDrained(gateway_))
+    if (drained_ && isDrained(gateway_) && desk_.isIdle())
         finishDrain();
     const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
     timer_.expires_at(net::toSteady(std::max(next, now_ + std::chrono::milliseconds(1))));
--- a/src/daemon/operator_desk.cpp
+++ b/src/daemon/operator_desk.cpp
@@ -111,6 +111,17 @@
     return member.pause.failures > 0 ? "silent" : "live";
 }
 
+/// Names the instance of this zone that watches a group, for an operator.
+std::string ownerFor(const core::gateway &gateway, const core::group_id &group,
+                     core::time_point now)
+{
+    for (const core::instance_id &each : core::rankOwners(gateway, group, now)) {
+        if (each != gateway.instance)
+            return "instance '" + each.value + "'";
+    }
+    return "an instance of another zone";
+}
+
 } // namespace
 
 operator_desk::operator_desk(core::gateway &gateway, cluster &instances, const settings &values,
@@ -125,6 +136,13 @@
 void operator_desk::onRequest(admin_request &request, core::time_point now)
 {
     const std::uint64_t ticket = request.ticket;
+    const bool isLongChange =
+            request.route == admin_route::SubmitNote || request.route == admin_route::Promote;
+    // The process may end before the outcome is known.
+    if (gateway_.isDraining && isLongChange) {
+        answer(ticket, wire::answerError(error_kind::Draining));
+        return;
+    }
     switch (request.route) {
     case admin_route::Configuration:
         answer(ticket, wire::answerConfiguration(cluster_.store));
@@ -381,7 +399,9 @@
                     view == nullptr ? nullptr : core::findMember(*view, id);
             if (known == nullptr)
                 continue;
-            entry.role = known->role;
+            // A lost primary that was not heard since still looks like one.
+            entry.role =
+                    view->primary == id ? core::member_role::Primary : core::member_role::Replica;
             entry.applied = known->applied;
             entry.state = stateOf(*known, owner->second.isWatching, now);
         }
@@ -417,11 +437,9 @@
     }
     const auto owner = gateway_.owners.find(group);
     if (owner == gateway_.owners.end() || !owner->second.isWatching) {
-        const auto ranked = core::rankOwners(gateway_, group, now);
-        refuse(error_kind::InvalidValue,
-               "group: this instance does not watch '" + group.value + "'; send the command to "
-                       + (ranked.empty() ? std::string("an instance of another zone")
-                                         : "instance '" + ranked.front().value + "'"));
+        refuse(error_kind::InvalidValue, "group: this instance does not watch '" + group.value
+                                                 + "'; send the command to "
+                                                 + ownerFor(gateway_, group, now));
         return;
     }
     core::group_view &view = owner->second.view;
--- a/tests/unit-operator-desk.cpp
+++ b/tests/unit-operator-desk.cpp
@@ -241,7 +241,6 @@
     static_cast<void>(ask(wire::admin_route::SubmitNote, groupNote));
     serveAll();
     gateway.owners.clear();
-    gateway.isDraining = true;
     gateway.peers[{ "i2" }] = { 8, { "z" }, "127.0.0.1:21998", true, {} };
     const auto ticket = ask(wire::admin_route::Promote, "{}", "g1");
     LONGS_EQUAL(400, answers.at(ticket).status);
@@ -263,6 +262,19 @@
     CHECK_EQUAL(std::string("unknown"), bodyOf(ticket).at("outcome").get<std::string>());
 }
 
+// Guards against a stop that cuts a submit off, or begins another one.
+TEST(operator_desk, drainsSubmitsAndTakesNoNewOnes)
+{
+    const auto accepted = ask(wire::admin_route::SubmitNote, groupNote);
+    gateway.isDraining = true;
+    CHECK_FALSE(desk->isIdle());
+    const auto refused = ask(wire::admin_route::SubmitNote, switchNote);
+    CHECK_EQUAL(std::string("draining"), bodyOf(refused).at("error").get<std::string>());
+    serveAll();
+    LONGS_EQUAL(200, answers.at(accepted).status);
+    CHECK_TRUE(desk->isIdle());
+}
+
 TEST_GROUP(admin_access){};
 
 // Guards against the operators' API without the right secret.
