--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -51,6 +51,13 @@
                                     outputs_.setReady(true);
                                 },
                                 [this] { onMembers(); } })
+    , desk_(gateway_, cluster_, values, log,
+            operator_desk_outputs{ outputs_.toAdmin,
+                                   [this](platform::platform_order order, platform_handler done) {
+                                       callPlatform(std::move(order), std::move(done));
+                                   },
+                                   [this] { return turn(); } })
+    , meter_(gateway_)
     , now_(net::currentTime())
     , startedAt_(now_)
 {
@@ -85,9 +92,11 @@
     core::gateway_turn step = turn();
     advance(step);
     cluster_.tick(now_);
+    desk_.tick(now_);
+    meter_.tick(cluster_, now_);
     flush();
     updateReady();
-    if (drained_ && isDrained(gateway_))
+    if (drained_ && isDrained(gateway_) && desk_.isIdle())
         finishDrain();
     const core::time_point next = std::min(nextWakeup(gateway_), now_ + tickEvery);
     timer_.expires_at(net::toSteady(std::max(next, now_ + std::chrono::milliseconds(1))));
@@ -149,8 +158,16 @@
     flush();
 }
 
+void decide::onAdmin(admin_request &request)
+{
+    now_ = net::currentTime();
+    desk_.onRequest(request, now_);
+    flush();
+}
+
 void decide::onPlatform(platform_event &event)
 {
+    meter_.onPlatformResult(event.result.isAnswered);
     const auto entry = requests_.find(event.number);
     if (entry == requests_.end())
         return;
@@ -163,6 +180,7 @@
 
 void decide::callPlatform(platform::platform_order order, platform_handler done)
 {
+    meter_.onPlatformRequest();
     const std::uint64_t number = nextRequest_++;
     requests_[number] = { std::move(done), now_ };
     outputs_.toPlatform({ number, std::move(order), now_ + platformLimit });
@@ -338,6 +356,7 @@
 
 void decide::perform(core::gateway_action &&action)
 {
+    meter_.onAction(action, cluster_.isPlatformReachable, now_);
     if (auto *reply = std::get_if<core::caller_reply>(&action)) {
         log(*reply);
         outputs_.reply(std::move(*reply));
