Keep the outcome of a lost forward unknown when a later attempt is refused

A read, a begin or a write with idempotency key whose forward was written and then lost its link is dispatched again. The answer now has the outcome of the lost forward. A doubt about the second owner's answer was ruled out: its own attempt had not run.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -29,6 +29,14 @@
     return stableHash(group.value) >> groupShift << groupShift;
 }
 
+/// What is true of a forwarded statement whose answer will never come.
+error_kind lostForward(const statement_request &request)
+{
+    if (request.transaction && request.kind != statement_kind::Commit)
+        return error_kind::TransactionLost;
+    return error_kind::OutcomeUnknown;
+}
+
 void finish(gateway_turn &turn, std::uint64_t handle, statement_answer answer)
 {
     gateway &state = turn.state;
@@ -39,6 +47,10 @@
     state.entries.erase(found);
     state.deadlines.erase({ entry.request.deadline, handle });
     answer.id = entry.request.id;
+    // What a later attempt says is not true of an earlier one whose answer never came.
+    if (answer.error && entry.mayHaveRun
+        && answerOf(*answer.error).outcome == request_outcome::NotRun)
+        answer.error = lostForward(entry.request);
     if (entry.from) {
         turn.actions.emplace_back(forward_result{ *entry.from, entry.ticket, std::move(answer) });
         return;
@@ -337,14 +349,6 @@
            || !request.idempotencyKey.empty();
 }
 
-/// What is true of a forwarded statement whose answer will never come.
-error_kind lostForward(const statement_request &request)
-{
-    if (request.transaction && request.kind != statement_kind::Commit)
-        return error_kind::TransactionLost;
-    return error_kind::OutcomeUnknown;
-}
-
 } // namespace
 
 bool applyConfiguration(gateway_turn &turn, const configuration &config)
@@ -533,6 +537,7 @@
             zones[peer.zone].push_back(instance);
     }
     std::vector<instance_id> owners;
+    owners.reserve(zones.size());
     for (const auto &[zone, candidates] : zones)
         owners.push_back(rankInstances(ownerKey(group, zone), candidates).front());
     return owners;
