Keep read-your-writes over forwarded writes; report readiness only with shares

Conclusion: reads with a class now also tell the watch how fresh replicas must be known, and a late answer to a wait no longer opens another one.

--- a/include/fuchsiagw/core/gateway_action.hpp
+++ b/include/fuchsiagw/core/gateway_action.hpp
@@ -28,6 +28,7 @@
 {
     std::uint64_t ticket = 0;
     workspace_id workspace; ///< empty if the key was not accepted
+    group_id group; ///< empty if the request was refused before it was known
     statement_kind kind = statement_kind::Read;
     statement_answer answer;
     std::optional<session> known; ///< goes out as session token
@@ -46,6 +47,7 @@
 {
     instance_id to;
     std::uint64_t ticket = 0;
+    group_id group;
     statement_answer answer;
 };
 
--- a/include/fuchsiagw/core/group_owner.hpp
+++ b/include/fuchsiagw/core/group_owner.hpp
@@ -93,6 +93,7 @@
     std::map<std::uint64_t, control_call> calls; ///< control requests under way, by number
     std::uint64_t nextCall = 1;
     failover_state failover;
+    read_interest interest; ///< how fresh recent reads want the replicas to be known
     bool isWatching = false; ///< this instance is the zone's owner and watches the members
     std::optional<member_id> reportedPrimary; ///< in the newest PrimaryChanged notice
     time_point primaryLostAt =
--- a/include/fuchsiagw/core/statement.hpp
+++ b/include/fuchsiagw/core/statement.hpp
@@ -70,7 +70,6 @@
 struct statement_answer
 {
     request_id id;
-    group_id group;
     std::optional<error_kind> error;
     std::string problem; ///< for people; empty on success
     std::vector<std::vector<std::string>> rows;
--- a/include/fuchsiagw/daemon/decision_meter.hpp
+++ b/include/fuchsiagw/daemon/decision_meter.hpp
@@ -58,7 +58,8 @@
                   core::time_point now);
     void onPrimary(const core::group_owner &owner, const core::owner_notice &notice,
                    core::time_point now);
-    void onAnswer(const core::statement_answer &answer, core::time_point now);
+    void onAnswer(const core::group_id &group, const core::statement_answer &answer,
+                  core::time_point now);
     void onReply(const core::caller_reply &reply, bool isPlatformReachable);
     void setGauges(const cluster &instances, core::time_point now);
 
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -52,14 +52,15 @@
         && answerOf(*answer.error).outcome == request_outcome::NotRun)
         answer.error = lostForward(entry.request);
     if (entry.from) {
-        turn.actions.emplace_back(forward_result{ *entry.from, entry.ticket, std::move(answer) });
+        turn.actions.emplace_back(forward_result{ *entry.from, entry.ticket, entry.request.group,
+                                                  std::move(answer) });
         return;
     }
     if (!answer.error && answer.position != log_position{})
-        recordWrite(entry.known, answer.group, answer.position);
+        recordWrite(entry.known, entry.request.group, answer.position);
     turn.actions.emplace_back(caller_reply{ entry.ticket, entry.request.workspace,
-                                            entry.request.kind, std::move(answer),
-                                            std::move(entry.known) });
+                                            entry.request.group, entry.request.kind,
+                                            std::move(answer), std::move(entry.known) });
 }
 
 void fail(gateway_turn &turn, std::uint64_t handle, error_kind error)
@@ -76,8 +77,12 @@
     statement_answer answer;
     answer.id = request.statement.id;
     answer.error = error;
-    turn.actions.emplace_back(caller_reply{
-            request.ticket, workspace, request.statement.kind, std::move(answer), {} });
+    turn.actions.emplace_back(caller_reply{ request.ticket,
+                                            workspace,
+                                            request.statement.group,
+                                            request.statement.kind,
+                                            std::move(answer),
+                                            {} });
 }
 
 std::optional<duration> maxAgeOf(const configuration &config, const statement_request &request)
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -101,6 +101,8 @@
 {
     owner_turn turn{ owner, now, random, actions };
     const bool inTransaction = statement.request.transaction.has_value();
+    if (statement.maxAge)
+        noteRead(owner.interest, *statement.maxAge, now);
     insertStatement(turn, handle, std::move(statement));
     if (inTransaction)
         startInTransaction(turn, handle);
@@ -285,7 +287,6 @@
     leavePlace(turn, handle);
     const statement_request &request = entry->second.request;
     answer.id = request.id;
-    answer.group = turn.owner.group;
     if (!answer.error && request.kind != statement_kind::Commit
         && request.kind != statement_kind::Rollback && !answer.transaction)
         answer.transaction = request.transaction;
--- a/src/core/owner_control.cpp
+++ b/src/core/owner_control.cpp
@@ -123,7 +123,7 @@
     const control_call asked = entry->second;
     owner.calls.erase(entry);
     if (asked.kind == control_kind::Wait)
-        onWaitEnded(owner.pending, asked.member);
+        onWaitEnded(owner.pending, asked.member, asked.deadline);
     if (answer.status)
         takeStatus(turn, asked, answer);
     else
@@ -165,7 +165,8 @@
     group_owner &owner = turn.owner;
     if (!owner.isWatching || turn.now < owner.failover.lastTick + failoverTick)
         return;
-    const failover_load load = loadOf(owner.pending, owner.view, !owner.statements.empty());
+    failover_load load = loadOf(owner.pending, owner.view, !owner.statements.empty());
+    load.wantedAge = wantedAge(owner.interest, turn.now);
     core::perform(turn, core::onTick(owner.failover, owner.view, load, turn.now, turn.random));
     reportPrimary(turn);
 }
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -29,6 +29,19 @@
     return number;
 }
 
+/// Whether the keeper has home shares of every workspace of which it should have a part.
+bool holdsItsPart(const core::limit_keeper &keeper)
+{
+    if (!keeper.hasJoined)
+        return false;
+    return std::all_of(keeper.limits.begin(), keeper.limits.end(), [&keeper](const auto &each) {
+        const bool isHeld = each.second.isUsed && each.second.fair > 0
+                            && each.first.kind == core::resource_kind::Workspace;
+        const auto entry = keeper.rates.limits.find(each.first);
+        return !isHeld || (entry != keeper.rates.limits.end() && entry->second.book.home > 0);
+    });
+}
+
 } // namespace
 
 decide::decide(boost::asio::io_context &context, const settings &values, log_sink &log,
@@ -116,7 +129,7 @@
             std::all_of(gateway_.peers.begin(), gateway_.peers.end(),
                         [](const auto &each) { return each.second.incarnation != 0; });
     const bool isWaitOver = now_ >= startedAt_ + readyLimit;
-    isReady_ = (gateway_.keeper.hasJoined && knowsPeers) || isWaitOver;
+    isReady_ = (knowsPeers && holdsItsPart(gateway_.keeper)) || isWaitOver;
     if (!isReady_)
         return;
     logEvent(log_, log_event::ProcessReady,
--- a/src/daemon/decision_meter.cpp
+++ b/src/daemon/decision_meter.cpp
@@ -53,9 +53,9 @@
 {
     if (const auto *reply = std::get_if<core::caller_reply>(&action)) {
         onReply(*reply, isPlatformReachable);
-        onAnswer(reply->answer, now);
+        onAnswer(reply->group, reply->answer, now);
     } else if (const auto *result = std::get_if<core::forward_result>(&action)) {
-        onAnswer(result->answer, now);
+        onAnswer(result->group, result->answer, now);
     } else if (std::holds_alternative<core::forward_statement>(action)) {
         counts_.count(counter::Forwards);
     } else if (const auto *group = std::get_if<core::group_action>(&action)) {
@@ -130,9 +130,10 @@
         counts_.count(counter::Promotions);
 }
 
-void decision_meter::onAnswer(const core::statement_answer &answer, core::time_point now)
+void decision_meter::onAnswer(const core::group_id &group, const core::statement_answer &answer,
+                              core::time_point now)
 {
-    const auto entry = gaps_.find(answer.group);
+    const auto entry = gaps_.find(group);
     if (entry == gaps_.end() || answer.error || answer.position == core::log_position{})
         return;
     failover_gap &gap = entry->second;
--- a/tests/unit-decision-meter.cpp
+++ b/tests/unit-decision-meter.cpp
@@ -38,7 +38,7 @@
     {
         caller_reply reply;
         reply.kind = statement_kind::Write;
-        reply.answer.group = { "g" };
+        reply.group = { "g" };
         reply.answer.position = { term, 1 };
         meter.onAction(reply, true, at);
     }
