Prove that the primary still leads before it serves a read without usable session

A read of a session without usable token went to the primary that its zone knew. The owner now holds such an answer until a majority has answered under the read's term to questions sent after the read. If another primary appears, the read is sent again. The session then takes the applied position, so only the first read in a group needs the proof. Reads in transactions are not covered.

A check of cached terms was ruled out: they may be older than the new primary.

--- a/include/fuchsiagw/core/group_owner.hpp
+++ b/include/fuchsiagw/core/group_owner.hpp
@@ -32,7 +32,7 @@
     Ready, ///< routed, waits for a connection to its member
     Connecting, ///< a connection is opened for it
     Sent,
-    Confirming, ///< ran, waits for a majority
+    Confirming, ///< ran, waits for a majority: a write, or a read whose session is unusable
 };
 
 struct owned_statement
@@ -80,6 +80,9 @@
 
     group_view view;
     pending_writes pending;
+    /// Reads that wait for proof that their member still led a majority, by handle, with the time
+    /// of the next questions. Invariant: each is Confirming.
+    std::map<std::uint64_t, time_point> unprovenReads;
     fair_queue queue;
     service_meter meter;
     connection_pool pool;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -57,6 +57,11 @@
     }
     if (!answer.error && answer.position != log_position{})
         recordWrite(entry.known, answer.group, answer.position);
+    // The primary that served a read without usable session had every write acknowledged before.
+    const bool isProvenRead = entry.request.sessionUnusable && !entry.request.transaction
+                              && entry.request.kind == statement_kind::Read;
+    if (!answer.error && isProvenRead && !answer.fromReplica)
+        recordWrite(entry.known, answer.group, answer.applied);
     turn.actions.emplace_back(caller_reply{ entry.ticket, entry.request.workspace,
                                             entry.request.kind, std::move(answer),
                                             std::move(entry.known) });
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -233,6 +233,7 @@
     case statement_place::Sent:
         break;
     case statement_place::Confirming:
+        owner.unprovenReads.erase(handle);
         std::erase_if(owner.pending.writes,
                       [handle](const pending_write &each) { return each.number == handle; });
         break;
--- a/src/core/owner_exchange.cpp
+++ b/src/core/owner_exchange.cpp
@@ -49,6 +49,67 @@
     return statement->first;
 }
 
+/// Pause before the members are asked again whether a read's term still has a majority.
+constexpr duration proofPause = std::chrono::milliseconds(100);
+
+/// Without a usable session no position tells whether the answer is new enough. It is, if a
+/// majority had not accepted a later term when the read was sent: then no other primary can have
+/// acknowledged a write before.
+bool needsProof(const statement_request &request, const execute_answer &answer)
+{
+    return request.sessionUnusable && !request.transaction && request.kind == statement_kind::Read
+           && answer.status == execute_status::Ok;
+}
+
+bool isProven(const group_view &view, const owned_statement &read)
+{
+    const auto count =
+            std::count_if(view.members.begin(), view.members.end(), [&read](const auto &each) {
+                return each.second.acceptedTerm == read.progress.term
+                       && each.second.termAskedAt >= read.sentAt;
+            });
+    return static_cast<std::size_t>(count) >= majorityOf(view.members.size());
+}
+
+void askForProof(owner_turn &turn, const member_id &except)
+{
+    for (const auto &[id, member] : turn.owner.view.members) {
+        if (id == except)
+            continue;
+        control_call order;
+        order.kind = control_kind::Status;
+        order.member = id;
+        order.deadline = turn.now + probeTimeout;
+        call(turn, std::move(order));
+    }
+}
+
+/// Ends the reads whose proof has come, and asks again for the others.
+void settleReads(owner_turn &turn)
+{
+    group_owner &owner = turn.owner;
+    std::vector<std::uint64_t> decided;
+    for (auto &[handle, askAt] : owner.unprovenReads) {
+        const owned_statement &read = owner.statements.at(handle);
+        const bool isReplaced =
+                owner.view.highestTerm > read.progress.term && owner.view.primary.has_value();
+        if (isReplaced || isProven(owner.view, read)) {
+            decided.push_back(handle);
+        } else if (turn.now >= askAt) {
+            askAt = turn.now + proofPause;
+            askForProof(turn, read.progress.member);
+        }
+    }
+    for (const std::uint64_t handle : decided) {
+        owned_statement &read = owner.statements.at(handle);
+        owner.unprovenReads.erase(handle);
+        if (isProven(owner.view, read))
+            follow(turn, handle, onConfirmed(read.progress));
+        else
+            follow(turn, handle, onSuperseded(read.progress, turn.now));
+    }
+}
+
 void takeAnswer(owner_turn &turn, std::uint64_t handle, connection_id id,
                 const execute_answer &answer)
 {
@@ -89,6 +150,12 @@
         finish(turn, handle, std::move(done));
         return;
     }
+    if (verdict == answer_verdict::Accept && needsProof(statement.request, answer)) {
+        statement.progress.state = exchange_state::Waiting;
+        statement.place = statement_place::Confirming;
+        owner.unprovenReads.emplace(handle, turn.now);
+        return; // the caller settles
+    }
     follow(turn, handle, action);
 }
 
@@ -264,6 +331,7 @@
 void settle(owner_turn &turn)
 {
     group_owner &owner = turn.owner;
+    settleReads(turn);
     for (const settled_write &each :
          settleWrites(owner.pending, owner.view, owner.policy, turn.now)) {
         const auto entry = owner.statements.find(each.number);
