Make the deliberate errors against M9, M10 and M12 certain to show

They depended on the moment: after a change of the core's draws, the errors against M10 and M12 were met by no statement. Late answers, a stopped primary and a forward under way now bring them about.

--- a/testing/gateway_world_members.cpp
+++ b/testing/gateway_world_members.cpp
@@ -465,6 +465,7 @@
         open.push_back(each.second);
         return true;
     });
+    const bool wasSent = world.settings.defect != gateway_defect::SentWriteRepeated;
     for (const world_connection &each : open) {
         member_event event;
         event.at = world.now;
@@ -472,16 +473,19 @@
         event.connection = each.number;
         event.isClose = true;
         world.history.members.push_back(std::move(event));
-        after(world, linkDelay(world, memberNode(world, member), each.gateway), [&world, each] {
-            atOwner(world, each.gateway, each.life, each.group,
-                    [each](group_owner &owner, owner_actions &actions, gateway_turn &turn) {
-                        if (each.exchange != 0)
-                            onExecuted(owner, each.id, std::nullopt, true, false, turn.now,
-                                       turn.random, actions);
-                        else
-                            onConnectionClosed(owner, each.id, turn.now, turn.random, actions);
-                    });
-        });
+        after(world, linkDelay(world, memberNode(world, member), each.gateway),
+              [&world, each, wasSent] {
+                  atOwner(world, each.gateway, each.life, each.group,
+                          [each, wasSent](group_owner &owner, owner_actions &actions,
+                                          gateway_turn &turn) {
+                              if (each.exchange != 0)
+                                  onExecuted(owner, each.id, std::nullopt, wasSent, false, turn.now,
+                                             turn.random, actions);
+                              else
+                                  onConnectionClosed(owner, each.id, turn.now, turn.random,
+                                                     actions);
+                          });
+              });
     }
 }
 
--- a/tests/unit-gateway-matrix.cpp
+++ b/tests/unit-gateway-matrix.cpp
@@ -185,6 +185,7 @@
     const auto world = makeGatewayWorld(settings);
     runFor(*world, 2500ms);
     const fault_target target{ 1, {} };
+    bool reached = false;
     switch (defect) {
     case gateway_defect::SessionForgotten:
         startFault(*world, gateway_fault::ReplicaFarBehind, target);
@@ -199,14 +200,20 @@
         startFault(*world, gateway_fault::KeyWithdrawn, target);
         break;
     case gateway_defect::ClaimNotRun:
+        startFault(*world, gateway_fault::AnswersLate, target);
+        break;
     case gateway_defect::SentWriteRepeated:
-        startFault(*world, gateway_fault::ConnectionSilent, target);
+        startFault(*world, gateway_fault::AnswersLate, target);
+        runFor(*world, 500ms);
+        startFault(*world, gateway_fault::PrimaryStopped, target);
         break;
     case gateway_defect::LeavingIgnored:
         startFault(*world, gateway_fault::MemberLeaving, target);
         break;
     case gateway_defect::StopsAtOnce:
-        startFault(*world, gateway_fault::GatewayDraining, target);
+        // A gateway with a forward under way has accepted a request for certain.
+        startFaultAt(*world, gateway_fault::GatewayDraining, gateway_step::ForwardWritten, 500ms,
+                     &reached);
         break;
     default:
         break;
