--- a/include/fuchsiagw/core/owner_action.hpp
+++ b/include/fuchsiagw/core/owner_action.hpp
@@ -104,7 +104,7 @@
     member_id member;
     term_number term = 0;
     member_failure failure = member_failure::Silence; ///< of MemberFailed
-    std::uint32_t connections = 0;                    ///< of ConnectionLimit
+    std::uint32_t connections = 0; ///< of ConnectionLimit
 };
 
 /// Tell the owners of the group in other zones what this one knows.
--- a/src/daemon/decide.cpp
+++ b/src/daemon/decide.cpp
@@ -61,7 +61,6 @@
                                 [this](const core::configuration &config) {
                                     core::gateway_turn step = turn();
                                     applyConfiguration(step, config);
-                                    outputs_.setReady(true);
                                 },
                                 [this] { onMembers(); } })
     , desk_(gateway_, cluster_, values, log,
