Prove reads inside transactions too when the session can't be used

Ruled out: refusing such reads; the proof by a majority, which other reads without session already need, answers them in the usual case.

Conclusion: a transaction whose member was replaced ends with transaction_lost.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -59,8 +59,8 @@
     if (!answer.error && answer.position != log_position{})
         recordWrite(entry.known, entry.request.group, answer.position);
     // The primary that served a read without usable session had every write acknowledged before.
-    const bool isProvenRead = entry.request.sessionUnusable && !entry.request.transaction
-                              && entry.request.kind == statement_kind::Read;
+    const bool isProvenRead =
+            entry.request.sessionUnusable && entry.request.kind == statement_kind::Read;
     if (!answer.error && isProvenRead && !answer.fromReplica)
         recordWrite(entry.known, entry.request.group, answer.applied);
     turn.actions.emplace_back(caller_reply{ entry.ticket, entry.request.workspace,
--- a/src/core/owner_exchange.cpp
+++ b/src/core/owner_exchange.cpp
@@ -57,7 +57,7 @@
 /// acknowledged a write before.
 bool needsProof(const statement_request &request, const execute_answer &answer)
 {
-    return request.sessionUnusable && !request.transaction && request.kind == statement_kind::Read
+    return request.sessionUnusable && request.kind == statement_kind::Read
            && answer.status == execute_status::Ok;
 }
 
@@ -84,6 +84,15 @@
     }
 }
 
+/// The transaction of a member that was replaced can't be committed any more.
+void loseTransaction(owner_turn &turn, std::uint64_t handle, std::uint64_t number)
+{
+    const auto transaction = turn.owner.transactions.find(number);
+    if (transaction != turn.owner.transactions.end() && !transaction->second.isBusy)
+        drop(turn, transaction->second.connection);
+    fail(turn, handle, error_kind::TransactionLost);
+}
+
 /// Ends the reads whose proof has come, and asks again for the others.
 void settleReads(owner_turn &turn)
 {
@@ -105,6 +114,8 @@
         owner.unprovenReads.erase(handle);
         if (isProven(owner.view, read))
             follow(turn, handle, onConfirmed(read.progress));
+        else if (read.request.transaction)
+            loseTransaction(turn, handle, read.request.transaction->number);
         else
             follow(turn, handle, onSuperseded(read.progress, turn.now));
     }
