Make the deliberate error against M10 certain to show

Cause: after a change of the core's draws, the late answers and the stopped primary no longer brought a second run of a sent write about; the checker had 0 findings.

Ruled out: a weaker check; a silent connection under a write whose answer is on its way makes the second run certain.

Conclusion: the check is as strict as before.

--- a/tests/unit-gateway-matrix.cpp
+++ b/tests/unit-gateway-matrix.cpp
@@ -203,6 +203,11 @@
         startFault(*world, gateway_fault::AnswersLate, target);
         break;
     case gateway_defect::SentWriteRepeated:
+        // A write that ran on a connection which then stays silent is sent to the same primary
+        // again.
+        startFaultAt(*world, gateway_fault::ConnectionSilent, gateway_step::AnswerOnItsWay, 500ms,
+                     &reached);
+        runFor(*world, 3s);
         startFault(*world, gateway_fault::AnswersLate, target);
         runFor(*world, 500ms);
         startFault(*world, gateway_fault::PrimaryStopped, target);
