Fix a message that stays in a channel for ever

Cause: drain() cleared its flag with a store and then looked into the ring. The store could become visible after the look, so a push in between saw the flag still set and posted no drain. Messages between duties then waited until the next push: statements stayed without an answer under load.

Ruled out: fences, which the thread sanitizer does not know; an exchange reads what push() wrote, or comes before it.

Conclusion: part of the earlier failures of unit-processes on a busy machine may have come from this.

--- a/include/fuchsiagw/net/channel.hpp
+++ b/include/fuchsiagw/net/channel.hpp
@@ -67,7 +67,10 @@
 
     void drain()
     {
-        scheduled_.store(false, std::memory_order_release);
+        // An exchange and not a store: it either reads the flag that push() set, and then sees that
+        // message, or comes first, and then push() posts. With a store a message could stay in the
+        // ring with nobody to drain it.
+        scheduled_.exchange(false, std::memory_order_acq_rel);
         // A fixed number a turn, so that one busy channel does not keep the others waiting.
         constexpr std::size_t messagesPerTurn = 256;
         for (std::size_t i = 0; i < messagesPerTurn; ++i) {
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -10,6 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <thread>
 #include <vector>
 
@@ -167,6 +168,37 @@
     CHECK_FALSE(full.push(3));
 }
 
+// Guards against a message that stays in the ring because the consumer has just found it empty.
+// That needs a push while the consumer runs a turn for which nothing is left, so each round pushes
+// a few messages with short pauses between them and then waits until all are handled.
+TEST(channel, leavesNoMessageBehind)
+{
+    boost::asio::io_context consumer;
+    std::atomic<int> handled{ 0 };
+    net::channel<int> channel(consumer, 64, [&](int &) { ++handled; });
+    auto work = boost::asio::make_work_guard(consumer);
+    std::thread worker([&] { consumer.run(); });
+    constexpr int rounds = 300000;
+    const auto end = std::chrono::steady_clock::now() + 60s;
+    int pushed = 0;
+    bool isStuck = false;
+    for (int round = 0; round < rounds && !isStuck; ++round) {
+        for (int each = 0; each < 4; ++each) {
+            while (!channel.push(int{ pushed }) && !isStuck)
+                isStuck = std::chrono::steady_clock::now() >= end;
+            ++pushed;
+            for (int pause = 0; pause < (round * 7 + each * 13) % 97; ++pause)
+                std::atomic_signal_fence(std::memory_order_seq_cst);
+        }
+        while (handled < pushed && !isStuck)
+            isStuck = std::chrono::steady_clock::now() >= end;
+    }
+    work.reset();
+    consumer.stop();
+    worker.join();
+    CHECK_FALSE(isStuck);
+}
+
 TEST_GROUP(endpoint){};
 
 // Guards against a settings mistake that is only noticed when the first connection fails.
