Fix a use after free when the owner answers a statement at once

Cause: submitHere() passed a reference into the entry on to passOn(), which ends the entry if the owner refuses the statement in the same turn. Found by the address sanitizer in unit-gateway-differential and unit-gateway-matrix.

Ruled out: keeping ended entries until the end of the turn; one copied name is enough.

Measured: unit-gateway-differential failed under the sanitizers before and passes 3 tests after (47 s).

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -175,6 +175,8 @@
 {
     gateway &state = turn.state;
     const entry_statement &entry = state.entries.at(handle);
+    // A copy: the entry ends within passOn() if the owner answers at once.
+    const group_id group = entry.request.group;
     if (state.config.groups.count(entry.request.group) == 0) {
         fail(turn, handle, error_kind::GroupUnknown);
         return;
@@ -194,7 +196,7 @@
     }
     owner_actions actions;
     submit(owner, handle, std::move(statement), turn.now, turn.random, actions);
-    passOn(turn, entry.request.group, std::move(actions));
+    passOn(turn, group, std::move(actions));
 }
 
 void forwardTo(gateway_turn &turn, std::uint64_t handle, const instance_id &to)
