Record the open fault of the whole-instance matrix

Cause: under the sanitizers one pair of faults, lease_lapsed and member_leaving, ends with work for a leaving member (M11).

Ruled out: narrowing the check without a trace.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,8 +13,10 @@
 echo "test: building with $jobs jobs (a first build takes several minutes)"
 cmake --build "$build" -j "$jobs"
 echo "test: running the tests"
+pattern='^test: \K\S+'
+[[ "${CMAKE_ARGS:-}" == *SANITIZE* ]] && pattern='^test(-sanitized)?: \K\S+'
 exclude=()
-if known="$(grep -oP '^test: \K\S+' KNOWN-RED.txt | paste -sd'|')" && [[ -n "$known" ]]; then
+if known="$(grep -oP "$pattern" KNOWN-RED.txt | paste -sd'|')" && [[ -n "$known" ]]; then
     echo "test: passing over the known failures of KNOWN-RED.txt: $known"
     exclude=(-E "^($known)\$")
 fi
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -106,7 +106,8 @@
                 return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f');
             });
     if (!valid)
-        return "must be 64 lower-case hexadecimal digits, the output of 'b2sum -l 256' for the secret";
+        return "must be 64 lower-case hexadecimal digits, the output of 'b2sum -l 256' for the "
+               "secret";
     into.operatorSecretHash = text;
     return {};
 }
