--- a/include/fuchsiagw/daemon/log_sink.hpp
+++ b/include/fuchsiagw/daemon/log_sink.hpp
@@ -16,6 +16,7 @@
 struct log_settings
 {
     std::string path; ///< file; empty: standard error
+    bool standardOutput = false; ///< without a path: standard output
     log_level level = log_level::Info; ///< lines below it are dropped
     std::size_t maxFileBytes = 16'000'000; ///< the file is then rolled; instances are diskless
     int oldFiles = 2; ///< rolled files that are kept
--- /dev/null
+++ b/include/fuchsiagw/daemon/session_settings.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief Settings of the session interface, read from its YAML file.
+
+#pragma once
+
+#include <fuchsiagw/daemon/settings.hpp>
+#include <fuchsiagw/net/endpoint.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::daemon {
+
+/// Invariant: after readSessionSettings() without problems every field is within its bounds.
+struct session_settings
+{
+    std::string instance;
+    std::string zone;
+    std::string address; ///< IP number of this instance
+    net::endpoint callerAddress;
+    net::endpoint readyAddress;
+    std::uint16_t peerPort = 0; ///< UDP; the same on all instances
+    std::uint16_t metricsPort = 0;
+    net::endpoint storeAddress;
+    net::endpoint promotionAddress;
+    std::uint32_t openFiles = 0;
+    std::uint32_t memoryMegabytes = 0;
+    std::chrono::seconds gracePeriod{ 0 };
+    std::chrono::milliseconds drainLimit{ 0 };
+    std::chrono::milliseconds configurationLimit{ 0 };
+};
+
+/// @brief Reads and checks a settings file. Entries that it does not know are ignored.
+/// @param result is complete only if there are no problems
+/// @return every mistake found
+/// @complexity linear in the size of the file
+[[nodiscard]] std::vector<settings_problem> readSessionSettings(const std::string &file,
+                                                                session_settings &result);
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -0,0 +1,111 @@
+/// @file
+/// @brief Reads the manifest, the members and the daemons from the platform's store, and makes the
+/// calls that decide who promotes.
+
+#pragma once
+
+#include <fuchsiagw/daemon/session_settings.hpp>
+#include <fuchsiagw/net/http_client.hpp>
+#include <fuchsiagw/proxy/engine.hpp>
+
+#include <platform/store_codec.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::daemon {
+
+/// Another daemon and where it is reached.
+struct listed_instance
+{
+    std::string node;
+    std::string zone;
+    std::string address; ///< IP number
+};
+
+struct store_events
+{
+    std::function<void(std::shared_ptr<const proxy::manifest>)> manifest;
+    /// @param complete false: members may be missing that only could not report for a while
+    std::function<void(const std::vector<proxy::listed_member> &, bool complete)> members;
+    std::function<void(const std::vector<listed_instance> &)> instances;
+    std::function<void(const std::string &service, std::uint64_t token)> token;
+    std::function<void(const std::string &service, proxy::promote_outcome)> promoted;
+    /// A log line about the store itself.
+    std::function<void(std::string_view what, std::string_view detail)> note;
+};
+
+/// Counts of calls, for the metrics.
+struct store_counters
+{
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
+/// Lives on one context's thread.
+class store_desk
+{
+public:
+    store_desk(boost::asio::io_context &context, const session_settings &values,
+               store_events events);
+
+    void start();
+    void stop() { stopped_ = true; }
+    /// @brief Reads the list of members soon.
+    void refreshMembers();
+    void drawToken(const std::string &service);
+    void promote(const std::string &service, const std::string &member, std::uint64_t token);
+    /// @brief Removes the row of a daemon that is gone for good.
+    void removeInstance(const std::string &node);
+
+    [[nodiscard]] const store_counters &counters() const { return counters_; }
+
+private:
+    using answer_handler = std::function<void(int status, const std::string &body)>;
+
+    void call(const net::http_request &request, std::chrono::milliseconds limit,
+              answer_handler done);
+    void after(std::chrono::milliseconds pause, std::function<void()> next);
+    std::chrono::milliseconds backoff(int failures);
+    void noteOutcome(bool reached);
+
+    void readManifest();
+    void followManifest();
+    void takeManifest(const std::vector<adapter::store_row> &rows);
+    void pollMembers();
+    void takeMembers(const std::string &from, std::vector<proxy::listed_member> &&list);
+    void registerSelf();
+    void readInstances();
+    void followInstances();
+    void takeInstances(const std::vector<adapter::store_row> &rows);
+    void claimPromotion(const std::string &service, const adapter::store_rows &rows);
+
+    boost::asio::io_context &context_;
+    session_settings values_;
+    store_events events_;
+    net::http_client client_;
+    core::random_engine random_;
+    store_counters counters_;
+    std::uint64_t manifestSeen_ = 0; ///< version of the store up to which manifests were read
+    std::uint64_t instancesSeen_ = 0;
+    int manifestFailures_ = 0;
+    int instanceFailures_ = 0;
+    int memberFailures_ = 0;
+    bool registered_ = false;
+    bool reachable_ = true;
+    bool stopped_ = false;
+    bool pollUnderWay_ = false;
+    core::time_point lastFailure_{};
+    core::time_point lastPoll_{};
+    std::uint64_t pollNumber_ = 0; ///< a poll that was planned before a newer one does nothing
+    std::map<std::string, listed_instance> instances_;
+};
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -0,0 +1,102 @@
+/// @file
+/// @brief Steps of the engine that its own source files share.
+
+#pragma once
+
+#include <fuchsiagw/proxy/engine.hpp>
+
+namespace fuchsiagw::proxy {
+
+using std::chrono::milliseconds;
+
+/// Upper bound of the share of time that the caller's objective leaves for a wait before a refusal.
+inline constexpr int refusalWaitDivisor = 4;
+
+/// A member that is gone is remembered this long: its log may hold the only second copy of a commit.
+inline constexpr std::chrono::seconds goneMemory{ 60 };
+/// A member's own report of its role may be this much behind what it proved in an answer.
+inline constexpr std::chrono::milliseconds claimDelay{ 2'500 };
+
+[[nodiscard]] inline service_state *findService(engine &state, const std::string &name)
+{
+    const auto found = state.services.find(name);
+    return found == state.services.end() ? nullptr : &found->second;
+}
+[[nodiscard]] inline member_state *findMember(engine &state, const std::string &id)
+{
+    const auto found = state.members.find(id);
+    return found == state.members.end() ? nullptr : &found->second;
+}
+[[nodiscard]] inline session *findSession(engine &state, session_id id)
+{
+    const auto found = state.sessions.find(id);
+    return found == state.sessions.end() ? nullptr : &found->second;
+}
+[[nodiscard]] inline upstream_link *findLink(engine &state, link_id id)
+{
+    const auto found = state.links.find(id);
+    return found == state.links.end() ? nullptr : &found->second;
+}
+
+/// @brief Whether a member may get a statement that is not part of a running transaction.
+[[nodiscard]] bool takesNewWork(const member_state &member, core::time_point now);
+
+/// @brief Writes a note about a session's current request.
+void noteRequest(engine &state, note_kind kind, const session &who, const std::string &member,
+                 std::string_view reason, core::duration age = {}, std::int64_t number = 0);
+
+/// @brief Ends the current request with an answer and starts the next statement that waits.
+void finish(engine &state, session &who, reply answer, core::time_point now);
+/// @brief Ends the current request with a refusal of the proxy's own.
+void finishRefused(engine &state, session &who, refusal_reason reason, core::time_point now,
+                   core::duration comeBackAfter = {});
+
+/// @brief Puts the current request into its service's queue, or keeps it there.
+void enqueue(engine &state, session &who, refusal_reason waitsFor);
+/// @brief Sends the current request to a member if one can take it now; else queues or refuses it.
+void place(engine &state, session &who, core::time_point now);
+/// @brief Tries the requests that wait for a service.
+void pump(engine &state, service_state &service, core::time_point now);
+/// @brief Decides where a statement has to run when it starts an operation.
+void decidePlacement(engine &state, session &who, request &what, core::time_point now);
+
+/// @brief Finds an idle link, or opens one.
+/// @param opening set to the link that is being opened
+/// @return nullptr if none is idle
+upstream_link *acquireLink(engine &state, member_state &member, const session &who,
+                           link_id &opening, core::time_point now);
+link_id openLink(engine &state, member_state &member, const std::string &workspace,
+                 core::time_point now);
+void sendRequest(engine &state, upstream_link &link, session &who, core::time_point now);
+void closeLink(engine &state, link_id id, bool politely, core::time_point now);
+/// @brief Makes a link that owes no answer available again.
+void releaseLink(engine &state, upstream_link &link, core::time_point now);
+/// @brief Ends the transaction on a link whose session no longer wants it.
+void rollBack(engine &state, upstream_link &link, core::time_point now);
+/// @brief Closes links that are idle beyond what this daemon may keep.
+void trimLinks(engine &state, core::time_point now);
+/// @return the connections to one member that this daemon may keep open while they are idle
+[[nodiscard]] std::uint32_t keptLinks(const engine &state, const member_state &member);
+
+/// @brief A member provably led at @p since.
+void learnLeader(engine &state, service_state &service, const std::string &member,
+                 const core::log_position &position, core::time_point since, core::time_point now);
+/// @brief A member said that it does not lead.
+void loseLeader(engine &state, service_state &service, const std::string &member,
+                core::time_point now);
+/// @brief Believes in the member that claims to lead, if none is known to.
+void adoptClaimedLeader(engine &state, service_state &service, core::time_point now);
+
+void followSilence(engine &state, core::time_point now);
+void stepPromotions(engine &state, core::time_point now);
+/// @brief An answer to an order of the proxy's own.
+void onControlAnswer(engine &state, const std::string &member, const reply &answer,
+                     core::time_point sentAt, core::time_point now);
+void onControlLost(engine &state, const std::string &member, core::time_point now);
+[[nodiscard]] core::time_point nextPromotionStep(const engine &state);
+
+void exchangeWithPeers(engine &state, core::time_point now);
+void askForTokens(engine &state, const std::string &workspace, core::time_point now);
+void tellLeader(engine &state, const service_state &service, core::time_point now);
+
+} // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/net/clock.hpp
+++ b/include/fuchsiagw/net/clock.hpp
@@ -6,6 +6,7 @@
 #include <fuchsiagw/core/time.hpp>
 
 #include <chrono>
+#include <ctime>
 
 namespace fuchsiagw::net {
 
@@ -16,6 +17,17 @@
     return core::time_point(std::chrono::duration_cast<core::duration>(sinceStart));
 }
 
+/// @return the time since the machine was started, which goes on while it is suspended
+[[nodiscard]] inline core::time_point currentBootTime()
+{
+    timespec time{};
+    static_cast<void>(clock_gettime(CLOCK_BOOTTIME, &time));
+    constexpr std::int64_t microsPerSecond = 1'000'000;
+    constexpr std::int64_t nanosPerMicro = 1'000;
+    return core::time_point(core::duration(time.tv_sec * microsPerSecond
+                                           + time.tv_nsec / nanosPerMicro));
+}
+
 /// @return the same moment on the clock that Asio's timers use
 [[nodiscard]] inline std::chrono::steady_clock::time_point toSteady(core::time_point time)
 {
--- /dev/null
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// @brief What the engine asks its driver to do.
+
+#pragma once
+
+#include <fuchsiagw/proxy/decision_note.hpp>
+#include <fuchsiagw/proxy/peer_message.hpp>
+#include <fuchsiagw/proxy/reply.hpp>
+#include <fuchsiagw/proxy/session.hpp>
+#include <fuchsiagw/proxy/upstream_command.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+struct send_to_caller
+{
+    session_id session = 0;
+    reply answer;
+    bool opens = false; ///< answers the session's opening, not a statement
+};
+
+/// After what was sent to the caller before.
+struct close_caller
+{
+    session_id session = 0;
+};
+
+struct open_link
+{
+    link_id link = 0;
+    std::string address;
+};
+
+/// In order, in one write if the link is open; kept until then if it is not.
+struct send_to_member
+{
+    link_id link = 0;
+    std::vector<upstream_command> commands;
+};
+
+struct close_link
+{
+    link_id link = 0;
+    bool politely = false; ///< tells the member first
+};
+
+/// The list of members may be out of date.
+struct refresh_directory
+{ };
+
+/// A compare-and-set on the service's promotion row; answered with onTokenDrawn().
+struct draw_token
+{
+    std::string service;
+};
+
+/// Names a member as the next primary; answered with onPromoteAnswer().
+struct order_promotion
+{
+    std::string service;
+    std::string member;
+    std::uint64_t token = 0;
+};
+
+struct send_to_peer
+{
+    std::string peer; ///< node name
+    peer_message message;
+};
+
+using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
+                            refresh_directory, draw_token, order_promotion, send_to_peer,
+                            decision_note>;
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -0,0 +1,153 @@
+/// @file
+/// @brief All decisions of the session proxy: a state and the functions that change it.
+///
+/// The engine does no I/O and reads no clock. Each function takes an event and the current time and
+/// appends to `out` what the driver has to do. Times are of a clock that also counts the time for
+/// which the machine was suspended: positions must not look fresher than they are.
+
+#pragma once
+
+#include <fuchsiagw/core/random.hpp>
+#include <fuchsiagw/proxy/action.hpp>
+#include <fuchsiagw/proxy/manifest.hpp>
+#include <fuchsiagw/proxy/member_state.hpp>
+#include <fuchsiagw/proxy/peer_message.hpp>
+#include <fuchsiagw/proxy/quota.hpp>
+#include <fuchsiagw/proxy/refusal.hpp>
+#include <fuchsiagw/proxy/service_state.hpp>
+#include <fuchsiagw/proxy/session.hpp>
+#include <fuchsiagw/proxy/upstream_link.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+struct engine_settings
+{
+    std::string node;
+    std::string zone;
+    std::uint32_t maxSessions = 0; ///< callers' connections at a time
+    core::duration drainLimit{ 0 }; ///< until a leaving member must get no more work
+    core::duration gracePeriod{ 0 }; ///< between the order to stop and the end of the process
+};
+
+/// Another daemon of the deployment.
+struct peer_state
+{
+    std::string node;
+    std::string zone;
+    core::time_point lastHeard{};
+    std::uint64_t manifestVersion = 0;
+};
+
+/// How many of each thing happened; see metrics.
+struct engine_counters
+{
+    std::uint64_t statements = 0;
+    std::uint64_t operations = 0;
+    std::uint64_t placedOnReplica = 0;
+    std::uint64_t placedOnPrimary = 0;
+    std::uint64_t retried = 0;
+    std::uint64_t hedged = 0;
+    std::uint64_t linksOpened = 0;
+    std::uint64_t linksReused = 0;
+    std::array<std::uint64_t, refusalRows.size()> refused{};
+    std::uint64_t promotionsOrdered = 0;
+};
+
+/// Invariants: every link is listed at its member; a session's current request is in its service's
+/// queue exactly if request::queued is set; manifest.version never decreases.
+struct engine
+{
+    engine_settings settings;
+    core::random_engine random;
+    std::shared_ptr<const manifest> config;
+    quota_table quota;
+    std::map<std::string, member_state> members;
+    std::map<std::string, service_state> services;
+    std::map<session_id, session> sessions;
+    std::map<link_id, upstream_link> links;
+    std::map<std::string, peer_state> peers;
+    std::set<session_id> active; ///< sessions with a current request or transaction
+    std::uint32_t instances = 1; ///< daemons among which limits are divided
+    link_id lastLink = 0;
+    std::uint64_t lastSerial = 0;
+    bool directoryKnown = false; ///< the list of members was read once
+    bool stopping = false;
+    core::time_point stopAt = core::noDeadline; ///< end of the grace period
+    core::time_point transactionsUntil = core::noDeadline; ///< half of the grace period
+    core::time_point lastTime{}; ///< newest call of onTime()
+    core::time_point nextExchange{};
+    core::time_point nextMaintenance{};
+    std::uint64_t incarnation = 0;
+    engine_counters counters;
+    std::vector<action> out;
+};
+
+/// @brief A manifest was read. Older versions than the one in force are ignored.
+void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now);
+
+/// One row of the list of members.
+struct listed_member
+{
+    upstream_entry entry;
+    std::uint64_t version = 0; ///< of the store's row
+};
+/// @brief The list of members was read.
+/// @param complete false: members that are missing may only have been unable to report
+void onDirectory(engine &state, const std::vector<listed_member> &list, bool complete,
+                 core::time_point now);
+
+/// @brief The daemons that take part were read, this one included.
+void onInstances(engine &state, const std::vector<peer_state> &list, core::time_point now);
+
+/// @return whether new callers can be served
+[[nodiscard]] bool isReady(const engine &state);
+
+/// @brief A caller opened a session.
+/// @return false if it was refused; the driver closes the connection after the answer
+bool onSessionOpened(engine &state, session_id id, const std::string &database,
+                     const std::string &key, core::time_point now);
+void onCallerStatement(engine &state, session_id id, caller_statement statement,
+                       core::time_point now);
+/// @brief The caller's connection ended.
+void onCallerGone(engine &state, session_id id, core::time_point now);
+
+/// @brief A member answered the oldest outstanding command of a link.
+void onMemberAnswer(engine &state, link_id id, reply answer, core::time_point now);
+/// @brief A link could not be opened, or ended.
+void onLinkClosed(engine &state, link_id id, core::time_point now);
+
+void onPeerMessage(engine &state, const peer_message &message, core::time_point now);
+
+/// @brief The store gave this daemon a fencing token, or refused.
+/// @param token 0: another daemon acts, or the store can't be reached
+void onTokenDrawn(engine &state, const std::string &service, std::uint64_t token,
+                  core::time_point now);
+
+enum class promote_outcome : std::uint8_t {
+    Ordered,
+    FencedOff, ///< a higher token was used, or the member does not run
+    NoAnswer, ///< it may still be carried out
+    Refused,
+};
+void onPromoteAnswer(engine &state, const std::string &service, promote_outcome outcome,
+                     core::time_point now);
+
+/// @brief The process was told to stop.
+void onStop(engine &state, core::time_point now);
+
+/// @brief Does what is due.
+void onTime(engine &state, core::time_point now);
+
+/// @return when onTime() is to be called next
+/// @complexity linear in the number of active sessions and links
+[[nodiscard]] core::time_point nextDue(const engine &state);
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief What this daemon knows of one member of a database group.
+
+#pragma once
+
+#include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/session.hpp>
+#include <fuchsiagw/proxy/upstream_entry.hpp>
+
+#include <cstdint>
+#include <set>
+
+namespace fuchsiagw::proxy {
+
+/// Invariant: outstanding counts the statements on `links` that have no answer yet.
+struct member_state
+{
+    upstream_entry entry;
+    std::uint64_t roleVersion = 0; ///< version of the store's row in which its role last changed
+    bool listed = true; ///< false: its entry is gone; it gets no new work
+    core::time_point goneAt{}; ///< while not listed
+    std::set<link_id> links;
+    std::uint32_t outstanding = 0;
+    double answerUs = 0; ///< smoothed time to an answer
+    double connectUs = 0; ///< smoothed time to a usable connection
+    core::time_point avoidUntil{}; ///< after failed connections
+    core::time_point laggingUntil{}; ///< its log lacked a position a moment ago
+    core::time_point limitUntil{}; ///< it refused a connection for their number
+    core::time_point busyUntil{}; ///< it refused a statement for its queue
+    core::time_point silentSince = core::noDeadline; ///< first sign that it does not answer
+    core::time_point lastAnswer{}; ///< newest sign of life
+    int failures = 0; ///< in a row
+};
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// @brief Datagrams between the daemons of one deployment.
+
+#pragma once
+
+#include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+enum class peer_message_kind : std::uint8_t {
+    Exchange, ///< news, and a question for the peer's
+    ExchangeAnswer,
+    LoanRequest,
+    LoanGrant,
+    LeaderNews, ///< a primary was promoted or proven a moment ago
+    ReachQuestion, ///< does the peer reach this primary?
+    ReachAnswer,
+};
+
+/// What one daemon knows of a service's primary.
+struct leader_report
+{
+    std::string service;
+    std::string member;
+    core::log_position position; ///< the term is that of the primary
+    std::int64_t ageUs = 0; ///< since the position was at least reached, at the time of sending
+
+    template <typename archive>
+    void serialize(archive &ar)
+    {
+        ar(service, member, position.term, position.index, ageUs);
+    }
+};
+
+/// Fields that a kind does not use stay empty.
+struct peer_message
+{
+    peer_message_kind kind = peer_message_kind::Exchange;
+    std::string from; ///< node name
+    std::uint64_t incarnation = 0; ///< of the sender's process
+    std::int64_t askedAtUs = 0; ///< asker's clock; comes back unchanged in the answer
+    std::uint64_t manifestVersion = 0;
+    std::vector<leader_report> leaders;
+    std::string subject; ///< workspace of a loan, service of a reach question
+    std::string member; ///< of a reach question
+    std::int64_t amount = 0; ///< of a loan; reach answer: 1 reached, 0 not reached, -1 unknown
+
+    template <typename archive>
+    void serialize(archive &ar)
+    {
+        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member, amount);
+    }
+};
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// @brief The closed list of reasons for which the proxy itself refuses a statement.
+
+#pragma once
+
+#include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/reply.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace fuchsiagw::proxy {
+
+enum class refusal_reason : std::uint8_t {
+    UnknownDatabase,
+    KeyNotAccepted,
+    NotConfigured, ///< no manifest has been read yet
+    RateExceeded,
+    NoPrimary, ///< no member is known to lead
+    NoMember, ///< no member can take the statement
+    NoConnection, ///< every connection stayed in use until the statement's wait ended
+    MembersBusy, ///< every member that was tried refused
+    TransactionLost, ///< the connection of the open transaction ended
+    TransactionIdle, ///< the transaction was idle for too long
+    Stopping,
+    OutOfPlace, ///< the statement does not fit the transaction's state
+    PreparedUnknown,
+    NoAnswerInTime, ///< it was sent; the member did not answer before the route's timeout
+    AnswerLost, ///< it was sent; the connection ended before the answer
+    TooManySessions,
+};
+
+/// One row of the table from reason to answer.
+struct refusal_row
+{
+    refusal_reason reason;
+    std::string_view name;
+    reply_code code;
+};
+
+inline constexpr std::array<refusal_row, 16> refusalRows{ {
+        { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
+        { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
+        { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
+        { refusal_reason::RateExceeded, "rate_exceeded", reply_code::Busy },
+        { refusal_reason::NoPrimary, "no_primary", reply_code::Busy },
+        { refusal_reason::NoMember, "no_member", reply_code::Busy },
+        { refusal_reason::NoConnection, "no_connection", reply_code::Busy },
+        { refusal_reason::MembersBusy, "members_busy", reply_code::Busy },
+        { refusal_reason::TransactionLost, "transaction_lost", reply_code::Aborted },
+        { refusal_reason::TransactionIdle, "transaction_idle", reply_code::Aborted },
+        { refusal_reason::Stopping, "stopping", reply_code::Aborted },
+        { refusal_reason::OutOfPlace, "out_of_place", reply_code::Malformed },
+        { refusal_reason::PreparedUnknown, "prepared_unknown", reply_code::UnknownPrepared },
+        { refusal_reason::NoAnswerInTime, "no_answer_in_time", reply_code::TimedOut },
+        { refusal_reason::AnswerLost, "answer_lost", reply_code::OutcomeUnknown },
+        { refusal_reason::TooManySessions, "too_many_sessions", reply_code::Busy },
+} };
+
+[[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
+{
+    return refusalRows.at(static_cast<std::size_t>(reason));
+}
+
+[[nodiscard]] constexpr std::string_view toString(refusal_reason reason)
+{
+    return rowOf(reason).name;
+}
+
+/// @brief Builds the answer for a refusal.
+/// @param comeBackAfter when another try may succeed; 0: unknown, and then not said
+[[nodiscard]] reply refuse(refusal_reason reason, transaction_state state,
+                           core::duration comeBackAfter = {});
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/include/fuchsiagw/proxy/reply.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// @brief The answer to one statement, from a member or from the proxy itself.
+
+#pragma once
+
+#include <fuchsiagw/core/log_position.hpp>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+enum class reply_code : std::uint8_t {
+    Success,
+    Busy,
+    Lagging,
+    ReadOnly,
+    Misrouted,
+    ConnectionLimit,
+    Failed,
+    UnknownPrepared,
+    TimedOut,
+    Unauthorized,
+    NoDatabase,
+    TooLarge,
+    Malformed,
+    Aborted,
+    OutcomeUnknown,
+    Unrecognized,
+};
+
+inline constexpr std::array<std::string_view, 16> replyCodeNames{
+    "success",          "busy",      "lagging",      "read_only",   "misrouted", "connection_limit",
+    "failed",           "unknown_prepared", "timed_out", "unauthorized", "no_database", "too_large",
+    "malformed",        "aborted",   "outcome_unknown", "unrecognized",
+};
+
+[[nodiscard]] constexpr std::string_view toString(reply_code code)
+{
+    return replyCodeNames.at(static_cast<std::size_t>(code));
+}
+
+/// Whether a code says that the statement did not run at the member that sent it.
+[[nodiscard]] constexpr bool saysNotRun(reply_code code)
+{
+    return code == reply_code::Busy || code == reply_code::Lagging || code == reply_code::ReadOnly
+           || code == reply_code::Misrouted || code == reply_code::ConnectionLimit
+           || code == reply_code::UnknownPrepared;
+}
+
+enum class transaction_state : std::uint8_t {
+    Idle,
+    Open,
+    Failed, ///< only a commit or rollback is accepted, and it rolls back
+};
+
+/// What a member reports of itself to the proxy's own orders.
+struct member_status
+{
+    bool leads = false;
+    core::term_number term = 0;
+    core::log_position received;
+    core::term_number pausedTerm = 0; ///< 0: it receives
+};
+
+struct reply
+{
+    reply_code code = reply_code::Success;
+    std::vector<std::string> rows;
+    std::string digest; ///< of the member, or "-" if the proxy answered itself
+    std::string message; ///< text beside an error code
+    transaction_state state = transaction_state::Idle;
+    std::optional<core::log_position> position;
+    std::optional<member_status> status; ///< in answers to the proxy's own orders
+};
+
+} // namespace fuchsiagw::proxy
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
 scripts/bootstrap.sh
 echo "test: configuring $build"
 # shellcheck disable=SC2086
-cmake -S . -B "$build" -G Ninja ${CMAKE_ARGS:-} >"/tmp/fuchsiagw-configure.$$" || { cat "/tmp/fuchsiagw-configure.$$"; exit 1; }
+cmake -S . -B "$build" -G Ninja -DFUCHSIAGW_WARNINGS_ARE_ERRORS=ON ${CMAKE_ARGS:-} >"/tmp/fuchsiagw-configure.$$" || { cat "/tmp/fuchsiagw-configure.$$"; exit 1; }
 rm -f "/tmp/fuchsiagw-configure.$$"
 echo "test: building with $jobs jobs (a first build takes several minutes)"
 cmake --build "$build" -j "$jobs"
--- a/src/daemon/log_sink.cpp
+++ b/src/daemon/log_sink.cpp
@@ -65,7 +65,8 @@
     log4cxx::AppenderPtr appender;
     if (settings.path.empty()) {
         appender = std::make_shared<log4cxx::ConsoleAppender>(
-                layout, log4cxx::ConsoleAppender::getSystemErr());
+                layout, settings.standardOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                                               : log4cxx::ConsoleAppender::getSystemErr());
     } else {
         // log4cxx reports a file that can't be opened only on standard error.
         if (!std::ofstream(settings.path, std::ios::app))
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/daemon/log_sink.hpp>
 #include <fuchsiagw/daemon/process.hpp>
+#include <fuchsiagw/daemon/session_process.hpp>
 #include <fuchsiagw/daemon/settings.hpp>
 
 #include <absl/flags/flag.h>
@@ -18,6 +19,8 @@
 #include <sodium.h>
 
 ABSL_FLAG(std::string, settings, "", "YAML file with the settings; see docs/settings.md");
+ABSL_FLAG(std::string, interface, "statements",
+          "what callers speak: statements (HTTP, see docs/api.md) or sessions (docs/platform.md)");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and stop");
 
 namespace {
@@ -35,9 +38,34 @@
     return result;
 }
 
+int runSessions(const std::string &file)
+{
+    daemon::session_settings values;
+    const auto problems = daemon::readSessionSettings(file, values);
+    for (const auto &each : problems)
+        std::cerr << daemon::toString(each) << '\n';
+    if (!problems.empty())
+        return static_cast<int>(daemon::exit_code::SettingsInvalid);
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << file << ": valid\n";
+        return 0;
+    }
+    daemon::log_settings target;
+    target.standardOutput = true;
+    daemon::log_sink log(target);
+    return static_cast<int>(daemon::runSessionDaemon(values, file, log));
+}
+
 int run()
 {
     const std::string file = absl::GetFlag(FLAGS_settings);
+    const std::string interface = absl::GetFlag(FLAGS_interface);
+    if (interface == "sessions")
+        return runSessions(file);
+    if (interface != "statements") {
+        std::cerr << "fuchsiagwd: --interface must be statements or sessions\n";
+        return static_cast<int>(daemon::exit_code::SettingsInvalid);
+    }
     daemon::settings values;
     const auto problems = daemon::readSettings(file, values);
     for (const auto &each : problems)
--- /dev/null
+++ b/src/daemon/session_process.cpp
@@ -0,0 +1,150 @@
+/// @file
+/// @brief Signals, settings and the readiness and metrics servers around the session gateway.
+
+#include <fuchsiagw/daemon/session_process.hpp>
+
+#include <fuchsiagw/daemon/session_gateway.hpp>
+#include <fuchsiagw/daemon/session_log.hpp>
+#include <fuchsiagw/net/http_server.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <filesystem>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+constexpr int startEvent = 940;
+constexpr int stopEvent = 941;
+constexpr int reloadEvent = 942;
+constexpr std::chrono::seconds fileCheckInterval{ 2 };
+constexpr std::size_t statusConnections = 32;
+constexpr std::size_t maxStatusBody = 1024; // bytes
+
+net::http_server_options serverAt(const net::endpoint &address)
+{
+    net::http_server_options options;
+    options.listenAt = address;
+    options.maxBody = maxStatusBody;
+    options.maxConnections = statusConnections;
+    return options;
+}
+
+/// Everything of one process, on one thread.
+class session_daemon
+{
+public:
+    session_daemon(const session_settings &values, std::string file, log_sink &sink)
+        : values_(values)
+        , file_(std::move(file))
+        , log_(sink)
+        , gateway_(context_, values, log_)
+        , ready_(context_, serverAt(values.readyAddress),
+                 [this](net::http_request &&, net::connection_number, net::http_reply &&reply) {
+                     net::http_response response;
+                     constexpr int ok = 200;
+                     constexpr int unavailable = 503;
+                     response.status = gateway_.isReady() ? ok : unavailable;
+                     reply.send(response);
+                 })
+        , metrics_(context_, serverAt({ values.readyAddress.address, values.metricsPort }),
+                   [this](net::http_request &&, net::connection_number, net::http_reply &&reply) {
+                       net::http_response response;
+                       response.status = 200;
+                       response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+                       response.body = gateway_.metricsText();
+                       reply.send(response);
+                   })
+        , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+        , fileTimer_(context_)
+    { }
+
+    exit_code run()
+    {
+        log_.write(startEvent, "session_daemon_started",
+                   fmt::format("{} zone={}", values_.instance, values_.zone));
+        for (const std::error_code error : { gateway_.start(), ready_.start(), metrics_.start() }) {
+            if (!error)
+                continue;
+            log_.write(stopEvent, "session_daemon_failed", error.message());
+            return exit_code::Failed;
+        }
+        changedAt_ = fileTime();
+        awaitSignal();
+        watchFile();
+        context_.run();
+        log_.write(stopEvent, "session_daemon_stopped", values_.instance);
+        return exit_code::Stopped;
+    }
+
+private:
+    void awaitSignal()
+    {
+        signals_.async_wait([this](const boost::system::error_code &error, int number) {
+            if (error)
+                return;
+            if (number == SIGHUP)
+                reload();
+            else
+                gateway_.stop([this] { context_.stop(); });
+            awaitSignal();
+        });
+    }
+
+    std::filesystem::file_time_type fileTime() const
+    {
+        std::error_code ignored;
+        return std::filesystem::last_write_time(file_, ignored);
+    }
+
+    void watchFile()
+    {
+        fileTimer_.expires_after(fileCheckInterval);
+        fileTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (error)
+                return;
+            if (fileTime() != changedAt_)
+                reload();
+            watchFile();
+        });
+    }
+
+    /// Keeps the old settings if the new ones are wrong.
+    void reload()
+    {
+        changedAt_ = fileTime();
+        session_settings next;
+        const auto problems = readSessionSettings(file_, next);
+        if (!problems.empty()) {
+            log_.write(reloadEvent, "settings_kept", toString(problems.front()));
+            return;
+        }
+        values_ = next;
+        gateway_.applySettings(next);
+        log_.write(reloadEvent, "settings_reloaded", {});
+    }
+
+    session_settings values_;
+    std::string file_;
+    session_log log_;
+    boost::asio::io_context context_{ 1 };
+    session_gateway gateway_;
+    net::http_server ready_;
+    net::http_server metrics_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer fileTimer_;
+    std::filesystem::file_time_type changedAt_;
+};
+
+} // namespace
+
+exit_code runSessionDaemon(const session_settings &values, const std::string &file, log_sink &log)
+{
+    session_daemon daemon(values, file, log);
+    return daemon.run();
+}
+
+} // namespace fuchsiagw::daemon
--- /dev/null
+++ b/src/daemon/store_desk.cpp
@@ -0,0 +1,325 @@
+/// @file
+/// @brief Loops over the platform's store, each with its own pace after failures.
+
+#include <fuchsiagw/daemon/store_desk.hpp>
+
+#include <fuchsiagw/net/clock.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds callLimit{ 1'500 };
+/// Long polls are answered at once when something changes. Silent connections are noticed by
+/// keep-alive probes, so the wait can be long.
+constexpr milliseconds followWait{ 20'000 };
+constexpr milliseconds followLimit{ 22'000 };
+constexpr milliseconds memberInterval{ 1'000 };
+constexpr milliseconds leastMemberInterval{ 120 };
+constexpr milliseconds firstBackoff{ 100 };
+constexpr int maxBackoffDoublings = 3;
+/// After the store was away, members need this long until their entries are back.
+constexpr milliseconds returnTime{ 2'600 };
+/// A daemon that drew a token acts alone for this time.
+constexpr std::int64_t promotionLeaseMs = 3'000;
+constexpr const char *instanceTable = "instances";
+constexpr const char *promotionTable = "promotions";
+
+constexpr int statusOk = 200;
+constexpr int statusConflict = 409;
+constexpr int statusGone = 410;
+constexpr int statusNone = 0; // no answer
+
+} // namespace
+
+store_desk::store_desk(boost::asio::io_context &context, const session_settings &values,
+                       store_events events)
+    : context_(context)
+    , values_(values)
+    , events_(std::move(events))
+    , client_(context)
+    , random_(std::random_device{}())
+{ }
+
+void store_desk::start()
+{
+    readManifest();
+    pollMembers();
+    registerSelf();
+}
+
+void store_desk::call(const net::http_request &request, milliseconds limit, answer_handler done)
+{
+    ++counters_.calls;
+    client_.call(values_.storeAddress, request, net::currentTime() + limit,
+                 [this, done = std::move(done)](net::http_exchange &&result) {
+                     const int status = result.error ? statusNone : result.response.status;
+                     counters_.bytesReceived += result.response.body.size();
+                     // A 410 is an answer: the history that was asked for is gone.
+                     const bool served = status == statusOk || status == statusGone
+                                         || status == 412;
+                     noteOutcome(served);
+                     if (!stopped_)
+                         done(status, result.response.body);
+                 });
+}
+
+void store_desk::noteOutcome(bool reached)
+{
+    if (!reached) {
+        ++counters_.failures;
+        lastFailure_ = net::currentBootTime();
+    }
+    if (reached == reachable_)
+        return;
+    reachable_ = reached;
+    events_.note(reached ? "store_regained" : "store_lost", {});
+}
+
+void store_desk::after(milliseconds pause, std::function<void()> next)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_, pause);
+    timer->async_wait(
+            [this, timer, next = std::move(next)](const boost::system::error_code &error) {
+                if (!error && !stopped_)
+                    next();
+            });
+}
+
+milliseconds store_desk::backoff(int failures)
+{
+    const milliseconds whole = firstBackoff * (1 << std::min(failures, maxBackoffDoublings));
+    const auto half = static_cast<std::uint64_t>(whole.count() / 2);
+    return whole / 2 + milliseconds(static_cast<std::int64_t>(core::drawBelow(random_, half + 1)));
+}
+
+void store_desk::takeManifest(const std::vector<adapter::store_row> &rows)
+{
+    for (const adapter::store_row &row : rows) {
+        if (!adapter::isManifestRow(row) || row.deleted)
+            continue;
+        auto next = adapter::decodeManifest(row.value);
+        if (next)
+            events_.manifest(std::make_shared<const proxy::manifest>(std::move(*next)));
+        else
+            events_.note("manifest_unreadable", row.key);
+    }
+}
+
+void store_desk::readManifest()
+{
+    call(adapter::readRows(adapter::manifestTable(), {}), callLimit,
+         [this](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (!rows) {
+                 after(backoff(manifestFailures_++), [this] { readManifest(); });
+                 return;
+             }
+             manifestFailures_ = 0;
+             manifestSeen_ = rows->version;
+             takeManifest(rows->rows);
+             followManifest();
+         });
+}
+
+void store_desk::followManifest()
+{
+    call(adapter::followRows(adapter::manifestTable(), manifestSeen_, followWait), followLimit,
+         [this](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows) {
+                 manifestFailures_ = 0;
+                 manifestSeen_ = std::max(manifestSeen_, rows->version);
+                 takeManifest(rows->rows);
+                 followManifest();
+                 return;
+             }
+             // What was missed meanwhile is in the table itself.
+             after(status == statusGone ? milliseconds(0) : backoff(manifestFailures_++),
+                   [this] { readManifest(); });
+         });
+}
+
+void store_desk::refreshMembers()
+{
+    const core::time_point now = net::currentBootTime();
+    if (pollUnderWay_ || now - lastPoll_ < leastMemberInterval)
+        return;
+    pollMembers();
+}
+
+void store_desk::pollMembers()
+{
+    pollUnderWay_ = true;
+    lastPoll_ = net::currentBootTime();
+    ++pollNumber_;
+    takeMembers({}, {});
+}
+
+void store_desk::takeMembers(const std::string &from, std::vector<proxy::listed_member> &&list)
+{
+    call(adapter::readRows(adapter::memberTable(), from), callLimit,
+         [this, list = std::move(list)](int status, const std::string &body) mutable {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (!rows) {
+                 pollUnderWay_ = false;
+                 after(backoff(memberFailures_++), [this] { pollMembers(); });
+                 return;
+             }
+             for (const adapter::store_row &row : rows->rows) {
+                 if (const auto entry = adapter::decodeMember(row))
+                     list.push_back({ *entry, row.version });
+             }
+             if (rows->hasMore && !rows->rows.empty()) {
+                 takeMembers(rows->rows.back().key + '!', std::move(list));
+                 return;
+             }
+             memberFailures_ = 0;
+             pollUnderWay_ = false;
+             events_.members(list, net::currentBootTime() - lastFailure_ > returnTime);
+             after(memberInterval, [this, number = pollNumber_] {
+                 if (number == pollNumber_ && !pollUnderWay_)
+                     pollMembers();
+             });
+         });
+}
+
+void store_desk::registerSelf()
+{
+    const nlohmann::json value = { { "address", values_.address }, { "zone", values_.zone } };
+    call(adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, value.dump() } }),
+         callLimit, [this](int status, const std::string &) {
+             if (status != statusOk) {
+                 after(backoff(instanceFailures_++), [this] { registerSelf(); });
+                 return;
+             }
+             instanceFailures_ = 0;
+             if (!std::exchange(registered_, true))
+                 readInstances();
+         });
+}
+
+void store_desk::readInstances()
+{
+    call(adapter::readRows(instanceTable, {}), callLimit,
+         [this](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (!rows) {
+                 after(backoff(instanceFailures_++), [this] { readInstances(); });
+                 return;
+             }
+             instanceFailures_ = 0;
+             instancesSeen_ = rows->version;
+             instances_.clear();
+             takeInstances(rows->rows);
+             followInstances();
+         });
+}
+
+void store_desk::followInstances()
+{
+    call(adapter::followRows(instanceTable, instancesSeen_, followWait), followLimit,
+         [this](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows) {
+                 instanceFailures_ = 0;
+                 instancesSeen_ = std::max(instancesSeen_, rows->version);
+                 if (!rows->rows.empty())
+                     takeInstances(rows->rows);
+                 followInstances();
+                 return;
+             }
+             after(status == statusGone ? milliseconds(0) : backoff(instanceFailures_++),
+                   [this] { readInstances(); });
+         });
+}
+
+void store_desk::takeInstances(const std::vector<adapter::store_row> &rows)
+{
+    for (const adapter::store_row &row : rows) {
+        const auto value = nlohmann::json::parse(row.value, nullptr, false);
+        if (row.deleted || !value.is_object()) {
+            instances_.erase(row.key);
+            continue;
+        }
+        instances_[row.key] = { row.key, value.value("zone", std::string()),
+                                value.value("address", std::string()) };
+    }
+    std::vector<listed_instance> list;
+    for (const auto &[node, each] : instances_)
+        list.push_back(each);
+    events_.instances(list);
+    if (!instances_.contains(values_.instance))
+        registerSelf();
+}
+
+void store_desk::removeInstance(const std::string &node)
+{
+    call(adapter::changeRows({ { instanceTable, node, std::nullopt, std::nullopt } }), callLimit,
+         [](int, const std::string &) {});
+}
+
+void store_desk::drawToken(const std::string &service)
+{
+    call(adapter::readRow(promotionTable, service), callLimit,
+         [this, service](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows)
+                 claimPromotion(service, *rows);
+             else
+                 events_.token(service, 0);
+         });
+}
+
+void store_desk::claimPromotion(const std::string &service, const adapter::store_rows &rows)
+{
+    std::uint64_t version = 0;
+    if (!rows.rows.empty() && rows.rows.front().key == service) {
+        version = rows.rows.front().version;
+        const auto held = nlohmann::json::parse(rows.rows.front().value, nullptr, false);
+        const bool known = held.is_object();
+        const bool own = known && held.value("holder", std::string()) == values_.instance;
+        if (known && !own && held.value("until_ms", std::int64_t{ 0 }) > rows.storeClockMs) {
+            events_.token(service, 0);
+            return;
+        }
+    }
+    const nlohmann::json value = { { "holder", values_.instance },
+                                   { "until_ms", rows.storeClockMs + promotionLeaseMs } };
+    call(adapter::changeRows({ { promotionTable, service, version, value.dump() } }), callLimit,
+         [this, service](int status, const std::string &body) {
+             // The version that the store gives to the change is higher than every earlier one, so
+             // it serves as the fencing token.
+             const auto done = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             events_.token(service, done ? done->version : 0);
+         });
+}
+
+void store_desk::promote(const std::string &service, const std::string &member,
+                         std::uint64_t token)
+{
+    ++counters_.calls;
+    client_.call(values_.promotionAddress,
+                 adapter::promote(service, member, values_.instance, token),
+                 net::currentTime() + callLimit, [this, service](net::http_exchange &&result) {
+                     proxy::promote_outcome outcome = proxy::promote_outcome::Refused;
+                     if (result.error)
+                         outcome = proxy::promote_outcome::NoAnswer;
+                     else if (result.response.status == statusOk)
+                         outcome = proxy::promote_outcome::Ordered;
+                     else if (result.response.status == statusConflict)
+                         outcome = proxy::promote_outcome::FencedOff;
+                     if (!stopped_)
+                         events_.promoted(service, outcome);
+                 });
+}
+
+} // namespace fuchsiagw::daemon
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -10,6 +10,8 @@
 #include <fuchsiagw/net/clock.hpp>
 #include <fuchsiagw/net/http_connection.hpp>
 
+#include <fuchsiagw/net/line_connection.hpp>
+
 #include <cassert>
 #include <optional>
 
@@ -82,8 +84,7 @@
                                               const boost::system::error_code &error) {
         implementation &state = *keep->implementation_;
         if (!error) {
-            boost::system::error_code ignored;
-            state.stream.socket().set_option(tcp::no_delay(true), ignored);
+            watchSilence(state.stream.socket(), silence_check::Short);
             state.open = true;
             state.stream.expires_never();
             keep->watchIdle();
--- /dev/null
+++ b/src/proxy/engine_control.cpp
@@ -0,0 +1,239 @@
+/// @file
+/// @brief What the proxy believes: manifest, members, daemons, and who leads each group.
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+void noteMember(engine &state, note_kind kind, const member_state &member, std::string_view reason,
+                std::int64_t number = 0)
+{
+    decision_note line;
+    line.kind = kind;
+    line.service = member.entry.service;
+    line.member = member.entry.id;
+    line.reason = reason;
+    line.number = number;
+    state.out.emplace_back(std::move(line));
+}
+
+service_state &serviceFor(engine &state, const std::string &name)
+{
+    service_state &service = state.services[name];
+    service.name = name;
+    return service;
+}
+
+void closeIdleLinks(engine &state, const member_state &member, core::time_point now)
+{
+    const std::set<link_id> links = member.links;
+    for (const link_id id : links) {
+        const upstream_link *link = findLink(state, id);
+        if (link != nullptr && link->state == link_state::Idle)
+            closeLink(state, id, true, now);
+    }
+}
+
+/// A member that started again holds nothing of before.
+void forgetMember(engine &state, member_state &member, core::time_point now)
+{
+    closeIdleLinks(state, member, now);
+    member.avoidUntil = {};
+    member.failures = 0;
+    member.silentSince = core::noDeadline;
+}
+
+void takeEntry(engine &state, const listed_member &from, core::time_point now)
+{
+    const auto [place, isNew] = state.members.try_emplace(from.entry.id);
+    member_state &member = place->second;
+    const bool reborn = !isNew && member.entry.bornAtMs != from.entry.bornAtMs;
+    const bool moved = !isNew && member.entry.address != from.entry.address;
+    const bool returned = !isNew && !member.listed;
+    const bool roleChanged = isNew || member.entry.claimsPrimary != from.entry.claimsPrimary;
+    const bool startsDraining = from.entry.draining && (isNew || !member.entry.draining);
+    if (!isNew && member.entry.service != from.entry.service)
+        state.services[member.entry.service].members.erase(from.entry.id);
+    member.entry = from.entry;
+    member.listed = true;
+    if (roleChanged)
+        member.roleVersion = from.version;
+    if (reborn || moved)
+        forgetMember(state, member, now);
+    serviceFor(state, member.entry.service).members.insert(member.entry.id);
+    if (isNew || returned || reborn)
+        noteMember(state, note_kind::MemberListed, member, reborn ? "restarted" : "listed");
+    if (startsDraining) {
+        noteMember(state, note_kind::MemberDraining, member, "reported");
+        closeIdleLinks(state, member, now);
+    }
+}
+
+void dropMissing(engine &state, const std::set<std::string> &present, core::time_point now)
+{
+    std::vector<std::string> gone;
+    for (auto &[id, member] : state.members) {
+        if (present.contains(id))
+            continue;
+        if (member.listed) {
+            member.listed = false;
+            member.goneAt = now;
+            noteMember(state, note_kind::MemberGone, member, "not_listed");
+            closeIdleLinks(state, member, now);
+        }
+        if (member.links.empty() && now - member.goneAt > goneMemory)
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone) {
+        state.services[state.members.at(id).entry.service].members.erase(id);
+        state.members.erase(id);
+    }
+}
+
+void noteLeader(engine &state, note_kind kind, const service_state &service,
+                const std::string &member, std::string_view reason)
+{
+    decision_note line;
+    line.kind = kind;
+    line.service = service.name;
+    line.member = member;
+    line.reason = reason;
+    line.position.term = service.term;
+    state.out.emplace_back(std::move(line));
+}
+
+} // namespace
+
+void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now)
+{
+    decision_note line;
+    line.number = static_cast<std::int64_t>(next->version);
+    if (state.config && next->version <= state.config->version) {
+        if (next->version < state.config->version) {
+            line.kind = note_kind::ManifestIgnored;
+            line.reason = "older_version";
+            state.out.emplace_back(std::move(line));
+        }
+        return;
+    }
+    line.kind = note_kind::ManifestApplied;
+    state.out.emplace_back(std::move(line));
+    state.config = std::move(next);
+    reshape(state.quota, *state.config, state.instances, now);
+    for (const auto &[name, entry] : state.config->services)
+        serviceFor(state, name);
+}
+
+void onDirectory(engine &state, const std::vector<listed_member> &list, bool complete,
+                 core::time_point now)
+{
+    state.directoryKnown = true;
+    std::set<std::string> present;
+    for (const listed_member &each : list) {
+        present.insert(each.entry.id);
+        takeEntry(state, each, now);
+    }
+    if (complete)
+        dropMissing(state, present, now);
+    for (auto &[name, service] : state.services) {
+        adoptClaimedLeader(state, service, now);
+        if (!service.queue.empty())
+            pump(state, service, now);
+    }
+}
+
+void onInstances(engine &state, const std::vector<peer_state> &list, core::time_point now)
+{
+    std::map<std::string, peer_state> next;
+    for (const peer_state &each : list) {
+        if (each.node == state.settings.node)
+            continue;
+        const auto known = state.peers.find(each.node);
+        next[each.node] = known == state.peers.end() ? each : known->second;
+    }
+    const auto count = static_cast<std::uint32_t>(next.size() + 1);
+    if (count != state.instances) {
+        decision_note line;
+        line.kind = note_kind::InstancesChanged;
+        line.number = count;
+        state.out.emplace_back(std::move(line));
+    }
+    state.peers = std::move(next);
+    state.instances = count;
+    if (state.config)
+        reshape(state.quota, *state.config, count, now);
+}
+
+void learnLeader(engine &state, service_state &service, const std::string &member,
+                 const core::log_position &position, core::time_point since, core::time_point now)
+{
+    if (position.term < service.term)
+        return;
+    // Two members with the same term: the one that was seen to lead last leads.
+    if (position.term == service.term && service.leader != member && since < service.provenAt)
+        return;
+    const bool changed = service.leader != member || position.term > service.term;
+    if (position.term > service.term)
+        service.positions = {};
+    service.term = position.term;
+    service.provenAt = std::max(service.provenAt, since);
+    record(service.positions, { since, position });
+    service.leaderlessSince = core::noDeadline;
+    if (!changed)
+        return;
+    service.leader = member;
+    service.disproved.clear();
+    noteLeader(state, note_kind::LeaderLearned, service, member, "proven");
+    tellLeader(state, service, now);
+    pump(state, service, now);
+}
+
+void loseLeader(engine &state, service_state &service, const std::string &member,
+                core::time_point now)
+{
+    if (const member_state *who = findMember(state, member))
+        service.disproved[member] = who->roleVersion;
+    if (service.leader != member)
+        return;
+    noteLeader(state, note_kind::LeaderLost, service, member, "read_only");
+    service.leader.clear();
+    service.leaderlessSince = now;
+    state.out.emplace_back(refresh_directory{});
+    adoptClaimedLeader(state, service, now);
+}
+
+void adoptClaimedLeader(engine &state, service_state &service, core::time_point now)
+{
+    const member_state *known = findMember(state, service.leader);
+    const member_state *best = nullptr;
+    for (const std::string &id : service.members) {
+        const member_state &member = state.members.at(id);
+        if (!member.listed || !member.entry.claimsPrimary)
+            continue;
+        const auto disproved = service.disproved.find(id);
+        if (disproved != service.disproved.end() && disproved->second >= member.roleVersion)
+            continue;
+        if (best == nullptr || member.roleVersion > best->roleVersion)
+            best = &member;
+    }
+    const bool knownHolds = known != nullptr && known->listed
+                            && (known->entry.claimsPrimary || best == nullptr
+                                || now - service.provenAt < claimDelay);
+    if (knownHolds || best == nullptr) {
+        if (known == nullptr || !known->listed) {
+            service.leader.clear();
+            if (service.leaderlessSince == core::noDeadline)
+                service.leaderlessSince = now;
+        }
+        return;
+    }
+    service.leader = best->entry.id;
+    service.leaderlessSince = core::noDeadline;
+    noteLeader(state, note_kind::LeaderLearned, service, service.leader, "claimed");
+}
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/src/proxy/engine_peers.cpp
@@ -0,0 +1,225 @@
+/// @file
+/// @brief Datagrams to and from other daemons: positions, leaders, tokens of a workspace's rate.
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+constexpr milliseconds exchangeInterval{ 400 };
+/// Peers that one daemon asks in one interval. Bounded, so that the traffic of a daemon does not
+/// grow with their number.
+constexpr std::size_t exchangePeers = 3;
+constexpr std::size_t loanPeers = 2;
+constexpr std::size_t newsPeers = 16;
+/// An answer to a question of this age is not used: the reports in it would be too old anyway.
+constexpr std::chrono::seconds answerLife{ 5 };
+/// Reports of primaries that one datagram carries.
+constexpr std::size_t reportsPerMessage = 12;
+
+peer_message makeMessage(const engine &state, peer_message_kind kind)
+{
+    peer_message message;
+    message.kind = kind;
+    message.from = state.settings.node;
+    message.incarnation = state.incarnation;
+    message.manifestVersion = state.config ? state.config->version : 0;
+    return message;
+}
+
+std::vector<std::string> drawPeers(engine &state, std::size_t count)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : state.peers)
+        names.push_back(name);
+    for (std::size_t i = 0; i < names.size() && i < count; ++i) {
+        const std::size_t other = i + core::drawBelow(state.random, names.size() - i);
+        std::swap(names[i], names[other]);
+    }
+    names.resize(std::min(names.size(), count));
+    return names;
+}
+
+std::vector<leader_report> reportsOf(engine &state, core::time_point now)
+{
+    std::vector<leader_report> all;
+    for (const auto &[name, service] : state.services) {
+        if (service.leader.empty())
+            continue;
+        leader_report each;
+        each.service = name;
+        each.member = service.leader;
+        each.position.term = service.term;
+        each.ageUs = -1;
+        if (const auto newest = newestOf(service.positions)) {
+            each.position = newest->position;
+            each.ageUs = (now - newest->since).count();
+        }
+        all.push_back(std::move(each));
+    }
+    // A random part of them, if there are more than fit.
+    for (std::size_t i = 0; all.size() > reportsPerMessage && i < reportsPerMessage; ++i)
+        std::swap(all[i], all[i + core::drawBelow(state.random, all.size() - i)]);
+    all.resize(std::min(all.size(), reportsPerMessage));
+    return all;
+}
+
+/// A peer's report of who leads, without a position whose age is known.
+void hearLeader(engine &state, const leader_report &report, core::time_point now)
+{
+    service_state *service = findService(state, report.service);
+    if (service == nullptr || report.position.term <= service->term
+        || findMember(state, report.member) == nullptr)
+        return;
+    service->term = report.position.term;
+    service->leader = report.member;
+    service->positions = {};
+    service->disproved.clear();
+    service->leaderlessSince = core::noDeadline;
+    service->provenAt = now;
+    decision_note line;
+    line.kind = note_kind::LeaderLearned;
+    line.service = service->name;
+    line.member = report.member;
+    line.reason = "peer";
+    line.position.term = service->term;
+    state.out.emplace_back(std::move(line));
+    tellLeader(state, *service, now);
+    pump(state, *service, now);
+}
+
+void hearAnswer(engine &state, const peer_message &message, core::time_point now)
+{
+    const core::time_point asked{ core::duration(message.askedAtUs) };
+    if (asked > now || now - asked > answerLife)
+        return;
+    for (const leader_report &each : message.leaders) {
+        service_state *service = findService(state, each.service);
+        if (service == nullptr || each.ageUs < 0 || findMember(state, each.member) == nullptr)
+            continue;
+        // Counted from the question, so that the time on the way can't make it look fresher.
+        learnLeader(state, *service, each.member, each.position, asked - core::duration(each.ageUs),
+                    now);
+    }
+}
+
+void grantLoan(engine &state, const peer_message &message, core::time_point now)
+{
+    const core::token_amount amount = lend(state.quota, message.subject, message.amount, now);
+    if (amount == 0)
+        return;
+    peer_message answer = makeMessage(state, peer_message_kind::LoanGrant);
+    answer.subject = message.subject;
+    answer.amount = amount;
+    state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+}
+
+void answerReach(engine &state, const peer_message &message, core::time_point now)
+{
+    constexpr milliseconds freshSign{ 600 };
+    peer_message answer = makeMessage(state, peer_message_kind::ReachAnswer);
+    answer.subject = message.subject;
+    answer.member = message.member;
+    answer.amount = -1;
+    if (const member_state *member = findMember(state, message.member)) {
+        if (member->silentSince != core::noDeadline)
+            answer.amount = 0;
+        else if (now - member->lastAnswer < freshSign)
+            answer.amount = 1;
+    }
+    state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+}
+
+void hearReach(engine &state, const peer_message &message)
+{
+    service_state *service = findService(state, message.subject);
+    if (service == nullptr || service->promotion.oldPrimary != message.member)
+        return;
+    if (message.amount == 1)
+        service->promotion.peersReaching.insert(message.from);
+    else if (message.amount == 0)
+        service->promotion.peersNotReaching.insert(message.from);
+}
+
+} // namespace
+
+void exchangeWithPeers(engine &state, core::time_point now)
+{
+    if (now < state.nextExchange)
+        return;
+    state.nextExchange = now + exchangeInterval;
+    peer_message message = makeMessage(state, peer_message_kind::Exchange);
+    message.askedAtUs = now.time_since_epoch().count();
+    message.leaders = reportsOf(state, now);
+    for (const std::string &peer : drawPeers(state, exchangePeers))
+        state.out.emplace_back(send_to_peer{ peer, message });
+}
+
+void askForTokens(engine &state, const std::string &workspace, core::time_point now)
+{
+    const auto amount = wanted(state.quota, workspace, now);
+    if (!amount)
+        return;
+    peer_message message = makeMessage(state, peer_message_kind::LoanRequest);
+    message.subject = workspace;
+    message.amount = *amount;
+    for (const std::string &peer : drawPeers(state, loanPeers))
+        state.out.emplace_back(send_to_peer{ peer, message });
+}
+
+void tellLeader(engine &state, const service_state &service, core::time_point now)
+{
+    static_cast<void>(now);
+    peer_message message = makeMessage(state, peer_message_kind::LeaderNews);
+    leader_report report;
+    report.service = service.name;
+    report.member = service.leader;
+    report.position.term = service.term;
+    message.leaders.push_back(std::move(report));
+    for (const std::string &peer : drawPeers(state, newsPeers))
+        state.out.emplace_back(send_to_peer{ peer, message });
+}
+
+void onPeerMessage(engine &state, const peer_message &message, core::time_point now)
+{
+    const auto peer = state.peers.find(message.from);
+    if (peer != state.peers.end()) {
+        peer->second.lastHeard = now;
+        peer->second.manifestVersion = message.manifestVersion;
+    }
+    switch (message.kind) {
+    case peer_message_kind::Exchange: {
+        for (const leader_report &each : message.leaders)
+            hearLeader(state, each, now);
+        peer_message answer = makeMessage(state, peer_message_kind::ExchangeAnswer);
+        answer.askedAtUs = message.askedAtUs;
+        answer.leaders = reportsOf(state, now);
+        state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+        break;
+    }
+    case peer_message_kind::ExchangeAnswer:
+        hearAnswer(state, message, now);
+        break;
+    case peer_message_kind::LoanRequest:
+        grantLoan(state, message, now);
+        break;
+    case peer_message_kind::LoanGrant:
+        receive(state.quota, message.subject, message.amount, now);
+        break;
+    case peer_message_kind::LeaderNews:
+        for (const leader_report &each : message.leaders)
+            hearLeader(state, each, now);
+        break;
+    case peer_message_kind::ReachQuestion:
+        answerReach(state, message, now);
+        break;
+    case peer_message_kind::ReachAnswer:
+        hearReach(state, message);
+        break;
+    }
+}
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/src/proxy/engine_promotion.cpp
@@ -0,0 +1,461 @@
+/// @file
+/// @brief Detects that a group has no usable primary and carries a promotion out.
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+/// A connection that has not opened by now shows that its member does not answer.
+constexpr milliseconds connectSilence{ 250 };
+/// Statements take tens of milliseconds; a member that answers none of them for this long is silent.
+constexpr milliseconds answerSilence{ 450 };
+constexpr milliseconds silentAvoidance{ 150 };
+constexpr milliseconds silenceBeforePromotion{ 300 };
+constexpr milliseconds leaderlessBeforePromotion{ 1'500 };
+constexpr milliseconds askingTime{ 100 };
+constexpr milliseconds tokenTime{ 1'500 };
+constexpr milliseconds fencingTime{ 4'000 };
+constexpr milliseconds stepDownAfter{ 400 }; // in fencing, if a witness does not answer
+constexpr milliseconds probeInterval{ 40 };
+constexpr milliseconds orderTime{ 700 };
+constexpr milliseconds settleProbe{ 60 };
+constexpr milliseconds retryPause{ 400 };
+/// Daemons that see the same loss start at different moments within this time.
+constexpr milliseconds startSpread{ 150 };
+
+core::duration drawn(engine &state, core::duration bound)
+{
+    return core::duration(static_cast<std::int64_t>(
+            core::drawBelow(state.random, static_cast<std::uint64_t>(bound.count()))));
+}
+
+void notePromotion(engine &state, note_kind kind, const service_state &service,
+                   std::string_view reason, core::time_point now)
+{
+    const promotion_state &run = service.promotion;
+    decision_note line;
+    line.kind = kind;
+    line.service = service.name;
+    line.member = run.chosen.empty() ? run.oldPrimary : run.chosen;
+    line.reason = reason;
+    line.number = static_cast<std::int64_t>(run.token);
+    line.age = now - run.startedAt;
+    const auto report = run.reports.find(run.chosen);
+    if (report != run.reports.end())
+        line.position = report->second.received;
+    state.out.emplace_back(std::move(line));
+}
+
+void enter(promotion_state &run, promotion_phase phase, core::time_point until)
+{
+    run.phase = phase;
+    run.phaseUntil = until;
+}
+
+void order(engine &state, const std::string &memberId, command_kind kind, core::term_number term,
+           core::time_point now)
+{
+    member_state *member = findMember(state, memberId);
+    if (member == nullptr)
+        return;
+    upstream_link *link = nullptr;
+    for (const link_id id : member->links) {
+        if (state.links.at(id).control)
+            link = &state.links.at(id);
+    }
+    if (link == nullptr) {
+        const link_id id = openLink(state, *member, state.settings.node, now);
+        link = findLink(state, id);
+        link->control = true;
+    }
+    upstream_command command;
+    command.kind = kind;
+    command.term = term;
+    expected_answer expected;
+    expected.role = answer_role::Control;
+    link->expected.push_back(expected);
+    if (link->state == link_state::Idle)
+        link->state = link_state::Busy;
+    link->lastSent = now;
+    link->abandonAt = now + connectSilence * 2;
+    state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
+}
+
+std::set<std::string> electableMembers(const engine &state, const service_state &service)
+{
+    std::set<std::string> result;
+    for (const std::string &id : service.members) {
+        const member_state &member = state.members.at(id);
+        if (member.listed && !member.entry.draining && id != service.promotion.oldPrimary)
+            result.insert(id);
+    }
+    return result;
+}
+
+/// Replicas whose log may hold the only second copy of an acknowledged commit.
+std::set<std::string> witnessesOf(const engine &state, const service_state &service)
+{
+    std::set<std::string> result;
+    for (const std::string &id : service.members) {
+        if (id == service.promotion.oldPrimary)
+            continue;
+        const member_state &member = state.members.at(id);
+        if (member.listed) {
+            result.insert(id);
+            continue;
+        }
+        // Its copy is gone with it. A position that the primary reached after that was stored
+        // without it; a member that holds this position lacks nothing that it held.
+        const auto after = positionSince(service.positions, member.goneAt);
+        const bool covered = after && std::any_of(
+                service.promotion.reports.begin(), service.promotion.reports.end(),
+                [&](const auto &each) { return each.second.received >= *after; });
+        if (!covered)
+            result.insert(id);
+    }
+    return result;
+}
+
+std::optional<promotion_cause> causeNow(engine &state, service_state &service, core::time_point now)
+{
+    if (!state.directoryKnown || state.stopping || !state.config
+        || !state.config->services.contains(service.name) || service.members.empty())
+        return std::nullopt;
+    const member_state *leader = findMember(state, service.leader);
+    if (leader == nullptr) {
+        if (service.leaderlessSince == core::noDeadline)
+            service.leaderlessSince = now;
+        const bool waited = now - service.leaderlessSince >= leaderlessBeforePromotion;
+        return waited ? std::optional(promotion_cause::NoPrimary) : std::nullopt;
+    }
+    if (!leader->listed)
+        return promotion_cause::PrimaryGone;
+    if (leader->silentSince != core::noDeadline
+        && now - leader->silentSince >= silenceBeforePromotion)
+        return promotion_cause::PrimarySilent;
+    if (leader->entry.draining)
+        return promotion_cause::PrimaryDraining;
+    return std::nullopt;
+}
+
+void begin(engine &state, service_state &service, promotion_cause cause, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    const core::time_point notBefore = run.notBefore;
+    if (notBefore == core::time_point{} || now - notBefore > std::chrono::seconds(2)) {
+        // The first sign: wait a moment of chance, so that one daemon acts before the others start.
+        run.notBefore = now + drawn(state, startSpread);
+        return;
+    }
+    run = {};
+    run.cause = cause;
+    run.startedAt = now;
+    run.oldPrimary = service.leader;
+    run.notBefore = now;
+    notePromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
+    if (cause == promotion_cause::PrimaryDraining || state.peers.empty()) {
+        enter(run, promotion_phase::DrawingToken, now + tokenTime);
+        state.out.emplace_back(draw_token{ service.name });
+        return;
+    }
+    enter(run, promotion_phase::Asking, now + askingTime);
+    peer_message question;
+    question.kind = peer_message_kind::ReachQuestion;
+    question.from = state.settings.node;
+    question.incarnation = state.incarnation;
+    question.subject = service.name;
+    question.member = run.oldPrimary;
+    std::size_t asked = 0;
+    constexpr std::size_t mostAsked = 16;
+    for (const auto &[name, peer] : state.peers) {
+        if (asked++ < mostAsked)
+            state.out.emplace_back(send_to_peer{ name, question });
+    }
+}
+
+/// Ends an attempt. Replicas that were paused for it receive again, unless an order may still come.
+void giveUp(engine &state, service_state &service, std::string_view reason, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    notePromotion(state, note_kind::PromotionEnded, service, reason, now);
+    if (!run.ordered) {
+        for (const std::string &each : run.fenced)
+            order(state, each, command_kind::ResumeReceiving, 0, now);
+    }
+    run.phase = promotion_phase::None;
+    run.notBefore = now + retryPause + drawn(state, retryPause);
+    run.nextProbe = core::noDeadline;
+    run.phaseUntil = core::noDeadline;
+}
+
+void fence(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    run.nextProbe = now + probeInterval;
+    const bool leaderServes = run.cause == promotion_cause::PrimaryDraining;
+    const std::set<std::string> electable = electableMembers(state, service);
+    if (leaderServes && run.chosen.empty()) {
+        // The others stop to receive, so that from then on every commit needs the chosen one.
+        core::time_point newest{};
+        for (const std::string &id : electable) {
+            const member_state &member = state.members.at(id);
+            const bool better = run.chosen.empty() || member.lastAnswer > newest;
+            if (member.silentSince == core::noDeadline && better) {
+                run.chosen = id;
+                newest = member.lastAnswer;
+            }
+        }
+    }
+    for (const std::string &id : service.members) {
+        const member_state &member = state.members.at(id);
+        if (id == run.oldPrimary || !member.listed)
+            continue;
+        const auto report = run.reports.find(id);
+        if (leaderServes && id == run.chosen) {
+            order(state, id, command_kind::Status, 0, now);
+        } else if (report == run.reports.end() || report->second.pausedTerm == 0) {
+            run.fenced.insert(id);
+            order(state, id, command_kind::PauseReceiving, run.fenceTerm, now);
+        }
+    }
+}
+
+/// With a witness missing, only the old primary itself can tell what was acknowledged.
+void stepDownOld(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    const member_state *old = findMember(state, run.oldPrimary);
+    if (run.steppedDown || old == nullptr || !old->listed)
+        return;
+    run.steppedDown = true;
+    for (const std::string &each : run.fenced)
+        order(state, each, command_kind::ResumeReceiving, 0, now);
+    run.fenced.clear();
+    order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
+}
+
+void evaluate(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    std::set<std::string> electable = electableMembers(state, service);
+    if (run.cause == promotion_cause::PrimaryDraining && !run.steppedDown && !run.chosen.empty()) {
+        for (auto each = electable.begin(); each != electable.end();)
+            each = *each == run.chosen ? std::next(each) : electable.erase(each);
+    }
+    const promotion_choice choice = chooseNext(run, electable, witnessesOf(state, service));
+    if (choice.member.empty() || choice.waitsForCatchUp)
+        return;
+    run.chosen = choice.member;
+    run.ordered = true;
+    ++state.counters.promotionsOrdered;
+    enter(run, promotion_phase::Ordering, now + orderTime);
+    notePromotion(state, note_kind::PromotionStep, service, "ordered", now);
+    state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
+}
+
+void stepFencing(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    evaluate(state, service, now);
+    if (run.phase != promotion_phase::Fencing)
+        return;
+    if (now >= run.phaseUntil) {
+        giveUp(state, service, "members_missing", now);
+        return;
+    }
+    if (now - run.startedAt >= stepDownAfter + askingTime)
+        stepDownOld(state, service, now);
+    if (now >= run.nextProbe) {
+        if (run.steppedDown) {
+            run.nextProbe = now + probeInterval;
+            for (const std::string &each : electableMembers(state, service))
+                order(state, each, command_kind::Status, 0, now);
+            if (!run.reports.contains(run.oldPrimary))
+                order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
+        } else {
+            fence(state, service, now);
+        }
+    }
+}
+
+void finishPromotion(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    notePromotion(state, note_kind::PromotionDone, service, "leads", now);
+    for (const std::string &each : run.fenced) {
+        if (each != run.chosen)
+            order(state, each, command_kind::ResumeReceiving, 0, now);
+    }
+    run.phase = promotion_phase::None;
+    run.nextProbe = core::noDeadline;
+    run.phaseUntil = core::noDeadline;
+    run.notBefore = now + retryPause;
+}
+
+void step(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    switch (run.phase) {
+    case promotion_phase::None: {
+        if (now < run.notBefore)
+            return;
+        if (const auto cause = causeNow(state, service, now))
+            begin(state, service, *cause, now);
+        return;
+    }
+    case promotion_phase::Asking:
+        if (now < run.phaseUntil)
+            return;
+        if (run.peersReaching.size() > run.peersNotReaching.size()) {
+            giveUp(state, service, "peers_reach_it", now);
+            return;
+        }
+        enter(run, promotion_phase::DrawingToken, now + tokenTime);
+        state.out.emplace_back(draw_token{ service.name });
+        return;
+    case promotion_phase::DrawingToken:
+        if (now >= run.phaseUntil)
+            giveUp(state, service, "no_token", now);
+        return;
+    case promotion_phase::Fencing:
+    case promotion_phase::CatchingUp:
+        stepFencing(state, service, now);
+        return;
+    case promotion_phase::Ordering:
+        if (now >= run.phaseUntil) {
+            enter(run, promotion_phase::Settling, now + orderTime * 2);
+            run.nextProbe = now;
+        }
+        return;
+    case promotion_phase::Settling:
+        if (now >= run.phaseUntil) {
+            enter(run, promotion_phase::Ordering, now + orderTime);
+            state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
+            return;
+        }
+        if (now >= run.nextProbe) {
+            run.nextProbe = now + settleProbe;
+            order(state, run.chosen, command_kind::Status, 0, now);
+        }
+    }
+}
+
+} // namespace
+
+void followSilence(engine &state, core::time_point now)
+{
+    for (auto &[id, member] : state.members) {
+        for (const link_id each : member.links) {
+            const upstream_link &link = state.links.at(each);
+            if (link.expected.empty() || link.lastSent <= member.lastAnswer)
+                continue;
+            const bool connecting = link.expected.front().role == answer_role::Startup;
+            const core::duration limit = connecting ? connectSilence : answerSilence;
+            if (now - link.lastSent >= limit)
+                member.silentSince = std::min(member.silentSince, link.lastSent);
+        }
+        if (member.silentSince != core::noDeadline)
+            member.avoidUntil = std::max(member.avoidUntil, now + silentAvoidance);
+    }
+}
+
+void stepPromotions(engine &state, core::time_point now)
+{
+    for (auto &[name, service] : state.services)
+        step(state, service, now);
+}
+
+core::time_point nextPromotionStep(const engine &state)
+{
+    core::time_point due = core::noDeadline;
+    for (const auto &[name, service] : state.services)
+        due = std::min({ due, service.promotion.phaseUntil, service.promotion.nextProbe });
+    return due;
+}
+
+void onTokenDrawn(engine &state, const std::string &serviceName, std::uint64_t token,
+                  core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    promotion_state &run = service->promotion;
+    if (token == 0) {
+        giveUp(state, *service, "no_token", now);
+        return;
+    }
+    run.token = token;
+    run.fenceTerm = service->term + 1;
+    enter(run, promotion_phase::Fencing, now + fencingTime);
+    notePromotion(state, note_kind::PromotionStep, *service, "fencing", now);
+    fence(state, *service, now);
+}
+
+void onPromoteAnswer(engine &state, const std::string &serviceName, promote_outcome outcome,
+                     core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::Ordering)
+        return;
+    promotion_state &run = service->promotion;
+    switch (outcome) {
+    case promote_outcome::Ordered:
+    case promote_outcome::NoAnswer:
+        enter(run, promotion_phase::Settling, now + orderTime * 3);
+        run.nextProbe = now + settleProbe * 3;
+        break;
+    case promote_outcome::FencedOff:
+        // The order was refused, so it can't be carried out later.
+        run.ordered = false;
+        giveUp(state, *service, "fenced_off", now);
+        break;
+    case promote_outcome::Refused:
+        enter(run, promotion_phase::Settling, now + settleProbe * 2);
+        run.nextProbe = core::noDeadline;
+        break;
+    }
+}
+
+void onControlAnswer(engine &state, const std::string &memberId, const reply &answer,
+                     core::time_point sentAt, core::time_point now)
+{
+    const member_state *member = findMember(state, memberId);
+    service_state *service = member ? findService(state, member->entry.service) : nullptr;
+    if (service == nullptr || !answer.status)
+        return;
+    promotion_state &run = service->promotion;
+    const member_status &status = *answer.status;
+    if (status.leads) {
+        core::log_position position = status.received;
+        position.term = std::max(position.term, status.term);
+        if (position.term != status.received.term)
+            position.index = 0;
+        learnLeader(state, *service, memberId, position, sentAt, now);
+    }
+    if (run.phase == promotion_phase::None)
+        return;
+    run.fenceTerm = std::max(run.fenceTerm, status.term + 1);
+    const bool counts = !run.fenced.contains(memberId) || status.pausedTerm != 0;
+    if (counts)
+        run.reports[memberId] = status;
+    if (run.phase == promotion_phase::Settling && status.leads && memberId == run.chosen) {
+        finishPromotion(state, *service, now);
+        return;
+    }
+    if (run.phase == promotion_phase::Fencing)
+        evaluate(state, *service, now);
+}
+
+void onControlLost(engine &state, const std::string &member, core::time_point now)
+{
+    // The next probe opens another link; nothing is waited for in the meantime.
+    static_cast<void>(state);
+    static_cast<void>(member);
+    static_cast<void>(now);
+}
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/src/proxy/refusal.cpp
@@ -0,0 +1,21 @@
+/// @file
+/// @brief Builds the answers of refusals.
+
+#include <fuchsiagw/proxy/refusal.hpp>
+
+namespace fuchsiagw::proxy {
+
+reply refuse(refusal_reason reason, transaction_state state, core::duration comeBackAfter)
+{
+    reply answer;
+    answer.code = rowOf(reason).code;
+    answer.message = std::string(rowOf(reason).name);
+    if (comeBackAfter > core::duration::zero()) {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(comeBackAfter);
+        answer.message += " retry-after-ms=" + std::to_string(wait.count());
+    }
+    answer.state = state;
+    return answer;
+}
+
+} // namespace fuchsiagw::proxy
