Keep a position apart from the term in which its primary leads; probe silent members

Cause: after a promotion the new primary's position was written as TERM.0. A member that lost one answer stayed silent for ever, because it got no work that could prove otherwise. Ruled out: the age of samples from peers, which is counted from the question.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -44,6 +44,8 @@
 
     [[nodiscard]] bool isReady() const { return proxy::isReady(engine_); }
     [[nodiscard]] std::string metricsText() const;
+    /// @return what was counted so far, in one line for the log
+    [[nodiscard]] std::string summary() const;
 
 private:
     struct caller;
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -68,6 +68,8 @@
 link_id openLink(engine &state, member_state &member, const std::string &workspace,
                  core::time_point now);
 void sendRequest(engine &state, upstream_link &link, session &who, core::time_point now);
+/// @brief Sends the first statement of a transaction that the member has begun.
+void sendAfterBegin(engine &state, upstream_link &link, const session &who, core::time_point now);
 void closeLink(engine &state, link_id id, bool politely, core::time_point now);
 /// @brief Makes a link that owes no answer available again.
 void releaseLink(engine &state, upstream_link &link, core::time_point now);
@@ -79,8 +81,10 @@
 [[nodiscard]] std::uint32_t keptLinks(const engine &state, const member_state &member);
 
 /// @brief A member provably led at @p since.
+/// @param term in which it led, as far as is known; a position may be of an earlier term
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 const core::log_position &position, core::time_point since, core::time_point now);
+                 core::term_number term, const core::log_position &position,
+                 core::time_point since, core::time_point now);
 /// @brief A member said that it does not lead.
 void loseLeader(engine &state, service_state &service, const std::string &member,
                 core::time_point now);
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -28,6 +28,7 @@
     core::time_point limitUntil{}; ///< it refused a connection for their number
     core::time_point busyUntil{}; ///< it refused a statement for its queue
     core::time_point silentSince = core::noDeadline; ///< first sign that it does not answer
+    core::time_point nextProbe{}; ///< while it is silent
     core::time_point lastAnswer{}; ///< newest sign of life
     int failures = 0; ///< in a row
 };
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -27,13 +27,14 @@
 {
     std::string service;
     std::string member;
-    core::log_position position; ///< the term is that of the primary
+    core::term_number term = 0; ///< in which the primary leads
+    core::log_position position; ///< may be of an earlier term, until the primary's first commit
     std::int64_t ageUs = 0; ///< since the position was at least reached, at the time of sending
 
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(service, member, position.term, position.index, ageUs);
+        ar(service, member, term, position.term, position.index, ageUs);
     }
 };
 
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -416,6 +416,22 @@
     done();
 }
 
+std::string session_gateway::summary() const
+{
+    const proxy::engine_counters &counts = engine_.counters;
+    std::string text = fmt::format(
+            "operations={} statements={} primary={} replica={} retried={} hedged={} opened={} "
+            "reused={} sessions={} links={}",
+            counts.operations, counts.statements, counts.placedOnPrimary, counts.placedOnReplica,
+            counts.retried, counts.hedged, counts.linksOpened, counts.linksReused,
+            engine_.sessions.size(), engine_.links.size());
+    for (std::size_t i = 0; i < counts.refused.size(); ++i) {
+        if (counts.refused[i] != 0)
+            text += fmt::format(" refused_{}={}", proxy::refusalRows[i].name, counts.refused[i]);
+    }
+    return text;
+}
+
 std::string session_gateway::metricsText() const
 {
     const proxy::engine_counters &counts = engine_.counters;
--- a/src/daemon/session_process.cpp
+++ b/src/daemon/session_process.cpp
@@ -20,7 +20,9 @@
 constexpr int startEvent = 940;
 constexpr int stopEvent = 941;
 constexpr int reloadEvent = 942;
+constexpr int summaryEvent = 943;
 constexpr std::chrono::seconds fileCheckInterval{ 2 };
+constexpr int checksPerSummary = 5;
 constexpr std::size_t statusConnections = 32;
 constexpr std::size_t maxStatusBody = 1024; // bytes
 
@@ -108,6 +110,8 @@
                 return;
             if (fileTime() != changedAt_)
                 reload();
+            if (++checks_ % checksPerSummary == 0)
+                log_.write(summaryEvent, "summary", gateway_.summary());
             watchFile();
         });
     }
@@ -136,6 +140,7 @@
     net::http_server metrics_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer fileTimer_;
+    int checks_ = 0;
     std::filesystem::file_time_type changedAt_;
 };
 
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -143,7 +143,8 @@
     if (wrote && answer.position) {
         who.ownPosition = answer.position;
         who.positionService = what.via.service;
-        learnLeader(state, service, link.member, *answer.position, link.lastSent, now);
+        learnLeader(state, service, link.member, answer.position->term, *answer.position,
+                    link.lastSent, now);
     }
     if (!commits && what.writes && who.transaction)
         who.transaction->wrote = true;
@@ -215,17 +216,32 @@
     deliverError(state, *who, link, std::move(answer), now);
 }
 
-void onBeginAnswer(engine &state, upstream_link &link, const reply &answer, core::time_point now)
+void onBeginAnswer(engine &state, upstream_link &link, const expected_answer &expected,
+                   reply &&answer, core::time_point now)
 {
+    member_state *member = findMember(state, link.member);
+    session *who = nullptr;
+    request *what = liveRequest(state, expected, who);
+    const bool opensTransaction = who != nullptr && link.pinnedTo == who->id;
     if (answer.code != reply_code::Success) {
         link.beginFailed = true;
         link.beginCode = answer.code;
+        // A read that the proxy wrapped follows in the same batch; its answer tells the rest.
+        if (what == nullptr || !opensTransaction)
+            return;
+        if (member != nullptr)
+            member->outstanding -= member->outstanding > 0 ? 1 : 0;
+        onStatementAnswer(state, link, expected, std::move(answer), now);
         return;
     }
-    const member_state *member = findMember(state, link.member);
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
     if (service != nullptr && answer.position && link.plainBegin)
-        learnLeader(state, *service, link.member, *answer.position, link.lastSent, now);
+        learnLeader(state, *service, link.member, answer.position->term, *answer.position,
+                    link.lastSent, now);
+    // What waits may have been placed meanwhile, and the session may be gone.
+    what = liveRequest(state, expected, who);
+    if (what != nullptr && opensTransaction)
+        sendAfterBegin(state, link, *who, now);
 }
 
 void onStartupAnswer(engine &state, upstream_link &link, const reply &answer, core::time_point now)
@@ -305,7 +321,7 @@
         link->tainted = link->tainted || answer.code != reply_code::Success;
         break;
     case answer_role::Begin:
-        onBeginAnswer(state, *link, answer, now);
+        onBeginAnswer(state, *link, expected, std::move(answer), now);
         break;
     case answer_role::Statement:
         if (member != nullptr) {
@@ -350,7 +366,9 @@
         const bool unfinished = !link.expected.empty();
         const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
         for (const expected_answer &each : link.expected)
-            member->outstanding -= each.role == answer_role::Statement && member->outstanding > 0;
+            member->outstanding -= (each.role == answer_role::Statement
+                                    || (each.role == answer_role::Begin && link.pinnedTo != 0))
+                                   && member->outstanding > 0;
         if (opening && !link.tainted)
             avoid(state, *member, "no_connection", now);
     }
@@ -362,7 +380,8 @@
         }
     }
     for (const expected_answer &each : link.expected) {
-        if (each.role == answer_role::Statement)
+        const bool beginsTransaction = each.role == answer_role::Begin && link.pinnedTo != 0;
+        if (each.role == answer_role::Statement || beginsTransaction)
             onAnswerLost(state, link, each, now);
         else if (each.role == answer_role::Control || link.control)
             onControlLost(state, link.member, now);
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -169,17 +169,20 @@
 }
 
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 const core::log_position &position, core::time_point since, core::time_point now)
+                 core::term_number term, const core::log_position &position,
+                 core::time_point since, core::time_point now)
 {
-    if (position.term < service.term)
+    const bool same = service.leader == member;
+    if (!same && term < service.term)
         return;
     // Two members with the same term: the one that was seen to lead last leads.
-    if (position.term == service.term && service.leader != member && since < service.provenAt)
+    if (!same && term == service.term && since < service.provenAt)
         return;
-    const bool changed = service.leader != member || position.term > service.term;
-    if (position.term > service.term)
+    const bool changed = !same || term > service.term;
+    // Positions of an earlier leader may have been rolled back.
+    if (!same && service.provenAt != core::time_point{})
         service.positions = {};
-    service.term = position.term;
+    service.term = std::max(service.term, term);
     service.provenAt = std::max(service.provenAt, since);
     record(service.positions, { since, position });
     service.leaderlessSince = core::noDeadline;
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -115,6 +115,17 @@
     return command;
 }
 
+void addStatement(upstream_link &link, const session &who, std::vector<upstream_command> &batch)
+{
+    const request &what = *who.current;
+    upstream_command statement = forwarded(who);
+    const bool alone = who.state == transaction_state::Idle;
+    if (alone && !what.where.needsPrimary)
+        statement.after = what.where.atLeast;
+    batch.push_back(std::move(statement));
+    expectAnswer(link, answer_role::Statement, &who);
+}
+
 upstream_link *bestIdle(engine &state, const member_state &member, const session &who)
 {
     upstream_link *best = nullptr;
@@ -205,18 +216,17 @@
     link.beginFailed = false;
     if (opensTransaction || what.where.wrapsRead)
         addBegin(link, who, batch);
-    upstream_command statement = forwarded(who);
-    if (what.starts && !opensTransaction && !what.where.needsPrimary)
-        statement.after = what.where.atLeast;
-    batch.push_back(std::move(statement));
-    expectAnswer(link, answer_role::Statement, &who);
-    if (what.where.wrapsRead) {
-        batch.push_back(makeCommand(command_kind::Rollback));
-        expectAnswer(link, answer_role::Cleanup);
-    }
     if (opensTransaction) {
+        // The statement follows once the member has begun: if it refused, the statement would run
+        // outside of a transaction.
         link.pinnedTo = who.id;
         who.transaction->link = link.id;
+    } else {
+        addStatement(link, who, batch);
+    }
+    if (what.where.wrapsRead) {
+        batch.push_back(makeCommand(command_kind::Rollback));
+        expectAnswer(link, answer_role::Cleanup);
     }
     link.state = link_state::Busy;
     link.lastSent = now;
@@ -229,6 +239,14 @@
     state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
 }
 
+void sendAfterBegin(engine &state, upstream_link &link, const session &who, core::time_point now)
+{
+    std::vector<upstream_command> batch;
+    addStatement(link, who, batch);
+    link.lastSent = now;
+    state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
+}
+
 void closeLink(engine &state, link_id id, bool politely, core::time_point now)
 {
     state.out.emplace_back(close_link{ id, politely });
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -52,7 +52,7 @@
         leader_report each;
         each.service = name;
         each.member = service.leader;
-        each.position.term = service.term;
+        each.term = service.term;
         each.ageUs = -1;
         if (const auto newest = newestOf(service.positions)) {
             each.position = newest->position;
@@ -71,10 +71,10 @@
 void hearLeader(engine &state, const leader_report &report, core::time_point now)
 {
     service_state *service = findService(state, report.service);
-    if (service == nullptr || report.position.term <= service->term
+    if (service == nullptr || report.term <= service->term
         || findMember(state, report.member) == nullptr)
         return;
-    service->term = report.position.term;
+    service->term = report.term;
     service->leader = report.member;
     service->positions = {};
     service->disproved.clear();
@@ -101,8 +101,8 @@
         if (service == nullptr || each.ageUs < 0 || findMember(state, each.member) == nullptr)
             continue;
         // Counted from the question, so that the time on the way can't make it look fresher.
-        learnLeader(state, *service, each.member, each.position, asked - core::duration(each.ageUs),
-                    now);
+        learnLeader(state, *service, each.member, each.term, each.position,
+                    asked - core::duration(each.ageUs), now);
     }
 }
 
@@ -177,7 +177,7 @@
     leader_report report;
     report.service = service.name;
     report.member = service.leader;
-    report.position.term = service.term;
+    report.term = service.term;
     message.leaders.push_back(std::move(report));
     for (const std::string &peer : drawPeers(state, newsPeers))
         state.out.emplace_back(send_to_peer{ peer, message });
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -14,6 +14,7 @@
 /// Statements take tens of milliseconds; a member that answers none of them for this long is silent.
 constexpr milliseconds answerSilence{ 450 };
 constexpr milliseconds silentAvoidance{ 150 };
+constexpr milliseconds silentProbeInterval{ 200 };
 constexpr milliseconds silenceBeforePromotion{ 300 };
 constexpr milliseconds leaderlessBeforePromotion{ 1'500 };
 constexpr milliseconds askingTime{ 100 };
@@ -348,6 +349,7 @@
 
 void followSilence(engine &state, core::time_point now)
 {
+    std::vector<member_state *> probed;
     for (auto &[id, member] : state.members) {
         for (const link_id each : member.links) {
             const upstream_link &link = state.links.at(each);
@@ -358,8 +360,17 @@
             if (now - link.lastSent >= limit)
                 member.silentSince = std::min(member.silentSince, link.lastSent);
         }
-        if (member.silentSince != core::noDeadline)
-            member.avoidUntil = std::max(member.avoidUntil, now + silentAvoidance);
+        if (member.silentSince == core::noDeadline)
+            continue;
+        member.avoidUntil = std::max(member.avoidUntil, now + silentAvoidance);
+        if (member.listed && now >= member.nextProbe)
+            probed.push_back(&member);
+    }
+    // A new connection tells a silent member from one that lost an answer; it gets no work until
+    // one opens.
+    for (member_state *member : probed) {
+        member->nextProbe = now + silentProbeInterval;
+        order(state, member->entry.id, command_kind::Status, 0, now);
     }
 }
 
@@ -430,11 +441,7 @@
     promotion_state &run = service->promotion;
     const member_status &status = *answer.status;
     if (status.leads) {
-        core::log_position position = status.received;
-        position.term = std::max(position.term, status.term);
-        if (position.term != status.received.term)
-            position.index = 0;
-        learnLeader(state, *service, memberId, position, sentAt, now);
+        learnLeader(state, *service, memberId, status.term, status.received, sentAt, now);
     }
     if (run.phase == promotion_phase::None)
         return;
