Divide a workspace's limit by zones, with one home daemon in each that hands tokens out

Cause: each of N daemons filled an N-th of rate and burst. Ruled out: missing connections (11 refusals) and missing primaries (6).

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -100,7 +100,15 @@
 [[nodiscard]] core::time_point nextPromotionStep(const engine &state);
 
 void exchangeWithPeers(engine &state, core::time_point now);
-void askForTokens(engine &state, const std::string &workspace, core::time_point now);
+/// @brief Takes the operation's token, waits for one, or refuses the statement.
+/// @return whether the statement may go on now
+bool admitOperation(engine &state, session &who, core::time_point now);
+/// @brief Goes on with a statement that waited for a token.
+void resume(engine &state, session &who, core::time_point now);
+void stepQuotas(engine &state, core::time_point now);
+void answerLoanRequest(engine &state, const peer_message &message, core::time_point now);
+void takeLoan(engine &state, const peer_message &message, core::time_point now);
+void reshapeQuotas(engine &state, core::time_point now);
 void tellLeader(engine &state, const service_state &service, core::time_point now);
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -43,6 +43,7 @@
     std::string node;
     std::string zone;
     core::time_point lastHeard{};
+    core::time_point silentUntil{}; ///< it did not answer a question and is not asked before
     std::uint64_t manifestVersion = 0;
 };
 
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -49,12 +49,13 @@
     std::vector<leader_report> leaders;
     std::string subject; ///< workspace of a loan, service of a reach question
     std::string member; ///< of a reach question
+    bool betweenHomes = false; ///< a loan between the homes of two zones
     std::int64_t amount = 0; ///< of a loan; reach answer: 1 reached, 0 not reached, -1 unknown
 
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member, amount);
+        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member, betweenHomes, amount);
     }
 };
 
--- a/include/fuchsiagw/proxy/quota.hpp
+++ b/include/fuchsiagw/proxy/quota.hpp
@@ -1,9 +1,11 @@
 /// @file
-/// @brief A workspace's rate and burst, divided over the instances as token buckets.
+/// @brief A workspace's rate and burst, shared by all daemons as tokens.
 ///
-/// Each instance fills an equal part. Tokens move between instances in datagrams: the lender takes
-/// them out of its bucket before it sends them, so a lost datagram only loses tokens and the sum of
-/// all instances never exceeds the limit.
+/// The limit is divided among the zones by their daemons. In each zone one daemon, the home of the
+/// workspace, fills the zone's part; the others ask it for tokens as they need them, and homes ask
+/// the homes of other zones. A lender takes tokens out of its bucket before it sends them, so a lost
+/// datagram only loses tokens and all daemons together never exceed the limit. A zone that is cut
+/// off keeps its own part.
 
 #pragma once
 
@@ -12,59 +14,86 @@
 #include <fuchsiagw/proxy/manifest.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fuchsiagw::proxy {
 
-/// Invariant: limited is false for a workspace without a rate; the bucket is then unused.
+/// Invariants: limited is false for a workspace without a rate, and the rest is then unused; the
+/// bucket fills only while this daemon acts as the home, and holds what was lent to it otherwise.
 struct workspace_quota
 {
     bool limited = false;
     double ratePerSecond = 0; ///< of the whole workspace
     double burst = 0; ///< of the whole workspace
+    std::vector<std::string> homes; ///< daemons of this zone, the home first
+    std::vector<std::string> otherHomes; ///< the home in each other zone
+    double zoneShare = 1; ///< of rate and burst, that the home of this zone fills
+    bool fills = false; ///< this daemon acts as the home
+    core::time_point homeUntil{}; ///< it acts as the home while others take it for it
     core::token_bucket bucket;
     double demandPerSecond = 0; ///< smoothed operations asked for here
     core::time_point demandSince{}; ///< start of the interval that is being counted
-    std::uint32_t demandCount = 0; ///< operations in it
+    double demandCount = 0; ///< operations in it
+    core::time_point askedAt = core::noDeadline; ///< the home owes an answer since then
     core::time_point nextRequest{}; ///< no loan is asked for before it
+    core::time_point dryUntil{}; ///< the home had nothing a moment ago
+    std::deque<std::uint64_t> waiters; ///< sessions whose operation waits for a token
 };
 
 struct quota_table
 {
     std::map<std::string, workspace_quota, std::less<>> workspaces;
-    std::uint32_t instances = 1; ///< among which the limit is divided
 };
 
-/// @brief Applies a manifest's limits or another number of instances.
+/// One daemon, as far as limits need to know it.
+struct quota_node
+{
+    std::string node;
+    std::string zone;
+};
+
+/// @brief Applies a manifest's limits and the daemons among which they are divided.
 /// A new bucket starts empty: the predecessor of this process may just have used its tokens.
-void reshape(quota_table &table, const manifest &from, std::uint32_t instances,
-             core::time_point now);
+/// @param self must be one of @p nodes
+/// @complexity workspaces times nodes
+void reshape(quota_table &table, const manifest &from, const std::vector<quota_node> &nodes,
+             const quota_node &self, core::time_point now);
+
+/// @return the quota of a workspace that has a limit, else nullptr
+[[nodiscard]] workspace_quota *limitedQuota(quota_table &table, const std::string &workspace);
 
-/// @brief Takes the token of one operation.
+/// @brief Starts or stops to fill the bucket.
+void actAsHome(workspace_quota &quota, bool fills, core::time_point now);
+
+/// @brief Counts demand, and takes the token of one operation.
 /// @return whether it may run
-[[nodiscard]] bool admit(quota_table &table, const std::string &workspace, core::time_point now);
+[[nodiscard]] bool admit(workspace_quota &quota, core::time_point now);
+
+/// @brief Counts operations that were asked for here.
+void countDemand(workspace_quota &quota, double operations, core::time_point now);
 
 /// @brief Gives back the token of an operation that did not run.
 void giveBack(quota_table &table, const std::string &workspace, core::time_point now);
 
-/// @return when the next token is due here; noDeadline if never
-[[nodiscard]] core::time_point nextTokenAt(const quota_table &table, const std::string &workspace);
+/// @return when the next token is due here; noDeadline if it does not fill
+[[nodiscard]] core::time_point nextTokenAt(const workspace_quota &quota);
 
-/// @brief Tells how many tokens to ask other instances for.
-/// @return none if the bucket holds enough or one was asked for a moment ago
-[[nodiscard]] std::optional<core::token_amount> wanted(quota_table &table,
-                                                       const std::string &workspace,
+/// @brief Tells how many tokens to ask for.
+/// @return none if the bucket holds enough or some were asked for a moment ago
+[[nodiscard]] std::optional<core::token_amount> wanted(workspace_quota &quota,
                                                        core::time_point now);
 
-/// @brief Takes out what can be spared for another instance.
-/// @return what the datagram may carry; 0 if nothing can be spared
-[[nodiscard]] core::token_amount lend(quota_table &table, const std::string &workspace,
-                                      core::token_amount amount, core::time_point now);
-
-/// @brief Adds tokens that another instance lent.
-void receive(quota_table &table, const std::string &workspace, core::token_amount amount,
-             core::time_point now);
+/// @brief Takes out what the home gives to a daemon of its zone.
+[[nodiscard]] core::token_amount hand(workspace_quota &quota, core::token_amount amount,
+                                      core::time_point now);
+/// @brief Takes out what can be spared for the home of another zone.
+[[nodiscard]] core::token_amount lend(workspace_quota &quota, core::token_amount amount,
+                                      core::time_point now);
+/// @brief Adds tokens that another daemon gave.
+void receive(workspace_quota &quota, core::token_amount amount, core::time_point now);
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/session.hpp
+++ b/include/fuchsiagw/proxy/session.hpp
@@ -38,6 +38,8 @@
     std::uint64_t serial = 0; ///< tells an answer to an earlier request from one to this
     caller_statement statement;
     route via; ///< as it stood when the operation started
+    bool admitted = false; ///< its operation has its token of the workspace's rate
+    bool awaitsToken = false;
     bool writes = false;
     bool starts = false; ///< first statement of its operation that goes to a member
     placement where;
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -39,23 +39,6 @@
     return std::nullopt;
 }
 
-core::duration untilToken(engine &state, const session &who, core::time_point now)
-{
-    const core::time_point due = nextTokenAt(state.quota, who.workspace);
-    return due == core::noDeadline ? core::duration::zero() : std::max(core::duration(1), due - now);
-}
-
-/// @brief Takes the operation's token, or refuses the statement.
-bool admitOperation(engine &state, session &who, core::time_point now)
-{
-    ++state.counters.operations;
-    const bool admitted = admit(state.quota, who.workspace, now);
-    askForTokens(state, who.workspace, now);
-    if (!admitted)
-        finishRefused(state, who, refusal_reason::RateExceeded, now, untilToken(state, who, now));
-    return admitted;
-}
-
 const route &currentRoute(const engine &state, const session &who)
 {
     return state.config->routes.find(who.database)->second;
@@ -171,24 +154,8 @@
     finish(state, who, ownSuccess(who.state), now);
 }
 
-void start(engine &state, session &who, caller_statement statement, core::time_point now)
+void dispatch(engine &state, session &who, core::time_point now)
 {
-    ++state.counters.statements;
-    request what;
-    what.serial = ++state.lastSerial;
-    what.statement = std::move(statement);
-    what.arrived = now;
-    who.current = std::move(what);
-    state.active.insert(who.id);
-    if (who.transaction)
-        who.transaction->idleUntil = core::noDeadline;
-    if (who.state == transaction_state::Idle) {
-        if (const auto refused = checkAccess(state, who)) {
-            who.closing = *refused != refusal_reason::NotConfigured;
-            finishRefused(state, who, *refused, now);
-            return;
-        }
-    }
     const statement_kind kind = who.current->statement.kind;
     if (kind == statement_kind::Rollback) {
         rollback(state, who, now);
@@ -219,6 +186,26 @@
     }
 }
 
+void start(engine &state, session &who, caller_statement statement, core::time_point now)
+{
+    ++state.counters.statements;
+    request what;
+    what.serial = ++state.lastSerial;
+    what.statement = std::move(statement);
+    what.arrived = now;
+    who.current = std::move(what);
+    state.active.insert(who.id);
+    if (who.transaction)
+        who.transaction->idleUntil = core::noDeadline;
+    if (who.state == transaction_state::Idle) {
+        if (const auto refused = checkAccess(state, who)) {
+            who.closing = *refused != refusal_reason::NotConfigured;
+            finishRefused(state, who, *refused, now);
+            return;
+        }
+    }
+    dispatch(state, who, now);
+}
 } // namespace
 
 bool onSessionOpened(engine &state, session_id id, const std::string &database,
@@ -247,6 +234,11 @@
     return true;
 }
 
+void resume(engine &state, session &who, core::time_point now)
+{
+    dispatch(state, who, now);
+}
+
 void onCallerStatement(engine &state, session_id id, caller_statement statement,
                        core::time_point now)
 {
@@ -272,7 +264,7 @@
         return;
     state.active.erase(id);
     link_id held = who->transaction ? who->transaction->link : 0;
-    const bool neverRan = who->current && who->current->starts && !who->current->everSent;
+    const bool neverRan = who->current && who->current->admitted && !who->current->everSent;
     if (neverRan && who->state == transaction_state::Idle)
         giveBack(state.quota, who->workspace, now);
     state.sessions.erase(id);
@@ -315,7 +307,7 @@
     noteRequest(state, uncertain ? note_kind::StatementUncertain : note_kind::StatementRefused, who,
                 {}, toString(reason), now - who.current->arrived, who.current->tries);
     // A single statement that never ran has not used its workspace's rate.
-    if (who.state == transaction_state::Idle && who.current->starts && !who.current->everSent)
+    if (who.state == transaction_state::Idle && who.current->admitted && !who.current->everSent)
         giveBack(state.quota, who.workspace, now);
     finish(state, who, refuse(reason, who.state, comeBackAfter), now);
 }
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -108,6 +108,17 @@
 
 } // namespace
 
+void reshapeQuotas(engine &state, core::time_point now)
+{
+    if (!state.config)
+        return;
+    const quota_node self{ state.settings.node, state.settings.zone };
+    std::vector<quota_node> nodes{ self };
+    for (const auto &[name, peer] : state.peers)
+        nodes.push_back({ peer.node, peer.zone });
+    reshape(state.quota, *state.config, nodes, self, now);
+}
+
 void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now)
 {
     decision_note line;
@@ -123,7 +134,7 @@
     line.kind = note_kind::ManifestApplied;
     state.out.emplace_back(std::move(line));
     state.config = std::move(next);
-    reshape(state.quota, *state.config, state.instances, now);
+    reshapeQuotas(state, now);
     for (const auto &[name, entry] : state.config->services)
         serviceFor(state, name);
 }
@@ -164,8 +175,7 @@
     }
     state.peers = std::move(next);
     state.instances = count;
-    if (state.config)
-        reshape(state.quota, *state.config, count, now);
+    reshapeQuotas(state, now);
 }
 
 void learnLeader(engine &state, service_state &service, const std::string &member,
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -13,7 +13,6 @@
 /// Peers that one daemon asks in one interval. Bounded, so that the traffic of a daemon does not
 /// grow with their number.
 constexpr std::size_t exchangePeers = 3;
-constexpr std::size_t loanPeers = 2;
 constexpr std::size_t newsPeers = 16;
 /// An answer to a question of this age is not used: the reports in it would be too old anyway.
 constexpr std::chrono::seconds answerLife{ 5 };
@@ -106,17 +105,6 @@
     }
 }
 
-void grantLoan(engine &state, const peer_message &message, core::time_point now)
-{
-    const core::token_amount amount = lend(state.quota, message.subject, message.amount, now);
-    if (amount == 0)
-        return;
-    peer_message answer = makeMessage(state, peer_message_kind::LoanGrant);
-    answer.subject = message.subject;
-    answer.amount = amount;
-    state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
-}
-
 void answerReach(engine &state, const peer_message &message, core::time_point now)
 {
     constexpr milliseconds freshSign{ 600 };
@@ -158,18 +146,6 @@
         state.out.emplace_back(send_to_peer{ peer, message });
 }
 
-void askForTokens(engine &state, const std::string &workspace, core::time_point now)
-{
-    const auto amount = wanted(state.quota, workspace, now);
-    if (!amount)
-        return;
-    peer_message message = makeMessage(state, peer_message_kind::LoanRequest);
-    message.subject = workspace;
-    message.amount = *amount;
-    for (const std::string &peer : drawPeers(state, loanPeers))
-        state.out.emplace_back(send_to_peer{ peer, message });
-}
-
 void tellLeader(engine &state, const service_state &service, core::time_point now)
 {
     static_cast<void>(now);
@@ -204,10 +180,10 @@
         hearAnswer(state, message, now);
         break;
     case peer_message_kind::LoanRequest:
-        grantLoan(state, message, now);
+        answerLoanRequest(state, message, now);
         break;
     case peer_message_kind::LoanGrant:
-        receive(state.quota, message.subject, message.amount, now);
+        takeLoan(state, message, now);
         break;
     case peer_message_kind::LeaderNews:
         for (const leader_report &each : message.leaders)
--- /dev/null
+++ b/src/proxy/engine_quota.cpp
@@ -0,0 +1,186 @@
+/// @file
+/// @brief Admission of operations, and the tokens that daemons ask each other for.
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+/// The home answers within a round trip inside the zone; later it counts as silent.
+constexpr milliseconds askLimit{ 80 };
+constexpr milliseconds silentHome{ 1'500 };
+/// A daemon acts as the home this long after another one took it for it.
+constexpr milliseconds homeLife{ 1'500 };
+constexpr milliseconds dryPause{ 60 };
+/// Part of the caller's objective for which an operation waits for a token.
+constexpr int tokenWaitDivisor = 5;
+constexpr std::size_t otherHomesAsked = 2;
+
+std::string homeOf(engine &state, const workspace_quota &quota, core::time_point now)
+{
+    for (const std::string &each : quota.homes) {
+        if (each == state.settings.node)
+            return each;
+        const auto peer = state.peers.find(each);
+        if (peer != state.peers.end() && peer->second.silentUntil <= now)
+            return each;
+    }
+    return state.settings.node;
+}
+
+void sendRequestFor(engine &state, const std::string &peer, const std::string &workspace,
+                    core::token_amount amount, bool betweenHomes)
+{
+    peer_message message;
+    message.kind = peer_message_kind::LoanRequest;
+    message.from = state.settings.node;
+    message.incarnation = state.incarnation;
+    message.subject = workspace;
+    message.amount = amount;
+    message.betweenHomes = betweenHomes;
+    state.out.emplace_back(send_to_peer{ peer, std::move(message) });
+}
+
+void askOtherHomes(engine &state, workspace_quota &quota, const std::string &workspace,
+                   core::token_amount amount)
+{
+    std::vector<std::string> others = quota.otherHomes;
+    for (std::size_t i = 0; i < others.size() && i < otherHomesAsked; ++i) {
+        std::swap(others[i], others[i + core::drawBelow(state.random, others.size() - i)]);
+        sendRequestFor(state, others[i], workspace, amount, true);
+    }
+}
+
+/// @brief Asks for tokens if this daemon holds fewer than it needs.
+void askFor(engine &state, workspace_quota &quota, const std::string &workspace,
+            core::time_point now)
+{
+    if (quota.askedAt != core::noDeadline && now - quota.askedAt > askLimit) {
+        const auto silent = state.peers.find(homeOf(state, quota, now));
+        if (silent != state.peers.end())
+            silent->second.silentUntil = now + silentHome;
+        quota.askedAt = core::noDeadline;
+    }
+    const std::string home = homeOf(state, quota, now);
+    const bool own = home == state.settings.node;
+    actAsHome(quota, own || now < quota.homeUntil, now);
+    const auto amount = wanted(quota, now);
+    if (!amount)
+        return;
+    if (own) {
+        askOtherHomes(state, quota, workspace, *amount);
+        return;
+    }
+    if (quota.askedAt == core::noDeadline)
+        quota.askedAt = now;
+    sendRequestFor(state, home, workspace, *amount, false);
+}
+
+core::duration untilToken(const workspace_quota &quota, core::time_point now)
+{
+    const core::time_point due = nextTokenAt(quota);
+    if (due == core::noDeadline)
+        return dryPause;
+    return std::max<core::duration>(milliseconds(1), due - now);
+}
+
+} // namespace
+
+bool admitOperation(engine &state, session &who, core::time_point now)
+{
+    request &what = *who.current;
+    if (what.admitted)
+        return true;
+    ++state.counters.operations;
+    workspace_quota *quota = limitedQuota(state.quota, who.workspace);
+    if (quota == nullptr) {
+        what.admitted = true;
+        return true;
+    }
+    countDemand(*quota, 1, now);
+    askFor(state, *quota, who.workspace, now);
+    if (quota->waiters.empty() && admit(*quota, now)) {
+        what.admitted = true;
+        return true;
+    }
+    if (now < quota->dryUntil) {
+        finishRefused(state, who, refusal_reason::RateExceeded, now, untilToken(*quota, now));
+        return false;
+    }
+    const auto via = state.config->routes.find(who.database);
+    what.awaitsToken = true;
+    what.waitUntil = now + via->second.latencyObjective / tokenWaitDivisor;
+    quota->waiters.push_back(who.id);
+    return false;
+}
+
+void serveTokenWaiters(engine &state, const std::string &workspace, core::time_point now)
+{
+    workspace_quota *quota = limitedQuota(state.quota, workspace);
+    while (quota != nullptr && !quota->waiters.empty()) {
+        session *who = findSession(state, quota->waiters.front());
+        const bool waits = who != nullptr && who->current && who->current->awaitsToken;
+        if (waits && !admit(*quota, now))
+            return;
+        quota->waiters.pop_front();
+        if (!waits)
+            continue;
+        who->current->awaitsToken = false;
+        who->current->admitted = true;
+        resume(state, *who, now);
+        quota = limitedQuota(state.quota, workspace);
+    }
+}
+
+void stepQuotas(engine &state, core::time_point now)
+{
+    for (auto &[name, quota] : state.quota.workspaces) {
+        if (quota.waiters.empty())
+            continue;
+        askFor(state, quota, name, now);
+        serveTokenWaiters(state, name, now);
+    }
+}
+
+void answerLoanRequest(engine &state, const peer_message &message, core::time_point now)
+{
+    workspace_quota *quota = limitedQuota(state.quota, message.subject);
+    if (quota == nullptr)
+        return;
+    peer_message answer;
+    answer.kind = peer_message_kind::LoanGrant;
+    answer.from = state.settings.node;
+    answer.incarnation = state.incarnation;
+    answer.subject = message.subject;
+    answer.betweenHomes = message.betweenHomes;
+    if (message.betweenHomes) {
+        answer.amount = lend(*quota, message.amount, now);
+    } else {
+        quota->homeUntil = now + homeLife;
+        actAsHome(*quota, true, now);
+        countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
+        answer.amount = hand(*quota, message.amount, now);
+        askFor(state, *quota, message.subject, now);
+    }
+    if (answer.amount > 0 || !message.betweenHomes)
+        state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+}
+
+void takeLoan(engine &state, const peer_message &message, core::time_point now)
+{
+    workspace_quota *quota = limitedQuota(state.quota, message.subject);
+    if (quota == nullptr)
+        return;
+    if (!message.betweenHomes)
+        quota->askedAt = core::noDeadline;
+    if (message.amount > 0)
+        receive(*quota, message.amount, now);
+    else
+        quota->dryUntil = now + dryPause;
+    serveTokenWaiters(state, message.subject, now);
+}
+
+} // namespace fuchsiagw::proxy
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -88,6 +88,11 @@
         return;
     }
     request &what = *who->current;
+    if (what.awaitsToken) {
+        if (what.waitUntil <= now)
+            finishRefused(state, *who, refusal_reason::RateExceeded, now, milliseconds(100));
+        return;
+    }
     if (what.deadline <= now) {
         timeOut(state, *who, now);
         return;
@@ -158,6 +163,7 @@
         if (!service.queue.empty())
             pump(state, service, now);
     }
+    stepQuotas(state, now);
     stepPromotions(state, now);
     if (now >= state.nextMaintenance) {
         state.nextMaintenance = now + maintenanceInterval;
@@ -182,8 +188,9 @@
             continue;
         }
         const request &what = *who.current;
-        due = std::min(due, what.deadline);
-        if (what.queued)
+        if (!what.awaitsToken)
+            due = std::min(due, what.deadline);
+        if (what.queued || what.awaitsToken)
             due = std::min({ due, what.waitUntil, state.lastTime + pumpInterval });
         else
             due = std::min(due, what.hedgeAt);
--- a/src/proxy/quota.cpp
+++ b/src/proxy/quota.cpp
@@ -1,10 +1,13 @@
 /// @file
-/// @brief Token buckets of the workspaces and the tokens that move between instances.
+/// @brief Token buckets of the workspaces and the tokens that move between daemons.
 
 #include <fuchsiagw/proxy/quota.hpp>
 
+#include <fuchsiagw/core/rendezvous.hpp>
+
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace fuchsiagw::proxy {
 
@@ -13,46 +16,66 @@
 using core::oneToken;
 using core::token_amount;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 /// The expected need over this time is kept back from loans and asked for.
-constexpr double reserveSeconds = 0.3;
-constexpr double leastReserve = 2; // operations
-constexpr milliseconds requestSpacing{ 60 };
-constexpr milliseconds demandInterval{ 200 };
+constexpr double reserveSeconds = 0.25;
+constexpr milliseconds requestSpacing{ 40 };
+constexpr milliseconds demandInterval{ 250 };
 constexpr double demandSmoothing = 0.4; // weight of the newest interval
+constexpr std::size_t keptHomes = 3; // of one zone
+/// Tokens that a daemon holds which is not the home, beyond its expected need.
+constexpr double stashOperations = 3;
 
-void follow(workspace_quota &quota, core::time_point now)
+token_amount amountOf(double operations)
 {
-    const core::duration lapse = now - quota.demandSince;
-    if (lapse < demandInterval)
-        return;
-    const double rate = quota.demandCount / std::chrono::duration<double>(lapse).count();
-    quota.demandPerSecond += demandSmoothing * (rate - quota.demandPerSecond);
-    quota.demandCount = 0;
-    quota.demandSince = now;
+    return static_cast<token_amount>(std::llround(operations * oneToken));
 }
 
 token_amount reserveOf(const workspace_quota &quota)
 {
-    const double need = std::max(leastReserve, quota.demandPerSecond * reserveSeconds);
-    return static_cast<token_amount>(need * oneToken);
+    return amountOf(quota.demandPerSecond * reserveSeconds);
 }
 
-workspace_quota *limitedQuota(quota_table &table, const std::string &workspace)
+/// The daemons of a zone in the order in which they are the workspace's home.
+std::vector<std::string> rank(const std::string &workspace, const std::vector<quota_node> &nodes,
+                              const std::string &zone)
 {
-    const auto found = table.workspaces.find(workspace);
-    if (found == table.workspaces.end() || !found->second.limited)
-        return nullptr;
-    return &found->second;
+    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    for (const quota_node &each : nodes) {
+        if (each.zone == zone)
+            scored.emplace_back(core::stableHash(each.node + "/" + workspace), each.node);
+    }
+    const std::size_t kept = std::min(keptHomes, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
+                      scored.end(), std::greater<>());
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < kept; ++i)
+        result.push_back(scored[i].second);
+    return result;
+}
+
+void shapeBucket(workspace_quota &quota, core::time_point now)
+{
+    const double rate = quota.fills ? quota.ratePerSecond * quota.zoneShare : 0;
+    double capacity = quota.burst * quota.zoneShare;
+    if (!quota.fills)
+        capacity = stashOperations + quota.demandPerSecond;
+    // Without a burst there is still room for one operation.
+    core::reshape(quota.bucket, amountOf(rate), std::max(oneToken, amountOf(capacity)), now);
 }
 
 } // namespace
 
-void reshape(quota_table &table, const manifest &from, std::uint32_t instances,
-             core::time_point now)
+void reshape(quota_table &table, const manifest &from, const std::vector<quota_node> &nodes,
+             const quota_node &self, core::time_point now)
 {
-    table.instances = std::max<std::uint32_t>(1, instances);
+    std::set<std::string> zones;
+    std::size_t near = 0;
+    for (const quota_node &each : nodes) {
+        zones.insert(each.zone);
+        near += each.zone == self.zone ? 1 : 0;
+    }
+    const double share = nodes.empty() ? 1 : static_cast<double>(near) / nodes.size();
     std::map<std::string, workspace_quota, std::less<>> next;
     for (const workspace_entry &each : from.workspaces) {
         workspace_quota quota;
@@ -62,24 +85,54 @@
         quota.limited = each.ratePerSecond.has_value();
         quota.ratePerSecond = each.ratePerSecond.value_or(0);
         quota.burst = each.burst;
-        const double rate = quota.ratePerSecond * oneToken / table.instances;
-        // A workspace without a burst still needs room for one operation.
-        const double capacity = std::max(1.0, quota.burst / table.instances) * oneToken;
-        core::reshape(quota.bucket, static_cast<std::int64_t>(std::llround(rate)),
-                      static_cast<token_amount>(std::llround(capacity)), now);
-        next.emplace(each.name, quota);
+        quota.zoneShare = share;
+        quota.homes = rank(each.name, nodes, self.zone);
+        quota.otherHomes.clear();
+        for (const std::string &zone : zones) {
+            if (zone != self.zone)
+                quota.otherHomes.push_back(rank(each.name, nodes, zone).front());
+        }
+        quota.fills = quota.homes.empty() || quota.homes.front() == self.node
+                      || now < quota.homeUntil;
+        shapeBucket(quota, now);
+        next.emplace(each.name, std::move(quota));
     }
     table.workspaces = std::move(next);
 }
 
-bool admit(quota_table &table, const std::string &workspace, core::time_point now)
+workspace_quota *limitedQuota(quota_table &table, const std::string &workspace)
+{
+    const auto found = table.workspaces.find(workspace);
+    if (found == table.workspaces.end() || !found->second.limited)
+        return nullptr;
+    return &found->second;
+}
+
+void actAsHome(workspace_quota &quota, bool fills, core::time_point now)
+{
+    if (quota.fills == fills)
+        return;
+    quota.fills = fills;
+    shapeBucket(quota, now);
+}
+
+void countDemand(workspace_quota &quota, double operations, core::time_point now)
+{
+    quota.demandCount += operations;
+    const core::duration lapse = now - quota.demandSince;
+    if (lapse < demandInterval)
+        return;
+    const double rate = quota.demandCount / std::chrono::duration<double>(lapse).count();
+    quota.demandPerSecond += demandSmoothing * (rate - quota.demandPerSecond);
+    quota.demandCount = 0;
+    quota.demandSince = now;
+    if (!quota.fills)
+        shapeBucket(quota, now);
+}
+
+bool admit(workspace_quota &quota, core::time_point now)
 {
-    workspace_quota *quota = limitedQuota(table, workspace);
-    if (quota == nullptr)
-        return true;
-    ++quota->demandCount;
-    follow(*quota, now);
-    return take(quota->bucket, oneToken, now);
+    return take(quota.bucket, oneToken, now);
 }
 
 void giveBack(quota_table &table, const std::string &workspace, core::time_point now)
@@ -88,52 +141,48 @@
         put(quota->bucket, oneToken, now);
 }
 
-core::time_point nextTokenAt(const quota_table &table, const std::string &workspace)
+core::time_point nextTokenAt(const workspace_quota &quota)
 {
-    const auto found = table.workspaces.find(workspace);
-    if (found == table.workspaces.end() || !found->second.limited)
-        return {};
-    return availableAt(found->second.bucket, oneToken);
+    return availableAt(quota.bucket, oneToken);
 }
 
-std::optional<token_amount> wanted(quota_table &table, const std::string &workspace,
-                                   core::time_point now)
+std::optional<token_amount> wanted(workspace_quota &quota, core::time_point now)
 {
-    workspace_quota *quota = limitedQuota(table, workspace);
-    if (quota == nullptr || now < quota->nextRequest || table.instances < 2)
+    if (now < quota.nextRequest)
         return std::nullopt;
-    refill(quota->bucket, now);
-    const token_amount reserve = reserveOf(*quota);
-    if (quota->bucket.level >= reserve)
+    refill(quota.bucket, now);
+    const token_amount reserve = reserveOf(quota);
+    if (quota.bucket.level >= std::max(reserve, oneToken))
         return std::nullopt;
-    quota->nextRequest = now + requestSpacing;
-    const token_amount missing = std::min(2 * reserve, quota->bucket.capacity) - quota->bucket.level;
-    if (missing < oneToken)
-        return std::nullopt;
-    return missing;
+    quota.nextRequest = now + requestSpacing;
+    const token_amount asked = std::max(2 * reserve, oneToken);
+    return std::max(oneToken, std::min(asked, quota.bucket.capacity) - quota.bucket.level);
 }
 
-token_amount lend(quota_table &table, const std::string &workspace, token_amount amount,
-                  core::time_point now)
+token_amount hand(workspace_quota &quota, token_amount amount, core::time_point now)
 {
-    workspace_quota *quota = limitedQuota(table, workspace);
-    if (quota == nullptr)
+    refill(quota.bucket, now);
+    // Half of what is there, so that the next one who asks finds something too; but a whole token.
+    const token_amount half = std::max(quota.bucket.level / 2, oneToken);
+    const token_amount given = std::min({ amount, half, quota.bucket.level });
+    if (given < oneToken)
         return 0;
-    follow(*quota, now);
-    refill(quota->bucket, now);
-    const token_amount spare = quota->bucket.level - reserveOf(*quota);
-    // Half of what is spare, so that the next one who asks finds something too.
-    const token_amount given = std::min(amount, spare / 2);
+    return takeUpTo(quota.bucket, given, now);
+}
+
+token_amount lend(workspace_quota &quota, token_amount amount, core::time_point now)
+{
+    refill(quota.bucket, now);
+    const token_amount spare = quota.bucket.level - reserveOf(quota);
+    const token_amount given = std::min(amount, spare > 2 * oneToken ? spare / 2 : spare);
     if (given < oneToken)
         return 0;
-    return takeUpTo(quota->bucket, given, now);
+    return takeUpTo(quota.bucket, given, now);
 }
 
-void receive(quota_table &table, const std::string &workspace, token_amount amount,
-             core::time_point now)
+void receive(workspace_quota &quota, token_amount amount, core::time_point now)
 {
-    if (workspace_quota *quota = limitedQuota(table, workspace))
-        put(quota->bucket, std::max<token_amount>(0, amount), now);
+    put(quota.bucket, std::max<token_amount>(0, amount), now);
 }
 
 } // namespace fuchsiagw::proxy
