--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -58,7 +58,7 @@
 
     void start();
     void stop() { stopped_ = true; }
-    /// @brief Reads the list of members soon.
+    /// @brief Reads the list of members anew, unless that was done a moment ago.
     void refreshMembers();
     void drawToken(const std::string &service);
     void promote(const std::string &service, const std::string &member, std::uint64_t token);
@@ -79,9 +79,14 @@
     void readManifest();
     void followManifest();
     void takeManifest(const std::vector<adapter::store_row> &rows);
-    void pollMembers();
-    void takeMembers(const std::string &from, std::vector<proxy::listed_member> &&list);
+    void readMembers();
+    void readMembers(const std::string &from,
+                     std::map<std::string, proxy::listed_member> &&list);
+    void followMembers();
+    void takeMembers(const std::vector<adapter::store_row> &rows);
+    void reportMembers();
     void registerSelf();
+    [[nodiscard]] std::string ownRow() const;
     void readInstances();
     void followInstances();
     void takeInstances(const std::vector<adapter::store_row> &rows);
@@ -98,13 +103,13 @@
     int manifestFailures_ = 0;
     int instanceFailures_ = 0;
     int memberFailures_ = 0;
-    bool registered_ = false;
     bool reachable_ = true;
     bool stopped_ = false;
-    bool pollUnderWay_ = false;
     core::time_point lastFailure_{};
-    core::time_point lastPoll_{};
-    std::uint64_t pollNumber_ = 0; ///< a poll that was planned before a newer one does nothing
+    core::time_point lastMemberRead_{};
+    std::uint64_t membersSeen_ = 0;
+    std::uint64_t memberLoop_ = 0; ///< a loop that was started before a newer one ends
+    std::map<std::string, proxy::listed_member> members_;
     std::map<std::string, listed_instance> instances_;
 };
 
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -20,10 +20,13 @@
 constexpr milliseconds callLimit{ 1'500 };
 /// Long polls are answered at once when something changes. Silent connections are noticed by
 /// keep-alive probes, so the wait can be long.
-constexpr milliseconds followWait{ 20'000 };
-constexpr milliseconds followLimit{ 22'000 };
-constexpr milliseconds memberInterval{ 1'000 };
-constexpr milliseconds leastMemberInterval{ 120 };
+constexpr milliseconds followWait{ 28'000 };
+constexpr milliseconds followLimit{ 30'000 };
+/// Changes that come together are read together.
+constexpr milliseconds followPause{ 300 };
+/// Daemons join one after the other when all are started at once.
+constexpr milliseconds joinPause{ 3'000 };
+constexpr milliseconds leastMemberInterval{ 250 };
 constexpr milliseconds firstBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
 /// After the store was away, members need this long until their entries are back.
@@ -52,8 +55,8 @@
 void store_desk::start()
 {
     readManifest();
-    pollMembers();
-    registerSelf();
+    readMembers();
+    readInstances();
 }
 
 void store_desk::call(const net::http_request &request, milliseconds limit, answer_handler done)
@@ -150,63 +153,120 @@
 
 void store_desk::refreshMembers()
 {
-    const core::time_point now = net::currentBootTime();
-    if (pollUnderWay_ || now - lastPoll_ < leastMemberInterval)
-        return;
-    pollMembers();
+    if (net::currentBootTime() - lastMemberRead_ >= leastMemberInterval)
+        readMembers();
 }
 
-void store_desk::pollMembers()
+void store_desk::readMembers()
 {
-    pollUnderWay_ = true;
-    lastPoll_ = net::currentBootTime();
-    ++pollNumber_;
-    takeMembers({}, {});
+    lastMemberRead_ = net::currentBootTime();
+    ++memberLoop_;
+    readMembers({}, {});
 }
 
-void store_desk::takeMembers(const std::string &from, std::vector<proxy::listed_member> &&list)
+void store_desk::readMembers(const std::string &from,
+                             std::map<std::string, proxy::listed_member> &&list)
 {
     call(adapter::readRows(adapter::memberTable(), from), callLimit,
-         [this, list = std::move(list)](int status, const std::string &body) mutable {
+         [this, loop = memberLoop_, list = std::move(list)](int status,
+                                                            const std::string &body) mutable {
+             if (loop != memberLoop_)
+                 return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
-                 pollUnderWay_ = false;
-                 after(backoff(memberFailures_++), [this] { pollMembers(); });
+                 after(backoff(memberFailures_++), [this, loop] {
+                     if (loop == memberLoop_)
+                         readMembers();
+                 });
                  return;
              }
              for (const adapter::store_row &row : rows->rows) {
                  if (const auto entry = adapter::decodeMember(row))
-                     list.push_back({ *entry, row.version });
+                     list[row.key] = { *entry, row.version };
              }
              if (rows->hasMore && !rows->rows.empty()) {
-                 takeMembers(rows->rows.back().key + '!', std::move(list));
+                 readMembers(rows->rows.back().key + '!', std::move(list));
                  return;
              }
              memberFailures_ = 0;
-             pollUnderWay_ = false;
-             events_.members(list, net::currentBootTime() - lastFailure_ > returnTime);
-             after(memberInterval, [this, number = pollNumber_] {
-                 if (number == pollNumber_ && !pollUnderWay_)
-                     pollMembers();
+             membersSeen_ = rows->version;
+             members_ = std::move(list);
+             reportMembers();
+             followMembers();
+         });
+}
+
+void store_desk::followMembers()
+{
+    call(adapter::followRows(adapter::memberTable(), membersSeen_, followWait), followLimit,
+         [this, loop = memberLoop_](int status, const std::string &body) {
+             if (loop != memberLoop_)
+                 return;
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             const auto pause = rows                     ? followPause
+                                : status == statusGone ? milliseconds(0)
+                                                         : backoff(memberFailures_++);
+             if (rows) {
+                 memberFailures_ = 0;
+                 membersSeen_ = std::max(membersSeen_, rows->version);
+                 if (!rows->rows.empty())
+                     takeMembers(rows->rows);
+             }
+             after(pause, [this, loop, read = rows.has_value()] {
+                 if (loop != memberLoop_)
+                     return;
+                 if (read)
+                     followMembers();
+                 else
+                     readMembers();
              });
          });
 }
 
+void store_desk::takeMembers(const std::vector<adapter::store_row> &rows)
+{
+    for (const adapter::store_row &row : rows) {
+        const auto entry = row.deleted ? std::nullopt : adapter::decodeMember(row);
+        if (entry)
+            members_[row.key] = { *entry, row.version };
+        else
+            members_.erase(row.key);
+    }
+    reportMembers();
+}
+
+void store_desk::reportMembers()
+{
+    std::vector<proxy::listed_member> list;
+    for (const auto &[id, each] : members_)
+        list.push_back(each);
+    const core::duration sinceFailure = net::currentBootTime() - lastFailure_;
+    const bool complete = sinceFailure > returnTime;
+    events_.members(list, complete);
+    if (complete)
+        return;
+    // What is missing counts as gone only once members had time to come back.
+    after(returnTime, [this, loop = memberLoop_] {
+        if (loop == memberLoop_)
+            reportMembers();
+    });
+}
+
 void store_desk::registerSelf()
 {
-    const nlohmann::json value = { { "address", values_.address }, { "zone", values_.zone } };
-    call(adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, value.dump() } }),
+    call(adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, ownRow() } }),
          callLimit, [this](int status, const std::string &) {
-             if (status != statusOk) {
+             if (status != statusOk)
                  after(backoff(instanceFailures_++), [this] { registerSelf(); });
-                 return;
-             }
-             instanceFailures_ = 0;
-             if (!std::exchange(registered_, true))
-                 readInstances();
          });
 }
 
+std::string store_desk::ownRow() const
+{
+    const nlohmann::json value = { { "address", values_.address }, { "zone", values_.zone } };
+    return value.dump();
+}
+
 void store_desk::readInstances()
 {
     call(adapter::readRows(instanceTable, {}), callLimit,
@@ -220,7 +280,7 @@
              instancesSeen_ = rows->version;
              instances_.clear();
              takeInstances(rows->rows);
-             followInstances();
+             after(joinPause, [this] { followInstances(); });
          });
 }
 
@@ -234,7 +294,7 @@
                  instancesSeen_ = std::max(instancesSeen_, rows->version);
                  if (!rows->rows.empty())
                      takeInstances(rows->rows);
-                 followInstances();
+                 after(joinPause, [this] { followInstances(); });
                  return;
              }
              after(status == statusGone ? milliseconds(0) : backoff(instanceFailures_++),
@@ -257,7 +317,9 @@
     for (const auto &[node, each] : instances_)
         list.push_back(each);
     events_.instances(list);
-    if (!instances_.contains(values_.instance))
+    // A process that starts again finds its row, and the others need not hear of it.
+    const auto own = instances_.find(values_.instance);
+    if (own == instances_.end() || own->second.address != values_.address)
         registerSelf();
 }
 
