Bound the connections that a daemon opens to a member at a time; wait before a missing member counts as gone

Cause: each waiting statement opened a connection of its own, and each refusal for their number was followed by the same again 20 ms later. The members' feed was pending when the store went away, so the outage was not noticed and all lapsed members were dropped at its end. Ruled out: statements that hang in the engine (traced, none older than its timeout), lost accepts. Also: the order's timer stayed in the past while a promotion was ordered, so the process ran without pause.

--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -32,8 +32,7 @@
 struct store_events
 {
     std::function<void(std::shared_ptr<const proxy::manifest>)> manifest;
-    /// @param complete false: members may be missing that only could not report for a while
-    std::function<void(const std::vector<proxy::listed_member> &, bool complete)> members;
+    std::function<void(const std::vector<proxy::listed_member> &)> members;
     std::function<void(const std::vector<listed_instance> &)> instances;
     std::function<void(const std::string &service, std::uint64_t token)> token;
     std::function<void(const std::string &service, proxy::promote_outcome)> promoted;
@@ -105,7 +104,6 @@
     int memberFailures_ = 0;
     bool reachable_ = true;
     bool stopped_ = false;
-    core::time_point lastFailure_{};
     core::time_point lastMemberRead_{};
     std::uint64_t membersSeen_ = 0;
     std::uint64_t memberLoop_ = 0; ///< a loop that was started before a newer one ends
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -14,6 +14,8 @@
 
 /// A member that is gone is remembered this long: its log may hold the only second copy of a commit.
 inline constexpr std::chrono::seconds goneMemory{ 60 };
+/// After the platform's store was away, the entries of living members are back within two seconds.
+inline constexpr std::chrono::milliseconds returnTime{ 2'600 };
 /// A member's own report of its role may be this much behind what it proved in an answer.
 inline constexpr std::chrono::milliseconds claimDelay{ 2'500 };
 
@@ -38,6 +40,9 @@
     return found == state.links.end() ? nullptr : &found->second;
 }
 
+/// @brief Takes members out whose entries were missing for too long.
+void forgetMissing(engine &state, core::time_point now);
+
 /// @brief Whether a member may get a statement that is not part of a running transaction.
 [[nodiscard]] bool takesNewWork(const member_state &member, core::time_point now);
 
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -101,9 +101,7 @@
     std::uint64_t version = 0; ///< of the store's row
 };
 /// @brief The list of members was read.
-/// @param complete false: members that are missing may only have been unable to report
-void onDirectory(engine &state, const std::vector<listed_member> &list, bool complete,
-                 core::time_point now);
+void onDirectory(engine &state, const std::vector<listed_member> &list, core::time_point now);
 
 /// @brief The daemons that take part were read, this one included.
 void onInstances(engine &state, const std::vector<peer_state> &list, core::time_point now);
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -19,6 +19,7 @@
     std::uint64_t roleVersion = 0; ///< version of the store's row in which its role last changed
     bool listed = true; ///< false: its entry is gone; it gets no new work
     core::time_point goneAt{}; ///< while not listed
+    core::time_point missingSince = core::noDeadline; ///< its entry is missing, but may come back
     std::set<link_id> links;
     std::uint32_t outstanding = 0;
     double answerUs = 0; ///< smoothed time to an answer
@@ -26,6 +27,7 @@
     core::time_point avoidUntil{}; ///< after failed connections
     core::time_point laggingUntil{}; ///< its log lacked a position a moment ago
     core::time_point limitUntil{}; ///< it refused a connection for their number
+    int limitRefusals = 0; ///< in a row, with limitUntil
     core::time_point busyUntil{}; ///< it refused a statement for its queue
     core::time_point silentSince = core::noDeadline; ///< first sign that it does not answer
     core::time_point nextProbe{}; ///< while it is silent
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -76,8 +76,8 @@
                   proxy::onManifest(engine_, std::move(next), net::currentBootTime());
                   perform();
               },
-               [this](const std::vector<proxy::listed_member> &list, bool complete) {
-                   proxy::onDirectory(engine_, list, complete, net::currentBootTime());
+               [this](const std::vector<proxy::listed_member> &list) {
+                   proxy::onDirectory(engine_, list, net::currentBootTime());
                    perform();
                },
                [this](const std::vector<listed_instance> &list) { onInstances(list); },
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -29,8 +29,6 @@
 constexpr milliseconds leastMemberInterval{ 250 };
 constexpr milliseconds firstBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
-/// After the store was away, members need this long until their entries are back.
-constexpr milliseconds returnTime{ 2'600 };
 /// A daemon that drew a token acts alone for this time.
 constexpr std::int64_t promotionLeaseMs = 3'000;
 constexpr const char *instanceTable = "instances";
@@ -77,10 +75,8 @@
 
 void store_desk::noteOutcome(bool reached)
 {
-    if (!reached) {
+    if (!reached)
         ++counters_.failures;
-        lastFailure_ = net::currentBootTime();
-    }
     if (reached == reachable_)
         return;
     reachable_ = reached;
@@ -240,16 +236,7 @@
     std::vector<proxy::listed_member> list;
     for (const auto &[id, each] : members_)
         list.push_back(each);
-    const core::duration sinceFailure = net::currentBootTime() - lastFailure_;
-    const bool complete = sinceFailure > returnTime;
-    events_.members(list, complete);
-    if (complete)
-        return;
-    // What is missing counts as gone only once members had time to come back.
-    after(returnTime, [this, loop = memberLoop_] {
-        if (loop == memberLoop_)
-            reportMembers();
-    });
+    events_.members(list);
 }
 
 void store_desk::registerSelf()
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds laggingPause{ 120 };
 constexpr milliseconds busyPause{ 15 };
 constexpr milliseconds limitPause{ 20 };
+constexpr int maxLimitDoublings = 4;
 constexpr milliseconds failurePause{ 100 }; // doubled with each failure in a row
 constexpr int maxFailureDoublings = 4;
 
@@ -250,6 +251,7 @@
     if (answer.code == reply_code::Success) {
         if (member != nullptr) {
             smooth(member->connectUs, now - link.openedAt);
+            member->limitRefusals = 0;
             noteAlive(*member, now);
         }
         return;
@@ -259,7 +261,8 @@
         return;
     if (answer.code == reply_code::ConnectionLimit) {
         noteAlive(*member, now);
-        member->limitUntil = now + spread(state, limitPause);
+        const int doublings = std::min(member->limitRefusals++, maxLimitDoublings);
+        member->limitUntil = now + spread(state, limitPause * (1 << doublings));
         return;
     }
     state.out.emplace_back(refresh_directory{});
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -60,6 +60,7 @@
         state.services[member.entry.service].members.erase(from.entry.id);
     member.entry = from.entry;
     member.listed = true;
+    member.missingSince = core::noDeadline;
     if (roleChanged)
         member.roleVersion = from.version;
     if (reborn || moved)
@@ -73,19 +74,30 @@
     }
 }
 
-void dropMissing(engine &state, const std::set<std::string> &present, core::time_point now)
+/// An entry may be missing only because its member could not report for a while.
+void markMissing(engine &state, const std::set<std::string> &present, core::time_point now)
+{
+    for (auto &[id, member] : state.members) {
+        if (!present.contains(id) && member.listed)
+            member.missingSince = std::min(member.missingSince, now);
+    }
+}
+
+} // namespace
+
+void forgetMissing(engine &state, core::time_point now)
 {
     std::vector<std::string> gone;
     for (auto &[id, member] : state.members) {
-        if (present.contains(id))
-            continue;
-        if (member.listed) {
+        if (member.listed && member.missingSince != core::noDeadline
+            && now - member.missingSince >= returnTime) {
             member.listed = false;
-            member.goneAt = now;
+            member.goneAt = member.missingSince;
             noteMember(state, note_kind::MemberGone, member, "not_listed");
             closeIdleLinks(state, member, now);
+            adoptClaimedLeader(state, state.services.at(member.entry.service), now);
         }
-        if (member.links.empty() && now - member.goneAt > goneMemory)
+        if (!member.listed && member.links.empty() && now - member.goneAt > goneMemory)
             gone.push_back(id);
     }
     for (const std::string &id : gone) {
@@ -94,6 +106,8 @@
     }
 }
 
+namespace {
+
 void noteLeader(engine &state, note_kind kind, const service_state &service,
                 const std::string &member, std::string_view reason)
 {
@@ -139,8 +153,7 @@
         serviceFor(state, name);
 }
 
-void onDirectory(engine &state, const std::vector<listed_member> &list, bool complete,
-                 core::time_point now)
+void onDirectory(engine &state, const std::vector<listed_member> &list, core::time_point now)
 {
     state.directoryKnown = true;
     std::set<std::string> present;
@@ -148,8 +161,7 @@
         present.insert(each.entry.id);
         takeEntry(state, each, now);
     }
-    if (complete)
-        dropMissing(state, present, now);
+    markMissing(state, present, now);
     for (auto &[name, service] : state.services) {
         adoptClaimedLeader(state, service, now);
         if (!service.queue.empty())
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -16,6 +16,12 @@
 /// Idle links beyond those that this daemon may keep are closed after this time.
 constexpr milliseconds extraIdleLimit{ 60 };
 constexpr milliseconds keptIdleLimit{ 20'000 };
+/// A new connection occupies a slot of the member. Opened for every waiting statement at once, they
+/// would take the slots that the statements need.
+constexpr std::size_t maxConnecting = 2;
+/// A daemon may use this many times an equal part of a member's connections while others use less.
+constexpr std::uint32_t unevenUse = 3;
+constexpr std::uint32_t leastLinks = 3;
 /// Of a member's connections, the part that the daemons together keep open while idle.
 constexpr double keptShare = 0.75;
 
@@ -140,6 +146,30 @@
     return best;
 }
 
+std::size_t connectingLinks(const engine &state, const member_state &member)
+{
+    return static_cast<std::size_t>(
+            std::count_if(member.links.begin(), member.links.end(), [&](link_id id) {
+                const upstream_link &link = state.links.at(id);
+                return link.state == link_state::Connecting && !link.control;
+            }));
+}
+
+std::uint32_t connectionLimit(const engine &state, const member_state &member)
+{
+    if (!state.config)
+        return 1;
+    const auto found = state.config->services.find(member.entry.service);
+    return found == state.config->services.end() ? 1 : found->second.maxConnections;
+}
+
+/// The connections that this daemon may have to one member at a time.
+std::uint32_t mostLinks(const engine &state, const member_state &member)
+{
+    const std::uint32_t part = connectionLimit(state, member) / std::max(1U, state.instances);
+    return std::max(leastLinks, part * unevenUse);
+}
+
 /// Closes the longest idle link of another workspace, to make room for a new one.
 void makeRoom(engine &state, const member_state &member, core::time_point now)
 {
@@ -158,12 +188,7 @@
 
 std::uint32_t keptLinks(const engine &state, const member_state &member)
 {
-    if (!state.config)
-        return 1;
-    const auto found = state.config->services.find(member.entry.service);
-    const std::uint32_t limit =
-            found == state.config->services.end() ? 1 : found->second.maxConnections;
-    const double share = limit * keptShare / std::max<std::uint32_t>(1, state.instances);
+    const double share = connectionLimit(state, member) * keptShare / std::max<std::uint32_t>(1, state.instances);
     return static_cast<std::uint32_t>(share);
 }
 
@@ -177,10 +202,12 @@
     const upstream_link *begun = findLink(state, opening);
     const bool waits = begun != nullptr && begun->state == link_state::Connecting
                        && begun->member == member.entry.id;
-    if (waits || member.limitUntil > now)
+    if (waits || member.limitUntil > now || connectingLinks(state, member) >= maxConnecting)
         return nullptr;
     if (member.links.size() >= std::max<std::uint32_t>(1, keptLinks(state, member)))
         makeRoom(state, member, now);
+    if (member.links.size() >= mostLinks(state, member))
+        return nullptr;
     opening = openLink(state, member, who.workspace, now);
     return nullptr;
 }
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -253,6 +253,7 @@
     run.chosen = choice.member;
     run.ordered = true;
     ++state.counters.promotionsOrdered;
+    run.nextProbe = core::noDeadline;
     enter(run, promotion_phase::Ordering, now + orderTime);
     notePromotion(state, note_kind::PromotionStep, service, "ordered", now);
     state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
@@ -334,6 +335,7 @@
         return;
     case promotion_phase::Settling:
         if (now >= run.phaseUntil) {
+            run.nextProbe = core::noDeadline;
             enter(run, promotion_phase::Ordering, now + orderTime);
             state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
             return;
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -169,6 +169,7 @@
         state.nextMaintenance = now + maintenanceInterval;
         checkLinks(state, now);
         trimLinks(state, now);
+        forgetMissing(state, now);
         followSilence(state, now);
     }
     if (state.stopping)
