--- /dev/null
+++ b/tests/proxy-fixture.hpp
@@ -0,0 +1,232 @@
+/// @file
+/// @brief A session engine with one database group, driven by hand and without any network.
+
+#pragma once
+
+#include <fuchsiagw/proxy/engine.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+using std::chrono::milliseconds;
+
+/// Times count from an arbitrary start, as the clock of the daemon does.
+struct proxy_fixture
+{
+    engine state;
+    core::time_point now{ std::chrono::hours(1) };
+    std::vector<action> seen; ///< all actions that were taken out so far
+    session_id nextSession = 0;
+    int nextStatement = 0;
+
+    static constexpr const char *service = "books";
+    static constexpr const char *primary = "m1";
+
+    proxy_fixture()
+    {
+        state.settings.node = "node-1";
+        state.settings.zone = "north";
+        state.settings.maxSessions = 1000;
+        state.settings.gracePeriod = std::chrono::seconds(6);
+        state.random.seed(1);
+        applyManifest(makeManifest(1));
+        list({ member("m1", true), member("m2", false), member("m3", false) });
+        take();
+    }
+
+    static manifest makeManifest(std::uint64_t version)
+    {
+        manifest result;
+        result.version = version;
+        const auto add = [&](const char *database, consistency kind) {
+            route each;
+            each.database = database;
+            each.service = service;
+            each.kind = kind;
+            each.statementTimeout = milliseconds(800);
+            each.latencyObjective = milliseconds(200);
+            each.maxStaleness = milliseconds(1500);
+            result.routes.emplace(database, each);
+        };
+        add("current", consistency::Primary);
+        add("bounded", consistency::BoundedStaleness);
+        add("own", consistency::ReadYourWrites);
+        service_entry entry;
+        entry.name = service;
+        entry.maxConnections = 16;
+        entry.synchronousReplicas = 1;
+        result.services.emplace(entry.name, entry);
+        workspace_entry workspace;
+        workspace.name = "house";
+        result.workspaces.push_back(workspace);
+        result.workspaceByKey.emplace("key", 0);
+        result.transactionIdleLimit = milliseconds(3000);
+        return result;
+    }
+
+    static upstream_entry member(const std::string &id, bool leads)
+    {
+        upstream_entry entry;
+        entry.id = id;
+        entry.service = service;
+        entry.address = "127.0.0.1:1";
+        entry.zone = "north";
+        entry.slots = 2;
+        entry.claimsPrimary = leads;
+        entry.bornAtMs = 1;
+        return entry;
+    }
+
+    void applyManifest(const manifest &next)
+    {
+        onManifest(state, std::make_shared<const manifest>(next), now);
+    }
+
+    void list(const std::vector<upstream_entry> &entries)
+    {
+        std::vector<listed_member> members;
+        std::uint64_t version = 100;
+        for (const upstream_entry &each : entries)
+            members.push_back({ each, ++version });
+        onDirectory(state, members, now);
+    }
+
+    /// Takes the engine's actions out, and returns those of this call.
+    std::vector<action> take()
+    {
+        std::vector<action> fresh;
+        fresh.swap(state.out);
+        seen.insert(seen.end(), fresh.begin(), fresh.end());
+        return fresh;
+    }
+
+    template <typename type>
+    static std::vector<type> pick(const std::vector<action> &from)
+    {
+        std::vector<type> result;
+        for (const action &each : from) {
+            if (const auto *match = std::get_if<type>(&each))
+                result.push_back(*match);
+        }
+        return result;
+    }
+
+    void pass(core::duration lapse)
+    {
+        const core::time_point end = now + lapse;
+        while (now < end) {
+            now = std::min(end, now + milliseconds(10));
+            onTime(state, now);
+        }
+    }
+
+    session_id open(const std::string &database, const std::string &key = "key")
+    {
+        const session_id id = ++nextSession;
+        onSessionOpened(state, id, database, key, now);
+        return id;
+    }
+
+    void ask(session_id id, statement_kind kind, const std::string &text,
+             const std::string &name = {}, const std::string &argument = {})
+    {
+        caller_statement statement;
+        statement.id = "s" + std::to_string(++nextStatement);
+        statement.kind = kind;
+        statement.text = text;
+        statement.name = name;
+        statement.argument = argument;
+        onCallerStatement(state, id, statement, now);
+    }
+    void read(session_id id) { ask(id, statement_kind::Read, "READ a", "a"); }
+    void write(session_id id) { ask(id, statement_kind::Write, "WRITE a x", "a", "x"); }
+
+    static reply success(core::log_position position,
+                         transaction_state after = transaction_state::Idle)
+    {
+        reply answer;
+        answer.digest = "digest";
+        answer.position = position;
+        answer.state = after;
+        return answer;
+    }
+    static reply failure(reply_code code, transaction_state after = transaction_state::Idle)
+    {
+        reply answer;
+        answer.code = code;
+        answer.state = after;
+        return answer;
+    }
+
+    void answer(link_id link, reply what) { onMemberAnswer(state, link, std::move(what), now); }
+
+    /// Accepts every connection that is being opened.
+    void acceptLinks()
+    {
+        for (bool again = true; again;) {
+            again = false;
+            for (const auto &[id, link] : state.links) {
+                if (link.state != link_state::Connecting)
+                    continue;
+                answer(id, reply{});
+                again = true;
+                break;
+            }
+        }
+    }
+
+    /// The only link that owes an answer to a caller's statement or a begin.
+    link_id busyLink() const
+    {
+        for (const auto &[id, link] : state.links) {
+            if (link.state == link_state::Busy)
+                return id;
+        }
+        return 0;
+    }
+
+    std::string memberOf(link_id id) const
+    {
+        const auto found = state.links.find(id);
+        return found == state.links.end() ? std::string() : found->second.member;
+    }
+
+    /// Lets the primary prove its position with a wrapped read.
+    void provePrimary(core::log_position position)
+    {
+        const session_id id = open("current");
+        read(id);
+        acceptLinks();
+        const link_id link = busyLink();
+        answer(link, success(position, transaction_state::Open));
+        answer(link, success(position, transaction_state::Open));
+        answer(link, success(position));
+        onCallerGone(state, id, now);
+        take();
+    }
+
+    /// The answers that a session got in these actions.
+    static std::vector<reply> answersTo(session_id id, const std::vector<action> &from)
+    {
+        std::vector<reply> result;
+        for (const auto &each : pick<send_to_caller>(from)) {
+            if (each.session == id && !each.opens)
+                result.push_back(each.answer);
+        }
+        return result;
+    }
+
+    static std::vector<upstream_command> commandsOf(const std::vector<action> &from)
+    {
+        std::vector<upstream_command> result;
+        for (const auto &each : pick<send_to_member>(from))
+            result.insert(result.end(), each.commands.begin(), each.commands.end());
+        return result;
+    }
+};
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/tests/unit-quota.cpp
@@ -0,0 +1,143 @@
+/// @file
+/// @brief Tests of the workspace limits that daemons share as tokens.
+
+#include <fuchsiagw/proxy/quota.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <random>
+
+using namespace fuchsiagw::proxy;
+using namespace fuchsiagw;
+using std::chrono::milliseconds;
+
+namespace {
+
+core::time_point at(int millis)
+{
+    return core::time_point(std::chrono::hours(1) + milliseconds(millis));
+}
+
+manifest limitedTo(double rate, double burst)
+{
+    manifest result;
+    result.version = 1;
+    workspace_entry entry;
+    entry.name = "house";
+    entry.ratePerSecond = rate;
+    entry.burst = burst;
+    result.workspaces.push_back(entry);
+    return result;
+}
+
+/// Daemons of several zones that pass tokens to each other without delay.
+struct quota_world
+{
+    std::vector<quota_node> nodes;
+    std::map<std::string, quota_table> tables;
+
+    quota_world(int zones, int nodesPerZone, double rate, double burst)
+    {
+        for (int zone = 0; zone < zones; ++zone) {
+            for (int i = 0; i < nodesPerZone; ++i)
+                nodes.push_back({ "n" + std::to_string(zone) + "-" + std::to_string(i),
+                                  "z" + std::to_string(zone) });
+        }
+        for (const quota_node &each : nodes)
+            reshape(tables[each.node], limitedTo(rate, burst), nodes, each, at(0));
+    }
+
+    workspace_quota &quotaOf(const std::string &node)
+    {
+        return tables.at(node).workspaces.at("house");
+    }
+
+    /// One operation at a daemon, with loans within the zone and between zones.
+    bool operate(const std::string &node, core::time_point now, bool zonesConnected = true)
+    {
+        workspace_quota &own = quotaOf(node);
+        countDemand(own, 1, now);
+        if (admit(own, now))
+            return true;
+        workspace_quota &home = quotaOf(own.homes.front());
+        if (zonesConnected) {
+            for (const std::string &other : home.otherHomes) {
+                if (const auto amount = wanted(home, now))
+                    receive(home, lend(quotaOf(other), *amount, now), now);
+            }
+        }
+        if (&home != &own) {
+            if (const auto amount = wanted(own, now))
+                receive(own, hand(home, *amount, now), now);
+        }
+        return admit(own, now);
+    }
+};
+
+} // namespace
+
+TEST_GROUP(quota){};
+
+// Guards against a limit that is exceeded when many daemons use it at once: a workspace sends many
+// times its rate at all daemons.
+TEST(quota, allDaemonsTogetherStayInsideTheLimit)
+{
+    constexpr double rate = 100;
+    constexpr double burst = 50;
+    quota_world world(4, 5, rate, burst);
+    std::mt19937 random(7);
+    int admitted = 0;
+    constexpr int millis = 10'000;
+    for (int time = 0; time < millis; ++time) {
+        const auto &node = world.nodes[random() % world.nodes.size()].node;
+        admitted += world.operate(node, at(time)) ? 1 : 0;
+    }
+    CHECK_TRUE(admitted <= rate * millis / 1000 + burst);
+    CHECK_TRUE(admitted >= 0.9 * rate * millis / 1000);
+}
+
+// Guards against refusals inside the rate when many daemons each see a small part of it: 80 daemons
+// and a workspace of 20 operations/s that sends 16.
+TEST(quota, smallWorkspaceOverManyDaemonsIsServed)
+{
+    quota_world world(4, 20, 20, 20);
+    std::mt19937 random(3);
+    int asked = 0;
+    int admitted = 0;
+    for (int time = 2000; time < 22'000; time += 62) {
+        ++asked;
+        admitted += world.operate(world.nodes[random() % world.nodes.size()].node, at(time)) ? 1 : 0;
+    }
+    CHECK_TRUE(admitted >= 0.97 * asked);
+}
+
+// Guards against a zone that stops to serve when it is cut off: its part of the limit stays.
+TEST(quota, cutOffZoneKeepsItsPart)
+{
+    quota_world world(4, 3, 100, 100);
+    int admitted = 0;
+    for (int time = 1000; time < 6000; time += 5)
+        admitted += world.operate("n0-1", at(time), false) ? 1 : 0;
+    CHECK_TRUE(admitted >= 100);
+    CHECK_TRUE(admitted <= 25 * 6 + 25);
+}
+
+// Guards against a bucket that is full after a restart, whose predecessor may have used it.
+TEST(quota, newBucketStartsEmpty)
+{
+    quota_world world(1, 1, 10, 100);
+    CHECK_FALSE(admit(world.quotaOf("n0-0"), at(0)));
+    CHECK_TRUE(admit(world.quotaOf("n0-0"), at(101)));
+}
+
+// Guards against a lowered limit that keeps the tokens of the old one.
+TEST(quota, loweredLimitTakesTokensAway)
+{
+    quota_world world(1, 1, 100, 100);
+    CHECK_TRUE(admit(world.quotaOf("n0-0"), at(1000)));
+    reshape(world.tables.at("n0-0"), limitedTo(1, 2), world.nodes, world.nodes.front(), at(1000));
+    CHECK_TRUE(admit(world.quotaOf("n0-0"), at(1000)));
+    CHECK_TRUE(admit(world.quotaOf("n0-0"), at(1000)));
+    CHECK_FALSE(admit(world.quotaOf("n0-0"), at(1000)));
+}
--- /dev/null
+++ b/tests/unit-session-engine.cpp
@@ -0,0 +1,337 @@
+/// @file
+/// @brief Tests of the session engine: placement, transactions, lost answers, refusals.
+
+#include "proxy-fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw::proxy;
+using fuchsiagw::core::log_position;
+
+namespace {
+
+int asInt(reply_code code)
+{
+    return static_cast<int>(code);
+}
+
+int asInt(transaction_state value)
+{
+    return static_cast<int>(value);
+}
+
+} // namespace
+
+TEST_GROUP(session_engine)
+{
+    proxy_fixture world;
+};
+
+// Guards against a read on a current route from a member that has lost the lead: a plain read
+// succeeds there, a read inside a plain transaction does not.
+TEST(session_engine, currentReadRunsInsideATransactionAtThePrimary)
+{
+    const session_id id = world.open("current");
+    world.read(id);
+    world.acceptLinks();
+    const auto sent = proxy_fixture::commandsOf(world.take());
+    CHECK_EQUAL(4U, sent.size());
+    CHECK(sent[1].kind == command_kind::Begin);
+    CHECK(sent[2].kind == command_kind::Forward);
+    CHECK(sent[3].kind == command_kind::Rollback);
+    STRCMP_EQUAL("m1", world.memberOf(world.busyLink()).c_str());
+}
+
+// Guards against delivering the rows of such a read when the begin was refused.
+TEST(session_engine, readBehindARefusedBeginIsNotDelivered)
+{
+    const session_id id = world.open("current");
+    world.read(id);
+    world.acceptLinks();
+    world.take();
+    const link_id link = world.busyLink();
+    world.answer(link, proxy_fixture::failure(reply_code::ReadOnly));
+    world.answer(link, proxy_fixture::success({ 1, 5 }));
+    CHECK(proxy_fixture::answersTo(id, world.take()).empty());
+}
+
+// Guards against a stale read: a replica must hold the primary's position from inside the bound.
+TEST(session_engine, boundedReadDemandsAPositionInsideTheBound)
+{
+    world.provePrimary({ 1, 7 });
+    const session_id id = world.open("bounded");
+    world.read(id);
+    world.acceptLinks();
+    const auto sent = proxy_fixture::commandsOf(world.take());
+    CHECK(sent.back().after.has_value());
+    CHECK(*sent.back().after == (log_position{ 1, 7 }));
+}
+
+// Guards against a position that is older than the bound allows.
+TEST(session_engine, boundedReadGoesToThePrimaryWithoutAFreshPosition)
+{
+    world.provePrimary({ 1, 7 });
+    world.pass(milliseconds(1500));
+    world.take();
+    const session_id id = world.open("bounded");
+    world.read(id);
+    world.acceptLinks();
+    STRCMP_EQUAL("m1", world.memberOf(world.busyLink()).c_str());
+    CHECK_FALSE(proxy_fixture::commandsOf(world.take()).back().after.has_value());
+}
+
+// Guards against a session that does not see its own write on a replica.
+TEST(session_engine, ownWriteIsDemandedFromReplicas)
+{
+    const session_id id = world.open("own");
+    world.write(id);
+    world.acceptLinks();
+    world.answer(world.busyLink(), proxy_fixture::success({ 1, 9 }));
+    world.take();
+    world.read(id);
+    world.acceptLinks();
+    const auto sent = proxy_fixture::commandsOf(world.take());
+    CHECK(sent.back().after && *sent.back().after >= (log_position{ 1, 9 }));
+}
+
+// Guards against TERM.0 as the position of a primary that has just been promoted: numbers go on
+// over terms, so a replica that lagged accepted the demand and served a stale read.
+TEST(session_engine, positionKeepsItsOwnTermAfterAPromotion)
+{
+    world.provePrimary({ 1, 159 });
+    service_state &service = world.state.services.at(proxy_fixture::service);
+    peer_message news;
+    news.kind = peer_message_kind::LeaderNews;
+    news.from = "node-2";
+    leader_report report;
+    report.service = proxy_fixture::service;
+    report.member = "m2";
+    report.term = 2;
+    news.leaders.push_back(report);
+    onPeerMessage(world.state, news, world.now);
+    STRCMP_EQUAL("m2", service.leader.c_str());
+    CHECK(service.positions.samples.empty());
+    world.provePrimary({ 1, 159 });
+    CHECK(newestOf(service.positions)->position == (log_position{ 1, 159 }));
+    LONGS_EQUAL(2, service.term);
+}
+
+// Guards against a statement of a transaction that runs outside of it because the begin was
+// refused: the statement is sent only after the member has begun.
+TEST(session_engine, firstStatementOfATransactionWaitsForItsBegin)
+{
+    const session_id id = world.open("current");
+    world.ask(id, statement_kind::Begin, "BEGIN");
+    world.read(id);
+    world.acceptLinks();
+    auto sent = proxy_fixture::commandsOf(world.take());
+    CHECK(sent.back().kind == command_kind::Begin);
+    world.answer(world.busyLink(), proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    sent = proxy_fixture::commandsOf(world.take());
+    CHECK_EQUAL(1U, sent.size());
+    CHECK(sent.back().kind == command_kind::Forward);
+}
+
+// Guards against a second run of a write whose answer was lost.
+TEST(session_engine, lostAnswerToAWriteIsUncertainAndNotRepeated)
+{
+    const session_id id = world.open("own");
+    world.write(id);
+    world.acceptLinks();
+    world.take();
+    onLinkClosed(world.state, world.busyLink(), world.now);
+    const auto actions = world.take();
+    const auto answers = proxy_fixture::answersTo(id, actions);
+    CHECK_EQUAL(1U, answers.size());
+    LONGS_EQUAL(asInt(reply_code::OutcomeUnknown), asInt(answers[0].code));
+    CHECK(proxy_fixture::commandsOf(actions).empty());
+}
+
+// Guards against a promise that nothing is kept after a commit was sent.
+TEST(session_engine, lostAnswerToACommitIsUncertain)
+{
+    const session_id id = world.open("current");
+    world.ask(id, statement_kind::Begin, "BEGIN");
+    world.write(id);
+    world.acceptLinks();
+    const link_id link = world.busyLink();
+    world.answer(link, proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    world.answer(link, proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    world.ask(id, statement_kind::Commit, "COMMIT");
+    world.take();
+    onLinkClosed(world.state, link, world.now);
+    const auto answers = proxy_fixture::answersTo(id, world.take());
+    CHECK_EQUAL(1U, answers.size());
+    LONGS_EQUAL(asInt(reply_code::OutcomeUnknown), asInt(answers[0].code));
+    LONGS_EQUAL(asInt(transaction_state::Idle), asInt(answers[0].state));
+}
+
+// Guards against a transaction that goes on after its connection ended.
+TEST(session_engine, lostConnectionAbortsTheTransaction)
+{
+    const session_id id = world.open("current");
+    world.ask(id, statement_kind::Begin, "BEGIN");
+    world.write(id);
+    world.acceptLinks();
+    const link_id link = world.busyLink();
+    world.answer(link, proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    world.answer(link, proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    onLinkClosed(world.state, link, world.now);
+    world.take();
+    world.read(id);
+    auto answers = proxy_fixture::answersTo(id, world.take());
+    LONGS_EQUAL(asInt(reply_code::Aborted), asInt(answers.at(0).code));
+    LONGS_EQUAL(asInt(transaction_state::Failed), asInt(answers.at(0).state));
+    world.read(id);
+    LONGS_EQUAL(asInt(reply_code::Malformed),
+                asInt(proxy_fixture::answersTo(id, world.take()).at(0).code));
+    world.ask(id, statement_kind::Rollback, "ROLLBACK");
+    answers = proxy_fixture::answersTo(id, world.take());
+    LONGS_EQUAL(asInt(reply_code::Success), asInt(answers.at(0).code));
+    LONGS_EQUAL(asInt(transaction_state::Idle), asInt(answers.at(0).state));
+}
+
+// Guards against values of one session that another one sees on a reused connection.
+TEST(session_engine, reusedConnectionGetsTheValuesOfItsSession)
+{
+    const session_id first = world.open("current");
+    world.ask(first, statement_kind::SetValue, "SET a 1", "a", "1");
+    world.read(first);
+    world.acceptLinks();
+    const link_id link = world.busyLink();
+    world.answer(link, proxy_fixture::success({ 1, 1 })); // the value
+    world.answer(link, proxy_fixture::success({ 1, 1 }, transaction_state::Open));
+    world.answer(link, proxy_fixture::success({ 1, 1 }, transaction_state::Open));
+    world.answer(link, proxy_fixture::success({ 1, 1 }));
+    world.take();
+    const session_id second = world.open("current");
+    world.read(second);
+    const auto sent = proxy_fixture::commandsOf(world.take());
+    CHECK(sent.at(0).kind == command_kind::Discard);
+}
+
+// Guards against an answer to an earlier request that is given to a later one.
+TEST(session_engine, lateAnswerIsDropped)
+{
+    const session_id id = world.open("own");
+    world.write(id);
+    world.acceptLinks();
+    const link_id link = world.busyLink();
+    world.take();
+    world.pass(milliseconds(810));
+    auto answers = proxy_fixture::answersTo(id, world.take());
+    CHECK_EQUAL(1U, answers.size());
+    LONGS_EQUAL(asInt(reply_code::TimedOut), asInt(answers[0].code));
+    world.answer(link, proxy_fixture::success({ 1, 9 }));
+    CHECK(proxy_fixture::answersTo(id, world.take()).empty());
+}
+
+// Guards against a key that goes on working on an open session after it was withdrawn.
+TEST(session_engine, withdrawnKeyEndsOpenSessions)
+{
+    const session_id id = world.open("current");
+    manifest next = proxy_fixture::makeManifest(2);
+    next.workspaceByKey.clear();
+    world.applyManifest(next);
+    world.take();
+    world.read(id);
+    const auto actions = world.take();
+    LONGS_EQUAL(asInt(reply_code::Unauthorized),
+                asInt(proxy_fixture::answersTo(id, actions).at(0).code));
+    CHECK_EQUAL(1U, proxy_fixture::pick<close_caller>(actions).size());
+}
+
+// Guards against a manifest that goes back to an older version.
+TEST(session_engine, olderManifestIsIgnored)
+{
+    world.applyManifest(proxy_fixture::makeManifest(5));
+    manifest old = proxy_fixture::makeManifest(4);
+    old.routes.clear();
+    world.applyManifest(old);
+    LONGS_EQUAL(5, world.state.config->version);
+    CHECK_FALSE(world.state.config->routes.empty());
+}
+
+// Guards against new work for a member that has reported that it leaves.
+TEST(session_engine, drainingMemberGetsNoNewWork)
+{
+    world.provePrimary({ 1, 7 });
+    auto leaving = proxy_fixture::member("m2", false);
+    leaving.draining = true;
+    auto other = proxy_fixture::member("m3", false);
+    other.draining = true;
+    world.list({ proxy_fixture::member("m1", true), leaving, other });
+    for (int i = 0; i < 10; ++i) {
+        const session_id id = world.open("bounded");
+        world.read(id);
+    }
+    for (const auto &[id, link] : world.state.links)
+        STRCMP_EQUAL("m1", link.member.c_str());
+}
+
+// Guards against dropping every member when their entries lapsed while the store was away.
+TEST(session_engine, missingMemberIsKeptUntilItHadTimeToReturn)
+{
+    world.list({ proxy_fixture::member("m1", true) });
+    world.pass(milliseconds(2000));
+    CHECK_TRUE(world.state.members.at("m2").listed);
+    world.pass(milliseconds(1000));
+    CHECK_FALSE(world.state.members.at("m2").listed);
+    CHECK_TRUE(world.state.members.at("m1").listed);
+}
+
+// Guards against a storm of handshakes: when many statements wait at once, only a few connections
+// are opened to one member, since each of them occupies a slot there.
+TEST(session_engine, burstOfStatementsOpensFewConnections)
+{
+    for (int i = 0; i < 50; ++i)
+        world.write(world.open("own"));
+    std::size_t connecting = 0;
+    for (const auto &[id, link] : world.state.links)
+        connecting += link.state == link_state::Connecting ? 1 : 0;
+    CHECK_TRUE(connecting <= 2);
+    CHECK_TRUE(connecting > 0);
+}
+
+// Guards against holding a statement until its timeout when no member can take it.
+TEST(session_engine, statementWithoutPrimaryIsRefusedEarlyAndNeverRan)
+{
+    auto replica = proxy_fixture::member("m1", false);
+    world.list({ replica, proxy_fixture::member("m2", false), proxy_fixture::member("m3", false) });
+    world.state.services.at(proxy_fixture::service).leader.clear();
+    world.take();
+    const session_id id = world.open("own");
+    world.write(id);
+    world.pass(milliseconds(60));
+    const auto answers = proxy_fixture::answersTo(id, world.take());
+    CHECK_EQUAL(1U, answers.size());
+    LONGS_EQUAL(asInt(reply_code::Busy), asInt(answers[0].code));
+    CHECK(answers[0].message.find("retry-after-ms=") != std::string::npos);
+}
+
+// Guards against a member that stays shut out because it gets no work that could prove it alive.
+TEST(session_engine, silentMemberIsProbedAndReturns)
+{
+    const session_id id = world.open("own");
+    world.write(id);
+    world.acceptLinks();
+    world.take();
+    world.pass(milliseconds(700));
+    CHECK(world.state.members.at("m1").silentSince != fuchsiagw::core::noDeadline);
+    world.acceptLinks();
+    CHECK(world.state.members.at("m1").silentSince == fuchsiagw::core::noDeadline);
+}
+
+// Guards against cutting a transaction before half of the grace period, and against keeping it
+// longer.
+TEST(session_engine, stopLeavesTransactionsHalfOfTheGracePeriod)
+{
+    const session_id id = world.open("current");
+    world.ask(id, statement_kind::Begin, "BEGIN");
+    onStop(world.state, world.now);
+    CHECK_FALSE(isReady(world.state));
+    world.pass(milliseconds(2900));
+    CHECK_FALSE(world.state.sessions.at(id).transaction->lost);
+    world.pass(milliseconds(200));
+    CHECK_TRUE(world.state.sessions.at(id).transaction->lost);
+}
--- /dev/null
+++ b/tests/unit-store-codec.cpp
@@ -0,0 +1,128 @@
+/// @file
+/// @brief Tests of the adapter's rows and manifests, also with values from other writers.
+
+#include <platform/store_codec.hpp>
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::adapter;
+
+namespace {
+
+const char *const goodMember = R"({"service":"books","address":"127.0.0.1:80","zone":"north",
+    "version":"v1","slots":2,"state":"ready","cold-remaining-ms":0,"db-role":"replica",
+    "sequence":4,"born":17})";
+
+store_row rowWith(const std::string &value)
+{
+    store_row row;
+    row.key = "i-1";
+    row.value = value;
+    return row;
+}
+
+} // namespace
+
+TEST_GROUP(store_codec){};
+
+TEST(store_codec, memberIsRead)
+{
+    const auto entry = decodeMember(rowWith(goodMember));
+    CHECK_TRUE(entry.has_value());
+    STRCMP_EQUAL("i-1", entry->id.c_str());
+    STRCMP_EQUAL("books", entry->service.c_str());
+    LONGS_EQUAL(2, entry->slots);
+    LONGS_EQUAL(17, entry->bornAtMs);
+    CHECK_FALSE(entry->draining);
+    CHECK_FALSE(entry->claimsPrimary);
+}
+
+// Guards against a member that is used although its entry was written by something else: each field
+// is taken away or given another type in turn.
+TEST(store_codec, damagedMemberNamesNone)
+{
+    for (const char *field : { "service", "address", "zone", "slots", "state", "db-role" }) {
+        auto missing = nlohmann::json::parse(goodMember);
+        missing.erase(field);
+        CHECK_FALSE(decodeMember(rowWith(missing.dump())).has_value());
+        auto other = nlohmann::json::parse(goodMember);
+        other[field] = nlohmann::json::array({ 1 });
+        CHECK_FALSE(decodeMember(rowWith(other.dump())).has_value());
+    }
+    auto state = nlohmann::json::parse(goodMember);
+    state["state"] = "asleep";
+    CHECK_FALSE(decodeMember(rowWith(state.dump())).has_value());
+    CHECK_FALSE(decodeMember(rowWith("")).has_value());
+    CHECK_FALSE(decodeMember(rowWith("\xff\xfe{")).has_value());
+    CHECK_FALSE(decodeMember(rowWith("[]")).has_value());
+}
+
+TEST(store_codec, manifestIsRead)
+{
+    const auto read = decodeManifest(R"({"version":7,"routes":[{"name":"r","database":"books",
+        "type":"bounded_staleness","timeout-ms":1200,"target-latency-ms":300,"priority":2,
+        "service":"s","max-staleness-ms":1500,"allow-anonymous":false},
+        {"name":"odd","database":"x","type":"something"}],
+        "services":[{"name":"s","max-connections":16,"sync-replicas":1}],
+        "limits":{"tx-idle-ms":3000},
+        "tenants":[{"name":"house","api-keys":["k1","k2"],"rate-per-s":134,"burst-size":20}]})");
+    CHECK_TRUE(read.has_value());
+    LONGS_EQUAL(7, read->version);
+    CHECK_EQUAL(1U, read->routes.size());
+    const auto &route = read->routes.at("books");
+    CHECK(route.kind == proxy::consistency::BoundedStaleness);
+    LONGS_EQUAL(1'500'000, route.maxStaleness.count());
+    LONGS_EQUAL(16, read->services.at("s").maxConnections);
+    CHECK_EQUAL(0U, read->workspaceByKey.at("k2"));
+    DOUBLES_EQUAL(134, *read->workspaces[0].ratePerSecond, 1e-9);
+    LONGS_EQUAL(3'000'000, read->transactionIdleLimit.count());
+}
+
+TEST(store_codec, manifestWithoutVersionIsRefused)
+{
+    CHECK_FALSE(decodeManifest("{}").has_value());
+    CHECK_FALSE(decodeManifest(R"({"version":"7"})").has_value());
+    CHECK_FALSE(decodeManifest("no json").has_value());
+}
+
+// Guards against bytes that are changed on their way through the store.
+TEST(store_codec, valuesSurviveTheirEncoding)
+{
+    const std::string value("a\0b\xff{}", 6);
+    const auto request = changeRows({ { "t", "k", 0, value } });
+    const auto body = nlohmann::json::parse(request.body);
+    nlohmann::json answer;
+    answer["rows"] = body["puts"];
+    answer["row-version"] = 9;
+    const auto rows = decodeRows(answer.dump());
+    CHECK_TRUE(rows.has_value());
+    CHECK(rows->rows.at(0).value == value);
+    LONGS_EQUAL(9, rows->version);
+    LONGS_EQUAL(0, body["expected"][0]["row-version"].get<int>());
+}
+
+TEST(store_codec, removalHasNoValue)
+{
+    const auto body = nlohmann::json::parse(changeRows({ { "t", "k", 4, std::nullopt } }).body);
+    CHECK_EQUAL(1U, body["remove"].size());
+    CHECK_TRUE(body["puts"].empty());
+}
+
+// Guards against a crash on any bytes that a store may answer.
+TEST(store_codec, randomBodiesAreSurvived)
+{
+    std::mt19937 random(5);
+    const std::string base = R"({"rows":[{"key":"a","value":"e30=","row-version":1}],"now-ms":1})";
+    for (int i = 0; i < 20'000; ++i) {
+        std::string body = base;
+        for (int k = 0; k < 3; ++k)
+            body[random() % body.size()] = static_cast<char>(random());
+        static_cast<void>(decodeRows(body));
+        static_cast<void>(decodeManifest(body));
+        static_cast<void>(decodeMember(rowWith(body)));
+    }
+}
--- /dev/null
+++ b/tests/unit-wire-codec.cpp
@@ -0,0 +1,168 @@
+/// @file
+/// @brief Tests of the adapter's line protocol, with damaged and random lines.
+
+#include <platform/wire_codec.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::adapter;
+
+namespace {
+
+proxy::caller_statement statementOf(std::string_view line)
+{
+    const caller_line decoded = decodeCallerLine(line);
+    const auto *statement = std::get_if<statement_line>(&decoded);
+    CHECK(statement != nullptr);
+    return statement->statement;
+}
+
+bool isUnreadable(std::string_view line)
+{
+    return std::holds_alternative<unreadable_line>(decodeCallerLine(line));
+}
+
+} // namespace
+
+TEST_GROUP(wire_codec){};
+
+// Guards against a text that reaches the member changed.
+TEST(wire_codec, statementKeepsItsText)
+{
+    const auto statement = statementOf("QUERY 5c0e WRITE 1a4 x  y z ");
+    CHECK(statement.kind == proxy::statement_kind::Write);
+    STRCMP_EQUAL("5c0e", statement.id.c_str());
+    STRCMP_EQUAL("WRITE 1a4 x  y z ", statement.text.c_str());
+    STRCMP_EQUAL("1a4", statement.name.c_str());
+}
+
+TEST(wire_codec, kindsAreTold)
+{
+    CHECK(statementOf("QUERY 1 BEGIN").kind == proxy::statement_kind::Begin);
+    CHECK(statementOf("QUERY 1 BEGIN READ").kind == proxy::statement_kind::BeginReadOnly);
+    CHECK(statementOf("QUERY 1 BEGIN X").kind == proxy::statement_kind::Malformed);
+    CHECK(statementOf("QUERY 1 COMMIT").kind == proxy::statement_kind::Commit);
+    CHECK(statementOf("QUERY 1 DEALLOC s").kind == proxy::statement_kind::Deallocate);
+    const auto prepared = statementOf("QUERY 1 PREPARE s1 WRITE q2c");
+    CHECK(prepared.kind == proxy::statement_kind::Prepare);
+    CHECK_TRUE(prepared.prepared.writes);
+    STRCMP_EQUAL("q2c", prepared.prepared.shape.c_str());
+    CHECK(statementOf("QUERY 1 PREPARE s1 BOTH q2c").kind == proxy::statement_kind::Malformed);
+}
+
+// Guards against a caller that reaches a member with orders that only the proxy may give.
+TEST(wire_codec, ordersOfTheProxyAreNotAcceptedFromCallers)
+{
+    for (const char *line : { "QUERY 1 STATUS", "QUERY 1 PAUSE 9", "QUERY 1 STEPDOWN 9",
+                              "QUERY 1 DISCARD", "QUERY 1 AFTER 1.2 READ a", "QUERY 1 RESUME" })
+        CHECK(statementOf(line).kind == proxy::statement_kind::Malformed);
+}
+
+TEST(wire_codec, foreignLinesAreUnreadable)
+{
+    CHECK_TRUE(isUnreadable(""));
+    CHECK_TRUE(isUnreadable("GET / HTTP/1.1"));
+    CHECK_TRUE(isUnreadable("STARTUP"));
+    CHECK_TRUE(isUnreadable("QUERY"));
+    CHECK_TRUE(isUnreadable("QUERY 1"));
+}
+
+// Guards against an error line whose text is not the one of the answer.
+TEST(wire_codec, repliesAreEncoded)
+{
+    proxy::reply answer;
+    answer.code = proxy::reply_code::Busy;
+    answer.message = "rate_exceeded retry-after-ms=1";
+    STRCMP_EQUAL("ERROR BUSY rate_exceeded retry-after-ms=1\r\nREADY I -\r\n",
+                 encodeReply(answer, false).c_str());
+    STRCMP_EQUAL("ERROR BUSY rate_exceeded retry-after-ms=1\r\n", encodeReply(answer, true).c_str());
+    answer.message.clear();
+    STRCMP_EQUAL("ERROR BUSY -\r\nREADY I -\r\n", encodeReply(answer, false).c_str());
+    proxy::reply rows;
+    rows.rows = { "a b", "c" };
+    rows.digest = "7.1f3";
+    rows.state = proxy::transaction_state::Open;
+    rows.position = core::log_position{ 3, 12 };
+    STRCMP_EQUAL("DATAROW a b\r\nDATAROW c\r\nCOMPLETE 7.1f3\r\nREADY T 3.12\r\n",
+                 encodeReply(rows, false).c_str());
+}
+
+TEST(wire_codec, commandsAreEncoded)
+{
+    proxy::upstream_command command;
+    command.id = "5c";
+    command.text = "READ a";
+    command.after = core::log_position{ 3, 7 };
+    STRCMP_EQUAL("QUERY 5c AFTER 3.7 READ a\r\n", encodeCommand(command).c_str());
+    command.executes = true;
+    command.name = "r_q1";
+    command.argument = "a x";
+    STRCMP_EQUAL("QUERY 5c AFTER 3.7 EXECUTE r_q1 a x\r\n", encodeCommand(command).c_str());
+    proxy::upstream_command startup;
+    startup.kind = proxy::command_kind::Startup;
+    startup.name = "service";
+    startup.argument = "house";
+    startup.id = "i-1";
+    STRCMP_EQUAL("STARTUP service house i-1\r\n", encodeCommand(startup).c_str());
+}
+
+// Guards against an answer that is delivered before its last line was read.
+TEST(wire_codec, answerIsWholeWithItsReadyLine)
+{
+    reply_decoder decoder;
+    CHECK_FALSE(decoder.feed("DATAROW x y", false).has_value());
+    CHECK_FALSE(decoder.feed("COMPLETE 7.1f3.c", false).has_value());
+    const auto answer = decoder.feed("READY T 3.1209", false);
+    CHECK_TRUE(answer.has_value());
+    STRCMP_EQUAL("x y", answer->rows.at(0).c_str());
+    STRCMP_EQUAL("7.1f3.c", answer->digest.c_str());
+    CHECK(answer->state == proxy::transaction_state::Open);
+    CHECK(*answer->position == (core::log_position{ 3, 1209 }));
+}
+
+TEST(wire_codec, readyWithoutAnEndIsDamage)
+{
+    reply_decoder decoder;
+    CHECK_FALSE(decoder.feed("READY I 1.1", false).has_value());
+    CHECK_TRUE(decoder.failed());
+    reply_decoder opening;
+    CHECK_TRUE(opening.feed("READY I 1.1", true).has_value());
+    reply_decoder refused;
+    const auto answer = refused.feed("ERROR CONNLIMIT full", true);
+    CHECK(answer->code == proxy::reply_code::ConnectionLimit);
+}
+
+TEST(wire_codec, statusRowIsRead)
+{
+    const auto status = decodeStatus("replica 3 3.1209 4 12 2 17");
+    CHECK_TRUE(status.has_value());
+    CHECK_FALSE(status->leads);
+    LONGS_EQUAL(4, status->pausedTerm);
+    CHECK(status->received == (core::log_position{ 3, 1209 }));
+    CHECK_FALSE(decodeStatus("replica 3").has_value());
+    CHECK_FALSE(decodeStatus("qhzkwmtrbelo").has_value());
+}
+
+// Guards against a crash or a statement without id on any bytes.
+TEST(wire_codec, randomLinesAreSurvived)
+{
+    const std::vector<std::string> words{ "QUERY", "STARTUP", "READY", "ERROR", "COMPLETE",
+                                          "DATAROW", "I", "T", "1.2", "", " ", "PREPARE",
+                                          "EXECUTE", "BEGIN", std::string("\0\xff", 2), "9999999999999999999999" };
+    std::mt19937 random(11);
+    for (int i = 0; i < 50'000; ++i) {
+        std::string line;
+        const std::size_t count = random() % 6;
+        for (std::size_t k = 0; k < count; ++k)
+            line += words[random() % words.size()] + (random() % 4 ? " " : "");
+        const caller_line decoded = decodeCallerLine(line);
+        if (const auto *statement = std::get_if<statement_line>(&decoded))
+            CHECK_FALSE(statement->statement.id.empty());
+        reply_decoder decoder;
+        static_cast<void>(decoder.feed(line, random() % 2 == 0));
+        static_cast<void>(decodeStatus(line));
+    }
+}
