Repair replicas that stay paused after an attempt; back off from full members; accept callers once configured

Cause: an attempt that ended told its paused replicas once to receive again; if that was lost, commits of the group were never acknowledged again. A promoter that died left them paused, too. Change: they are told until they say so, while the daemon's lease lasts; three daemons a group ask the replicas every few seconds and repair a pause under a new fencing token.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -51,6 +51,7 @@
     struct caller;
     struct upstream;
 
+    void startAccepting();
     void accept();
     void onCallerLine(proxy::session_id id, std::string_view line);
     void onUpstreamLine(proxy::link_id id, std::string_view line);
@@ -82,6 +83,7 @@
     boost::asio::steady_timer timer_;
     core::time_point planned_ = core::noDeadline; ///< when timer_ fires
     bool performing_ = false;
+    bool accepting_ = false;
     proxy::session_id lastSession_ = 0;
     std::map<proxy::session_id, std::unique_ptr<caller>> callers_;
     std::map<proxy::link_id, std::unique_ptr<upstream>> upstreams_;
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -98,6 +98,10 @@
 
 void followSilence(engine &state, core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
+/// @brief Asks replicas whether they receive, so that none stays paused by an attempt that ended.
+void checkReplicas(engine &state, core::time_point now);
+/// @brief Writes are not acknowledged: the replicas are asked soon.
+void suspectReplicas(service_state &service, core::time_point now);
 /// @brief An answer to an order of the proxy's own.
 void onControlAnswer(engine &state, const std::string &member, const reply &answer,
                      core::time_point sentAt, core::time_point now);
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -28,6 +28,7 @@
     core::time_point laggingUntil{}; ///< its log lacked a position a moment ago
     core::time_point limitUntil{}; ///< it refused a connection for their number
     int limitRefusals = 0; ///< in a row, with limitUntil
+    int busyRefusals = 0; ///< in a row, with busyUntil
     core::time_point busyUntil{}; ///< it refused a statement for its queue
     core::time_point silentSince = core::noDeadline; ///< first sign that it does not answer
     core::time_point nextProbe{}; ///< while it is silent
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -47,13 +47,15 @@
     PrimaryGone,
     PrimaryDraining,
     NoPrimary,
+    ReplicaPaused, ///< an attempt ended without making a replica receive again
 };
 
-inline constexpr std::array<std::string_view, 4> promotionCauseNames{
+inline constexpr std::array<std::string_view, 5> promotionCauseNames{
     "primary_silent",
     "primary_gone",
     "primary_draining",
     "no_primary",
+    "replica_paused",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_cause cause)
@@ -78,6 +80,9 @@
     std::set<std::string> peersNotReaching;
     bool ordered = false; ///< an order was sent and may still be carried out
     bool steppedDown = false; ///< the old primary was told to step down
+    core::time_point leaseUntil{}; ///< this daemon acts alone until then
+    std::set<std::string> toResume; ///< replicas to be told to receive again, until they say so
+    core::time_point nextResume = core::noDeadline;
     core::time_point nextProbe = core::noDeadline; ///< members are asked again then
 };
 
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -30,6 +30,8 @@
     position_book positions;
     std::deque<session_id> queue; ///< sessions whose request waits, in order of arrival
     promotion_state promotion;
+    core::time_point nextReplicaCheck{}; ///< replicas are asked whether they receive
+    std::map<std::string, core::time_point> pausedSince; ///< replicas that do not receive
 };
 
 } // namespace fuchsiagw::proxy
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t bytesPerSession = 32 * 1024;
 constexpr std::size_t baseMemory = 48 * 1024 * 1024; // bytes, for everything but sessions
 constexpr std::size_t maxQueuedAnswers = 4 * adapter::maxMessageBytes;
+/// Without a manifest by then, callers are refused instead of left waiting.
+constexpr std::chrono::milliseconds acceptDelay{ 800 };
 constexpr int storeEvent = 930;
 constexpr int socketEvent = 931;
 
@@ -122,12 +124,22 @@
     const auto own = boost::asio::ip::make_address(values_.address, ignored);
     if (const std::error_code failed = datagrams_.open({ own, values_.peerPort }))
         return failed;
-    accept();
     store_.start();
     plan();
+    const auto limit = std::make_shared<boost::asio::steady_timer>(context_, acceptDelay);
+    limit->async_wait([this, limit](const boost::system::error_code &) { startAccepting(); });
     return {};
 }
 
+// Callers that connect while the manifest is being read wait in the listen queue, which is shorter
+// than their way to another instance.
+void session_gateway::startAccepting()
+{
+    if (std::exchange(accepting_, true))
+        return;
+    accept();
+}
+
 void session_gateway::applySettings(const session_settings &values)
 {
     values_ = values;
@@ -266,6 +278,8 @@
             std::visit([this](const auto &order) { perform(order); }, each);
     }
     performing_ = false;
+    if (!accepting_ && proxy::isReady(engine_))
+        startAccepting();
     plan();
     checkStopped();
 }
--- a/src/net/line_connection.cpp
+++ b/src/net/line_connection.cpp
@@ -198,6 +198,9 @@
 {
     closed_ = true;
     boost::system::error_code ignored;
+    // A reset: what a partition holds up must not arrive later.
+    if (open_ && !closing_)
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
 }
 
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds laggingPause{ 120 };
 constexpr milliseconds busyPause{ 15 };
 constexpr milliseconds limitPause{ 20 };
+constexpr int maxBusyDoublings = 4;
+constexpr int mostBusyPauses = 6;
 constexpr int maxLimitDoublings = 4;
 constexpr milliseconds failurePause{ 100 }; // doubled with each failure in a row
 constexpr int maxFailureDoublings = 4;
@@ -88,7 +90,7 @@
         what.refusedBy.push_back(member);
     if (code == reply_code::Busy) {
         what.refusedBy.push_back(member);
-        what.notBefore = now + spread(state, busyPause);
+        what.notBefore = now + spread(state, busyPause * std::min(what.tries, mostBusyPauses));
     }
     place(state, who, now);
 }
@@ -118,7 +120,8 @@
         member->laggingUntil = now + laggingPause;
         dropLostPosition(state, who, memberId);
     } else if (code == reply_code::Busy) {
-        member->busyUntil = now + busyPause;
+        const int doublings = std::min(member->busyRefusals++, maxBusyDoublings);
+        member->busyUntil = now + spread(state, busyPause * (1 << doublings));
     } else if (code == reply_code::ReadOnly) {
         loseLeader(state, *service, memberId, now);
     }
@@ -329,8 +332,10 @@
     case answer_role::Statement:
         if (member != nullptr) {
             member->outstanding -= member->outstanding > 0 ? 1 : 0;
-            if (!saysNotRun(answer.code))
+            if (!saysNotRun(answer.code)) {
+                member->busyRefusals = 0;
                 smooth(member->answerUs, now - link->lastSent);
+            }
         }
         onStatementAnswer(state, *link, expected, std::move(answer), now);
         break;
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -69,7 +69,9 @@
     double bestCost = 0;
     for (const std::string &id : service.members) {
         member_state &member = state.members.at(id);
-        if (!takesNewWork(member, now) || refusedIt(*who.current, id))
+        // A full primary is left to the statements that only it can serve.
+        const bool spared = id == service.leader && member.busyUntil > now;
+        if (!takesNewWork(member, now) || refusedIt(*who.current, id) || spared)
             continue;
         const double cost = costOf(state, member, service, who, now);
         if (best == nullptr || cost < bestCost) {
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <fuchsiagw/core/rendezvous.hpp>
+
 #include <algorithm>
 
 namespace fuchsiagw::proxy {
@@ -19,7 +21,16 @@
 constexpr milliseconds leaderlessBeforePromotion{ 1'500 };
 constexpr milliseconds askingTime{ 100 };
 constexpr milliseconds tokenTime{ 1'500 };
-constexpr milliseconds fencingTime{ 4'000 };
+/// Shorter than the lease, so that no other daemon acts before this one has ended its attempt.
+constexpr milliseconds fencingTime{ 2'000 };
+constexpr milliseconds leaseTime{ 2'700 }; // of 3 s in the store, less the way of its answer
+constexpr milliseconds resumeInterval{ 150 };
+/// One daemon in charge asks a group's replicas at this interval, the next ones less often.
+constexpr milliseconds replicaCheckInterval{ 2'500 };
+constexpr milliseconds suspectedCheckInterval{ 700 };
+constexpr std::size_t checkingDaemons = 3;
+/// Longer than an attempt of another daemon takes.
+constexpr milliseconds pausedBeforeRepair{ 3'500 };
 constexpr milliseconds stepDownAfter{ 400 }; // in fencing, if a witness does not answer
 constexpr milliseconds probeInterval{ 40 };
 constexpr milliseconds orderTime{ 700 };
@@ -86,6 +97,16 @@
     state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
 }
 
+/// The place of this daemon among those that look after a group's replicas.
+std::size_t checkingRank(const engine &state, const std::string &service)
+{
+    const std::uint64_t own = core::stableHash(state.settings.node + "/" + service);
+    std::size_t rank = 0;
+    for (const auto &[name, peer] : state.peers)
+        rank += core::stableHash(name + "/" + service) > own ? 1 : 0;
+    return rank;
+}
+
 std::set<std::string> electableMembers(const engine &state, const service_state &service)
 {
     std::set<std::string> result;
@@ -140,6 +161,10 @@
         return promotion_cause::PrimarySilent;
     if (leader->entry.draining)
         return promotion_cause::PrimaryDraining;
+    for (const auto &[id, since] : service.pausedSince) {
+        if (now - since >= pausedBeforeRepair)
+            return promotion_cause::ReplicaPaused;
+    }
     return std::nullopt;
 }
 
@@ -158,7 +183,9 @@
     run.oldPrimary = service.leader;
     run.notBefore = now;
     notePromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
-    if (cause == promotion_cause::PrimaryDraining || state.peers.empty()) {
+    const bool primaryServes = cause == promotion_cause::PrimaryDraining
+                               || cause == promotion_cause::ReplicaPaused;
+    if (primaryServes || state.peers.empty()) {
         enter(run, promotion_phase::DrawingToken, now + tokenTime);
         state.out.emplace_back(draw_token{ service.name });
         return;
@@ -178,14 +205,39 @@
     }
 }
 
+/// Makes the replicas that were paused receive again. They are told until they say that they do,
+/// but only while no other daemon can have started an attempt.
+void resumeFenced(service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    run.toResume = run.fenced;
+    run.toResume.erase(run.chosen);
+    run.nextResume = run.toResume.empty() ? core::noDeadline : now;
+}
+
+void stepResume(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    if (now < run.nextResume)
+        return;
+    run.nextResume = now + resumeInterval;
+    if (run.toResume.empty() || now >= run.leaseUntil) {
+        run.toResume.clear();
+        run.nextResume = core::noDeadline;
+        return;
+    }
+    for (const std::string &each : run.toResume)
+        order(state, each, command_kind::ResumeReceiving, 0, now);
+}
+
 /// Ends an attempt. Replicas that were paused for it receive again, unless an order may still come.
 void giveUp(engine &state, service_state &service, std::string_view reason, core::time_point now)
 {
     promotion_state &run = service.promotion;
     notePromotion(state, note_kind::PromotionEnded, service, reason, now);
     if (!run.ordered) {
-        for (const std::string &each : run.fenced)
-            order(state, each, command_kind::ResumeReceiving, 0, now);
+        run.chosen.clear();
+        resumeFenced(service, now);
     }
     run.phase = promotion_phase::None;
     run.notBefore = now + retryPause + drawn(state, retryPause);
@@ -235,10 +287,21 @@
     run.steppedDown = true;
     for (const std::string &each : run.fenced)
         order(state, each, command_kind::ResumeReceiving, 0, now);
-    run.fenced.clear();
+    // They are told again at the end of the attempt if this does not reach them.
     order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
 }
 
+void sendOrder(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    run.ordered = true;
+    ++state.counters.promotionsOrdered;
+    run.nextProbe = core::noDeadline;
+    enter(run, promotion_phase::Ordering, now + orderTime);
+    notePromotion(state, note_kind::PromotionStep, service, "ordered", now);
+    state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
+}
+
 void evaluate(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &run = service.promotion;
@@ -251,12 +314,7 @@
     if (choice.member.empty() || choice.waitsForCatchUp)
         return;
     run.chosen = choice.member;
-    run.ordered = true;
-    ++state.counters.promotionsOrdered;
-    run.nextProbe = core::noDeadline;
-    enter(run, promotion_phase::Ordering, now + orderTime);
-    notePromotion(state, note_kind::PromotionStep, service, "ordered", now);
-    state.out.emplace_back(order_promotion{ service.name, run.chosen, run.token });
+    sendOrder(state, service, now);
 }
 
 void stepFencing(engine &state, service_state &service, core::time_point now)
@@ -288,10 +346,7 @@
 {
     promotion_state &run = service.promotion;
     notePromotion(state, note_kind::PromotionDone, service, "leads", now);
-    for (const std::string &each : run.fenced) {
-        if (each != run.chosen)
-            order(state, each, command_kind::ResumeReceiving, 0, now);
-    }
+    resumeFenced(service, now);
     run.phase = promotion_phase::None;
     run.nextProbe = core::noDeadline;
     run.phaseUntil = core::noDeadline;
@@ -378,15 +433,45 @@
 
 void stepPromotions(engine &state, core::time_point now)
 {
-    for (auto &[name, service] : state.services)
+    for (auto &[name, service] : state.services) {
         step(state, service, now);
+        stepResume(state, service, now);
+    }
+}
+
+void checkReplicas(engine &state, core::time_point now)
+{
+    for (auto &[name, service] : state.services) {
+        if (now < service.nextReplicaCheck || service.leader.empty()
+            || service.promotion.phase != promotion_phase::None)
+            continue;
+        const std::size_t rank = checkingRank(state, name);
+        if (rank >= checkingDaemons && service.nextReplicaCheck == core::time_point{})
+            continue;
+        service.nextReplicaCheck = rank < checkingDaemons
+                                           ? now + replicaCheckInterval * static_cast<int>(rank * 2 + 1)
+                                           : core::time_point{};
+        for (const std::string &id : service.members) {
+            const member_state &member = state.members.at(id);
+            if (member.listed && id != service.leader)
+                order(state, id, command_kind::Status, 0, now);
+        }
+    }
+}
+
+void suspectReplicas(service_state &service, core::time_point now)
+{
+    const core::time_point soon = now + suspectedCheckInterval;
+    if (service.nextReplicaCheck == core::time_point{} || service.nextReplicaCheck > soon)
+        service.nextReplicaCheck = soon;
 }
 
 core::time_point nextPromotionStep(const engine &state)
 {
     core::time_point due = core::noDeadline;
     for (const auto &[name, service] : state.services)
-        due = std::min({ due, service.promotion.phaseUntil, service.promotion.nextProbe });
+        due = std::min({ due, service.promotion.phaseUntil, service.promotion.nextProbe,
+                         service.promotion.nextResume });
     return due;
 }
 
@@ -402,7 +487,18 @@
         return;
     }
     run.token = token;
+    run.leaseUntil = now + leaseTime;
     run.fenceTerm = service->term + 1;
+    if (run.cause == promotion_cause::ReplicaPaused) {
+        // Naming the present primary changes nothing, but from then on no earlier order is carried
+        // out, so that the replicas can be told to receive again.
+        run.chosen = run.oldPrimary;
+        for (const auto &[id, since] : service->pausedSince)
+            run.fenced.insert(id);
+        service->pausedSince.clear();
+        sendOrder(state, *service, now);
+        return;
+    }
     enter(run, promotion_phase::Fencing, now + fencingTime);
     notePromotion(state, note_kind::PromotionStep, *service, "fencing", now);
     fence(state, *service, now);
@@ -445,10 +541,17 @@
     if (status.leads) {
         learnLeader(state, *service, memberId, status.term, status.received, sentAt, now);
     }
+    if (status.pausedTerm == 0) {
+        run.toResume.erase(memberId);
+        service->pausedSince.erase(memberId);
+    } else if (run.phase == promotion_phase::None && !run.toResume.contains(memberId)) {
+        service->pausedSince.try_emplace(memberId, now);
+        suspectReplicas(*service, now);
+    }
     if (run.phase == promotion_phase::None)
         return;
     run.fenceTerm = std::max(run.fenceTerm, status.term + 1);
-    const bool counts = !run.fenced.contains(memberId) || status.pausedTerm != 0;
+    const bool counts = run.steppedDown || !run.fenced.contains(memberId) || status.pausedTerm != 0;
     if (counts)
         run.reports[memberId] = status;
     if (run.phase == promotion_phase::Settling && status.leads && memberId == run.chosen) {
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -42,6 +42,9 @@
         finishRefused(state, who, refusal_reason::MembersBusy, now, milliseconds(200));
         return;
     }
+    const bool mayWait = what.writes || what.statement.kind == statement_kind::Commit;
+    if (service_state *service = findService(state, what.via.service); service && mayWait)
+        suspectReplicas(*service, now);
     if (who.transaction) {
         const link_id held = who.transaction->link;
         const bool commits = what.statement.kind == statement_kind::Commit;
@@ -171,6 +174,7 @@
         trimLinks(state, now);
         forgetMissing(state, now);
         followSilence(state, now);
+        checkReplicas(state, now);
     }
     if (state.stopping)
         closeRestingSessions(state, now);
