Let one daemon in a member's zone keep the member's connections and lend them to the others

Change: a relay in each daemon speaks the members' protocol to the others, hands out connections by workspace, and cleans them when they come back. A keeper that does not answer is passed over. Weighed: a part of the connections for each daemon (less than four for 81 workspaces), forwarding whole statements (two sets of transaction state).

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/daemon/latency_histograms.hpp>
+#include <fuchsiagw/daemon/relay_server.hpp>
 #include <fuchsiagw/daemon/session_log.hpp>
 #include <fuchsiagw/daemon/session_settings.hpp>
 #include <fuchsiagw/daemon/store_desk.hpp>
@@ -79,6 +80,7 @@
     proxy::engine engine_;
     store_desk store_;
     net::udp_link datagrams_;
+    relay_server relay_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     core::time_point planned_ = core::noDeadline; ///< when timer_ fires
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -70,8 +70,12 @@
 /// @return nullptr if none is idle
 upstream_link *acquireLink(engine &state, member_state &member, const session &who,
                            link_id &opening, core::time_point now);
-link_id openLink(engine &state, member_state &member, const std::string &workspace,
+/// @param direct not through the daemon that keeps the member's connections
+link_id openLink(engine &state, member_state &member, const std::string &workspace, bool direct,
                  core::time_point now);
+/// @return the daemon that keeps the connections of a member for all others; may be this one
+[[nodiscard]] std::string keeperOf(const engine &state, const member_state &member,
+                                   core::time_point now);
 void sendRequest(engine &state, upstream_link &link, session &who, core::time_point now);
 /// @brief Sends the first statement of a transaction that the member has begun.
 void sendAfterBegin(engine &state, upstream_link &link, const session &who, core::time_point now);
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -33,6 +33,7 @@
 {
     link_id link = 0;
     std::string address;
+    std::string via; ///< daemon that keeps the member's connections; empty: directly
 };
 
 /// In order, in one write if the link is open; kept until then if it is not.
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -45,6 +45,7 @@
     link_id id = 0;
     std::string member;
     std::string workspace; ///< named when the connection was opened
+    std::string via; ///< daemon that lends the connection; empty: it is a direct one
     bool control = false; ///< for the proxy's own orders only
     link_state state = link_state::Connecting;
     std::deque<expected_answer> expected;
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -97,6 +97,7 @@
     , datagrams_(context, [this](std::string_view bytes, const net::endpoint &) {
         onDatagram(bytes);
     })
+    , relay_(context, engine_)
     , acceptor_(context)
     , timer_(context)
 {
@@ -124,6 +125,8 @@
     const auto own = boost::asio::ip::make_address(values_.address, ignored);
     if (const std::error_code failed = datagrams_.open({ own, values_.peerPort }))
         return failed;
+    if (const std::error_code failed = relay_.start({ own, values_.peerPort }))
+        return failed;
     store_.start();
     plan();
     const auto limit = std::make_shared<boost::asio::steady_timer>(context_, acceptDelay);
@@ -325,7 +328,10 @@
     };
     connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); }, closed);
     upstreams_.emplace(id, std::move(entry));
-    if (net::parseEndpoint(order.address, peer)) {
+    const auto keeper = peerAddresses_.find(order.via);
+    if (keeper != peerAddresses_.end()) {
+        peer = keeper->second;
+    } else if (net::parseEndpoint(order.address, peer)) {
         boost::asio::post(context_, closed);
         return;
     }
@@ -411,6 +417,7 @@
 void session_gateway::stop(std::function<void()> done)
 {
     stopped_ = std::move(done);
+    relay_.stop();
     proxy::onStop(engine_, net::currentBootTime());
     perform();
 }
@@ -421,7 +428,7 @@
         return;
     constexpr std::chrono::milliseconds lastMoment{ 400 };
     const core::time_point now = net::currentBootTime();
-    const bool idle = engine_.sessions.empty()
+    const bool idle = engine_.sessions.empty() && !relay_.isBusy()
                       && now >= engine_.transactionsUntil; // the balancer still sends callers here
     if (!idle && now < engine_.stopAt - lastMoment)
         return;
@@ -435,10 +442,11 @@
     const proxy::engine_counters &counts = engine_.counters;
     std::string text = fmt::format(
             "operations={} statements={} primary={} replica={} retried={} hedged={} opened={} "
-            "reused={} sessions={} links={}",
+            "reused={} sessions={} links={} lent={} kept_opened={} lend_refused={}",
             counts.operations, counts.statements, counts.placedOnPrimary, counts.placedOnReplica,
             counts.retried, counts.hedged, counts.linksOpened, counts.linksReused,
-            engine_.sessions.size(), engine_.links.size());
+            engine_.sessions.size(), engine_.links.size(), relay_.counters().lent,
+            relay_.counters().opened, relay_.counters().refused);
     for (std::size_t i = 0; i < counts.refused.size(); ++i) {
         if (counts.refused[i] != 0)
             text += fmt::format(" refused_{}={}", proxy::refusalRows[i].name, counts.refused[i]);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -11,6 +11,8 @@
 
 constexpr double smoothing = 0.2; // weight of the newest sample
 constexpr milliseconds laggingPause{ 120 };
+/// Another daemon keeps the connections while the one that does is not reached.
+constexpr milliseconds keeperPause{ 1'000 };
 constexpr milliseconds busyPause{ 15 };
 constexpr milliseconds limitPause{ 20 };
 constexpr int maxBusyDoublings = 4;
@@ -255,7 +257,8 @@
         if (member != nullptr) {
             smooth(member->connectUs, now - link.openedAt);
             member->limitRefusals = 0;
-            noteAlive(*member, now);
+            if (link.via.empty())
+                noteAlive(*member, now);
         }
         return;
     }
@@ -263,7 +266,8 @@
     if (member == nullptr)
         return;
     if (answer.code == reply_code::ConnectionLimit) {
-        noteAlive(*member, now);
+        if (link.via.empty())
+            noteAlive(*member, now);
         const int doublings = std::min(member->limitRefusals++, maxLimitDoublings);
         member->limitUntil = now + spread(state, limitPause * (1 << doublings));
         return;
@@ -377,8 +381,11 @@
             member->outstanding -= (each.role == answer_role::Statement
                                     || (each.role == answer_role::Begin && link.pinnedTo != 0))
                                    && member->outstanding > 0;
-        if (opening && !link.tainted)
+        if (opening && !link.tainted && link.via.empty())
             avoid(state, *member, "no_connection", now);
+        const auto keeper = state.peers.find(link.via);
+        if (opening && !link.tainted && keeper != state.peers.end())
+            keeper->second.silentUntil = now + keeperPause;
     }
     if (link.pinnedTo != 0) {
         session *who = findSession(state, link.pinnedTo);
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <fuchsiagw/core/rendezvous.hpp>
+
 #include <algorithm>
 
 namespace fuchsiagw::proxy {
@@ -11,17 +13,15 @@
 
 /// A connection that does not become usable within this time is given up.
 constexpr milliseconds connectLimit{ 1'000 };
+/// A keeper that lends nothing refuses before; this one does not answer.
+constexpr milliseconds borrowLimit{ 300 };
 /// An answer that nobody waits for any more is waited for this long before its link is closed.
 constexpr milliseconds orphanLimit{ 3'000 };
 /// Idle links beyond those that this daemon may keep are closed after this time.
 constexpr milliseconds extraIdleLimit{ 60 };
 constexpr milliseconds keptIdleLimit{ 20'000 };
-/// A new connection occupies a slot of the member. Opened for every waiting statement at once, they
-/// would take the slots that the statements need.
-constexpr std::size_t maxConnecting = 2;
-/// A daemon may use this many times an equal part of a member's connections while others use less.
-constexpr std::uint32_t unevenUse = 3;
-constexpr std::uint32_t leastLinks = 3;
+/// Connections that this daemon asks for at a time, for one member.
+constexpr std::size_t maxConnecting = 8;
 /// Of a member's connections, the part that the daemons together keep open while idle.
 constexpr double keptShare = 0.75;
 
@@ -163,27 +163,6 @@
     return found == state.config->services.end() ? 1 : found->second.maxConnections;
 }
 
-/// The connections that this daemon may have to one member at a time.
-std::uint32_t mostLinks(const engine &state, const member_state &member)
-{
-    const std::uint32_t part = connectionLimit(state, member) / std::max(1U, state.instances);
-    return std::max(leastLinks, part * unevenUse);
-}
-
-/// Closes the longest idle link of another workspace, to make room for a new one.
-void makeRoom(engine &state, const member_state &member, core::time_point now)
-{
-    link_id oldest = 0;
-    for (const link_id id : member.links) {
-        const upstream_link &link = state.links.at(id);
-        if (link.state == link_state::Idle
-            && (oldest == 0 || link.idleSince < state.links.at(oldest).idleSince))
-            oldest = id;
-    }
-    if (oldest != 0)
-        closeLink(state, oldest, true, now);
-}
-
 } // namespace
 
 std::uint32_t keptLinks(const engine &state, const member_state &member)
@@ -204,30 +183,51 @@
                        && begun->member == member.entry.id;
     if (waits || member.limitUntil > now || connectingLinks(state, member) >= maxConnecting)
         return nullptr;
-    if (member.links.size() >= std::max<std::uint32_t>(1, keptLinks(state, member)))
-        makeRoom(state, member, now);
-    if (member.links.size() >= mostLinks(state, member))
-        return nullptr;
-    opening = openLink(state, member, who.workspace, now);
+    opening = openLink(state, member, who.workspace, false, now);
     return nullptr;
 }
 
-link_id openLink(engine &state, member_state &member, const std::string &workspace,
+std::string keeperOf(const engine &state, const member_state &member, core::time_point now)
+{
+    std::uint64_t best = 0;
+    bool bestNear = false;
+    std::string keeper;
+    const auto consider = [&](const std::string &node, const std::string &zone) {
+        const bool near = zone == member.entry.zone;
+        const std::uint64_t score = core::stableHash(node + "/" + member.entry.id);
+        if (keeper.empty() || (near && !bestNear) || (near == bestNear && score > best)) {
+            keeper = node;
+            best = score;
+            bestNear = near;
+        }
+    };
+    consider(state.settings.node, state.settings.zone);
+    for (const auto &[name, peer] : state.peers) {
+        if (peer.silentUntil <= now)
+            consider(name, peer.zone);
+    }
+    return keeper;
+}
+
+link_id openLink(engine &state, member_state &member, const std::string &workspace, bool direct,
                  core::time_point now)
 {
     upstream_link link;
+    if (!direct)
+        link.via = keeperOf(state, member, now);
     link.id = ++state.lastLink;
     link.member = member.entry.id;
     link.workspace = workspace;
     link.openedAt = now;
     link.lastSent = now;
-    link.abandonAt = now + connectLimit;
+    link.abandonAt = now + (link.via.empty() ? connectLimit : borrowLimit);
     expectAnswer(link, answer_role::Startup);
     const link_id id = link.id;
+    const std::string via = link.via;
     state.links.emplace(id, std::move(link));
     member.links.insert(id);
     ++state.counters.linksOpened;
-    state.out.emplace_back(open_link{ id, member.entry.address });
+    state.out.emplace_back(open_link{ id, member.entry.address, via });
     upstream_command startup = makeCommand(command_kind::Startup, member.entry.service, workspace);
     startup.id = member.entry.id;
     state.out.emplace_back(send_to_member{ id, { std::move(startup) } });
@@ -296,7 +296,10 @@
     if (service_state *service = findService(state, found->second.entry.service))
         pump(state, *service, now);
     const upstream_link *still = findLink(state, id);
-    const bool unwanted = !found->second.listed || found->second.entry.draining || state.stopping;
+    // A borrowed connection goes back at once; others may wait for it at its keeper.
+    const bool borrowed = still != nullptr && !still->via.empty();
+    const bool unwanted =
+            borrowed || !found->second.listed || found->second.entry.draining || state.stopping;
     if (still != nullptr && still->state == link_state::Idle && unwanted)
         closeLink(state, id, true, now);
 }
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -80,7 +80,7 @@
             link = &state.links.at(id);
     }
     if (link == nullptr) {
-        const link_id id = openLink(state, *member, state.settings.node, now);
+        const link_id id = openLink(state, *member, state.settings.node, true, now);
         link = findLink(state, id);
         link->control = true;
     }
@@ -406,6 +406,7 @@
 
 void followSilence(engine &state, core::time_point now)
 {
+    std::set<member_state *> suspected;
     std::vector<member_state *> probed;
     for (auto &[id, member] : state.members) {
         for (const link_id each : member.links) {
@@ -414,11 +415,19 @@
                 continue;
             const bool connecting = link.expected.front().role == answer_role::Startup;
             const core::duration limit = connecting ? connectSilence : answerSilence;
-            if (now - link.lastSent >= limit)
+            if (now - link.lastSent < limit)
+                continue;
+            // Behind a keeper that does not answer, the member may be well: it is asked directly.
+            if (!link.via.empty())
+                suspected.insert(&member);
+            else
                 member.silentSince = std::min(member.silentSince, link.lastSent);
         }
-        if (member.silentSince == core::noDeadline)
+        if (member.silentSince == core::noDeadline) {
+            if (suspected.contains(&member) && member.listed && now >= member.nextProbe)
+                probed.push_back(&member);
             continue;
+        }
         member.avoidUntil = std::max(member.avoidUntil, now + silentAvoidance);
         if (member.listed && now >= member.nextProbe)
             probed.push_back(&member);
