Send a statement together with the opening of a borrowed connection, over connections kept ready

Cause: each borrowed connection cost a round trip to the keeper for the TCP connection and one for its opening before the statement left.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -71,6 +71,10 @@
     void perform(const proxy::order_promotion &order);
     void perform(const proxy::send_to_peer &order);
     void perform(const proxy::decision_note &order);
+    /// @brief Takes a connection to a daemon that was opened before, or opens one.
+    std::shared_ptr<net::line_connection> connectionTo(const std::string &node,
+                                                       const net::endpoint &peer);
+    void keepSpare(const std::string &node, const net::endpoint &peer);
     void plan();
     void checkStopped();
 
@@ -90,6 +94,8 @@
     std::map<proxy::session_id, std::unique_ptr<caller>> callers_;
     std::map<proxy::link_id, std::unique_ptr<upstream>> upstreams_;
     std::map<std::string, net::endpoint> peerAddresses_;
+    /// Connections to daemons that keep members' connections, not used yet.
+    std::map<std::string, std::vector<std::shared_ptr<net::line_connection>>> spares_;
     std::function<void()> stopped_;
     latency_histograms latencies_;
 };
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -55,6 +55,7 @@
     bool plainBegin = false; ///< the newest begin proves that the member leads
     bool beginFailed = false; ///< the transaction's begin of the current batch was refused
     reply_code beginCode = reply_code::Success;
+    bool refused = false; ///< the opening was refused, and with it what was sent behind it
     bool tainted = false;
     core::time_point lastSent{};
     core::time_point idleSince{};
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t bytesPerSession = 32 * 1024;
 constexpr std::size_t baseMemory = 48 * 1024 * 1024; // bytes, for everything but sessions
 constexpr std::size_t maxQueuedAnswers = 4 * adapter::maxMessageBytes;
+/// A connection to a keeper that is open already saves a round trip.
+constexpr std::size_t sparesPerKeeper = 2;
 /// Without a manifest by then, callers are refused instead of left waiting.
 constexpr std::chrono::milliseconds acceptDelay{ 800 };
 constexpr int storeEvent = 930;
@@ -318,7 +320,10 @@
 {
     net::endpoint peer;
     auto entry = std::make_unique<upstream>();
-    entry->connection = net::line_connection::create(context_, adapter::maxMessageBytes);
+    const auto keeper = peerAddresses_.find(order.via);
+    const bool lent = keeper != peerAddresses_.end();
+    entry->connection = lent ? connectionTo(order.via, keeper->second)
+                             : net::line_connection::create(context_, adapter::maxMessageBytes);
     const auto connection = entry->connection;
     const proxy::link_id id = order.link;
     const auto closed = [this, id] {
@@ -328,16 +333,43 @@
     };
     connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); }, closed);
     upstreams_.emplace(id, std::move(entry));
-    const auto keeper = peerAddresses_.find(order.via);
-    if (keeper != peerAddresses_.end()) {
-        peer = keeper->second;
-    } else if (net::parseEndpoint(order.address, peer)) {
+    if (lent)
+        return;
+    if (net::parseEndpoint(order.address, peer)) {
         boost::asio::post(context_, closed);
         return;
     }
     connection->connect(tcp::endpoint(peer.address, peer.port), net::silence_check::Short);
 }
 
+std::shared_ptr<net::line_connection>
+session_gateway::connectionTo(const std::string &node, const net::endpoint &peer)
+{
+    auto &spares = spares_[node];
+    std::shared_ptr<net::line_connection> taken;
+    if (spares.empty()) {
+        taken = net::line_connection::create(context_, adapter::maxMessageBytes);
+        taken->connect(tcp::endpoint(peer.address, peer.port), net::silence_check::Short);
+    } else {
+        taken = std::move(spares.back());
+        spares.pop_back();
+    }
+    if (spares.size() < sparesPerKeeper)
+        keepSpare(node, peer);
+    return taken;
+}
+
+void session_gateway::keepSpare(const std::string &node, const net::endpoint &peer)
+{
+    const auto spare = net::line_connection::create(context_, adapter::maxMessageBytes);
+    const auto drop = [this, node, raw = spare.get()] {
+        std::erase_if(spares_[node], [raw](const auto &each) { return each.get() == raw; });
+    };
+    spare->setHandlers([](std::string_view) {}, drop);
+    spare->connect(tcp::endpoint(peer.address, peer.port), net::silence_check::Short);
+    spares_[node].push_back(spare);
+}
+
 void session_gateway::perform(const proxy::send_to_member &order)
 {
     const auto found = upstreams_.find(order.link);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double smoothing = 0.2; // weight of the newest sample
+/// An answer that nobody waits for any more is waited for this long after its link was opened.
+constexpr milliseconds orphanLimit{ 4'000 };
 constexpr milliseconds laggingPause{ 120 };
 /// Another daemon keeps the connections while the one that does is not reached.
 constexpr milliseconds keeperPause{ 1'000 };
@@ -254,6 +256,10 @@
 {
     member_state *member = findMember(state, link.member);
     if (answer.code == reply_code::Success) {
+        if (!link.expected.empty()) {
+            link.state = link_state::Busy;
+            link.abandonAt = now + orphanLimit;
+        }
         if (member != nullptr) {
             smooth(member->connectUs, now - link.openedAt);
             member->limitRefusals = 0;
@@ -263,6 +269,7 @@
         return;
     }
     link.tainted = true;
+    link.refused = true;
     if (member == nullptr)
         return;
     if (answer.code == reply_code::ConnectionLimit) {
@@ -287,6 +294,12 @@
     forget(*what, link.id);
     if (!what->sentOn.empty())
         return;
+    if (link.refused) {
+        unbind(*who, nullptr);
+        what->everSent = what->tries > 1;
+        tryAgain(state, *who, link.member, reply_code::ConnectionLimit, now);
+        return;
+    }
     if (mayRepeat(*who, *what)) {
         unbind(*who, nullptr);
         what->refusedBy.push_back(link.member);
@@ -350,7 +363,7 @@
         break;
     }
     link = findLink(state, id);
-    if (link == nullptr || !link->expected.empty())
+    if (link == nullptr || (!link->expected.empty() && !link->refused))
         return;
     if (link->tainted) {
         closeLink(state, id, true, now);
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -184,7 +184,10 @@
     if (waits || member.limitUntil > now || connectingLinks(state, member) >= maxConnecting)
         return nullptr;
     opening = openLink(state, member, who.workspace, false, now);
-    return nullptr;
+    upstream_link *link = findLink(state, opening);
+    // A keeper that refuses has passed nothing on, so the statement can go with the opening. A member
+    // itself is asked first, as the end of its connection would not tell.
+    return link->via.empty() ? nullptr : link;
 }
 
 std::string keeperOf(const engine &state, const member_state &member, core::time_point now)
@@ -255,9 +258,11 @@
         batch.push_back(makeCommand(command_kind::Rollback));
         expectAnswer(link, answer_role::Cleanup);
     }
-    link.state = link_state::Busy;
+    if (link.state == link_state::Idle)
+        link.state = link_state::Busy;
     link.lastSent = now;
-    link.abandonAt = std::max(what.deadline, now) + orphanLimit;
+    if (link.state == link_state::Busy)
+        link.abandonAt = std::max(what.deadline, now) + orphanLimit;
     what.everSent = true;
     ++what.tries;
     what.sentOn.push_back(link.id);
