--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -45,8 +45,8 @@
     relay_server &operator=(const relay_server &) = delete;
 
     [[nodiscard]] std::error_code start(const net::endpoint &local);
-    /// @brief Takes no new borrowers.
-    void stop() { stopping_ = true; }
+    /// @brief Refuses new borrowers.
+    void stop();
     /// @return whether a borrower is being served
     [[nodiscard]] bool isBusy() const { return !borrowers_.empty(); }
     [[nodiscard]] const relay_counters &counters() const { return counters_; }
@@ -65,8 +65,10 @@
     void lend(proxy::borrower_id borrowerId, proxy::pooled_id pooledId);
     void clean(proxy::pooled_id id);
     void closePooled(proxy::pooled_id id, bool politely);
-    void refuse(proxy::borrower_id id);
+    /// @param code ConnectionLimit: none is free; Misrouted: this daemon does not lend now
+    void refuse(proxy::borrower_id id, proxy::reply_code code);
     void advance(const std::string &memberId);
+    void closeIdle(const std::string &memberId);
     void tick();
 
     boost::asio::io_context &context_;
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -3,6 +3,7 @@
 
 #include <fuchsiagw/daemon/relay_server.hpp>
 
+#include <fuchsiagw/detail/engine_steps.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
 #include <platform/wire_codec.hpp>
@@ -104,7 +105,7 @@
     if (who.member.empty()) {
         const auto opening = adapter::decodeMemberOpening(line);
         if (!opening || stopping_) {
-            refuse(id);
+            refuse(id, proxy::reply_code::Misrouted);
             return;
         }
         borrow(id, opening->member, opening->workspace);
@@ -136,7 +137,7 @@
     const auto service = usable ? engine_.config->services.find(member->second.entry.service)
                                 : decltype(engine_.config->services.find("")){};
     if (!usable || service == engine_.config->services.end()) {
-        refuse(id);
+        refuse(id, proxy::reply_code::Misrouted);
         return;
     }
     borrowers_.at(id)->member = memberId;
@@ -160,7 +161,7 @@
     for (const std::string &workspace : step.open)
         open(memberId, workspace);
     for (const proxy::borrower_id each : step.refuse)
-        refuse(each);
+        refuse(each, proxy::reply_code::ConnectionLimit);
 }
 
 void relay_server::open(const std::string &memberId, const std::string &workspace)
@@ -327,19 +328,37 @@
     borrowers_.erase(who);
 }
 
-void relay_server::refuse(proxy::borrower_id id)
+void relay_server::refuse(proxy::borrower_id id, proxy::reply_code code)
 {
     const auto found = borrowers_.find(id);
     if (found == borrowers_.end())
         return;
     ++counters_.refused;
     proxy::reply answer;
-    answer.code = proxy::reply_code::ConnectionLimit;
+    answer.code = code;
     found->second->connection->send(adapter::encodeReply(answer, true));
     found->second->connection->closeGently();
     borrowers_.erase(found);
 }
 
+void relay_server::stop()
+{
+    stopping_ = true;
+    for (const auto &[member, pool] : pools_)
+        closeIdle(member);
+}
+
+void relay_server::closeIdle(const std::string &memberId)
+{
+    std::vector<proxy::pooled_id> idle;
+    for (const auto &[id, each] : pools_.at(memberId).connections) {
+        if (each.state == proxy::pooled_state::Idle)
+            idle.push_back(id);
+    }
+    for (const proxy::pooled_id id : idle)
+        closePooled(id, true);
+}
+
 void relay_server::tick()
 {
     timer_.expires_after(tickInterval);
@@ -354,8 +373,11 @@
                 members.push_back(member);
             const auto idle = proxy::surplus(pool, now);
             overdue.insert(overdue.end(), idle.begin(), idle.end());
+            // The rightful keeper needs the connections that this daemon has lent in its place.
             const auto known = engine_.members.find(member);
-            const bool unwanted = known == engine_.members.end() || !known->second.listed;
+            const bool unwanted =
+                    stopping_ || known == engine_.members.end() || !known->second.listed
+                    || proxy::keeperOf(engine_, known->second, now) != engine_.settings.node;
             for (const auto &[id, each] : pool.connections) {
                 const core::duration age = now - each.since;
                 const bool stuck = each.state == proxy::pooled_state::Opening && age > openLimit;
@@ -366,8 +388,11 @@
                     overdue.push_back(id);
             }
         }
-        for (const proxy::pooled_id id : overdue)
-            closePooled(id, false);
+        for (const proxy::pooled_id id : overdue) {
+            const auto found = pooled_.find(id);
+            if (found != pooled_.end())
+                closePooled(id, found->second->owed == 0);
+        }
         for (const std::string &member : members)
             advance(member);
         tick();
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds laggingPause{ 120 };
 /// Another daemon keeps the connections while the one that does is not reached.
 constexpr milliseconds keeperPause{ 1'000 };
+constexpr milliseconds keeperLeaves{ 3'000 };
 constexpr milliseconds busyPause{ 15 };
 constexpr milliseconds limitPause{ 20 };
 constexpr int maxBusyDoublings = 4;
@@ -270,6 +271,13 @@
     }
     link.tainted = true;
     link.refused = true;
+    const auto keeper = state.peers.find(link.via);
+    if (answer.code != reply_code::ConnectionLimit && !link.via.empty()) {
+        // It is stopping, or does not know the member yet; the next one in order is asked.
+        if (keeper != state.peers.end())
+            keeper->second.silentUntil = now + keeperLeaves;
+        return;
+    }
     if (member == nullptr)
         return;
     if (answer.code == reply_code::ConnectionLimit) {
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -14,7 +14,7 @@
 /// A connection that does not become usable within this time is given up.
 constexpr milliseconds connectLimit{ 1'000 };
 /// A keeper that lends nothing refuses before; this one does not answer.
-constexpr milliseconds borrowLimit{ 300 };
+constexpr milliseconds borrowLimit{ 700 };
 /// An answer that nobody waits for any more is waited for this long before its link is closed.
 constexpr milliseconds orphanLimit{ 3'000 };
 /// Idle links beyond those that this daemon may keep are closed after this time.
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds connectSilence{ 250 };
 /// Statements take tens of milliseconds; a member that answers none of them for this long is silent.
 constexpr milliseconds answerSilence{ 450 };
+constexpr milliseconds keeperSilence{ 1'000 };
 constexpr milliseconds silentAvoidance{ 150 };
 constexpr milliseconds silentProbeInterval{ 200 };
 constexpr milliseconds silenceBeforePromotion{ 300 };
@@ -418,10 +419,15 @@
             if (now - link.lastSent < limit)
                 continue;
             // Behind a keeper that does not answer, the member may be well: it is asked directly.
-            if (!link.via.empty())
+            if (!link.via.empty()) {
                 suspected.insert(&member);
-            else
+                const auto keeper = state.peers.find(link.via);
+                if (connecting && keeper != state.peers.end())
+                    keeper->second.silentUntil = now + keeperSilence;
+            }
+            else {
                 member.silentSince = std::min(member.silentSince, link.lastSent);
+            }
         }
         if (member.silentSince == core::noDeadline) {
             if (suspected.contains(&member) && member.listed && now >= member.nextProbe)
--- a/src/proxy/relay_pool.cpp
+++ b/src/proxy/relay_pool.cpp
@@ -11,7 +11,7 @@
 
 /// Each connection that is being opened occupies a slot of the member.
 constexpr std::size_t maxOpening = 2;
-constexpr std::chrono::seconds idleLife{ 20 };
+constexpr std::chrono::seconds idleLife{ 8 };
 
 pooled_id findIdle(const relay_pool &pool, const std::string &workspace)
 {
