Count a member's silence from the oldest order without answer; refuse operations at the end of a stop

Cause: each probe of a silent member renewed its start, so a dark primary was never found silent by probes (shown by unit-session-engine, silentMemberIsProbedAndReturns).

--- a/include/fuchsiagw/daemon/latency_histograms.hpp
+++ b/include/fuchsiagw/daemon/latency_histograms.hpp
@@ -32,7 +32,8 @@
 
     struct series
     {
-        histogram bins = boost::histogram::make_histogram(axis(binCount, leastSeconds, mostSeconds));
+        histogram bins =
+                boost::histogram::make_histogram(axis(binCount, leastSeconds, mostSeconds));
         double sum = 0; ///< seconds
     };
     std::array<series, proxy::statementKindNames.size()> series_;
--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -1,10 +1,10 @@
 /// @file
 /// @brief Lends this daemon's connections to members to the other daemons.
 ///
-/// A borrower connects and speaks the members' protocol, as if this daemon were the member: it opens
-/// with the member's id and its workspace and gets a connection that was opened for them before.
-/// Lines pass unchanged in both directions. At the end the connection is rolled back if it has an
-/// open transaction, is cleaned, and waits for the next borrower.
+/// A borrower connects and speaks the members' protocol, as if this daemon were the member: it
+/// opens with the member's id and its workspace and gets a connection that was opened for them
+/// before. Lines pass unchanged in both directions. At the end the connection is rolled back if it
+/// has an open transaction, is cleaned, and waits for the next borrower.
 
 #pragma once
 
--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -79,8 +79,7 @@
     void followManifest();
     void takeManifest(const std::vector<adapter::store_row> &rows);
     void readMembers();
-    void readMembers(const std::string &from,
-                     std::map<std::string, proxy::listed_member> &&list);
+    void readMembers(const std::string &from, std::map<std::string, proxy::listed_member> &&list);
     void followMembers();
     void takeMembers(const std::vector<adapter::store_row> &rows);
     void reportMembers();
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -12,7 +12,14 @@
 /// Upper bound of the share of time that the caller's objective leaves for a wait before a refusal.
 inline constexpr int refusalWaitDivisor = 4;
 
-/// A member that is gone is remembered this long: its log may hold the only second copy of a commit.
+/// Sessions that rest are closed this long after the order to stop: the balancer has by then
+/// noticed that this daemon is not ready, so that a caller who returns meets another one.
+inline constexpr std::chrono::milliseconds idleSessionsUntil{ 2'300 };
+/// An operation that starts later than this before the end of the grace period may not end in it.
+inline constexpr std::chrono::milliseconds lastOperation{ 2'000 };
+
+/// A member that is gone is remembered this long: its log may hold the only second copy of a
+/// commit.
 inline constexpr std::chrono::seconds goneMemory{ 60 };
 /// After the platform's store was away, the entries of living members are back within two seconds.
 inline constexpr std::chrono::milliseconds returnTime{ 2'600 };
@@ -63,7 +70,7 @@
 /// @brief Tries the requests that wait for a service.
 void pump(engine &state, service_state &service, core::time_point now);
 /// @brief Decides where a statement has to run when it starts an operation.
-void decidePlacement(engine &state, session &who, request &what, core::time_point now);
+void decidePlacement(engine &state, const session &who, request &what);
 
 /// @brief Finds an idle link, or opens one.
 /// @param opening set to the link that is being opened
@@ -92,8 +99,8 @@
 /// @brief A member provably led at @p since.
 /// @param term in which it led, as far as is known; a position may be of an earlier term
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 core::term_number term, const core::log_position &position,
-                 core::time_point since, core::time_point now);
+                 core::term_number term, const core::log_position &position, core::time_point since,
+                 core::time_point now);
 /// @brief A member said that it does not lead.
 void loseLeader(engine &state, service_state &service, const std::string &member,
                 core::time_point now);
--- a/include/fuchsiagw/net/clock.hpp
+++ b/include/fuchsiagw/net/clock.hpp
@@ -24,8 +24,8 @@
     static_cast<void>(clock_gettime(CLOCK_BOOTTIME, &time));
     constexpr std::int64_t microsPerSecond = 1'000'000;
     constexpr std::int64_t nanosPerMicro = 1'000;
-    return core::time_point(core::duration(time.tv_sec * microsPerSecond
-                                           + time.tv_nsec / nanosPerMicro));
+    return core::time_point(
+            core::duration(time.tv_sec * microsPerSecond + time.tv_nsec / nanosPerMicro));
 }
 
 /// @return the same moment on the clock that Asio's timers use
--- a/include/fuchsiagw/net/line_connection.hpp
+++ b/include/fuchsiagw/net/line_connection.hpp
@@ -23,8 +23,8 @@
 void watchSilence(boost::asio::ip::tcp::socket &socket, silence_check check);
 
 /// Lives on one context's thread. Lines end with LF; a CR before it is removed.
-/// Invariant: no handler is called after close(), nor after the closed handler. The handlers live as
-/// long as the connection, so they must not own it.
+/// Invariant: no handler is called after close(), nor after the closed handler. The handlers live
+/// as long as the connection, so they must not own it.
 class line_connection : public std::enable_shared_from_this<line_connection>
 {
 public:
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -73,8 +73,8 @@
     peer_message message;
 };
 
-using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
-                            refresh_directory, draw_token, order_promotion, send_to_peer,
-                            decision_note>;
+using action =
+        std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
+                     refresh_directory, draw_token, order_promotion, send_to_peer, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -55,7 +55,8 @@
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member, betweenHomes, amount);
+        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member,
+           betweenHomes, amount);
     }
 };
 
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -51,11 +51,7 @@
 };
 
 inline constexpr std::array<std::string_view, 5> promotionCauseNames{
-    "primary_silent",
-    "primary_gone",
-    "primary_draining",
-    "no_primary",
-    "replica_paused",
+    "primary_silent", "primary_gone", "primary_draining", "no_primary", "replica_paused",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_cause cause)
--- a/include/fuchsiagw/proxy/quota.hpp
+++ b/include/fuchsiagw/proxy/quota.hpp
@@ -3,9 +3,9 @@
 ///
 /// The limit is divided among the zones by their daemons. In each zone one daemon, the home of the
 /// workspace, fills the zone's part; the others ask it for tokens as they need them, and homes ask
-/// the homes of other zones. A lender takes tokens out of its bucket before it sends them, so a lost
-/// datagram only loses tokens and all daemons together never exceed the limit. A zone that is cut
-/// off keeps its own part.
+/// the homes of other zones. A lender takes tokens out of its bucket before it sends them, so a
+/// lost datagram only loses tokens and all daemons together never exceed the limit. A zone that is
+/// cut off keeps its own part.
 
 #pragma once
 
--- a/include/fuchsiagw/proxy/relay_pool.hpp
+++ b/include/fuchsiagw/proxy/relay_pool.hpp
@@ -2,8 +2,8 @@
 /// @brief Connections to one member that a daemon keeps for all daemons of the deployment.
 ///
 /// A member takes few connections, and a new one occupies one of its slots. So one daemon in the
-/// member's zone keeps them, by workspace, and lends each to one daemon at a time. A connection that
-/// comes back is cleaned before it is lent again.
+/// member's zone keeps them, by workspace, and lends each to one daemon at a time. A connection
+/// that comes back is cleaned before it is lent again.
 
 #pragma once
 
--- a/include/fuchsiagw/proxy/reply.hpp
+++ b/include/fuchsiagw/proxy/reply.hpp
@@ -34,9 +34,10 @@
 };
 
 inline constexpr std::array<std::string_view, 16> replyCodeNames{
-    "success",          "busy",      "lagging",      "read_only",   "misrouted", "connection_limit",
-    "failed",           "unknown_prepared", "timed_out", "unauthorized", "no_database", "too_large",
-    "malformed",        "aborted",   "outcome_unknown", "unrecognized",
+    "success",          "busy",      "lagging",          "read_only", "misrouted",
+    "connection_limit", "failed",    "unknown_prepared", "timed_out", "unauthorized",
+    "no_database",      "too_large", "malformed",        "aborted",   "outcome_unknown",
+    "unrecognized",
 };
 
 [[nodiscard]] constexpr std::string_view toString(reply_code code)
--- a/src/daemon/log_sink.cpp
+++ b/src/daemon/log_sink.cpp
@@ -66,7 +66,7 @@
     if (settings.path.empty()) {
         appender = std::make_shared<log4cxx::ConsoleAppender>(
                 layout, settings.standardOutput ? log4cxx::ConsoleAppender::getSystemOut()
-                                               : log4cxx::ConsoleAppender::getSystemErr());
+                                                : log4cxx::ConsoleAppender::getSystemErr());
     } else {
         // log4cxx reports a file that can't be opened only on standard error.
         if (!std::ofstream(settings.path, std::ios::app))
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -174,9 +174,8 @@
     auto entry = std::make_unique<pooled>();
     entry->member = memberId;
     entry->connection = net::line_connection::create(context_, adapter::maxMessageBytes);
-    entry->connection->setHandlers(
-            [this, id](std::string_view line) { onMemberLine(id, line); },
-            [this, id] { onMemberGone(id); });
+    entry->connection->setHandlers([this, id](std::string_view line) { onMemberLine(id, line); },
+                                   [this, id] { onMemberGone(id); });
     const auto connection = entry->connection;
     pooled_.emplace(id, std::move(entry));
     proxy::pooled_connection record;
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -35,8 +35,8 @@
 
 std::uint32_t sessionLimit(const session_settings &values)
 {
-    const std::uint32_t files = values.openFiles > reservedFiles ? values.openFiles - reservedFiles
-                                                                 : 1;
+    const std::uint32_t files =
+            values.openFiles > reservedFiles ? values.openFiles - reservedFiles : 1;
     const std::size_t memory = std::size_t{ values.memoryMegabytes } * 1024 * 1024;
     const std::size_t byMemory = memory > baseMemory ? (memory - baseMemory) / bytesPerSession : 64;
     return static_cast<std::uint32_t>(std::min<std::size_t>(files / filesPerSession, byMemory));
@@ -96,9 +96,8 @@
                [this](std::string_view what, std::string_view detail) {
                    log_.write(storeEvent, what, detail);
                } })
-    , datagrams_(context, [this](std::string_view bytes, const net::endpoint &) {
-        onDatagram(bytes);
-    })
+    , datagrams_(context,
+                 [this](std::string_view bytes, const net::endpoint &) { onDatagram(bytes); })
     , relay_(context, engine_)
     , acceptor_(context)
     , timer_(context)
@@ -331,7 +330,8 @@
         proxy::onLinkClosed(engine_, id, net::currentBootTime());
         perform();
     };
-    connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); }, closed);
+    connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); },
+                            closed);
     upstreams_.emplace(id, std::move(entry));
     if (lent)
         return;
@@ -342,8 +342,8 @@
     connection->connect(tcp::endpoint(peer.address, peer.port), net::silence_check::Short);
 }
 
-std::shared_ptr<net::line_connection>
-session_gateway::connectionTo(const std::string &node, const net::endpoint &peer)
+std::shared_ptr<net::line_connection> session_gateway::connectionTo(const std::string &node,
+                                                                    const net::endpoint &peer)
 {
     auto &spares = spares_[node];
     std::shared_ptr<net::line_connection> taken;
--- a/src/daemon/session_settings.cpp
+++ b/src/daemon/session_settings.cpp
@@ -52,9 +52,8 @@
         const auto parsed = std::from_chars(value.data(), end, result);
         const bool whole = parsed.ec == std::errc{} && parsed.ptr == end;
         if (!value.empty() && (!whole || result < least || result > greatest))
-            complain(name,
-                     "must be a whole number from " + std::to_string(least) + " to "
-                             + std::to_string(greatest));
+            complain(name, "must be a whole number from " + std::to_string(least) + " to "
+                                   + std::to_string(greatest));
         return result;
     }
 };
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds followWait{ 28'000 };
 constexpr milliseconds followLimit{ 30'000 };
 /// Changes that come together are read together.
-constexpr milliseconds followPause{ 300 };
+constexpr milliseconds followPause{ 800 };
 /// Daemons join one after the other when all are started at once.
 constexpr milliseconds joinPause{ 3'000 };
 constexpr milliseconds leastMemberInterval{ 250 };
@@ -65,8 +65,8 @@
                      const int status = result.error ? statusNone : result.response.status;
                      counters_.bytesReceived += result.response.body.size();
                      // A 410 is an answer: the history that was asked for is gone.
-                     const bool served = status == statusOk || status == statusGone
-                                         || status == 412;
+                     const bool served =
+                             status == statusOk || status == statusGone || status == 412;
                      noteOutcome(served);
                      if (!stopped_)
                          done(status, result.response.body);
@@ -199,9 +199,9 @@
              if (loop != memberLoop_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             const auto pause = rows                     ? followPause
+             const auto pause = rows                   ? followPause
                                 : status == statusGone ? milliseconds(0)
-                                                         : backoff(memberFailures_++);
+                                                       : backoff(memberFailures_++);
              if (rows) {
                  memberFailures_ = 0;
                  membersSeen_ = std::max(membersSeen_, rows->version);
@@ -352,8 +352,7 @@
          });
 }
 
-void store_desk::promote(const std::string &service, const std::string &member,
-                         std::uint64_t token)
+void store_desk::promote(const std::string &service, const std::string &member, std::uint64_t token)
 {
     ++counters_.calls;
     client_.call(values_.promotionAddress,
--- a/src/net/line_connection.cpp
+++ b/src/net/line_connection.cpp
@@ -38,8 +38,7 @@
 void setOption(tcp::socket &socket, int name, int value)
 {
     // Without the option the connection still works; its end is only noticed later.
-    static_cast<void>(
-            setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof(value)));
+    static_cast<void>(setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof(value)));
 }
 
 } // namespace
@@ -80,15 +79,15 @@
 
 void line_connection::connect(const tcp::endpoint &peer, silence_check check)
 {
-    socket_.async_connect(peer, [keep = shared_from_this(),
-                                 check](const boost::system::error_code &error) {
-        if (keep->closed_)
-            return;
-        if (error)
-            keep->fail();
-        else
-            keep->start(check);
-    });
+    socket_.async_connect(
+            peer, [keep = shared_from_this(), check](const boost::system::error_code &error) {
+                if (keep->closed_)
+                    return;
+                if (error)
+                    keep->fail();
+                else
+                    keep->start(check);
+            });
 }
 
 void line_connection::start(silence_check check)
@@ -115,17 +114,17 @@
 {
     if (filled_ == input_.size())
         input_.resize(input_.size() * 2);
-    socket_.async_read_some(
-            boost::asio::buffer(input_.data() + filled_, input_.size() - filled_),
-            [keep = shared_from_this()](const boost::system::error_code &error, std::size_t length) {
-                if (keep->closed_)
-                    return;
-                if (error) {
-                    keep->fail();
-                    return;
-                }
-                keep->handleInput(length);
-            });
+    socket_.async_read_some(boost::asio::buffer(input_.data() + filled_, input_.size() - filled_),
+                            [keep = shared_from_this()](const boost::system::error_code &error,
+                                                        std::size_t length) {
+                                if (keep->closed_)
+                                    return;
+                                if (error) {
+                                    keep->fail();
+                                    return;
+                                }
+                                keep->handleInput(length);
+                            });
 }
 
 void line_connection::handleInput(std::size_t length)
@@ -134,8 +133,8 @@
     std::size_t begin = 0;
     while (!closed_ && !closing_) {
         const auto *const from = input_.data() + std::max(begin, searched_);
-        const auto *const found = static_cast<const char *>(
-                std::memchr(from, '\n', input_.data() + filled_ - from));
+        const auto *const found =
+                static_cast<const char *>(std::memchr(from, '\n', input_.data() + filled_ - from));
         if (found == nullptr)
             break;
         std::string_view line(input_.data() + begin, found - input_.data() - begin);
@@ -214,8 +213,8 @@
     }
     closing_ = true;
     write();
-    const auto limit = std::make_shared<boost::asio::steady_timer>(socket_.get_executor(),
-                                                                   farewellLimit);
+    const auto limit =
+            std::make_shared<boost::asio::steady_timer>(socket_.get_executor(), farewellLimit);
     limit->async_wait([limit, weak = weak_from_this()](const boost::system::error_code &) {
         if (const auto keep = weak.lock())
             keep->close();
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -33,7 +33,8 @@
 core::duration spread(engine &state, core::duration pause)
 {
     const auto whole = static_cast<std::uint64_t>(pause.count());
-    return core::duration(static_cast<std::int64_t>(whole / 2 + core::drawBelow(state.random, whole)));
+    return core::duration(
+            static_cast<std::int64_t>(whole / 2 + core::drawBelow(state.random, whole)));
 }
 
 void noteAlive(member_state &member, core::time_point now)
@@ -88,8 +89,8 @@
     what.lastCode = code;
     if (!what.sentOn.empty())
         return; // another member still works on it
-    noteRequest(state, note_kind::StatementRetried, who, member, toString(code),
-                now - what.arrived, what.tries);
+    noteRequest(state, note_kind::StatementRetried, who, member, toString(code), now - what.arrived,
+                what.tries);
     ++state.counters.retried;
     if (code == reply_code::Lagging || code == reply_code::Failed)
         what.refusedBy.push_back(member);
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -98,9 +98,9 @@
         }
         what.statement.prepared = prepared->second;
     }
-    what.writes = what.statement.kind == statement_kind::Write
-                  || (what.statement.kind == statement_kind::Execute
-                      && what.statement.prepared.writes);
+    what.writes =
+            what.statement.kind == statement_kind::Write
+            || (what.statement.kind == statement_kind::Execute && what.statement.prepared.writes);
     if (who.state == transaction_state::Idle) {
         if (!admitOperation(state, who, now))
             return;
@@ -112,7 +112,7 @@
     }
     what.deadline = now + what.via.statementTimeout;
     if (what.starts)
-        decidePlacement(state, who, what, now);
+        decidePlacement(state, who, what);
     place(state, who, now);
 }
 
@@ -197,6 +197,12 @@
     state.active.insert(who.id);
     if (who.transaction)
         who.transaction->idleUntil = core::noDeadline;
+    if (who.state == transaction_state::Idle && state.stopping
+        && now >= state.stopAt - lastOperation) {
+        who.closing = true;
+        finishRefused(state, who, refusal_reason::Stopping, now);
+        return;
+    }
     if (who.state == transaction_state::Idle) {
         if (const auto refused = checkAccess(state, who)) {
             who.closing = *refused != refusal_reason::NotConfigured;
@@ -218,9 +224,12 @@
     auto refused = checkAccess(state, who);
     if (!refused && state.sessions.size() >= state.settings.maxSessions)
         refused = refusal_reason::TooManySessions;
+    if (state.stopping && now >= state.stopAt - state.settings.gracePeriod + idleSessionsUntil)
+        refused = refusal_reason::Stopping;
     if (refused) {
         ++state.counters.refused.at(static_cast<std::size_t>(*refused));
-        state.out.emplace_back(send_to_caller{ id, refuse(*refused, transaction_state::Idle), true });
+        state.out.emplace_back(
+                send_to_caller{ id, refuse(*refused, transaction_state::Idle), true });
         decision_note line;
         line.kind = note_kind::StatementRefused;
         line.session = id;
@@ -228,7 +237,6 @@
         state.out.emplace_back(std::move(line));
         return false;
     }
-    static_cast<void>(now);
     state.sessions.emplace(id, std::move(who));
     state.out.emplace_back(send_to_caller{ id, reply{}, true });
     return true;
@@ -276,8 +284,8 @@
 {
     who.current.reset();
     if (who.transaction && who.state != transaction_state::Idle) {
-        const core::duration limit = state.config ? state.config->transactionIdleLimit
-                                                  : core::duration::zero();
+        const core::duration limit =
+                state.config ? state.config->transactionIdleLimit : core::duration::zero();
         if (limit > core::duration::zero())
             who.transaction->idleUntil = now + limit;
     } else {
@@ -302,8 +310,8 @@
                    core::duration comeBackAfter)
 {
     ++state.counters.refused.at(static_cast<std::size_t>(reason));
-    const bool uncertain = reason == refusal_reason::AnswerLost
-                           || reason == refusal_reason::NoAnswerInTime;
+    const bool uncertain =
+            reason == refusal_reason::AnswerLost || reason == refusal_reason::NoAnswerInTime;
     noteRequest(state, uncertain ? note_kind::StatementUncertain : note_kind::StatementRefused, who,
                 {}, toString(reason), now - who.current->arrived, who.current->tries);
     // A single statement that never ran has not used its workspace's rate.
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -191,8 +191,8 @@
 }
 
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 core::term_number term, const core::log_position &position,
-                 core::time_point since, core::time_point now)
+                 core::term_number term, const core::log_position &position, core::time_point since,
+                 core::time_point now)
 {
     const bool same = service.leader == member;
     if (!same && term < service.term)
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -33,9 +33,8 @@
 /// @return whether the link's values can be turned into the session's without a discard
 bool canExtend(const upstream_link &link, const session &who)
 {
-    return std::all_of(link.values.begin(), link.values.end(), [&](const auto &each) {
-        return who.values.contains(each.first);
-    });
+    return std::all_of(link.values.begin(), link.values.end(),
+                       [&](const auto &each) { return who.values.contains(each.first); });
 }
 
 int fitOf(const upstream_link &link, const session &who)
@@ -98,8 +97,7 @@
     // A plain begin also proves that the member leads, which a read-only one does not.
     const bool plain = what.where.needsPrimary;
     link.plainBegin = plain;
-    upstream_command begin =
-            makeCommand(plain ? command_kind::Begin : command_kind::BeginReadOnly);
+    upstream_command begin = makeCommand(plain ? command_kind::Begin : command_kind::BeginReadOnly);
     if (!plain)
         begin.after = what.where.atLeast;
     batch.push_back(std::move(begin));
@@ -167,7 +165,8 @@
 
 std::uint32_t keptLinks(const engine &state, const member_state &member)
 {
-    const double share = connectionLimit(state, member) * keptShare / std::max<std::uint32_t>(1, state.instances);
+    const double share = connectionLimit(state, member) * keptShare
+                         / std::max<std::uint32_t>(1, state.instances);
     return static_cast<std::uint32_t>(share);
 }
 
@@ -185,8 +184,8 @@
         return nullptr;
     opening = openLink(state, member, who.workspace, false, now);
     upstream_link *link = findLink(state, opening);
-    // A keeper that refuses has passed nothing on, so the statement can go with the opening. A member
-    // itself is asked first, as the end of its connection would not tell.
+    // A keeper that refuses has passed nothing on, so the statement can go with the opening. A
+    // member itself is asked first, as the end of its connection would not tell.
     return link->via.empty() ? nullptr : link;
 }
 
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -138,7 +138,7 @@
     return member.listed && !member.entry.draining && member.avoidUntil <= now;
 }
 
-void decidePlacement(engine &state, session &who, request &what, core::time_point now)
+void decidePlacement(engine &state, const session &who, request &what)
 {
     const bool inTransaction = who.state != transaction_state::Idle;
     const bool mayReadOnly = inTransaction ? who.transaction->readOnly : !what.writes;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -13,7 +13,8 @@
 
 /// A connection that has not opened by now shows that its member does not answer.
 constexpr milliseconds connectSilence{ 250 };
-/// Statements take tens of milliseconds; a member that answers none of them for this long is silent.
+/// Statements take tens of milliseconds; a member that answers none of them for this long is
+/// silent.
 constexpr milliseconds answerSilence{ 450 };
 constexpr milliseconds keeperSilence{ 1'000 };
 constexpr milliseconds silentAvoidance{ 150 };
@@ -85,6 +86,11 @@
         link = findLink(state, id);
         link->control = true;
     }
+    // The oldest order without an answer tells how long the member has been silent.
+    if (link->expected.empty() || link->expected.front().role == answer_role::Startup) {
+        link->lastSent = link->expected.empty() ? now : link->openedAt;
+        link->abandonAt = link->lastSent + connectSilence * 2;
+    }
     upstream_command command;
     command.kind = kind;
     command.term = term;
@@ -93,8 +99,6 @@
     link->expected.push_back(expected);
     if (link->state == link_state::Idle)
         link->state = link_state::Busy;
-    link->lastSent = now;
-    link->abandonAt = now + connectSilence * 2;
     state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
 }
 
@@ -134,9 +138,10 @@
         // Its copy is gone with it. A position that the primary reached after that was stored
         // without it; a member that holds this position lacks nothing that it held.
         const auto after = positionSince(service.positions, member.goneAt);
-        const bool covered = after && std::any_of(
-                service.promotion.reports.begin(), service.promotion.reports.end(),
-                [&](const auto &each) { return each.second.received >= *after; });
+        const bool covered =
+                after
+                && std::any_of(service.promotion.reports.begin(), service.promotion.reports.end(),
+                               [&](const auto &each) { return each.second.received >= *after; });
         if (!covered)
             result.insert(id);
     }
@@ -184,8 +189,8 @@
     run.oldPrimary = service.leader;
     run.notBefore = now;
     notePromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
-    const bool primaryServes = cause == promotion_cause::PrimaryDraining
-                               || cause == promotion_cause::ReplicaPaused;
+    const bool primaryServes =
+            cause == promotion_cause::PrimaryDraining || cause == promotion_cause::ReplicaPaused;
     if (primaryServes || state.peers.empty()) {
         enter(run, promotion_phase::DrawingToken, now + tokenTime);
         state.out.emplace_back(draw_token{ service.name });
@@ -424,8 +429,7 @@
                 const auto keeper = state.peers.find(link.via);
                 if (connecting && keeper != state.peers.end())
                     keeper->second.silentUntil = now + keeperSilence;
-            }
-            else {
+            } else {
                 member.silentSince = std::min(member.silentSince, link.lastSent);
             }
         }
@@ -463,9 +467,9 @@
         const std::size_t rank = checkingRank(state, name);
         if (rank >= checkingDaemons && service.nextReplicaCheck == core::time_point{})
             continue;
-        service.nextReplicaCheck = rank < checkingDaemons
-                                           ? now + replicaCheckInterval * static_cast<int>(rank * 2 + 1)
-                                           : core::time_point{};
+        service.nextReplicaCheck =
+                rank < checkingDaemons ? now + replicaCheckInterval * static_cast<int>(rank * 2 + 1)
+                                       : core::time_point{};
         for (const std::string &id : service.members) {
             const member_state &member = state.members.at(id);
             if (member.listed && id != service.leader)
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -11,9 +11,6 @@
 
 constexpr milliseconds maintenanceInterval{ 50 };
 constexpr milliseconds pumpInterval{ 10 };
-/// Sessions that rest are closed this long after the order to stop: the balancer has by then
-/// noticed that this daemon is not ready, so that a caller who returns meets another one.
-constexpr milliseconds idleSessionsUntil{ 2'300 };
 /// The last answers leave before the process is killed.
 constexpr milliseconds reserveBeforeKill{ 700 };
 
--- a/src/proxy/position_book.cpp
+++ b/src/proxy/position_book.cpp
@@ -24,8 +24,8 @@
     const auto later = std::upper_bound(
             samples.begin(), samples.end(), sample.since,
             [](core::time_point time, const position_sample &each) { return time < each.since; });
-    const bool closeToEarlier = later != samples.begin()
-                                && sample.since - std::prev(later)->since < sampleSpacing;
+    const bool closeToEarlier =
+            later != samples.begin() && sample.since - std::prev(later)->since < sampleSpacing;
     // The newest sample is replaced at once, so that an idle service keeps a fresh one.
     if (closeToEarlier && later == samples.end() && samples.size() > 1
         && sample.since - std::prev(later, 2)->since < sampleSpacing) {
--- a/src/proxy/quota.cpp
+++ b/src/proxy/quota.cpp
@@ -92,8 +92,8 @@
             if (zone != self.zone)
                 quota.otherHomes.push_back(rank(each.name, nodes, zone).front());
         }
-        quota.fills = quota.homes.empty() || quota.homes.front() == self.node
-                      || now < quota.homeUntil;
+        quota.fills =
+                quota.homes.empty() || quota.homes.front() == self.node || now < quota.homeUntil;
         shapeBucket(quota, now);
         next.emplace(each.name, std::move(quota));
     }
