--- a/include/fuchsiagw/wire/admin_json.hpp
+++ b/include/fuchsiagw/wire/admin_json.hpp
@@ -2,7 +2,7 @@
 /// @brief The operators' API on the admin port: routes, and requests and answers as JSON.
 ///
 /// Every function is pure; the daemon calls the one of the matched route and sends its answer.
-/// docs/operations.md lists the routes.
+/// docs/OPERATIONS.md lists the routes.
 
 #pragma once
 
