Remove a phase and a hook that nothing used; log ended sessions and lent tokens

Cause: two events stood on the page without being written, a promotion phase was never entered, and the loss of a control connection called an empty function. Measured: the unit tests of the session interface pass (7 programs).

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -116,7 +116,6 @@
 /// @brief An answer to an order of the proxy's own.
 void onControlAnswer(engine &state, const std::string &member, const reply &answer,
                      core::time_point sentAt, core::time_point now);
-void onControlLost(engine &state, const std::string &member, core::time_point now);
 [[nodiscard]] core::time_point nextPromotionStep(const engine &state);
 
 void exchangeWithPeers(engine &state, core::time_point now);
@@ -129,6 +128,6 @@
 void answerLoanRequest(engine &state, const peer_message &message, core::time_point now);
 void takeLoan(engine &state, const peer_message &message, core::time_point now);
 void reshapeQuotas(engine &state, core::time_point now);
-void tellLeader(engine &state, const service_state &service, core::time_point now);
+void tellLeader(engine &state, const service_state &service);
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -18,6 +18,7 @@
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_link.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -27,13 +27,12 @@
     Asking, ///< other daemons are asked whether they reach the primary
     DrawingToken, ///< the store decides who acts, and with which fencing token
     Fencing, ///< members are paused or stepped down, and report their positions
-    CatchingUp, ///< the old primary has stepped down; a replica receives the rest
     Ordering, ///< the platform was asked to promote
     Settling, ///< ordered; the new primary has not been seen to lead yet
 };
 
-inline constexpr std::array<std::string_view, 7> promotionPhaseNames{
-    "none", "asking", "drawing_token", "fencing", "catching_up", "ordering", "settling",
+inline constexpr std::array<std::string_view, 6> promotionPhaseNames{
+    "none", "asking", "drawing_token", "fencing", "ordering", "settling",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_phase phase)
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -24,6 +24,7 @@
     case proxy::note_kind::StatementHedged:
     case proxy::note_kind::StatementUncertain:
     case proxy::note_kind::TransactionEnded:
+    case proxy::note_kind::SessionClosed:
     case proxy::note_kind::MemberAvoided:
     case proxy::note_kind::QuotaLent:
         return true;
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -420,8 +420,6 @@
         const bool beginsTransaction = each.role == answer_role::Begin && link.pinnedTo != 0;
         if (each.role == answer_role::Statement || beginsTransaction)
             onAnswerLost(state, link, each, now);
-        else if (each.role == answer_role::Control || link.control)
-            onControlLost(state, link.member, now);
     }
 }
 
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -275,6 +275,12 @@
     const bool neverRan = who->current && who->current->admitted && !who->current->everSent;
     if (neverRan && who->state == transaction_state::Idle)
         giveBack(state.quota, who->workspace, now);
+    decision_note line;
+    line.kind = note_kind::SessionClosed;
+    line.session = id;
+    line.workspace = who->workspace;
+    line.reason = who->closing ? "by_proxy" : "ended";
+    state.out.emplace_back(std::move(line));
     state.sessions.erase(id);
     if (upstream_link *link = findLink(state, held))
         rollBack(state, *link, now);
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -213,7 +213,7 @@
     service.leader = member;
     service.disproved.clear();
     noteLeader(state, note_kind::LeaderLearned, service, member, "proven");
-    tellLeader(state, service, now);
+    tellLeader(state, service);
     pump(state, service, now);
 }
 
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -86,7 +86,7 @@
     line.reason = "peer";
     line.position.term = service->term;
     state.out.emplace_back(std::move(line));
-    tellLeader(state, *service, now);
+    tellLeader(state, *service);
     pump(state, *service, now);
 }
 
@@ -146,9 +146,8 @@
         state.out.emplace_back(send_to_peer{ peer, message });
 }
 
-void tellLeader(engine &state, const service_state &service, core::time_point now)
+void tellLeader(engine &state, const service_state &service)
 {
-    static_cast<void>(now);
     peer_message message = makeMessage(state, peer_message_kind::LeaderNews);
     leader_report report;
     report.service = service.name;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -389,7 +389,6 @@
             giveUp(state, service, "no_token", now);
         return;
     case promotion_phase::Fencing:
-    case promotion_phase::CatchingUp:
         stepFencing(state, service, now);
         return;
     case promotion_phase::Ordering:
@@ -585,12 +584,4 @@
         evaluate(state, *service, now);
 }
 
-void onControlLost(engine &state, const std::string &member, core::time_point now)
-{
-    // The next probe opens another link; nothing is waited for in the meantime.
-    static_cast<void>(state);
-    static_cast<void>(member);
-    static_cast<void>(now);
-}
-
 } // namespace fuchsiagw::proxy
--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -180,6 +180,14 @@
         answer.amount = hand(*quota, message.amount, now);
         askFor(state, *quota, message.subject, now);
     }
+    if (answer.amount > 0) {
+        decision_note line;
+        line.kind = note_kind::QuotaLent;
+        line.workspace = message.subject;
+        line.reason = message.betweenHomes ? "to_other_zone" : "to_own_zone";
+        line.number = answer.amount / core::oneToken;
+        state.out.emplace_back(std::move(line));
+    }
     if (answer.amount > 0 || !message.betweenHomes)
         state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
 }
