Promote only by reports of members that have stopped to receive for this attempt

Cause: a daemon in a zone that had been cut off started an attempt without knowing the primary. The store's token came after the cut had healed, and answers to status questions from before the fence counted as reports, so it ordered a promotion 3 ms after it began to fence. Change: reports count only in the fencing phase, from members that are paused under the attempt's term (or from the chosen one, while the old primary serves); an attempt that rests on a lost primary ends when a member leads; the lease counts from the question for the token. Ruled out: late orders (the fencing token was the newest).

--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -178,6 +178,15 @@
     return std::nullopt;
 }
 
+void drawToken(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &run = service.promotion;
+    enter(run, promotion_phase::DrawingToken, now + tokenTime);
+    // Counted from the question: the store's lease starts when it answers.
+    run.leaseUntil = now + leaseTime;
+    state.out.emplace_back(draw_token{ service.name });
+}
+
 void begin(engine &state, service_state &service, promotion_cause cause, core::time_point now)
 {
     promotion_state &run = service.promotion;
@@ -196,8 +205,7 @@
     const bool primaryServes =
             cause == promotion_cause::PrimaryDraining || cause == promotion_cause::ReplicaPaused;
     if (primaryServes || state.peers.empty()) {
-        enter(run, promotion_phase::DrawingToken, now + tokenTime);
-        state.out.emplace_back(draw_token{ service.name });
+        drawToken(state, service, now);
         return;
     }
     enter(run, promotion_phase::Asking, now + askingTime);
@@ -295,12 +303,40 @@
     if (run.steppedDown || old == nullptr || !old->listed)
         return;
     run.steppedDown = true;
+    // What the replicas reported while they were paused does not bound the log any more; only the
+    // old primary's answer does.
+    run.reports.clear();
     for (const std::string &each : run.fenced)
         order(state, each, command_kind::ResumeReceiving, 0, now);
     // They are told again at the end of the attempt if this does not reach them.
     order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
 }
 
+/// Whether the attempt rests on the belief that no member leads.
+bool mustNotLead(const promotion_state &run)
+{
+    const bool believed =
+            run.cause == promotion_cause::PrimarySilent || run.cause == promotion_cause::NoPrimary;
+    const bool early = run.phase == promotion_phase::Asking
+                       || run.phase == promotion_phase::DrawingToken
+                       || run.phase == promotion_phase::Fencing;
+    return believed && early;
+}
+
+/// Whether an answer bounds what the members can have acknowledged: it does if the member has
+/// stopped to receive for this attempt, or if its log may only grow from here on.
+bool countsAsReport(const promotion_state &run, const std::string &member,
+                    const member_status &status)
+{
+    if (run.phase != promotion_phase::Fencing)
+        return false;
+    if (run.steppedDown)
+        return member != run.oldPrimary || !status.leads;
+    if (run.cause == promotion_cause::PrimaryDraining && member == run.chosen)
+        return true;
+    return run.fenced.contains(member) && status.pausedTerm >= run.fenceTerm;
+}
+
 void sendOrder(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &run = service.promotion;
@@ -315,6 +351,8 @@
 void evaluate(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &run = service.promotion;
+    if (now >= run.leaseUntil || (run.steppedDown && !run.reports.contains(run.oldPrimary)))
+        return;
     std::set<std::string> electable = electableMembers(state, service);
     if (run.cause == promotion_cause::PrimaryDraining && !run.steppedDown && !run.chosen.empty()) {
         for (auto each = electable.begin(); each != electable.end();)
@@ -381,8 +419,7 @@
             giveUp(state, service, "peers_reach_it", now);
             return;
         }
-        enter(run, promotion_phase::DrawingToken, now + tokenTime);
-        state.out.emplace_back(draw_token{ service.name });
+        drawToken(state, service, now);
         return;
     case promotion_phase::DrawingToken:
         if (now >= run.phaseUntil)
@@ -509,7 +546,13 @@
         return;
     }
     run.token = token;
-    run.leaseUntil = now + leaseTime;
+    // Reports from before the fence tell nothing: a member that still receives may be ahead of
+    // them.
+    run.reports.clear();
+    if (now >= run.leaseUntil) {
+        giveUp(state, *service, "token_came_late", now);
+        return;
+    }
     run.fenceTerm = service->term + 1;
     if (run.cause == promotion_cause::ReplicaPaused) {
         // Naming the present primary changes nothing, but from then on no earlier order is carried
@@ -521,7 +564,7 @@
         sendOrder(state, *service, now);
         return;
     }
-    enter(run, promotion_phase::Fencing, now + fencingTime);
+    enter(run, promotion_phase::Fencing, std::min(now + fencingTime, run.leaseUntil));
     notePromotion(state, note_kind::PromotionStep, *service, "fencing", now);
     fence(state, *service, now);
 }
@@ -572,9 +615,13 @@
     }
     if (run.phase == promotion_phase::None)
         return;
+    // A pause under a term that is not above the member's own is refused and asked for again.
     run.fenceTerm = std::max(run.fenceTerm, status.term + 1);
-    const bool counts = run.steppedDown || !run.fenced.contains(memberId) || status.pausedTerm != 0;
-    if (counts)
+    if (status.leads && mustNotLead(run)) {
+        giveUp(state, *service, "primary_leads", now);
+        return;
+    }
+    if (countsAsReport(run, memberId, status))
         run.reports[memberId] = status;
     if (run.phase == promotion_phase::Settling && status.leads && memberId == run.chosen) {
         finishPromotion(state, *service, now);
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -359,3 +359,78 @@
     const session_id late = ++world.nextSession;
     CHECK_FALSE(onSessionOpened(world.state, late, "current", "key", world.now));
 }
+
+namespace {
+
+/// Brings an attempt to promote without a known primary to the point where replicas are fenced.
+void startFencing(proxy_fixture &world)
+{
+    service_state &service = world.state.services.at(proxy_fixture::service);
+    world.list({ proxy_fixture::member("m1", false), proxy_fixture::member("m2", false),
+                 proxy_fixture::member("m3", false) });
+    service.leader.clear();
+    service.promotion = {};
+    service.promotion.cause = promotion_cause::NoPrimary;
+    service.promotion.phase = promotion_phase::DrawingToken;
+    service.promotion.startedAt = world.now;
+    service.promotion.leaseUntil = world.now + milliseconds(2700);
+    service.promotion.phaseUntil = world.now + milliseconds(1500);
+}
+
+/// Lets every member answer its oldest order.
+void reportAll(proxy_fixture &world, fuchsiagw::core::term_number paused, bool m1Leads = false)
+{
+    world.acceptLinks();
+    std::vector<std::pair<link_id, std::string>> control;
+    for (const auto &[id, link] : world.state.links) {
+        if (link.control && !link.expected.empty())
+            control.emplace_back(id, link.member);
+    }
+    for (const auto &[id, member] : control) {
+        reply answer = proxy_fixture::success({ 1, 5 });
+        answer.rows = { "row" };
+        answer.status = member_status{ m1Leads && member == "m1", 1, { 1, 5 }, paused };
+        world.answer(id, answer);
+    }
+}
+
+} // namespace
+
+// Guards against a promotion by what members reported while they still received: a commit that was
+// acknowledged after the report was missing in the promoted log (LOST, hunt day 2919-27 of
+// rcu-alquiler, after a zone cut).
+TEST(session_engine, reportsOfMembersThatReceiveDoNotDecideAPromotion)
+{
+    startFencing(world);
+    onTokenDrawn(world.state, proxy_fixture::service, 7, world.now);
+    reportAll(world, 0);
+    world.pass(milliseconds(100));
+    reportAll(world, 0);
+    CHECK(proxy_fixture::pick<order_promotion>(world.take()).empty());
+    for (int i = 0; i < 3; ++i) {
+        world.pass(milliseconds(50));
+        reportAll(world, 2);
+    }
+    CHECK_EQUAL(1U, proxy_fixture::pick<order_promotion>(world.take()).size());
+}
+
+// Guards against a promotion beside a primary that leads, by a daemon that was cut off from it.
+TEST(session_engine, promotionEndsWhenAMemberLeads)
+{
+    startFencing(world);
+    onTokenDrawn(world.state, proxy_fixture::service, 7, world.now);
+    reportAll(world, 0, true);
+    service_state &service = world.state.services.at(proxy_fixture::service);
+    CHECK(service.promotion.phase == promotion_phase::None);
+    STRCMP_EQUAL("m1", service.leader.c_str());
+    CHECK(proxy_fixture::pick<order_promotion>(world.take()).empty());
+}
+
+// Guards against acting under a lease of the store that has run out on the way of its answer.
+TEST(session_engine, lateTokenIsNotUsed)
+{
+    startFencing(world);
+    world.now += milliseconds(2800);
+    onTokenDrawn(world.state, proxy_fixture::service, 7, world.now);
+    CHECK(world.state.services.at(proxy_fixture::service).promotion.phase == promotion_phase::None);
+}
