Keep the silence of a keeper apart from that of a home; fill no limits before the others are known

Cause: a daemon that stops lends no connections any more, and the same mark made others pass over it as the home of limits, while it went on filling; two homes filled one zone's part. Found on the way: a process that has not read the other daemons yet took itself for the only one. Ruled out: tokens that are made on their way (lent tokens are taken out first), the join of a daemon (none).

--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -44,7 +44,10 @@
     std::string node;
     std::string zone;
     core::time_point lastHeard{};
-    core::time_point silentUntil{}; ///< it did not answer a question and is not asked before
+    core::time_point homeSilentUntil{}; ///< as home of limits it did not answer
+    /// It lent no connections. Kept apart: a daemon that stops lending goes on as a home, and a
+    /// second home beside it would exceed the limits.
+    core::time_point keeperSilentUntil{};
     std::uint64_t manifestVersion = 0;
 };
 
@@ -87,8 +90,8 @@
     core::time_point lastTime{}; ///< newest call of onTime()
     core::time_point nextExchange{};
     core::time_point nextMaintenance{};
-    /// A daemon that has just joined fills no limits before the others know of it.
-    core::time_point fillsFrom{};
+    /// A daemon fills no limits before it knows the others, and they know of it.
+    core::time_point fillsFrom = core::noDeadline;
     std::uint64_t incarnation = 0;
     engine_counters counters;
     std::vector<action> out;
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -276,7 +276,7 @@
     if (answer.code != reply_code::ConnectionLimit && !link.via.empty()) {
         // It is stopping, or does not know the member yet; the next one in order is asked.
         if (keeper != state.peers.end())
-            keeper->second.silentUntil = now + keeperLeaves;
+            keeper->second.keeperSilentUntil = now + keeperLeaves;
         return;
     }
     if (member == nullptr)
@@ -407,7 +407,7 @@
             avoid(state, *member, "no_connection", now);
         const auto keeper = state.peers.find(link.via);
         if (opening && !link.tainted && keeper != state.peers.end())
-            keeper->second.silentUntil = now + keeperPause;
+            keeper->second.keeperSilentUntil = now + keeperPause;
     }
     if (link.pinnedTo != 0) {
         session *who = findSession(state, link.pinnedTo);
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -178,6 +178,8 @@
         const auto known = state.peers.find(each.node);
         next[each.node] = known == state.peers.end() ? each : known->second;
     }
+    if (state.fillsFrom == core::noDeadline)
+        state.fillsFrom = now;
     const auto count = static_cast<std::uint32_t>(next.size() + 1);
     if (count != state.instances) {
         decision_note line;
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -205,7 +205,7 @@
     };
     consider(state.settings.node, state.settings.zone);
     for (const auto &[name, peer] : state.peers) {
-        if (peer.silentUntil <= now)
+        if (peer.keeperSilentUntil <= now)
             consider(name, peer.zone);
     }
     return keeper;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -468,7 +468,7 @@
                 suspected.insert(&member);
                 const auto keeper = state.peers.find(link.via);
                 if (connecting && keeper != state.peers.end())
-                    keeper->second.silentUntil = now + keeperSilence;
+                    keeper->second.keeperSilentUntil = now + keeperSilence;
             } else {
                 member.silentSince = std::min(member.silentSince, link.lastSent);
             }
--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -30,7 +30,7 @@
             continue;
         }
         const auto peer = state.peers.find(each);
-        if (peer != state.peers.end() && peer->second.silentUntil <= now)
+        if (peer != state.peers.end() && peer->second.homeSilentUntil <= now)
             return each;
     }
     for (const std::string &each : quota.homes) {
@@ -63,6 +63,12 @@
     }
 }
 
+bool mayFill(const engine &state, const workspace_quota &quota, bool isHome, core::time_point now)
+{
+    const bool asked = now < quota.homeUntil && state.fillsFrom != core::noDeadline;
+    return asked || (isHome && now >= state.fillsFrom);
+}
+
 /// @brief Asks for tokens if this daemon holds fewer than it needs.
 void askFor(engine &state, workspace_quota &quota, const std::string &workspace,
             core::time_point now)
@@ -70,12 +76,12 @@
     if (quota.askedAt != core::noDeadline && now - quota.askedAt > askLimit) {
         const auto silent = state.peers.find(homeOf(state, quota, now));
         if (silent != state.peers.end())
-            silent->second.silentUntil = now + silentHome;
+            silent->second.homeSilentUntil = now + silentHome;
         quota.askedAt = core::noDeadline;
     }
     const std::string home = homeOf(state, quota, now);
     const bool own = home == state.settings.node;
-    actAsHome(quota, own || now < quota.homeUntil, now);
+    actAsHome(quota, mayFill(state, quota, own, now), now);
     const auto amount = wanted(quota, now);
     if (!amount)
         return;
@@ -175,7 +181,7 @@
         answer.amount = lend(*quota, message.amount, now);
     } else {
         quota->homeUntil = now + homeLife;
-        actAsHome(*quota, true, now);
+        actAsHome(*quota, mayFill(state, *quota, false, now), now);
         countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
         answer.amount = hand(*quota, message.amount, now);
         askFor(state, *quota, message.subject, now);
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -414,6 +414,43 @@
     CHECK_EQUAL(1U, proxy_fixture::pick<order_promotion>(world.take()).size());
 }
 
+// Guards against two daemons that fill the same part of a limit: one that lends no connections any
+// more stays the home of the limits (QUOTA on mesa-compartida, mix day, seed 800977988572).
+TEST(session_engine, keeperThatStopsLendingStaysHome)
+{
+    manifest limited = proxy_fixture::makeManifest(2);
+    limited.workspaces[0].ratePerSecond = 10;
+    limited.workspaces[0].burst = 10;
+    world.applyManifest(limited);
+    peer_state other;
+    other.node = "node-2";
+    other.zone = "north";
+    peer_state third;
+    third.node = "node-3";
+    third.zone = "north";
+    onInstances(world.state, { other, third }, world.now);
+    const std::string home = world.state.quota.workspaces.at("house").homes.front();
+    for (auto &[name, peer] : world.state.peers)
+        peer.keeperSilentUntil = world.now + std::chrono::seconds(3);
+    world.take();
+    world.write(world.open("own"));
+    const auto asked = proxy_fixture::pick<send_to_peer>(world.take());
+    for (const send_to_peer &each : asked)
+        STRCMP_EQUAL(home.c_str(), each.peer.c_str());
+    CHECK_TRUE(home == "node-1" || !asked.empty());
+}
+
+// Guards against a daemon that takes itself for the only one until it has read the others.
+TEST(session_engine, limitsAreNotFilledBeforeTheOthersAreKnown)
+{
+    manifest limited = proxy_fixture::makeManifest(2);
+    limited.workspaces[0].ratePerSecond = 10;
+    limited.workspaces[0].burst = 10;
+    world.applyManifest(limited);
+    world.pass(milliseconds(1000));
+    CHECK_FALSE(admit(world.state.quota.workspaces.at("house"), world.now));
+}
+
 // Guards against a promotion beside a primary that leads, by a daemon that was cut off from it.
 TEST(session_engine, promotionEndsWhenAMemberLeads)
 {
