Let operators switch promotions of the session interface off, and keep the switch in the store

Cause: every automatic action must be off over a holiday weekend, and the session interface promoted without any way to stop it. The switch is a row of the platform's store; a fencing token is drawn in a transaction that compares the row's version, so no attempt starts once the change was acknowledged, and the row outlives every process. Ruled out: a flag in the settings (another value on each instance, lost with a new one); a feed of its own (one more store call for each daemon every 28 s); telling daemons by datagram (not kept over a restart). No change of calls in calm times; an attempt reads two rows at once instead of one.

--- a/include/fuchsiagw/ctl/commands.hpp
+++ b/include/fuchsiagw/ctl/commands.hpp
@@ -6,6 +6,7 @@
 #include <fuchsiagw/core/release_note.hpp>
 #include <fuchsiagw/ctl/admin_client.hpp>
 #include <fuchsiagw/ctl/exit_code.hpp>
+#include <fuchsiagw/ctl/store_switch.hpp>
 
 #include <chrono>
 #include <functional>
@@ -24,6 +25,7 @@
     std::ostream &err;
     std::function<void(std::chrono::milliseconds)> sleep;
     std::function<std::chrono::milliseconds()> elapsed; ///< since the start of the command
+    store_transport store = {}; ///< the platform's store; used with --store only
 };
 
 struct command
--- a/include/fuchsiagw/ctl/flags.hpp
+++ b/include/fuchsiagw/ctl/flags.hpp
@@ -21,3 +21,4 @@
 ABSL_DECLARE_FLAG(std::uint64_t, version);
 ABSL_DECLARE_FLAG(std::string, against);
 ABSL_DECLARE_FLAG(std::int64_t, for_s);
+ABSL_DECLARE_FLAG(std::string, store);
--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -37,6 +37,8 @@
     /// The own row was missing, so the other daemons do not know this one yet.
     std::function<void()> joined;
     std::function<void(const std::string &service, std::uint64_t token)> token;
+    /// No token was drawn, as the operator has switched promotions off.
+    std::function<void(const std::string &service)> promotionsOff;
     std::function<void(const std::string &service, proxy::promote_outcome)> promoted;
     /// A log line about the store itself.
     std::function<void(std::string_view what, std::string_view detail)> note;
@@ -90,7 +92,17 @@
     void readInstances();
     void followInstances();
     void takeInstances(const std::vector<adapter::store_row> &rows);
-    void claimPromotion(const std::string &service, const adapter::store_rows &rows);
+    /// What has to be read before a token is drawn.
+    struct token_attempt
+    {
+        std::optional<adapter::store_rows> promotions;
+        std::optional<adapter::store_rows> automation;
+        int outstanding = 0; ///< calls
+    };
+    void readForToken(const std::string &service, const std::shared_ptr<token_attempt> &attempt,
+                      const net::http_request &request,
+                      std::optional<adapter::store_rows> token_attempt::*into);
+    void claimPromotion(const std::string &service, const token_attempt &attempt);
 
     boost::asio::io_context &context_;
     session_settings values_;
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -139,6 +139,9 @@
 void onTokenDrawn(engine &state, const std::string &service, std::uint64_t token,
                   core::time_point now);
 
+/// @brief The operator has switched promotions off; the attempt ends without having begun anything.
+void onPromotionsOff(engine &state, const std::string &service, core::time_point now);
+
 enum class promote_outcome : std::uint8_t {
     Ordered,
     FencedOff, ///< a higher token was used, or the member does not run
--- /dev/null
+++ b/include/fuchsiagw/wire/automation_json.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// @brief The operators' switch of automatic promotions, as a row of the platform's store.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace fuchsiagw::wire {
+
+inline constexpr const char *automationTable = "automation";
+/// Key of the row; a missing row allows promotions.
+inline constexpr std::string_view promotionSwitch = "promotion";
+
+struct automation_switch
+{
+    bool allowed = false;
+};
+
+[[nodiscard]] std::string toJson(const automation_switch &value);
+
+/// @return a row that can't be read counts as switched off
+[[nodiscard]] automation_switch readSwitch(const std::string &row);
+
+} // namespace fuchsiagw::wire
--- a/src/ctl/configuration_commands.cpp
+++ b/src/ctl/configuration_commands.cpp
@@ -80,6 +80,8 @@
 
 exit_code setSwitch(const command_context &context, const std::string &name, bool isOn)
 {
+    if (!absl::GetFlag(FLAGS_store).empty())
+        return setStoreSwitch(context, name, isOn);
     const auto known =
             std::find(core::automaticActionNames.begin(), core::automaticActionNames.end(), name);
     if (known == core::automaticActionNames.end())
@@ -253,6 +255,8 @@
 exit_code runSwitchList(const command_context &context,
                         const std::vector<std::string> & /*parameters*/)
 {
+    if (!absl::GetFlag(FLAGS_store).empty())
+        return listStoreSwitches(context);
     core::configuration config;
     std::string text;
     if (const exit_code code = fetch(context, config, text); code != exit_code::Done)
--- /dev/null
+++ b/src/ctl/store_switch.cpp
@@ -0,0 +1,133 @@
+/// @file
+/// @brief Reads and writes the operators' switch in the platform's store.
+
+#include <utility>
+
+#include <fuchsiagw/ctl/store_switch.hpp>
+
+#include <fuchsiagw/ctl/commands.hpp>
+#include <fuchsiagw/ctl/flags.hpp>
+#include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/net/http_client.hpp>
+#include <fuchsiagw/wire/automation_json.hpp>
+
+#include <platform/store_codec.hpp>
+
+#include <absl/flags/flag.h>
+
+#include <optional>
+
+namespace fuchsiagw::ctl {
+
+namespace {
+
+constexpr std::chrono::milliseconds callTime{ 3'000 };
+constexpr int statusOk = 200;
+
+/// What the store says of the switch.
+struct switch_state
+{
+    exit_code code = exit_code::Unreachable;
+    bool allowed = true;
+    std::uint64_t version = 0; ///< 0: it was never set
+};
+
+exit_code complain(const command_context &context, exit_code code, const std::string &text)
+{
+    context.err << text << '\n';
+    return code;
+}
+
+net::http_exchange call(const command_context &context, const net::http_request &request)
+{
+    const std::string address = absl::GetFlag(FLAGS_store);
+    return context.store ? context.store(address, request) : callStore(address, request);
+}
+
+switch_state readState(const command_context &context)
+{
+    const std::string key(wire::promotionSwitch);
+    const net::http_exchange exchange = call(context, adapter::readRow(wire::automationTable, key));
+    switch_state state;
+    if (exchange.error)
+        return state;
+    state.code = exit_code::Refused;
+    const auto rows = exchange.response.status == statusOk
+                              ? adapter::decodeRows(exchange.response.body)
+                              : std::nullopt;
+    if (!rows)
+        return state;
+    state.code = exit_code::Done;
+    if (!rows->rows.empty() && rows->rows.front().key == key) {
+        state.allowed = wire::readSwitch(rows->rows.front().value).allowed;
+        state.version = rows->rows.front().version;
+    }
+    return state;
+}
+
+std::string describe(bool allowed)
+{
+    return std::string("promotion is ") + (allowed ? "on" : "off");
+}
+
+} // namespace
+
+net::http_exchange callStore(const std::string &address, const net::http_request &request)
+{
+    net::endpoint peer;
+    if (const std::error_code failed = net::parseEndpoint(address, peer)) {
+        net::http_exchange result;
+        result.error = failed;
+        return result;
+    }
+    return net::callAndWait(peer, request, net::currentTime() + callTime);
+}
+
+exit_code setStoreSwitch(const command_context &context, const std::string &name, bool isOn)
+{
+    if (name != wire::promotionSwitch && name != "all")
+        return refuseUsage(context, "there is no switch '" + name
+                                            + "' in the store; the switches are all and promotion");
+    adapter::row_change change;
+    change.table = wire::automationTable;
+    change.key = wire::promotionSwitch;
+    change.value = wire::toJson({ isOn });
+    const net::http_exchange exchange = call(context, adapter::changeRows({ change }));
+    if (exchange.error && !exchange.sent)
+        return complain(context, exit_code::Unreachable,
+                        "the store does not answer; nothing was changed");
+    if (!exchange.error && exchange.response.status != statusOk)
+        return complain(context, exit_code::Refused,
+                        "the store refused the change with status "
+                                + std::to_string(exchange.response.status)
+                                + "; nothing was changed");
+    if (exchange.error && readState(context).code != exit_code::Done)
+        return complain(context, exit_code::Unknown,
+                        "the store's answer was lost; ask with 'fuchsiagwctl switch list --store'");
+    const switch_state now = readState(context);
+    if (now.code != exit_code::Done || now.allowed != isOn)
+        return complain(context, exit_code::Unknown,
+                        "the change may still be carried out; ask with "
+                        "'fuchsiagwctl switch list --store'");
+    context.out << describe(isOn) << '\n';
+    if (!isOn)
+        context.out << "an attempt that had begun ends within 3 s; no other one starts\n";
+    return exit_code::Done;
+}
+
+exit_code listStoreSwitches(const command_context &context)
+{
+    const switch_state state = readState(context);
+    if (state.code == exit_code::Unreachable)
+        return complain(context, state.code, "the store does not answer");
+    if (state.code != exit_code::Done)
+        return complain(context, state.code, "the store refused the question");
+    context.out << describe(state.allowed);
+    if (state.version == 0)
+        context.out << " (never set)\n";
+    else
+        context.out << " (version " << state.version << " of the store)\n";
+    return exit_code::Done;
+}
+
+} // namespace fuchsiagw::ctl
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -90,6 +90,10 @@
                    proxy::onTokenDrawn(engine_, service, token, net::currentBootTime());
                    perform();
                },
+               [this](const std::string &service) {
+                   proxy::onPromotionsOff(engine_, service, net::currentBootTime());
+                   perform();
+               },
                [this](const std::string &service, proxy::promote_outcome outcome) {
                    proxy::onPromoteAnswer(engine_, service, outcome, net::currentBootTime());
                    perform();
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/daemon/store_desk.hpp>
 
 #include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/wire/automation_json.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -39,6 +40,13 @@
 constexpr int statusGone = 410;
 constexpr int statusNone = 0; // no answer
 
+/// @return the row with this key, if the answer to readRow() has it
+const adapter::store_row *findRow(const adapter::store_rows &rows, std::string_view key)
+{
+    const bool found = !rows.rows.empty() && rows.rows.front().key == key;
+    return found ? &rows.rows.front() : nullptr;
+}
+
 } // namespace
 
 store_desk::store_desk(boost::asio::io_context &context, const session_settings &values,
@@ -319,22 +327,44 @@
 
 void store_desk::drawToken(const std::string &service)
 {
-    call(adapter::readRow(promotionTable, service), callLimit,
-         [this, service](int status, const std::string &body) {
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (rows)
-                 claimPromotion(service, *rows);
-             else
-                 events_.token(service, 0);
-         });
+    const auto attempt = std::make_shared<token_attempt>();
+    attempt->outstanding = 2;
+    readForToken(service, attempt, adapter::readRow(promotionTable, service),
+                 &token_attempt::promotions);
+    readForToken(service, attempt,
+                 adapter::readRow(wire::automationTable, std::string(wire::promotionSwitch)),
+                 &token_attempt::automation);
 }
 
-void store_desk::claimPromotion(const std::string &service, const adapter::store_rows &rows)
+void store_desk::readForToken(const std::string &service,
+                              const std::shared_ptr<token_attempt> &attempt,
+                              const net::http_request &request,
+                              std::optional<adapter::store_rows> token_attempt::*into)
 {
+    call(request, callLimit, [this, service, attempt, into](int status, const std::string &body) {
+        if (status == statusOk)
+            (*attempt).*into = adapter::decodeRows(body);
+        if (--attempt->outstanding > 0)
+            return;
+        if (attempt->promotions && attempt->automation)
+            claimPromotion(service, *attempt);
+        else
+            events_.token(service, 0);
+    });
+}
+
+void store_desk::claimPromotion(const std::string &service, const token_attempt &attempt)
+{
+    const adapter::store_row *switchRow = findRow(*attempt.automation, wire::promotionSwitch);
+    if (switchRow != nullptr && !wire::readSwitch(switchRow->value).allowed) {
+        events_.promotionsOff(service);
+        return;
+    }
+    const adapter::store_rows &rows = *attempt.promotions;
     std::uint64_t version = 0;
-    if (!rows.rows.empty() && rows.rows.front().key == service) {
-        version = rows.rows.front().version;
-        const auto held = nlohmann::json::parse(rows.rows.front().value, nullptr, false);
+    if (const adapter::store_row *row = findRow(rows, service)) {
+        version = row->version;
+        const auto held = nlohmann::json::parse(row->value, nullptr, false);
         const bool known = held.is_object();
         const bool own = known && held.value("holder", std::string()) == values_.instance;
         if (known && !own && held.value("until_ms", std::int64_t{ 0 }) > rows.storeClockMs) {
@@ -344,8 +374,16 @@
     }
     const nlohmann::json value = { { "holder", values_.instance },
                                    { "until_ms", rows.storeClockMs + promotionLeaseMs } };
-    call(adapter::changeRows({ { promotionTable, service, version, value.dump() } }), callLimit,
-         [this, service](int status, const std::string &body) {
+    // The switch is compared in the same transaction, so that no attempt starts once the operator's
+    // change of it was acknowledged.
+    adapter::row_change switchUnchanged;
+    switchUnchanged.table = wire::automationTable;
+    switchUnchanged.key = wire::promotionSwitch;
+    switchUnchanged.expectedVersion = switchRow == nullptr ? 0 : switchRow->version;
+    switchUnchanged.checkedOnly = true;
+    call(adapter::changeRows(
+                 { switchUnchanged, { promotionTable, service, version, value.dump() } }),
+         callLimit, [this, service](int status, const std::string &body) {
              // The version that the store gives to the change is higher than every earlier one, so
              // it serves as the fencing token.
              const auto done = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds orderTime{ 700 };
 constexpr milliseconds settleProbe{ 60 };
 constexpr milliseconds retryPause{ 400 };
+/// A group without a primary asks this often whether the operator has switched promotions on again.
+constexpr milliseconds switchedOffPause{ 5'000 };
 /// Daemons that see the same loss start at different moments within this time.
 constexpr milliseconds startSpread{ 150 };
 
@@ -569,6 +571,15 @@
     fence(state, *service, now);
 }
 
+void onPromotionsOff(engine &state, const std::string &serviceName, core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    giveUp(state, *service, "switched_off", now);
+    service->promotion.notBefore = now + switchedOffPause;
+}
+
 void onPromoteAnswer(engine &state, const std::string &serviceName, promote_outcome outcome,
                      core::time_point now)
 {
--- a/tests/unit-ctl.cpp
+++ b/tests/unit-ctl.cpp
@@ -5,6 +5,7 @@
 #include <fuchsiagw/ctl/flags.hpp>
 #include <fuchsiagw/ctl/note_file.hpp>
 #include <fuchsiagw/wire/admin_json.hpp>
+#include <fuchsiagw/wire/automation_json.hpp>
 #include <fuchsiagw/wire/configuration_json.hpp>
 #include <fuchsiagw/wire/key_hash.hpp>
 #include <fuchsiagw/wire/note_json.hpp>
@@ -39,6 +40,9 @@
     milliseconds elapsed{ 0 };
     std::ostringstream out;
     std::ostringstream err;
+    nlohmann::json storeRow; ///< null: never written
+    int storeStatus = 200;
+    bool storeLosesAnswers = false;
 
     fake_daemon()
     {
@@ -135,6 +139,28 @@
         return { true, answer.status, answer.body };
     }
 
+    /// The platform's store with the row of the switch.
+    net::http_exchange handleStore(const net::http_request &request)
+    {
+        net::http_exchange result;
+        result.sent = true;
+        result.response.status = storeStatus;
+        if (storeStatus != 200)
+            return result;
+        auto body = nlohmann::json{ { "row-version", 9 }, { "now-ms", 1 } };
+        if (request.method == "POST") {
+            const auto change = nlohmann::json::parse(request.body);
+            storeRow = change.at("puts").at(0);
+            storeRow["row-version"] = 9;
+        }
+        body["rows"] =
+                storeRow.is_null() ? nlohmann::json::array() : nlohmann::json::array({ storeRow });
+        result.response.body = body.dump();
+        if (request.method == "POST" && storeLosesAnswers)
+            result.error = std::make_error_code(std::errc::timed_out);
+        return result;
+    }
+
     exit_code run(const std::vector<std::string> &arguments)
     {
         const absl::FlagSaver saver;
@@ -148,7 +174,10 @@
             out,
             err,
             [this](milliseconds pause) { elapsed += pause; },
-            [this] { return elapsed; }
+            [this] { return elapsed; },
+            [this](const std::string & /*address*/, const net::http_request &request) {
+                return handleStore(request);
+            }
         };
         return ctl::runCommandLine(arguments, context);
     }
@@ -315,3 +344,40 @@
             ctl::parseNote("id: a\nbase: 1\nadded: [{section: key, workspace: w}]", note).c_str());
     STRCMP_CONTAINS("base", ctl::parseNote("id: a\nbase: \"1\"\n", note).c_str());
 }
+
+// Guards against promotions that go on over a holiday although the command said that they are off.
+TEST(ctl, storeSwitchIsWrittenAndReadBack)
+{
+    checkCode(exit_code::Done, daemon.run({ "switch", "list", "--store=127.0.0.1:1" }), daemon);
+    CHECK(daemon.out.str().find("promotion is on (never set)") != std::string::npos);
+    checkCode(exit_code::Done, daemon.run({ "switch", "off", "all", "--store=127.0.0.1:1" }),
+              daemon);
+    checkCode(exit_code::Done, daemon.run({ "switch", "list", "--store=127.0.0.1:1" }), daemon);
+    CHECK(daemon.out.str().find("promotion is off") != std::string::npos);
+    checkCode(exit_code::Done, daemon.run({ "switch", "on", "promotion", "--store=127.0.0.1:1" }),
+              daemon);
+    checkCode(exit_code::Done, daemon.run({ "switch", "list", "--store=127.0.0.1:1" }), daemon);
+    CHECK(daemon.out.str().find("promotion is on") != std::string::npos);
+}
+
+TEST(ctl, storeSwitchTellsWhatBecameOfIt)
+{
+    checkCode(exit_code::Usage, daemon.run({ "switch", "off", "loans", "--store=127.0.0.1:1" }),
+              daemon);
+    daemon.storeStatus = 503;
+    checkCode(exit_code::Refused,
+              daemon.run({ "switch", "off", "promotion", "--store=127.0.0.1:1" }), daemon);
+    daemon.storeStatus = 200;
+    // The answer to the change is lost, but reading back shows it.
+    daemon.storeLosesAnswers = true;
+    checkCode(exit_code::Done, daemon.run({ "switch", "off", "promotion", "--store=127.0.0.1:1" }),
+              daemon);
+}
+
+// Guards against a damaged row that is taken for a permission.
+TEST(ctl, unreadableStoreSwitchCountsAsOff)
+{
+    CHECK_FALSE(wire::readSwitch("{").allowed);
+    CHECK_FALSE(wire::readSwitch("{\"allowed\":1}").allowed);
+    CHECK_TRUE(wire::readSwitch(wire::toJson({ true })).allowed);
+}
--- a/tests/unit-store-codec.cpp
+++ b/tests/unit-store-codec.cpp
@@ -105,6 +105,20 @@
     LONGS_EQUAL(0, body["expected"][0]["row-version"].get<int>());
 }
 
+// Guards against a row that is removed by a transaction which only compares its version.
+TEST(store_codec, checkedRowIsNotChanged)
+{
+    row_change checked;
+    checked.table = "t";
+    checked.key = "k";
+    checked.expectedVersion = 4;
+    checked.checkedOnly = true;
+    const auto body = nlohmann::json::parse(changeRows({ checked }).body);
+    LONGS_EQUAL(4, body["expected"][0]["row-version"].get<int>());
+    CHECK_TRUE(body["puts"].empty());
+    CHECK_TRUE(body["remove"].empty());
+}
+
 TEST(store_codec, removalHasNoValue)
 {
     const auto body = nlohmann::json::parse(changeRows({ { "t", "k", 4, std::nullopt } }).body);
