Ask the members again after a pause before new work is sent to them

Cause: an owner that was paused (frozen or starved) went on with what it believed before, so it sent new statements to a member that had begun to leave meanwhile (M11 of unit-gateway-matrix, lease_lapsed with member_leaving). An owner now notices a gap of more than 1 s between its steps, and sends nothing new to a member before a status that was asked for later has come; statements that waited for a connection are routed again. Ruled out: draws in an unstated order.

--- a/include/fuchsiagw/core/group_owner.hpp
+++ b/include/fuchsiagw/core/group_owner.hpp
@@ -99,6 +99,7 @@
     read_interest interest; ///< how fresh recent reads want the replicas to be known
     bool isWatching = false; ///< this instance is the zone's owner and watches the members
     std::optional<member_id> reportedPrimary; ///< in the newest PrimaryChanged notice
+    time_point lastStep = time_point::min(); ///< newest decision; a gap shows a paused process
     time_point primaryLostAt =
             noDeadline; ///< since when no write has been possible, as far as seen
 };
--- a/include/fuchsiagw/core/group_view.hpp
+++ b/include/fuchsiagw/core/group_view.hpp
@@ -50,6 +50,9 @@
     time_point lastAdvanced = time_point::min(); ///< when `last` was last seen to grow
     time_point termAskedAt = time_point::min(); ///< newest question answered under acceptedTerm
     bool leaving = false;
+    /// Until then this process was paused, so that the member may be leaving without its knowledge;
+    /// min: its answers since then have told.
+    time_point doubtedAt = time_point::min();
     std::uint32_t openConnections = 0; ///< data connections of this owner; kept by the caller
     std::uint32_t inFlight = 0; ///< statements of this owner at the member; kept by the caller
     backoff pause;
@@ -122,6 +125,10 @@
 void observeFailure(group_view &view, const member_id &member, member_failure failure,
                     time_point now, random_engine &random);
 
+/// @brief Nothing new is sent to a member before it has answered a question that was asked later.
+/// @complexity linear in the members
+void doubtMembers(group_view &view, time_point now);
+
 /// @brief Takes in what the list of instances says about a member that leaves.
 /// @complexity logarithmic in the number of members
 void observeLeaving(group_view &view, const member_id &member, bool leaving);
--- a/include/fuchsiagw/core/routing.hpp
+++ b/include/fuchsiagw/core/routing.hpp
@@ -38,6 +38,7 @@
     NotPrimary,
     IsPrimary, ///< kept for writes while a replica can serve the read
     Leaving,
+    NotConfirmed, ///< has not answered since this process was paused
     NeverHeard,
     BackedOff,
     FarBehind, ///< has not caught up since its data was too old
@@ -52,10 +53,11 @@
     Tie, ///< equal; another was drawn
 };
 
-inline constexpr std::array<std::string_view, 16> passReasonNames{
-    "chosen",       "not_primary", "is_primary",     "leaving", "never_heard", "backed_off",
-    "far_behind",   "other_term",  "position",       "too_old", "age_unknown", "other_zone",
-    "no_free_slot", "more_loaded", "new_connection", "tie"
+inline constexpr std::array<std::string_view, 17> passReasonNames{
+    "chosen",         "not_primary", "is_primary", "leaving",      "not_confirmed",
+    "never_heard",    "backed_off",  "far_behind", "other_term",   "position",
+    "too_old",        "age_unknown", "other_zone", "no_free_slot", "more_loaded",
+    "new_connection", "tie"
 };
 
 [[nodiscard]] std::string_view toString(route_reason reason);
--- a/include/fuchsiagw/detail/owner_steps.hpp
+++ b/include/fuchsiagw/detail/owner_steps.hpp
@@ -16,6 +16,12 @@
     core::owner_actions &actions;
 };
 
+/// @brief Doubts what is believed of the members if this process was paused before this step.
+void noticePause(owner_turn &turn);
+
+/// @return whether a statement may be sent to a member that was chosen earlier
+[[nodiscard]] bool takesNewWork(const core::group_owner &owner, const core::member_id &member);
+
 /// @brief Routes a statement that has no place and gives it one.
 void route(owner_turn &turn, std::uint64_t handle);
 
--- a/src/core/failover_probe.cpp
+++ b/src/core/failover_probe.cpp
@@ -34,7 +34,8 @@
     probe_schedule &schedule = state.schedule[id];
     if (member.lastHeard >= schedule.sent)
         schedule.unanswered = 0;
-    const bool isQuiet = !isHeardWithin(member, silence, now) || member.pause.failures > 0;
+    const bool isQuiet = !isHeardWithin(member, silence, now) || member.pause.failures > 0
+                         || member.doubtedAt != time_point::min();
     const bool isSpaced = schedule.sent == time_point::min()
                           || schedule.sent + probeInterval(schedule, isUrgent, silence) <= now;
     if (!isQuiet || !isSpaced)
--- a/src/core/group_owner.cpp
+++ b/src/core/group_owner.cpp
@@ -16,6 +16,9 @@
 /// Pause before a statement for which no member was found is routed again. Views change with every
 /// answer, and advance() runs on each change, so this only bounds the wait without any news.
 constexpr duration parkPause = std::chrono::milliseconds(10);
+/// Steps come every few milliseconds while there is work. After a longer gap a member may have
+/// begun to leave without the knowledge of this process.
+constexpr duration longestStepGap = std::chrono::seconds(1);
 
 queued_statement toQueued(std::uint64_t handle, const owned_statement &statement)
 {
@@ -114,6 +117,7 @@
 void advance(group_owner &owner, time_point now, random_engine &random, owner_actions &actions)
 {
     owner_turn turn{ owner, now, random, actions };
+    noticePause(turn);
     endOverdue(turn);
     endIdleTransactions(turn);
     watch(turn);
@@ -160,9 +164,28 @@
 
 using namespace core;
 
+void noticePause(owner_turn &turn)
+{
+    group_owner &owner = turn.owner;
+    const bool wasPaused =
+            owner.lastStep != time_point::min() && turn.now - owner.lastStep > longestStepGap;
+    owner.lastStep = turn.now;
+    // Only an owner that watches the members gets the answers that end the doubt.
+    if (wasPaused && owner.isWatching)
+        doubtMembers(owner.view, turn.now);
+}
+
+bool takesNewWork(const group_owner &owner, const member_id &member)
+{
+    const auto known = owner.view.members.find(member);
+    return known != owner.view.members.end() && !known->second.leaving
+           && known->second.doubtedAt == time_point::min();
+}
+
 void route(owner_turn &turn, std::uint64_t handle)
 {
     group_owner &owner = turn.owner;
+    noticePause(turn);
     owned_statement &statement = owner.statements.at(handle);
     routing_request request = routingRequestOf(statement.request, statement.maxAge, owner.zone);
     request.primaryOnly = statement.progress.primaryOnly;
--- a/src/core/group_view.cpp
+++ b/src/core/group_view.cpp
@@ -87,11 +87,13 @@
         return false;
     member_view &member = found->second;
     member.lastHeard = std::max(member.lastHeard, now);
+    member.leaving = member.leaving || status.leaving;
+    if (askedAt >= member.doubtedAt)
+        member.doubtedAt = time_point::min();
     if (!takeTerm(view, member, status.term, askedAt, now))
         return false;
     takeLast(member, status.last, now);
     takeApplied(member, status.applied);
-    member.leaving = member.leaving || status.leaving;
     if (status.role == member_role::Primary) {
         member.role = member_role::Primary;
         observePrimary(view, status.member, status.term, now);
@@ -148,6 +150,12 @@
         known.catchUp = primary->last;
 }
 
+void doubtMembers(group_view &view, time_point now)
+{
+    for (auto &[id, member] : view.members)
+        member.doubtedAt = now;
+}
+
 void observeLeaving(group_view &view, const member_id &member, bool leaving)
 {
     const auto found = view.members.find(member);
--- a/src/core/owner_exchange.cpp
+++ b/src/core/owner_exchange.cpp
@@ -203,12 +203,14 @@
                            && statement->second.place == statement_place::Connecting;
     entry->second.state = connection_state::Idle;
     entry->second.statement = 0;
+    noticePause(turn);
     if (!isOpen) {
         noteFailure(turn, member, member_failure::Refused);
         owner.pool.connections.erase(entry);
         if (isAwaited)
             follow(turn, handle, onNotSent(statement->second.progress, now));
-    } else if (isAwaited && owner.pool.connections.size() <= owner.pool.limit) {
+    } else if (isAwaited && owner.pool.connections.size() <= owner.pool.limit
+               && takesNewWork(owner, member)) {
         send(turn, handle, id);
     } else {
         release(turn, id);
@@ -312,7 +314,11 @@
         const std::uint64_t next = line.front();
         line.pop_front();
         --owner.readyCount;
-        send(turn, next, id);
+        noticePause(turn);
+        if (takesNewWork(owner, connection.member))
+            send(turn, next, id);
+        else
+            route(turn, next);
         return;
     }
     // Statements for a member without any connection may wait for this one to be given up.
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -39,6 +39,8 @@
 {
     if (member.leaving)
         return pass_reason::Leaving;
+    if (member.doubtedAt != time_point::min())
+        return pass_reason::NotConfirmed;
     if (member.catchUp)
         return pass_reason::FarBehind;
     if (isBackedOff(member.pause, now))
--- a/tests/unit-gateway-matrix.cpp
+++ b/tests/unit-gateway-matrix.cpp
@@ -174,6 +174,26 @@
     UNSIGNED_LONGS_EQUAL(0, found.size());
 }
 
+// Guards against new work for a leaving member by a gateway that was paused while the member began
+// to leave (M11: 583 of 3,000 seeds before the gateway asked the members again).
+TEST(gateway_matrix, pausedGatewayAsksBeforeItSendsAgain)
+{
+    matrix_counts counts;
+    for (std::uint64_t cellSeed = 1; cellSeed <= 24; ++cellSeed) {
+        const auto world = makeGatewayWorld(settingsOf(cellSeed));
+        runFor(*world, 2500ms);
+        startFault(*world, gateway_fault::LeaseLapsed, { cellSeed % world->gateways.size(), {} });
+        runFor(*world, std::chrono::milliseconds(cellSeed % 7 * 150));
+        startFault(*world, gateway_fault::MemberLeaving,
+                   { cellSeed / 2 % world->gateways.size(), {} });
+        runFor(*world, 3500ms);
+        counts.add("lease_lapsed and member_leaving", cellSeed, finishWorld(*world));
+    }
+    counts.print("pauses with a leaving member");
+    UNSIGNED_LONGS_EQUAL(24, counts.run);
+    UNSIGNED_LONGS_EQUAL(counts.run, counts.passed);
+}
+
 namespace {
 
 /// Faults under which a deliberate error shows.
