Ask the store less and later heard of: start order, held tokens, watchers, exchanges inside the zone

All daemons that saw a primary lost drew tokens at once, and asked again while another one held the token; each exchange carried reports both ways to peers of any zone. Changes: daemons start an attempt one after the other, in an order that differs by service; a daemon that learns that the token is held waits until it can be drawn; questions of an exchange carry no reports, and two of three go to the own zone; a member that fails part of its statements costs more, so that reads leave it; calls are counted by purpose. Three daemons now poll in 4 s, and a daemon that hears of a newer version reads it.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -67,6 +67,7 @@
     void perform(const proxy::send_to_member &order);
     void perform(const proxy::close_link &order);
     void perform(const proxy::refresh_directory &order);
+    void perform(const proxy::refresh_manifest &order);
     void perform(const proxy::draw_token &order);
     void perform(const proxy::order_promotion &order);
     void perform(const proxy::send_to_peer &order);
--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -12,11 +12,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsiagw::daemon {
@@ -37,6 +39,8 @@
     /// The own row was missing, so the other daemons do not know this one yet.
     std::function<void()> joined;
     std::function<void(const std::string &service, std::uint64_t token)> token;
+    /// Another daemon acts alone for this time.
+    std::function<void(const std::string &service, std::chrono::milliseconds)> tokenHeld;
     /// No token was drawn, as the operator has switched promotions off.
     std::function<void(const std::string &service)> promotionsOff;
     std::function<void(const std::string &service, proxy::promote_outcome)> promoted;
@@ -44,10 +48,16 @@
     std::function<void(std::string_view what, std::string_view detail)> note;
 };
 
+/// What a call to the platform is for.
+enum class store_purpose : std::uint8_t { Manifest, Members, Instances, Promotion };
+
+inline constexpr std::array<std::string_view, 4> storePurposeNames{ "manifest", "members",
+                                                                    "instances", "promotion" };
+
 /// Counts of calls, for the metrics.
 struct store_counters
 {
-    std::uint64_t calls = 0;
+    std::array<std::uint64_t, storePurposeNames.size()> calls{};
     std::uint64_t failures = 0;
     std::uint64_t bytesReceived = 0;
 };
@@ -63,6 +73,10 @@
     void stop() { stopped_ = true; }
     /// @brief Reads the list of members anew, unless that was done a moment ago.
     void refreshMembers();
+    /// @brief Reads the manifest anew, unless that was done a moment ago.
+    void refreshManifest();
+    /// @brief A daemon that watches asks for a new manifest at short intervals.
+    void setWatching(bool watching) { watching_ = watching; }
     void drawToken(const std::string &service);
     void promote(const std::string &service, const std::string &member, std::uint64_t token);
     /// @brief Removes the row of a daemon that is gone for good.
@@ -73,8 +87,9 @@
 private:
     using answer_handler = std::function<void(int status, const std::string &body)>;
 
-    void call(const net::http_request &request, std::chrono::milliseconds limit,
-              answer_handler done);
+    void call(store_purpose purpose, const net::http_request &request,
+              std::chrono::milliseconds limit, answer_handler done);
+    void countCall(store_purpose purpose);
     void after(std::chrono::milliseconds pause, std::function<void()> next);
     std::chrono::milliseconds backoff(int failures);
     void noteOutcome(bool reached);
@@ -92,17 +107,10 @@
     void readInstances();
     void followInstances();
     void takeInstances(const std::vector<adapter::store_row> &rows);
-    /// What has to be read before a token is drawn.
-    struct token_attempt
-    {
-        std::optional<adapter::store_rows> promotions;
-        std::optional<adapter::store_rows> automation;
-        int outstanding = 0; ///< calls
-    };
-    void readForToken(const std::string &service, const std::shared_ptr<token_attempt> &attempt,
-                      const net::http_request &request,
-                      std::optional<adapter::store_rows> token_attempt::*into);
-    void claimPromotion(const std::string &service, const token_attempt &attempt);
+    void readPromotion(const std::string &service);
+    void claimPromotion(const std::string &service, const adapter::store_rows &rows);
+    void onClaimConflict(const std::string &service, const adapter::store_rows &present);
+    void takeSwitch(const adapter::store_rows &rows);
 
     boost::asio::io_context &context_;
     session_settings values_;
@@ -111,11 +119,17 @@
     core::random_engine random_;
     store_counters counters_;
     std::uint64_t manifestSeen_ = 0; ///< version of the store up to which manifests were read
+    std::uint64_t manifestLoop_ = 0; ///< a loop that was started before a newer one ends
+    core::time_point lastManifestRead_{};
+    bool watching_ = false;
     std::uint64_t instancesSeen_ = 0;
     int manifestFailures_ = 0;
     int instanceFailures_ = 0;
     int memberFailures_ = 0;
     bool reachable_ = true;
+    /// The operators' switch as it was last read; each claim compares its version.
+    bool promotionsAllowed_ = true;
+    std::uint64_t switchVersion_ = 0; ///< 0: it was never set
     bool stopped_ = false;
     core::time_point lastMemberRead_{};
     std::uint64_t membersSeen_ = 0;
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -47,6 +47,10 @@
     return found == state.links.end() ? nullptr : &found->second;
 }
 
+/// @return the place of this daemon in the order in which the daemons look after a subject
+/// @complexity linear in the daemons
+[[nodiscard]] std::size_t instanceRank(const engine &state, const std::string &subject);
+
 /// @brief Takes members out whose entries were missing for too long.
 void forgetMissing(engine &state, core::time_point now);
 
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -53,6 +53,10 @@
 struct refresh_directory
 { };
 
+/// Another daemon has a newer manifest, so the feed that should bring it may be silent.
+struct refresh_manifest
+{ };
+
 /// A compare-and-set on the service's promotion row; answered with onTokenDrawn().
 struct draw_token
 {
@@ -73,8 +77,8 @@
     peer_message message;
 };
 
-using action =
-        std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
-                     refresh_directory, draw_token, order_promotion, send_to_peer, decision_note>;
+using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
+                            refresh_directory, refresh_manifest, draw_token, order_promotion,
+                            send_to_peer, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -139,6 +139,11 @@
 void onTokenDrawn(engine &state, const std::string &service, std::uint64_t token,
                   core::time_point now);
 
+/// @brief Another daemon has the token and acts alone.
+/// @param until no other daemon can draw a token before
+void onTokenHeld(engine &state, const std::string &service, core::time_point until,
+                 core::time_point now);
+
 /// @brief The operator has switched promotions off; the attempt ends without having begun anything.
 void onPromotionsOff(engine &state, const std::string &service, core::time_point now);
 
@@ -154,6 +159,11 @@
 /// @brief The process was told to stop.
 void onStop(engine &state, core::time_point now);
 
+/// @return whether this daemon is one of the few that ask the store for news at short intervals;
+/// the others hear of a newer manifest from them, also when their own feed has fallen silent
+/// @complexity linear in the daemons
+[[nodiscard]] bool watchesStore(const engine &state);
+
 /// @brief Does what is due.
 void onTime(engine &state, core::time_point now);
 
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -34,6 +34,8 @@
     core::time_point nextProbe{}; ///< while it is silent
     core::time_point lastAnswer{}; ///< newest sign of life
     int failures = 0; ///< in a row
+    double failedShare = 0; ///< smoothed part of its statements that failed
+    core::time_point failedAt{}; ///< newest one
 };
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -13,7 +13,7 @@
 namespace fuchsiagw::proxy {
 
 enum class peer_message_kind : std::uint8_t {
-    Exchange, ///< news, and a question for the peer's
+    Exchange, ///< asks for what the peer knows of the primaries
     ExchangeAnswer,
     LoanRequest,
     LoanGrant,
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -9,7 +9,6 @@
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <random>
@@ -90,6 +89,11 @@
                    proxy::onTokenDrawn(engine_, service, token, net::currentBootTime());
                    perform();
                },
+               [this](const std::string &service, std::chrono::milliseconds left) {
+                   const core::time_point now = net::currentBootTime();
+                   proxy::onTokenHeld(engine_, service, now + left, now);
+                   perform();
+               },
                [this](const std::string &service) {
                    proxy::onPromotionsOff(engine_, service, net::currentBootTime());
                    perform();
@@ -271,6 +275,7 @@
         peers.push_back(std::move(peer));
     }
     proxy::onInstances(engine_, peers, net::currentBootTime());
+    store_.setWatching(proxy::watchesStore(engine_));
     perform();
 }
 
@@ -406,6 +411,11 @@
     store_.refreshMembers();
 }
 
+void session_gateway::perform(const proxy::refresh_manifest &)
+{
+    store_.refreshManifest();
+}
+
 void session_gateway::perform(const proxy::draw_token &order)
 {
     store_.drawToken(order.service);
@@ -474,50 +484,4 @@
     done();
 }
 
-std::string session_gateway::summary() const
-{
-    const proxy::engine_counters &counts = engine_.counters;
-    std::string text = fmt::format(
-            "operations={} statements={} primary={} replica={} retried={} hedged={} opened={} "
-            "reused={} sessions={} links={} lent={} kept_opened={} lend_refused={}",
-            counts.operations, counts.statements, counts.placedOnPrimary, counts.placedOnReplica,
-            counts.retried, counts.hedged, counts.linksOpened, counts.linksReused,
-            engine_.sessions.size(), engine_.links.size(), relay_.counters().lent,
-            relay_.counters().opened, relay_.counters().refused);
-    for (std::size_t i = 0; i < counts.refused.size(); ++i) {
-        if (counts.refused[i] != 0)
-            text += fmt::format(" refused_{}={}", proxy::refusalRows[i].name, counts.refused[i]);
-    }
-    return text;
-}
-
-std::string session_gateway::metricsText() const
-{
-    const proxy::engine_counters &counts = engine_.counters;
-    std::string text;
-    const auto add = [&text](std::string_view name, std::string_view type, auto value) {
-        text += fmt::format("# TYPE fuchsiagw_{0} {1}\nfuchsiagw_{0} {2}\n", name, type, value);
-    };
-    add("statements_total", "counter", counts.statements);
-    add("operations_total", "counter", counts.operations);
-    add("placed_on_primary_total", "counter", counts.placedOnPrimary);
-    add("placed_on_replica_total", "counter", counts.placedOnReplica);
-    add("statements_retried_total", "counter", counts.retried);
-    add("statements_hedged_total", "counter", counts.hedged);
-    add("links_opened_total", "counter", counts.linksOpened);
-    add("links_reused_total", "counter", counts.linksReused);
-    add("promotions_ordered_total", "counter", counts.promotionsOrdered);
-    add("store_calls_total", "counter", store_.counters().calls);
-    add("store_failures_total", "counter", store_.counters().failures);
-    add("sessions", "gauge", engine_.sessions.size());
-    add("links", "gauge", engine_.links.size());
-    add("instances", "gauge", engine_.instances);
-    add("manifest_version", "gauge", engine_.config ? engine_.config->version : 0);
-    text += "# TYPE fuchsiagw_refused_total counter\n";
-    for (std::size_t i = 0; i < counts.refused.size(); ++i)
-        text += fmt::format("fuchsiagw_refused_total{{reason=\"{}\"}} {}\n",
-                            proxy::refusalRows[i].name, counts.refused[i]);
-    return text + latencies_.text();
-}
-
 } // namespace fuchsiagw::daemon
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -22,7 +22,9 @@
 /// Long polls are answered at once when something changes. Silent connections are noticed by
 /// keep-alive probes, so the wait can be long.
 constexpr milliseconds followWait{ 28'000 };
-constexpr milliseconds followLimit{ 30'000 };
+constexpr milliseconds watchWait{ 4'000 }; // of the daemons that watch for a silent connection
+constexpr milliseconds answerTime{ 1'500 }; // beyond the wait of a long poll
+constexpr milliseconds leastManifestInterval{ 700 };
 /// Changes that come together are read together.
 constexpr milliseconds followPause{ 800 };
 /// Daemons join one after the other when all are started at once.
@@ -38,13 +40,16 @@
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
 constexpr int statusGone = 410;
+constexpr int statusConditionFailed = 412;
 constexpr int statusNone = 0; // no answer
 
-/// @return the row with this key, if the answer to readRow() has it
-const adapter::store_row *findRow(const adapter::store_rows &rows, std::string_view key)
+const adapter::store_row *findRow(const adapter::store_rows &rows, std::string_view table,
+                                  std::string_view key)
 {
-    const bool found = !rows.rows.empty() && rows.rows.front().key == key;
-    return found ? &rows.rows.front() : nullptr;
+    const auto found = std::find_if(rows.rows.begin(), rows.rows.end(), [&](const auto &each) {
+        return each.key == key && (each.table.empty() || each.table == table);
+    });
+    return found == rows.rows.end() ? nullptr : &*found;
 }
 
 } // namespace
@@ -65,16 +70,22 @@
     readInstances();
 }
 
-void store_desk::call(const net::http_request &request, milliseconds limit, answer_handler done)
+void store_desk::countCall(store_purpose purpose)
 {
-    ++counters_.calls;
+    ++counters_.calls.at(static_cast<std::size_t>(purpose));
+}
+
+void store_desk::call(store_purpose purpose, const net::http_request &request, milliseconds limit,
+                      answer_handler done)
+{
+    countCall(purpose);
     client_.call(values_.storeAddress, request, net::currentTime() + limit,
                  [this, done = std::move(done)](net::http_exchange &&result) {
                      const int status = result.error ? statusNone : result.response.status;
                      counters_.bytesReceived += result.response.body.size();
                      // A 410 is an answer: the history that was asked for is gone.
-                     const bool served =
-                             status == statusOk || status == statusGone || status == 412;
+                     const bool served = status == statusOk || status == statusGone
+                                         || status == statusConditionFailed;
                      noteOutcome(served);
                      if (!stopped_)
                          done(status, result.response.body);
@@ -121,13 +132,26 @@
     }
 }
 
+void store_desk::refreshManifest()
+{
+    if (net::currentBootTime() - lastManifestRead_ >= leastManifestInterval)
+        readManifest();
+}
+
 void store_desk::readManifest()
 {
-    call(adapter::readRows(adapter::manifestTable(), {}), callLimit,
-         [this](int status, const std::string &body) {
+    lastManifestRead_ = net::currentBootTime();
+    ++manifestLoop_;
+    call(store_purpose::Manifest, adapter::readRows(adapter::manifestTable(), {}), callLimit,
+         [this, loop = manifestLoop_](int status, const std::string &body) {
+             if (loop != manifestLoop_)
+                 return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
-                 after(backoff(manifestFailures_++), [this] { readManifest(); });
+                 after(backoff(manifestFailures_++), [this, loop] {
+                     if (loop == manifestLoop_)
+                         readManifest();
+                 });
                  return;
              }
              manifestFailures_ = 0;
@@ -139,8 +163,12 @@
 
 void store_desk::followManifest()
 {
-    call(adapter::followRows(adapter::manifestTable(), manifestSeen_, followWait), followLimit,
-         [this](int status, const std::string &body) {
+    const milliseconds wait = watching_ ? watchWait : followWait;
+    call(store_purpose::Manifest,
+         adapter::followRows(adapter::manifestTable(), manifestSeen_, wait), wait + answerTime,
+         [this, loop = manifestLoop_](int status, const std::string &body) {
+             if (loop != manifestLoop_)
+                 return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (rows) {
                  manifestFailures_ = 0;
@@ -151,7 +179,10 @@
              }
              // What was missed meanwhile is in the table itself.
              after(status == statusGone ? milliseconds(0) : backoff(manifestFailures_++),
-                   [this] { readManifest(); });
+                   [this, loop] {
+                       if (loop == manifestLoop_)
+                           readManifest();
+                   });
          });
 }
 
@@ -171,7 +202,7 @@
 void store_desk::readMembers(const std::string &from,
                              std::map<std::string, proxy::listed_member> &&list)
 {
-    call(adapter::readRows(adapter::memberTable(), from), callLimit,
+    call(store_purpose::Members, adapter::readRows(adapter::memberTable(), from), callLimit,
          [this, loop = memberLoop_, list = std::move(list)](int status,
                                                             const std::string &body) mutable {
              if (loop != memberLoop_)
@@ -202,8 +233,9 @@
 
 void store_desk::followMembers()
 {
-    call(adapter::followRows(adapter::memberTable(), membersSeen_, followWait), followLimit,
-         [this, loop = memberLoop_](int status, const std::string &body) {
+    call(store_purpose::Members,
+         adapter::followRows(adapter::memberTable(), membersSeen_, followWait),
+         followWait + answerTime, [this, loop = memberLoop_](int status, const std::string &body) {
              if (loop != memberLoop_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
@@ -250,7 +282,8 @@
 void store_desk::registerSelf()
 {
     events_.joined();
-    call(adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, ownRow() } }),
+    call(store_purpose::Instances,
+         adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, ownRow() } }),
          callLimit, [this](int status, const std::string &) {
              if (status != statusOk)
                  after(backoff(instanceFailures_++), [this] { registerSelf(); });
@@ -265,7 +298,7 @@
 
 void store_desk::readInstances()
 {
-    call(adapter::readRows(instanceTable, {}), callLimit,
+    call(store_purpose::Instances, adapter::readRows(instanceTable, {}), callLimit,
          [this](int status, const std::string &body) {
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
@@ -282,8 +315,8 @@
 
 void store_desk::followInstances()
 {
-    call(adapter::followRows(instanceTable, instancesSeen_, followWait), followLimit,
-         [this](int status, const std::string &body) {
+    call(store_purpose::Instances, adapter::followRows(instanceTable, instancesSeen_, followWait),
+         followWait + answerTime, [this](int status, const std::string &body) {
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (rows) {
                  instanceFailures_ = 0;
@@ -321,54 +354,64 @@
 
 void store_desk::removeInstance(const std::string &node)
 {
-    call(adapter::changeRows({ { instanceTable, node, std::nullopt, std::nullopt } }), callLimit,
+    call(store_purpose::Instances,
+         adapter::changeRows({ { instanceTable, node, std::nullopt, std::nullopt } }), callLimit,
          [](int, const std::string &) {});
 }
 
 void store_desk::drawToken(const std::string &service)
 {
-    const auto attempt = std::make_shared<token_attempt>();
-    attempt->outstanding = 2;
-    readForToken(service, attempt, adapter::readRow(promotionTable, service),
-                 &token_attempt::promotions);
-    readForToken(service, attempt,
-                 adapter::readRow(wire::automationTable, std::string(wire::promotionSwitch)),
-                 &token_attempt::automation);
+    if (promotionsAllowed_) {
+        readPromotion(service);
+        return;
+    }
+    call(store_purpose::Promotion,
+         adapter::readRow(wire::automationTable, std::string(wire::promotionSwitch)), callLimit,
+         [this, service](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (!rows) {
+                 events_.token(service, 0);
+                 return;
+             }
+             takeSwitch(*rows);
+             if (promotionsAllowed_)
+                 readPromotion(service);
+             else
+                 events_.promotionsOff(service);
+         });
 }
 
-void store_desk::readForToken(const std::string &service,
-                              const std::shared_ptr<token_attempt> &attempt,
-                              const net::http_request &request,
-                              std::optional<adapter::store_rows> token_attempt::*into)
+void store_desk::readPromotion(const std::string &service)
 {
-    call(request, callLimit, [this, service, attempt, into](int status, const std::string &body) {
-        if (status == statusOk)
-            (*attempt).*into = adapter::decodeRows(body);
-        if (--attempt->outstanding > 0)
-            return;
-        if (attempt->promotions && attempt->automation)
-            claimPromotion(service, *attempt);
-        else
-            events_.token(service, 0);
-    });
+    call(store_purpose::Promotion, adapter::readRow(promotionTable, service), callLimit,
+         [this, service](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows)
+                 claimPromotion(service, *rows);
+             else
+                 events_.token(service, 0);
+         });
 }
 
-void store_desk::claimPromotion(const std::string &service, const token_attempt &attempt)
+void store_desk::takeSwitch(const adapter::store_rows &rows)
+{
+    const adapter::store_row *row = findRow(rows, wire::automationTable, wire::promotionSwitch);
+    switchVersion_ = row == nullptr ? 0 : row->version;
+    promotionsAllowed_ = row == nullptr || wire::readSwitch(row->value).allowed;
+}
+
+void store_desk::claimPromotion(const std::string &service, const adapter::store_rows &rows)
 {
-    const adapter::store_row *switchRow = findRow(*attempt.automation, wire::promotionSwitch);
-    if (switchRow != nullptr && !wire::readSwitch(switchRow->value).allowed) {
-        events_.promotionsOff(service);
-        return;
-    }
-    const adapter::store_rows &rows = *attempt.promotions;
     std::uint64_t version = 0;
-    if (const adapter::store_row *row = findRow(rows, service)) {
+    if (const adapter::store_row *row = findRow(rows, promotionTable, service)) {
         version = row->version;
         const auto held = nlohmann::json::parse(row->value, nullptr, false);
         const bool known = held.is_object();
         const bool own = known && held.value("holder", std::string()) == values_.instance;
-        if (known && !own && held.value("until_ms", std::int64_t{ 0 }) > rows.storeClockMs) {
-            events_.token(service, 0);
+        const std::int64_t left =
+                known ? held.value("until_ms", std::int64_t{ 0 }) - rows.storeClockMs : 0;
+        if (!own && left > 0) {
+            events_.tokenHeld(service, milliseconds(std::min(left, promotionLeaseMs)));
             return;
         }
     }
@@ -379,21 +422,39 @@
     adapter::row_change switchUnchanged;
     switchUnchanged.table = wire::automationTable;
     switchUnchanged.key = wire::promotionSwitch;
-    switchUnchanged.expectedVersion = switchRow == nullptr ? 0 : switchRow->version;
+    switchUnchanged.expectedVersion = switchVersion_;
     switchUnchanged.checkedOnly = true;
-    call(adapter::changeRows(
+    call(store_purpose::Promotion,
+         adapter::changeRows(
                  { switchUnchanged, { promotionTable, service, version, value.dump() } }),
          callLimit, [this, service](int status, const std::string &body) {
+             const auto answer = adapter::decodeRows(body);
+             if (status == statusConditionFailed && answer) {
+                 onClaimConflict(service, *answer);
+                 return;
+             }
              // The version that the store gives to the change is higher than every earlier one, so
              // it serves as the fencing token.
-             const auto done = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             events_.token(service, done ? done->version : 0);
+             events_.token(service, status == statusOk && answer ? answer->version : 0);
          });
 }
 
+/// Another daemon was faster, or the operator has changed the switch since it was last read.
+void store_desk::onClaimConflict(const std::string &service, const adapter::store_rows &present)
+{
+    const std::uint64_t known = switchVersion_;
+    takeSwitch(present);
+    if (!promotionsAllowed_)
+        events_.promotionsOff(service);
+    else if (switchVersion_ != known)
+        readPromotion(service);
+    else
+        events_.token(service, 0);
+}
+
 void store_desk::promote(const std::string &service, const std::string &member, std::uint64_t token)
 {
-    ++counters_.calls;
+    countCall(store_purpose::Promotion);
     client_.call(values_.promotionAddress,
                  adapter::promote(service, member, values_.instance, token),
                  net::currentTime() + callLimit, [this, service](net::http_exchange &&result) {
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double smoothing = 0.2; // weight of the newest sample
+constexpr double failureSmoothing = 0.08; // weight of the newest statement
 /// An answer that nobody waits for any more is waited for this long after its link was opened.
 constexpr milliseconds orphanLimit{ 4'000 };
 constexpr milliseconds laggingPause{ 120 };
@@ -37,6 +38,15 @@
             static_cast<std::int64_t>(whole / 2 + core::drawBelow(state.random, whole)));
 }
 
+/// A member may fail part of what it runs while it answers well otherwise.
+void noteResult(member_state &member, reply_code code, core::time_point now)
+{
+    const bool failed = code == reply_code::Failed || code == reply_code::TimedOut;
+    member.failedShare += failureSmoothing * ((failed ? 1 : 0) - member.failedShare);
+    if (failed)
+        member.failedAt = now;
+}
+
 void noteAlive(member_state &member, core::time_point now)
 {
     member.lastAnswer = now;
@@ -359,6 +369,7 @@
             member->outstanding -= member->outstanding > 0 ? 1 : 0;
             if (!saysNotRun(answer.code)) {
                 member->busyRefusals = 0;
+                noteResult(*member, answer.code, now);
                 smooth(member->answerUs, now - link->lastSent);
             }
         }
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <fuchsiagw/core/rendezvous.hpp>
+
 #include <algorithm>
 
 namespace fuchsiagw::proxy {
@@ -122,6 +124,25 @@
 
 } // namespace
 
+std::size_t instanceRank(const engine &state, const std::string &subject)
+{
+    const std::uint64_t own = core::stableHash(state.settings.node + "/" + subject);
+    std::size_t rank = 0;
+    for (const auto &[name, peer] : state.peers) {
+        std::string key = name;
+        key += "/";
+        key += subject;
+        rank += core::stableHash(key) > own ? 1 : 0;
+    }
+    return rank;
+}
+
+bool watchesStore(const engine &state)
+{
+    constexpr std::size_t watchingDaemons = 3;
+    return instanceRank(state, "manifest") < watchingDaemons;
+}
+
 void reshapeQuotas(engine &state, core::time_point now)
 {
     if (!state.config)
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -13,6 +13,9 @@
 /// Peers that one daemon asks in one interval. Bounded, so that the traffic of a daemon does not
 /// grow with their number.
 constexpr std::size_t exchangePeers = 3;
+/// Of these, the ones in other zones: bytes between zones are scarce, and positions that come into
+/// a zone spread in it.
+constexpr std::size_t exchangeFarPeers = 1;
 constexpr std::size_t newsPeers = 16;
 /// An answer to a question of this age is not used: the reports in it would be too old anyway.
 constexpr std::chrono::seconds answerLife{ 5 };
@@ -29,19 +32,37 @@
     return message;
 }
 
-std::vector<std::string> drawPeers(engine &state, std::size_t count)
+void drawSome(engine &state, std::vector<std::string> &names, std::size_t count)
 {
-    std::vector<std::string> names;
-    for (const auto &[name, peer] : state.peers)
-        names.push_back(name);
     for (std::size_t i = 0; i < names.size() && i < count; ++i) {
         const std::size_t other = i + core::drawBelow(state.random, names.size() - i);
         std::swap(names[i], names[other]);
     }
     names.resize(std::min(names.size(), count));
+}
+
+std::vector<std::string> drawPeers(engine &state, std::size_t count)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : state.peers)
+        names.push_back(name);
+    drawSome(state, names, count);
     return names;
 }
 
+/// Peers of the own zone, and as many of the others as are asked in one interval.
+std::vector<std::string> drawExchangePeers(engine &state)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto &[name, peer] : state.peers)
+        (peer.zone == state.settings.zone ? near : far).push_back(name);
+    drawSome(state, near, exchangePeers - std::min(far.size(), exchangeFarPeers));
+    drawSome(state, far, exchangePeers - near.size());
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
 std::vector<leader_report> reportsOf(engine &state, core::time_point now)
 {
     std::vector<leader_report> all;
@@ -141,8 +162,8 @@
     state.nextExchange = now + exchangeInterval;
     peer_message message = makeMessage(state, peer_message_kind::Exchange);
     message.askedAtUs = now.time_since_epoch().count();
-    message.leaders = reportsOf(state, now);
-    for (const std::string &peer : drawPeers(state, exchangePeers))
+    // The answer brings what the peer knows; what this daemon knows, others ask for.
+    for (const std::string &peer : drawExchangePeers(state))
         state.out.emplace_back(send_to_peer{ peer, message });
 }
 
@@ -165,10 +186,10 @@
         peer->second.lastHeard = now;
         peer->second.manifestVersion = message.manifestVersion;
     }
+    if (state.config && message.manifestVersion > state.config->version)
+        state.out.emplace_back(refresh_manifest{});
     switch (message.kind) {
     case peer_message_kind::Exchange: {
-        for (const leader_report &each : message.leaders)
-            hearLeader(state, each, now);
         peer_message answer = makeMessage(state, peer_message_kind::ExchangeAnswer);
         answer.askedAtUs = message.askedAtUs;
         answer.leaders = reportsOf(state, now);
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/detail/engine_steps.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace fuchsiagw::proxy {
 
@@ -24,6 +25,10 @@
 /// A read is sent to a second member once this many usual answer times have passed.
 constexpr double hedgeAnswerTimes = 4;
 constexpr milliseconds leastHedgeDelay{ 80 };
+/// Price of a statement that fails: it is tried again, or its caller has to.
+constexpr double failurePenaltyUs = 400'000;
+/// After this time without a failure a member's share counts half, so that it is tried again.
+constexpr double failureHalfLifeSeconds = 1.5;
 constexpr int maxTries = 12; // of one statement at members
 
 bool refusedIt(const request &what, const std::string &member)
@@ -40,6 +45,15 @@
     });
 }
 
+double failurePenalty(const member_state &member, core::time_point now)
+{
+    if (member.failedShare <= 0)
+        return 0;
+    const std::chrono::duration<double> since = now - member.failedAt;
+    return failurePenaltyUs * member.failedShare
+           * std::exp2(-since.count() / failureHalfLifeSeconds);
+}
+
 double costOf(const engine &state, const member_state &member, const service_state &service,
               const session &who, core::time_point now)
 {
@@ -55,6 +69,7 @@
         cost += laggingPenaltyUs;
     if (member.busyUntil > now)
         cost += busyPenaltyUs;
+    cost += failurePenalty(member, now);
     if (member.entry.id == service.leader)
         cost += primaryPenaltyUs;
     if (member.entry.zone != state.settings.zone)
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -40,8 +40,12 @@
 constexpr milliseconds retryPause{ 400 };
 /// A group without a primary asks this often whether the operator has switched promotions on again.
 constexpr milliseconds switchedOffPause{ 5'000 };
-/// Daemons that see the same loss start at different moments within this time.
-constexpr milliseconds startSpread{ 150 };
+/// Daemons that see the same loss start one after the other, in an order that differs by service,
+/// so that the first one acts before the others ask the store.
+constexpr milliseconds startSpread{ 60 };
+constexpr milliseconds startInterval{ 90 };
+/// Of the daemons that start in order; the others start together with the last of them.
+constexpr std::size_t startRanks = 12;
 
 core::duration drawn(engine &state, core::duration bound)
 {
@@ -49,6 +53,12 @@
             core::drawBelow(state.random, static_cast<std::uint64_t>(bound.count()))));
 }
 
+core::duration startDelay(engine &state, const service_state &service)
+{
+    const std::size_t rank = std::min(instanceRank(state, service.name), startRanks);
+    return startInterval * static_cast<int>(rank) + drawn(state, startSpread);
+}
+
 void notePromotion(engine &state, note_kind kind, const service_state &service,
                    std::string_view reason, core::time_point now)
 {
@@ -104,20 +114,6 @@
     state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
 }
 
-/// The place of this daemon among those that look after a group's replicas.
-std::size_t checkingRank(const engine &state, const std::string &service)
-{
-    const std::uint64_t own = core::stableHash(state.settings.node + "/" + service);
-    std::size_t rank = 0;
-    for (const auto &[name, peer] : state.peers) {
-        std::string key = name;
-        key += "/";
-        key += service;
-        rank += core::stableHash(key) > own ? 1 : 0;
-    }
-    return rank;
-}
-
 std::set<std::string> electableMembers(const engine &state, const service_state &service)
 {
     std::set<std::string> result;
@@ -195,7 +191,7 @@
     const core::time_point notBefore = run.notBefore;
     if (notBefore == core::time_point{} || now - notBefore > std::chrono::seconds(2)) {
         // The first sign: wait a moment of chance, so that one daemon acts before the others start.
-        run.notBefore = now + drawn(state, startSpread);
+        run.notBefore = now + startDelay(state, service);
         return;
     }
     run = {};
@@ -506,7 +502,7 @@
         if (now < service.nextReplicaCheck || service.leader.empty()
             || service.promotion.phase != promotion_phase::None)
             continue;
-        const std::size_t rank = checkingRank(state, name);
+        const std::size_t rank = instanceRank(state, name);
         if (rank >= checkingDaemons && service.nextReplicaCheck == core::time_point{})
             continue;
         service.nextReplicaCheck =
@@ -571,6 +567,16 @@
     fence(state, *service, now);
 }
 
+void onTokenHeld(engine &state, const std::string &serviceName, core::time_point until,
+                 core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    giveUp(state, *service, "held_by_other", now);
+    service->promotion.notBefore = until + startDelay(state, *service);
+}
+
 void onPromotionsOff(engine &state, const std::string &serviceName, core::time_point now)
 {
     service_state *service = findService(state, serviceName);
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -469,6 +469,68 @@
     CHECK_TRUE(world.state.quota.workspaces.at("house").fills);
 }
 
+// Guards against calls of the store that can't succeed: another daemon acts alone, and until its
+// time is over nobody else gets a token (many daemons see the loss of a primary at once).
+TEST(session_engine, tokenOfAnotherDaemonIsAwaited)
+{
+    startFencing(world);
+    onTokenHeld(world.state, proxy_fixture::service, world.now + milliseconds(2'500), world.now);
+    world.take();
+    world.pass(milliseconds(2'490));
+    CHECK(proxy_fixture::pick<draw_token>(world.take()).empty());
+    world.pass(milliseconds(2'000));
+    CHECK_FALSE(proxy_fixture::pick<draw_token>(world.take()).empty());
+}
+
+// Guards against traffic between zones that grows with the number of daemons elsewhere.
+TEST(session_engine, exchangesStayMostlyInTheOwnZone)
+{
+    std::vector<peer_state> peers;
+    for (int i = 0; i < 40; ++i) {
+        peer_state peer;
+        peer.node = "node-" + std::to_string(i + 2);
+        peer.zone = i % 4 == 0 ? "north" : "south";
+        peers.push_back(peer);
+    }
+    onInstances(world.state, peers, world.now);
+    world.take();
+    std::size_t near = 0;
+    std::size_t far = 0;
+    world.pass(std::chrono::seconds(8));
+    for (const send_to_peer &each : proxy_fixture::pick<send_to_peer>(world.take())) {
+        if (each.message.kind != peer_message_kind::Exchange)
+            continue;
+        CHECK(each.message.leaders.empty());
+        ++(world.state.peers.at(each.peer).zone == "north" ? near : far);
+    }
+    CHECK(far >= 18 && far <= 22);
+    CHECK_EQUAL(2 * far, near);
+}
+
+// Guards against reads that go on to a member which answers quickly that it failed: errors come
+// sooner than rows, so the quickest member would get all of them (grey members of the grown sites).
+TEST(session_engine, readsLeaveAMemberThatFailsPartOfThem)
+{
+    world.state.members.at("m2").answerUs = 2'000;
+    world.state.members.at("m3").answerUs = 20'000;
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 60; ++i) {
+        world.provePrimary({ 1, 5 });
+        const session_id id = world.open("bounded");
+        world.read(id);
+        world.acceptLinks();
+        const link_id link = world.busyLink();
+        const std::string member = world.memberOf(link);
+        ++placed[member];
+        const bool fails = member == "m2" && i % 2 == 0;
+        world.answer(link, fails ? proxy_fixture::failure(reply_code::Failed)
+                                 : proxy_fixture::success({ 1, 5 }));
+        onCallerGone(world.state, id, world.now);
+        world.pass(milliseconds(20));
+    }
+    CHECK(placed["m3"] > placed["m2"]);
+}
+
 // Guards against a daemon that takes itself for the only one until it has read the others.
 TEST(session_engine, limitsAreNotFilledBeforeTheOthersAreKnown)
 {
@@ -492,6 +554,43 @@
     CHECK(proxy_fixture::pick<order_promotion>(world.take()).empty());
 }
 
+// Guards against a daemon that goes on with an old manifest, and with withdrawn keys, because the
+// connection that should bring the new one has fallen silent (keys of the soak, seed 8).
+TEST(session_engine, peerWithANewerManifestMakesTheDaemonAskTheStore)
+{
+    peer_message news;
+    news.kind = peer_message_kind::ExchangeAnswer;
+    news.from = "node-2";
+    news.manifestVersion = world.state.config->version;
+    onPeerMessage(world.state, news, world.now);
+    CHECK(proxy_fixture::pick<refresh_manifest>(world.take()).empty());
+    ++news.manifestVersion;
+    onPeerMessage(world.state, news, world.now);
+    CHECK_EQUAL(1U, proxy_fixture::pick<refresh_manifest>(world.take()).size());
+}
+
+// Guards against every daemon, or none, asking the store at short intervals.
+TEST(session_engine, fewDaemonsWatchTheStore)
+{
+    std::vector<std::string> nodes;
+    for (int i = 0; i < 40; ++i)
+        nodes.push_back("node-" + std::to_string(i));
+    int watching = 0;
+    for (const std::string &own : nodes) {
+        proxy_fixture each;
+        each.state.settings.node = own;
+        std::vector<peer_state> peers;
+        for (const std::string &other : nodes) {
+            peer_state peer;
+            peer.node = other;
+            peers.push_back(peer);
+        }
+        onInstances(each.state, peers, each.now);
+        watching += watchesStore(each.state) ? 1 : 0;
+    }
+    CHECK_EQUAL(3, watching);
+}
+
 // Guards against an automatic action while the operator has switched it off: members would be
 // paused although no promotion may follow.
 TEST(session_engine, switchedOffPromotionTouchesNoMember)
