--- a/include/fuchsiagw/testing/process_harness.hpp
+++ b/include/fuchsiagw/testing/process_harness.hpp
@@ -32,6 +32,9 @@
     /// @return the exit code; -1 if it was killed or does not end before the limit
     int wait(std::chrono::milliseconds limit);
 
+    /// @return false once it has ended by itself; its end is then taken note of
+    [[nodiscard]] bool isRunning();
+
     [[nodiscard]] pid_t pid() const { return pid_; }
 
 private:
--- a/testing/process_harness.cpp
+++ b/testing/process_harness.cpp
@@ -61,6 +61,8 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, 1, 2);
+    // A socket of the test that the child held open would neither end nor free its port.
+    posix_spawn_file_actions_addclosefrom_np(&files, 3);
     if (posix_spawn(&pid_, arguments[0], &files, nullptr, arguments.data(), environ) != 0)
         pid_ = -1;
     posix_spawn_file_actions_destroy(&files);
@@ -90,6 +92,13 @@
         ::kill(pid_, number);
 }
 
+bool child_process::isRunning()
+{
+    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_)
+        pid_ = -1;
+    return pid_ > 0;
+}
+
 int child_process::wait(std::chrono::milliseconds limit)
 {
     int status = 0;
