--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -110,7 +110,21 @@
 /// @brief Believes in the member that claims to lead, if none is known to.
 void adoptClaimedLeader(engine &state, service_state &service, core::time_point now);
 
+/// @brief Sends an order of the proxy's own over the member's control connection.
+void orderMember(engine &state, const std::string &member, command_kind kind,
+                 core::term_number term, core::time_point now);
+/// @return the place of this daemon among those that look after a service; it only changes with the
+/// daemons that take part
+[[nodiscard]] std::size_t rankOf(const engine &state, service_state &service);
 void followSilence(engine &state, core::time_point now);
+/// @return the members of a service that may be promoted
+[[nodiscard]] std::set<std::string> electableMembers(const engine &state,
+                                                     const service_state &service);
+/// @return replicas whose log may hold the only second copy of an acknowledged commit
+[[nodiscard]] std::set<std::string> witnessesOf(const engine &state, const service_state &service);
+/// @return why the service needs a promotion now, if it does
+[[nodiscard]] std::optional<promotion_cause> causeNow(engine &state, service_state &service,
+                                                      core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
 /// @brief Asks replicas whether they receive, so that none stays paused by an attempt that ended.
 void checkReplicas(engine &state, core::time_point now);
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -11,28 +11,12 @@
 
 namespace {
 
-/// A connection that has not opened by now shows that its member does not answer.
-constexpr milliseconds connectSilence{ 250 };
-/// Statements take tens of milliseconds; a member that answers none of them for this long is
-/// silent.
-constexpr milliseconds answerSilence{ 450 };
-constexpr milliseconds keeperSilence{ 1'000 };
-constexpr milliseconds silentAvoidance{ 150 };
-constexpr milliseconds silentProbeInterval{ 200 };
-constexpr milliseconds silenceBeforePromotion{ 300 };
-constexpr milliseconds leaderlessBeforePromotion{ 1'500 };
 constexpr milliseconds askingTime{ 100 };
 constexpr milliseconds tokenTime{ 1'500 };
 /// Shorter than the lease, so that no other daemon acts before this one has ended its attempt.
 constexpr milliseconds fencingTime{ 2'000 };
 constexpr milliseconds leaseTime{ 2'700 }; // of 3 s in the store, less the way of its answer
 constexpr milliseconds resumeInterval{ 150 };
-/// One daemon in charge asks a group's replicas at this interval, the next ones less often.
-constexpr milliseconds replicaCheckInterval{ 2'500 };
-constexpr milliseconds suspectedCheckInterval{ 700 };
-constexpr std::size_t checkingDaemons = 3;
-/// Longer than an attempt of another daemon takes.
-constexpr milliseconds pausedBeforeRepair{ 3'500 };
 constexpr milliseconds stepDownAfter{ 400 }; // in fencing, if a witness does not answer
 constexpr milliseconds probeInterval{ 40 };
 constexpr milliseconds orderTime{ 700 };
@@ -53,16 +37,6 @@
             core::drawBelow(state.random, static_cast<std::uint64_t>(bound.count()))));
 }
 
-/// The order only changes with the daemons that take part.
-std::size_t rankOf(const engine &state, service_state &service)
-{
-    if (service.rankVersion != state.peersVersion) {
-        service.rank = instanceRank(state, service.name);
-        service.rankVersion = state.peersVersion;
-    }
-    return service.rank;
-}
-
 core::duration startDelay(engine &state, service_state &service)
 {
     const std::size_t rank = std::min(rankOf(state, service), startRanks);
@@ -92,100 +66,6 @@
     run.phaseUntil = until;
 }
 
-void order(engine &state, const std::string &memberId, command_kind kind, core::term_number term,
-           core::time_point now)
-{
-    member_state *member = findMember(state, memberId);
-    if (member == nullptr)
-        return;
-    upstream_link *link = nullptr;
-    for (const link_id id : member->links) {
-        if (state.links.at(id).control)
-            link = &state.links.at(id);
-    }
-    if (link == nullptr) {
-        const link_id id = openLink(state, *member, state.settings.node, true, now);
-        link = findLink(state, id);
-        link->control = true;
-    }
-    // The oldest order without an answer tells how long the member has been silent.
-    if (link->expected.empty() || link->expected.front().role == answer_role::Startup) {
-        link->lastSent = link->expected.empty() ? now : link->openedAt;
-        link->abandonAt = link->lastSent + connectSilence * 2;
-    }
-    upstream_command command;
-    command.kind = kind;
-    command.term = term;
-    expected_answer expected;
-    expected.role = answer_role::Control;
-    link->expected.push_back(expected);
-    if (link->state == link_state::Idle)
-        link->state = link_state::Busy;
-    state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
-}
-
-std::set<std::string> electableMembers(const engine &state, const service_state &service)
-{
-    std::set<std::string> result;
-    for (const std::string &id : service.members) {
-        const member_state &member = state.members.at(id);
-        if (member.listed && !member.entry.draining && id != service.promotion.oldPrimary)
-            result.insert(id);
-    }
-    return result;
-}
-
-/// Replicas whose log may hold the only second copy of an acknowledged commit.
-std::set<std::string> witnessesOf(const engine &state, const service_state &service)
-{
-    std::set<std::string> result;
-    for (const std::string &id : service.members) {
-        if (id == service.promotion.oldPrimary)
-            continue;
-        const member_state &member = state.members.at(id);
-        if (member.listed) {
-            result.insert(id);
-            continue;
-        }
-        // Its copy is gone with it. A position that the primary reached after that was stored
-        // without it; a member that holds this position lacks nothing that it held.
-        const auto after = positionSince(service.positions, member.goneAt);
-        const bool covered =
-                after
-                && std::any_of(service.promotion.reports.begin(), service.promotion.reports.end(),
-                               [&](const auto &each) { return each.second.received >= *after; });
-        if (!covered)
-            result.insert(id);
-    }
-    return result;
-}
-
-std::optional<promotion_cause> causeNow(engine &state, service_state &service, core::time_point now)
-{
-    if (!state.directoryKnown || state.stopping || !state.config
-        || !state.config->services.contains(service.name) || service.members.empty())
-        return std::nullopt;
-    const member_state *leader = findMember(state, service.leader);
-    if (leader == nullptr) {
-        if (service.leaderlessSince == core::noDeadline)
-            service.leaderlessSince = now;
-        const bool waited = now - service.leaderlessSince >= leaderlessBeforePromotion;
-        return waited ? std::optional(promotion_cause::NoPrimary) : std::nullopt;
-    }
-    if (!leader->listed)
-        return promotion_cause::PrimaryGone;
-    if (leader->silentSince != core::noDeadline
-        && now - leader->silentSince >= silenceBeforePromotion)
-        return promotion_cause::PrimarySilent;
-    if (leader->entry.draining)
-        return promotion_cause::PrimaryDraining;
-    for (const auto &[id, since] : service.pausedSince) {
-        if (now - since >= pausedBeforeRepair)
-            return promotion_cause::ReplicaPaused;
-    }
-    return std::nullopt;
-}
-
 void drawToken(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &run = service.promotion;
@@ -253,7 +133,7 @@
         return;
     }
     for (const std::string &each : run.toResume)
-        order(state, each, command_kind::ResumeReceiving, 0, now);
+        orderMember(state, each, command_kind::ResumeReceiving, 0, now);
 }
 
 /// Ends an attempt. Replicas that were paused for it receive again, unless an order may still come.
@@ -295,10 +175,10 @@
             continue;
         const auto report = run.reports.find(id);
         if (leaderServes && id == run.chosen) {
-            order(state, id, command_kind::Status, 0, now);
+            orderMember(state, id, command_kind::Status, 0, now);
         } else if (report == run.reports.end() || report->second.pausedTerm == 0) {
             run.fenced.insert(id);
-            order(state, id, command_kind::PauseReceiving, run.fenceTerm, now);
+            orderMember(state, id, command_kind::PauseReceiving, run.fenceTerm, now);
         }
     }
 }
@@ -315,9 +195,9 @@
     // old primary's answer does.
     run.reports.clear();
     for (const std::string &each : run.fenced)
-        order(state, each, command_kind::ResumeReceiving, 0, now);
+        orderMember(state, each, command_kind::ResumeReceiving, 0, now);
     // They are told again at the end of the attempt if this does not reach them.
-    order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
+    orderMember(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
 }
 
 /// Whether the attempt rests on the belief that no member leads.
@@ -389,9 +269,9 @@
         if (run.steppedDown) {
             run.nextProbe = now + probeInterval;
             for (const std::string &each : electableMembers(state, service))
-                order(state, each, command_kind::Status, 0, now);
+                orderMember(state, each, command_kind::Status, 0, now);
             if (!run.reports.contains(run.oldPrimary))
-                order(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
+                orderMember(state, run.oldPrimary, command_kind::StepDown, run.fenceTerm, now);
         } else {
             fence(state, service, now);
         }
@@ -451,53 +331,13 @@
         }
         if (now >= run.nextProbe) {
             run.nextProbe = now + settleProbe;
-            order(state, run.chosen, command_kind::Status, 0, now);
+            orderMember(state, run.chosen, command_kind::Status, 0, now);
         }
     }
 }
 
 } // namespace
 
-void followSilence(engine &state, core::time_point now)
-{
-    std::set<member_state *> suspected;
-    std::vector<member_state *> probed;
-    for (auto &[id, member] : state.members) {
-        for (const link_id each : member.links) {
-            const upstream_link &link = state.links.at(each);
-            if (link.expected.empty() || link.lastSent <= member.lastAnswer)
-                continue;
-            const bool connecting = link.expected.front().role == answer_role::Startup;
-            const core::duration limit = connecting ? connectSilence : answerSilence;
-            if (now - link.lastSent < limit)
-                continue;
-            // Behind a keeper that does not answer, the member may be well: it is asked directly.
-            if (!link.via.empty()) {
-                suspected.insert(&member);
-                const auto keeper = state.peers.find(link.via);
-                if (connecting && keeper != state.peers.end())
-                    keeper->second.keeperSilentUntil = now + keeperSilence;
-            } else {
-                member.silentSince = std::min(member.silentSince, link.lastSent);
-            }
-        }
-        if (member.silentSince == core::noDeadline) {
-            if (suspected.contains(&member) && member.listed && now >= member.nextProbe)
-                probed.push_back(&member);
-            continue;
-        }
-        member.avoidUntil = std::max(member.avoidUntil, now + silentAvoidance);
-        if (member.listed && now >= member.nextProbe)
-            probed.push_back(&member);
-    }
-    // A new connection tells a silent member from one that lost an answer; it gets no work until
-    // one opens.
-    for (member_state *member : probed) {
-        member->nextProbe = now + silentProbeInterval;
-        order(state, member->entry.id, command_kind::Status, 0, now);
-    }
-}
-
 void stepPromotions(engine &state, core::time_point now)
 {
     for (auto &[name, service] : state.services) {
@@ -506,33 +346,6 @@
     }
 }
 
-void checkReplicas(engine &state, core::time_point now)
-{
-    for (auto &[name, service] : state.services) {
-        if (now < service.nextReplicaCheck || service.leader.empty()
-            || service.promotion.phase != promotion_phase::None)
-            continue;
-        const std::size_t rank = rankOf(state, service);
-        if (rank >= checkingDaemons && service.nextReplicaCheck == core::time_point{})
-            continue;
-        service.nextReplicaCheck =
-                rank < checkingDaemons ? now + replicaCheckInterval * static_cast<int>(rank * 2 + 1)
-                                       : core::time_point{};
-        for (const std::string &id : service.members) {
-            const member_state &member = state.members.at(id);
-            if (member.listed && id != service.leader)
-                order(state, id, command_kind::Status, 0, now);
-        }
-    }
-}
-
-void suspectReplicas(service_state &service, core::time_point now)
-{
-    const core::time_point soon = now + suspectedCheckInterval;
-    if (service.nextReplicaCheck == core::time_point{} || service.nextReplicaCheck > soon)
-        service.nextReplicaCheck = soon;
-}
-
 core::time_point nextPromotionStep(const engine &state)
 {
     core::time_point due = core::noDeadline;
--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -1,10 +1,23 @@
 /// @file
-/// @brief Choice of the next primary from the reports of the members.
+/// @brief When a group needs a promotion, which members may lead, and which one is chosen.
 
 #include <fuchsiagw/proxy/promotion.hpp>
 
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <algorithm>
+
 namespace fuchsiagw::proxy {
 
+namespace {
+
+constexpr milliseconds silenceBeforePromotion{ 300 };
+constexpr milliseconds leaderlessBeforePromotion{ 1'500 };
+/// Longer than an attempt of another daemon takes.
+constexpr milliseconds pausedBeforeRepair{ 3'500 };
+
+} // namespace
+
 promotion_choice chooseNext(const promotion_state &state, const std::set<std::string> &electable,
                             const std::set<std::string> &witnesses)
 {
@@ -40,4 +53,65 @@
     return result;
 }
 
+std::set<std::string> electableMembers(const engine &state, const service_state &service)
+{
+    std::set<std::string> result;
+    for (const std::string &id : service.members) {
+        const member_state &member = state.members.at(id);
+        if (member.listed && !member.entry.draining && id != service.promotion.oldPrimary)
+            result.insert(id);
+    }
+    return result;
+}
+
+std::set<std::string> witnessesOf(const engine &state, const service_state &service)
+{
+    std::set<std::string> result;
+    for (const std::string &id : service.members) {
+        if (id == service.promotion.oldPrimary)
+            continue;
+        const member_state &member = state.members.at(id);
+        if (member.listed) {
+            result.insert(id);
+            continue;
+        }
+        // Its copy is gone with it. A position that the primary reached after that was stored
+        // without it; a member that holds this position lacks nothing that it held.
+        const auto after = positionSince(service.positions, member.goneAt);
+        const bool covered =
+                after
+                && std::any_of(service.promotion.reports.begin(), service.promotion.reports.end(),
+                               [&](const auto &each) { return each.second.received >= *after; });
+        if (!covered)
+            result.insert(id);
+    }
+    return result;
+}
+
+std::optional<promotion_cause> causeNow(engine &state, service_state &service, core::time_point now)
+{
+    if (!state.directoryKnown || state.stopping || !state.config
+        || !state.config->services.contains(service.name) || service.members.empty())
+        return std::nullopt;
+    const member_state *leader = findMember(state, service.leader);
+    if (leader == nullptr) {
+        if (service.leaderlessSince == core::noDeadline)
+            service.leaderlessSince = now;
+        const bool waited = now - service.leaderlessSince >= leaderlessBeforePromotion;
+        return waited ? std::optional(promotion_cause::NoPrimary) : std::nullopt;
+    }
+    if (!leader->listed)
+        return promotion_cause::PrimaryGone;
+    if (leader->silentSince != core::noDeadline
+        && now - leader->silentSince >= silenceBeforePromotion)
+        return promotion_cause::PrimarySilent;
+    if (leader->entry.draining)
+        return promotion_cause::PrimaryDraining;
+    for (const auto &[id, since] : service.pausedSince) {
+        if (now - since >= pausedBeforeRepair)
+            return promotion_cause::ReplicaPaused;
+    }
+    return std::nullopt;
+}
+
 } // namespace fuchsiagw::proxy
