Lend parts of tokens between zones, and ask the other zones before saying that a limit is used up

Cause: a small limit that is divided among four zones leaves each with little more than one token; a lender kept its expected need back, so it had no whole one to spare, and a home said that nothing was left before the homes of other zones had answered. Now parts of a token are lent, the need that is kept back counts in whole tokens, a home lets the daemons of its zone wait 25 ms for tokens of other zones, and tokens that do not fit go back to the lender. Ruled out: one home for all zones (a zone that is cut off would serve nothing of a limited workspace); larger parts for each zone (their sum would exceed the burst).

--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -74,6 +74,7 @@
     core::random_engine random;
     std::shared_ptr<const manifest> config;
     quota_table quota;
+    std::size_t waitingLoans = 0; ///< workspace_quota::loans of all workspaces
     std::map<std::string, member_state> members;
     std::map<std::string, service_state> services;
     std::map<session_id, session> sessions;
--- a/include/fuchsiagw/proxy/quota.hpp
+++ b/include/fuchsiagw/proxy/quota.hpp
@@ -23,6 +23,14 @@
 
 namespace fuchsiagw::proxy {
 
+/// Another daemon of the zone that found no token at its home.
+struct waiting_loan
+{
+    std::string node;
+    core::token_amount amount = 0;
+    core::time_point until{}; ///< it is told then that there is none
+};
+
 /// Invariants: limited is false for a workspace without a rate, and the rest is then unused; the
 /// bucket fills only while this daemon acts as the home, and holds what was lent to it otherwise.
 struct workspace_quota
@@ -45,6 +53,7 @@
     core::time_point nextRequest{}; ///< no loan is asked for before it
     core::time_point dryUntil{}; ///< the home had nothing a moment ago
     std::deque<std::uint64_t> waiters; ///< sessions whose operation waits for a token
+    std::deque<waiting_loan> loans; ///< that wait for tokens of other zones
 };
 
 struct quota_table
@@ -94,7 +103,7 @@
 /// @brief Takes out what the home gives to a daemon of its zone.
 [[nodiscard]] core::token_amount hand(workspace_quota &quota, core::token_amount amount,
                                       core::time_point now);
-/// @brief Takes out what can be spared for the home of another zone.
+/// @brief Takes out what can be spared for the home of another zone, also a part of a token.
 [[nodiscard]] core::token_amount lend(workspace_quota &quota, core::token_amount amount,
                                       core::time_point now);
 /// @brief Takes out what was lent to this daemon and not needed since the last call that was due.
@@ -103,6 +112,7 @@
 [[nodiscard]] core::token_amount takeUnused(workspace_quota &quota, core::time_point now);
 
 /// @brief Adds tokens that another daemon gave.
-void receive(workspace_quota &quota, core::token_amount amount, core::time_point now);
+/// @return what did not fit
+core::token_amount receive(workspace_quota &quota, core::token_amount amount, core::time_point now);
 
 } // namespace fuchsiagw::proxy
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -154,6 +154,9 @@
     for (const auto &[name, peer] : state.peers)
         nodes.push_back({ peer.node, peer.zone });
     reshape(state.quota, *state.config, nodes, self, now >= state.fillsFrom, now);
+    state.waitingLoans = 0;
+    for (const auto &[name, quota] : state.quota.workspaces)
+        state.waitingLoans += quota.loans.size();
 }
 
 void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now)
--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -19,7 +19,10 @@
 constexpr milliseconds dryPause{ 60 };
 /// Part of the caller's objective for which an operation waits for a token.
 constexpr int tokenWaitDivisor = 5;
-constexpr std::size_t otherHomesAsked = 2;
+constexpr std::size_t otherHomesAsked = 3;
+/// A question to the homes of other zones is answered in a round trip between zones.
+constexpr milliseconds loanWait{ 25 };
+constexpr std::size_t mostWaitingLoans = 64;
 
 std::string homeOf(engine &state, const workspace_quota &quota, core::time_point now)
 {
@@ -53,6 +56,46 @@
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
+void sendTokens(engine &state, const std::string &peer, const std::string &workspace,
+                peer_message_kind kind, core::token_amount amount)
+{
+    peer_message message;
+    message.kind = kind;
+    message.from = state.settings.node;
+    message.incarnation = state.incarnation;
+    message.subject = workspace;
+    message.amount = amount;
+    state.out.emplace_back(send_to_peer{ peer, std::move(message) });
+}
+
+void noteLent(engine &state, const std::string &workspace, std::string_view reason,
+              core::token_amount amount)
+{
+    decision_note line;
+    line.kind = note_kind::QuotaLent;
+    line.workspace = workspace;
+    line.reason = reason;
+    line.number = amount / core::oneToken;
+    state.out.emplace_back(std::move(line));
+}
+
+/// Gives tokens to the daemons of the zone that wait for them, and tells those that waited in vain.
+void serveLoans(engine &state, workspace_quota &quota, const std::string &workspace,
+                core::time_point now)
+{
+    while (!quota.loans.empty()) {
+        const waiting_loan &next = quota.loans.front();
+        const core::token_amount given = hand(quota, next.amount, now);
+        if (given == 0 && now < next.until)
+            return;
+        if (given > 0)
+            noteLent(state, workspace, "to_own_zone", given);
+        sendTokens(state, next.node, workspace, peer_message_kind::LoanGrant, given);
+        quota.loans.pop_front();
+        --state.waitingLoans;
+    }
+}
+
 void askOtherHomes(engine &state, workspace_quota &quota, const std::string &workspace,
                    core::token_amount amount)
 {
@@ -160,10 +203,11 @@
 void stepQuotas(engine &state, core::time_point now)
 {
     for (auto &[name, quota] : state.quota.workspaces) {
-        if (quota.waiters.empty())
+        if (quota.waiters.empty() && quota.loans.empty())
             continue;
         askFor(state, quota, name, now);
         serveTokenWaiters(state, name, now);
+        serveLoans(state, quota, name, now);
     }
 }
 
@@ -173,15 +217,8 @@
         const core::token_amount unused = quota.limited ? takeUnused(quota, now) : 0;
         const std::string home = unused > 0 ? homeOf(state, quota, now) : std::string();
         // Without a home the tokens are lost, which only errs towards the limit.
-        if (unused <= 0 || home == state.settings.node)
-            continue;
-        peer_message message;
-        message.kind = peer_message_kind::LoanReturn;
-        message.from = state.settings.node;
-        message.incarnation = state.incarnation;
-        message.subject = name;
-        message.amount = unused;
-        state.out.emplace_back(send_to_peer{ home, std::move(message) });
+        if (unused > 0 && home != state.settings.node)
+            sendTokens(state, home, name, peer_message_kind::LoanReturn, unused);
     }
 }
 
@@ -192,6 +229,7 @@
         return;
     receive(*quota, message.amount, now);
     serveTokenWaiters(state, message.subject, now);
+    serveLoans(state, *quota, message.subject, now);
 }
 
 void answerLoanRequest(engine &state, const peer_message &message, core::time_point now)
@@ -199,31 +237,31 @@
     workspace_quota *quota = limitedQuota(state.quota, message.subject);
     if (quota == nullptr)
         return;
-    peer_message answer;
-    answer.kind = peer_message_kind::LoanGrant;
-    answer.from = state.settings.node;
-    answer.incarnation = state.incarnation;
-    answer.subject = message.subject;
-    answer.betweenHomes = message.betweenHomes;
     if (message.betweenHomes) {
-        answer.amount = lend(*quota, message.amount, now);
-    } else {
-        quota->homeUntil = now + homeLife;
-        actAsHome(*quota, mayFill(state, *quota, false, now), now);
-        countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
-        answer.amount = hand(*quota, message.amount, now);
-        askFor(state, *quota, message.subject, now);
+        const core::token_amount given = lend(*quota, message.amount, now);
+        if (given == 0)
+            return;
+        noteLent(state, message.subject, "to_other_zone", given);
+        peer_message answer;
+        answer.kind = peer_message_kind::LoanGrant;
+        answer.from = state.settings.node;
+        answer.incarnation = state.incarnation;
+        answer.subject = message.subject;
+        answer.betweenHomes = true;
+        answer.amount = given;
+        state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+        return;
     }
-    if (answer.amount > 0) {
-        decision_note line;
-        line.kind = note_kind::QuotaLent;
-        line.workspace = message.subject;
-        line.reason = message.betweenHomes ? "to_other_zone" : "to_own_zone";
-        line.number = answer.amount / core::oneToken;
-        state.out.emplace_back(std::move(line));
+    quota->homeUntil = now + homeLife;
+    actAsHome(*quota, mayFill(state, *quota, false, now), now);
+    countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
+    // The homes of other zones may have tokens to spare, so that the answer waits for theirs.
+    if (quota->loans.size() < mostWaitingLoans) {
+        quota->loans.push_back({ message.from, message.amount, now + loanWait });
+        ++state.waitingLoans;
     }
-    if (answer.amount > 0 || !message.betweenHomes)
-        state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
+    serveLoans(state, *quota, message.subject, now);
+    askFor(state, *quota, message.subject, now);
 }
 
 void takeLoan(engine &state, const peer_message &message, core::time_point now)
@@ -233,11 +271,22 @@
         return;
     if (!message.betweenHomes)
         quota->askedAt = core::noDeadline;
-    if (message.amount > 0)
-        receive(*quota, message.amount, now);
-    else
+    if (message.amount <= 0) {
         quota->dryUntil = now + dryPause;
+        serveTokenWaiters(state, message.subject, now);
+        return;
+    }
+    core::token_amount left = receive(*quota, message.amount, now);
+    serveTokenWaiters(state, message.subject, now);
+    quota = limitedQuota(state.quota, message.subject);
+    if (quota == nullptr)
+        return;
+    serveLoans(state, *quota, message.subject, now);
+    // What was taken out meanwhile has made room.
+    left = receive(*quota, left, now);
     serveTokenWaiters(state, message.subject, now);
+    if (left > 0 && message.betweenHomes)
+        sendTokens(state, message.from, message.subject, peer_message_kind::LoanReturn, left);
 }
 
 } // namespace fuchsiagw::proxy
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -185,6 +185,8 @@
 {
     core::time_point due = std::min(state.nextMaintenance, state.nextExchange);
     due = std::min(due, nextPromotionStep(state));
+    if (state.waitingLoans > 0)
+        due = std::min(due, state.lastTime + pumpInterval);
     for (const session_id id : state.active) {
         const session &who = state.sessions.at(id);
         if (!who.current) {
--- a/src/proxy/quota.cpp
+++ b/src/proxy/quota.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds requestSpacing{ 40 };
 constexpr milliseconds demandInterval{ 250 };
 constexpr double demandSmoothing = 0.4; // weight of the newest interval
+/// Parts of a token are lent between zones: with a small limit each zone holds little more than
+/// one.
+constexpr token_amount leastLoan = oneToken / 10;
 constexpr std::size_t keptHomes = 3; // of one zone
 /// Tokens that a daemon holds which is not the home, beyond its expected need.
 constexpr double stashOperations = 3;
@@ -166,8 +169,10 @@
     if (quota.bucket.level >= std::max(reserve, oneToken))
         return std::nullopt;
     quota.nextRequest = now + requestSpacing;
-    const token_amount asked = std::max(2 * reserve, oneToken);
-    return std::max(oneToken, std::min(asked, quota.bucket.capacity) - quota.bucket.level);
+    const auto waiting = static_cast<token_amount>(quota.waiters.size() + quota.loans.size());
+    const token_amount asked = std::min(std::max(2 * reserve, oneToken), quota.bucket.capacity);
+    return std::max(leastLoan,
+                    std::max({ asked, oneToken, waiting * oneToken }) - quota.bucket.level);
 }
 
 token_amount hand(workspace_quota &quota, token_amount amount, core::time_point now)
@@ -176,7 +181,7 @@
     // Half of what is there, so that the next one who asks finds something too; but a whole token.
     const token_amount half = std::max(quota.bucket.level / 2, oneToken);
     const token_amount given = std::min({ amount, half, quota.bucket.level });
-    if (given < oneToken)
+    if (given < std::min(amount, oneToken))
         return 0;
     const token_amount taken = takeUpTo(quota.bucket, given, now);
     noteLevel(quota);
@@ -186,9 +191,12 @@
 token_amount lend(workspace_quota &quota, token_amount amount, core::time_point now)
 {
     refill(quota.bucket, now);
-    const token_amount spare = quota.bucket.level - reserveOf(quota);
+    if (!quota.waiters.empty() || !quota.loans.empty())
+        return 0;
+    const token_amount reserve = reserveOf(quota) / oneToken * oneToken;
+    const token_amount spare = quota.bucket.level - reserve;
     const token_amount given = std::min(amount, spare > 2 * oneToken ? spare / 2 : spare);
-    if (given < oneToken)
+    if (given < leastLoan)
         return 0;
     const token_amount taken = takeUpTo(quota.bucket, given, now);
     noteLevel(quota);
@@ -205,9 +213,13 @@
     return unused;
 }
 
-void receive(workspace_quota &quota, token_amount amount, core::time_point now)
+token_amount receive(workspace_quota &quota, token_amount amount, core::time_point now)
 {
-    put(quota.bucket, std::max<token_amount>(0, amount), now);
+    const token_amount given = std::max<token_amount>(0, amount);
+    refill(quota.bucket, now);
+    const token_amount room = quota.bucket.capacity - quota.bucket.level;
+    put(quota.bucket, std::min(given, room), now);
+    return std::max<token_amount>(0, given - room);
 }
 
 } // namespace fuchsiagw::proxy
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -55,16 +55,35 @@
 
     /// One operation at a daemon, with loans within the zone and between zones.
     bool operate(const std::string &node, core::time_point now, bool zonesConnected = true)
+    {
+        countDemand(quotaOf(node), 1, now);
+        return tryToAdmit(node, now, zonesConnected);
+    }
+
+    /// An operation that waits for a token like those of a route with an objective of 200 ms.
+    bool operateWithPatience(const std::string &node, core::time_point now)
+    {
+        countDemand(quotaOf(node), 1, now);
+        for (const int waited : { 0, 10, 20, 30, 40 }) {
+            if (tryToAdmit(node, now + milliseconds(waited), true))
+                return true;
+        }
+        return false;
+    }
+
+    bool tryToAdmit(const std::string &node, core::time_point now, bool zonesConnected)
     {
         workspace_quota &own = quotaOf(node);
-        countDemand(own, 1, now);
         if (admit(own, now))
             return true;
         workspace_quota &home = quotaOf(own.homes.front());
         if (zonesConnected) {
-            for (const std::string &other : home.otherHomes) {
-                if (const auto amount = wanted(home, now))
-                    receive(home, lend(quotaOf(other), *amount, now), now);
+            if (const auto amount = wanted(home, now)) {
+                // All are asked at once; what does not fit goes back.
+                for (const std::string &other : home.otherHomes) {
+                    workspace_quota &lender = quotaOf(other);
+                    receive(lender, receive(home, lend(lender, *amount, now), now), now);
+                }
             }
         }
         if (&home != &own) {
@@ -208,3 +227,31 @@
     CHECK_EQUAL(0, world.quotaOf(idle).bucket.level);
     CHECK_TRUE(admit(home, at(2400)));
 }
+
+// Guards against refusals inside the rate because a small burst is divided among zones: each part
+// then holds little more than one token, and none of it was lent (a quiet day of the grown
+// deployments: 5 to 6 % of what is owed refused).
+TEST(quota, smallBurstOverZonesServesWhatOneBucketWould)
+{
+    constexpr double rate = 6;
+    constexpr double burst = 6;
+    quota_world world(4, 5, rate, burst);
+    core::token_bucket whole;
+    core::reshape(whole, static_cast<std::int64_t>(rate * core::oneToken),
+                  static_cast<core::token_amount>(burst * core::oneToken), at(0));
+    std::mt19937 random(11);
+    std::exponential_distribution<double> pause(5); // operations a second
+    int ideal = 0;
+    int admitted = 0;
+    double time = 4'000;
+    for (int i = 0; i < 2'000; ++i) {
+        time += pause(random) * 1'000;
+        const core::time_point now = at(static_cast<int>(time));
+        ideal += core::take(whole, core::oneToken, now) ? 1 : 0;
+        const auto &node = world.nodes[random() % world.nodes.size()].node;
+        admitted += world.operateWithPatience(node, now) ? 1 : 0;
+        world.rest(now);
+    }
+    CHECK_TRUE(admitted <= ideal + 4);
+    CHECK_TRUE(admitted >= 0.97 * ideal);
+}
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -560,6 +560,54 @@
     CHECK(placed["m3"] > placed["m2"]);
 }
 
+// Guards against a refusal inside the rate while another zone has a token to spare: the home asks
+// for it before it answers, and what it gets goes to the daemon that asked.
+TEST(session_engine, homeAsksOtherZonesBeforeItSaysThatNothingIsLeft)
+{
+    manifest limited = proxy_fixture::makeManifest(2);
+    limited.workspaces[0].ratePerSecond = 0.01;
+    limited.workspaces[0].burst = 1;
+    world.applyManifest(limited);
+    peer_state near;
+    near.node = "node-2";
+    near.zone = "north";
+    peer_state far;
+    far.node = "node-3";
+    far.zone = "south";
+    onInstances(world.state, { near, far }, world.now);
+    peer_message request;
+    request.kind = peer_message_kind::LoanRequest;
+    request.from = "node-2";
+    request.subject = "house";
+    request.amount = fuchsiagw::core::oneToken;
+    world.take();
+    onPeerMessage(world.state, request, world.now);
+    const auto asked = proxy_fixture::pick<send_to_peer>(world.take());
+    CHECK_EQUAL(1U, asked.size());
+    STRCMP_EQUAL("node-3", asked[0].peer.c_str());
+    peer_message grant;
+    grant.kind = peer_message_kind::LoanGrant;
+    grant.from = "node-3";
+    grant.subject = "house";
+    grant.betweenHomes = true;
+    grant.amount = fuchsiagw::core::oneToken;
+    onPeerMessage(world.state, grant, world.now + milliseconds(10));
+    const auto given = proxy_fixture::pick<send_to_peer>(world.take());
+    CHECK_EQUAL(1U, given.size());
+    STRCMP_EQUAL("node-2", given[0].peer.c_str());
+    LONGS_EQUAL(fuchsiagw::core::oneToken, given[0].message.amount);
+    // Without a token of another zone the answer comes soon as well.
+    onPeerMessage(world.state, request, world.now + milliseconds(20));
+    world.now += milliseconds(20);
+    world.pass(milliseconds(40));
+    const auto answered = proxy_fixture::pick<send_to_peer>(world.take());
+    CHECK(std::any_of(answered.begin(), answered.end(), [](const send_to_peer &each) {
+        return each.peer == "node-2" && each.message.kind == peer_message_kind::LoanGrant
+               && each.message.amount == 0;
+    }));
+    CHECK_EQUAL(0U, world.state.waitingLoans);
+}
+
 // Guards against a daemon that takes itself for the only one until it has read the others.
 TEST(session_engine, limitsAreNotFilledBeforeTheOthersAreKnown)
 {
