--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -22,6 +22,33 @@
     return static_cast<int>(value);
 }
 
+/// Gives the only workspace a rate and a burst.
+void limitWorkspace(proxy_fixture &world, double ratePerSecond, double burst)
+{
+    manifest limited = proxy_fixture::makeManifest(2);
+    limited.workspaces[0].ratePerSecond = ratePerSecond;
+    limited.workspaces[0].burst = burst;
+    world.applyManifest(limited);
+}
+
+peer_state peerIn(const std::string &node, const std::string &zone)
+{
+    peer_state peer;
+    peer.node = node;
+    peer.zone = zone;
+    return peer;
+}
+
+peer_message loanRequestFrom(const std::string &node)
+{
+    peer_message request;
+    request.kind = peer_message_kind::LoanRequest;
+    request.from = node;
+    request.subject = "house";
+    request.amount = fuchsiagw::core::oneToken;
+    return request;
+}
+
 } // namespace
 
 TEST_GROUP(session_engine)
@@ -420,16 +447,9 @@
 // more stays the home of the limits (QUOTA on mesa-compartida, mix day, seed 800977988572).
 TEST(session_engine, keeperThatStopsLendingStaysHome)
 {
-    manifest limited = proxy_fixture::makeManifest(2);
-    limited.workspaces[0].ratePerSecond = 10;
-    limited.workspaces[0].burst = 10;
-    world.applyManifest(limited);
-    peer_state other;
-    other.node = "node-2";
-    other.zone = "north";
-    peer_state third;
-    third.node = "node-3";
-    third.zone = "north";
+    limitWorkspace(world, 10, 10);
+    const peer_state other = peerIn("node-2", "north");
+    const peer_state third = peerIn("node-3", "north");
     onInstances(world.state, { other, third }, world.now);
     const std::string home = world.state.quota.workspaces.at("house").homes.front();
     for (auto &[name, peer] : world.state.peers)
@@ -447,20 +467,11 @@
 // soak, seed 1, in the first seconds: 31 operations in a second of a workspace with 15).
 TEST(session_engine, daemonThatHasJustJoinedDoesNotFillWhenAsked)
 {
-    manifest limited = proxy_fixture::makeManifest(2);
-    limited.workspaces[0].ratePerSecond = 10;
-    limited.workspaces[0].burst = 10;
-    world.applyManifest(limited);
-    peer_state other;
-    other.node = "node-2";
-    other.zone = "north";
+    limitWorkspace(world, 10, 10);
+    const peer_state other = peerIn("node-2", "north");
     onInstances(world.state, { other }, world.now);
     onJoined(world.state, world.now);
-    peer_message request;
-    request.kind = peer_message_kind::LoanRequest;
-    request.from = "node-2";
-    request.subject = "house";
-    request.amount = fuchsiagw::core::oneToken;
+    const peer_message request = loanRequestFrom("node-2");
     for (int i = 0; i < 9; ++i) {
         onPeerMessage(world.state, request, world.now);
         world.pass(milliseconds(500));
@@ -564,22 +575,11 @@
 // for it before it answers, and what it gets goes to the daemon that asked.
 TEST(session_engine, homeAsksOtherZonesBeforeItSaysThatNothingIsLeft)
 {
-    manifest limited = proxy_fixture::makeManifest(2);
-    limited.workspaces[0].ratePerSecond = 0.01;
-    limited.workspaces[0].burst = 1;
-    world.applyManifest(limited);
-    peer_state near;
-    near.node = "node-2";
-    near.zone = "north";
-    peer_state far;
-    far.node = "node-3";
-    far.zone = "south";
+    limitWorkspace(world, 0.01, 1);
+    const peer_state near = peerIn("node-2", "north");
+    const peer_state far = peerIn("node-3", "south");
     onInstances(world.state, { near, far }, world.now);
-    peer_message request;
-    request.kind = peer_message_kind::LoanRequest;
-    request.from = "node-2";
-    request.subject = "house";
-    request.amount = fuchsiagw::core::oneToken;
+    const peer_message request = loanRequestFrom("node-2");
     world.take();
     onPeerMessage(world.state, request, world.now);
     const auto asked = proxy_fixture::pick<send_to_peer>(world.take());
@@ -611,10 +611,7 @@
 // Guards against a daemon that takes itself for the only one until it has read the others.
 TEST(session_engine, limitsAreNotFilledBeforeTheOthersAreKnown)
 {
-    manifest limited = proxy_fixture::makeManifest(2);
-    limited.workspaces[0].ratePerSecond = 10;
-    limited.workspaces[0].burst = 10;
-    world.applyManifest(limited);
+    limitWorkspace(world, 10, 10);
     world.pass(milliseconds(1000));
     CHECK_FALSE(admit(world.state.quota.workspaces.at("house"), world.now));
 }
