--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -25,10 +25,8 @@
 constexpr milliseconds watchWait{ 4'000 }; // of the daemons that watch for a silent connection
 constexpr milliseconds answerTime{ 1'500 }; // beyond the wait of a long poll
 constexpr milliseconds leastManifestInterval{ 700 };
-/// Changes that come together are read together. A leaving member has to be known within seconds;
-/// who leads is told by answers and by other daemons before.
-constexpr milliseconds followPause{ 2'500 };
-constexpr milliseconds watchPause{ 800 }; // of the daemons that watch
+/// Changes that come together are read together.
+constexpr milliseconds followPause{ 800 };
 /// Daemons join one after the other when all are started at once.
 constexpr milliseconds joinPause{ 3'000 };
 constexpr milliseconds leastMemberInterval{ 250 };
@@ -241,7 +239,7 @@
              if (loop != memberLoop_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             const auto pause = rows                   ? (watching_ ? watchPause : followPause)
+             const auto pause = rows                   ? followPause
                                 : status == statusGone ? milliseconds(0)
                                                        : backoff(memberFailures_++);
              if (rows) {
