--- a/testing/session-soak-main.cpp
+++ b/testing/session-soak-main.cpp
@@ -36,8 +36,11 @@
     std::size_t known = 0;
     while (known < soakProfileNames.size() && soakProfileNames.at(known) != profile)
         ++known;
-    if (known == soakProfileNames.size() || options.daemons < 2 || options.groups < 1) {
-        std::fprintf(stderr, "session-soak: unknown profile, or too few daemons or groups\n");
+    constexpr std::size_t mostDaemons = 250; // each has an address of one network
+    if (known == soakProfileNames.size() || options.daemons < 2 || options.groups < 1
+        || options.daemons > mostDaemons) {
+        std::fprintf(stderr,
+                     "session-soak: unknown profile, or not 2 to 250 daemons, or no group\n");
         return 2;
     }
     options.profile = static_cast<soak_profile>(known);
