--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the main job on loopback: a daemon, stand-ins for the platform and a group, a release note, a write
-# and a read of it from a replica. Everything that it starts is ended again.
+# and a read of it from a replica. With "sessions" it runs the session interface instead: four daemons, stand-ins for
+# the users' platform and callers, without faults. Everything that it starts is ended again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -8,6 +9,17 @@
 scripts/bootstrap.sh
 echo "demo: building (a first build takes several minutes)"
 cmake -S . -B "$build" -G Ninja >/dev/null
+if [[ "${1:-}" == "sessions" ]]; then
+    cmake --build "$build" -j "$(nproc)" --target fuchsiagwd session-soak
+    echo "demo: four daemons, two groups, sixteen callers (20 seconds)"
+    folder="$(mktemp -d)"
+    trap 'rm -rf "$folder"' EXIT
+    "$build/testing/session-soak" --profile=calm --seconds=4 --keep_logs --folder="$folder"
+    echo "demo: the first decisions in a daemon's log"
+    grep -h statement_placed "$folder"/seed-1/daemon-1.log | head -5
+    echo "demo: done"
+    exit 0
+fi
 cmake --build "$build" -j "$(nproc)" --target fuchsiagwd fuchsiagwctl platform-standin upstream-standin
 
 work="$(mktemp -d)"
--- a/testing/session-soak-main.cpp
+++ b/testing/session-soak-main.cpp
@@ -19,6 +19,7 @@
 ABSL_FLAG(std::uint32_t, callers, 16, "callers with a session each");
 ABSL_FLAG(std::string, profile, "everything", "calm, planned or everything");
 ABSL_FLAG(std::string, daemon, "", "program of the daemons; default: the one of this build");
+ABSL_FLAG(bool, keep_logs, false, "keep settings and logs of runs without findings too");
 ABSL_FLAG(std::string, folder, "", "where settings and logs stay; default: a folder in /tmp");
 
 int main(int argc, char **argv)
@@ -69,7 +70,7 @@
                         each.text.c_str());
         std::fflush(stdout);
         failedRuns += result.findings.empty() ? 0 : 1;
-        if (result.findings.empty())
+        if (result.findings.empty() && !absl::GetFlag(FLAGS_keep_logs))
             std::filesystem::remove_all(options.folder);
     }
     std::printf("%llu of %llu runs with findings; their logs stay in %s\n",
