--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -141,6 +141,9 @@
 bool admitOperation(engine &state, session &who, core::time_point now);
 /// @brief Goes on with a statement that waited for a token.
 void resume(engine &state, session &who, core::time_point now);
+/// @brief Writes a line on whether this daemon fills a workspace's limit, and why.
+void noteFill(engine &state, const workspace_quota &quota, const std::string &workspace,
+              std::string_view reason, core::time_point now);
 void stepQuotas(engine &state, core::time_point now);
 /// @brief Gives lent tokens back that were not needed.
 void returnUnusedTokens(engine &state, core::time_point now);
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -153,7 +153,14 @@
     std::vector<quota_node> nodes{ self };
     for (const auto &[name, peer] : state.peers)
         nodes.push_back({ peer.node, peer.zone });
+    std::map<std::string, bool> filled;
+    for (const auto &[name, quota] : state.quota.workspaces)
+        filled[name] = quota.fills;
     reshape(state.quota, *state.config, nodes, self, now >= state.fillsFrom, now);
+    for (const auto &[name, quota] : state.quota.workspaces) {
+        if (quota.limited && quota.fills != filled[name])
+            noteFill(state, quota, name, "daemons_or_manifest_changed", now);
+    }
     state.waitingLoans = 0;
     for (const auto &[name, quota] : state.quota.workspaces)
         state.waitingLoans += quota.loans.size();
--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/detail/engine_steps.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace fuchsiagw::proxy {
 
@@ -23,6 +24,7 @@
 /// A question to the homes of other zones is answered in a round trip between zones.
 constexpr milliseconds loanWait{ 25 };
 constexpr std::size_t mostWaitingLoans = 64;
+constexpr double millionths = 1e6;
 
 std::string homeOf(engine &state, const workspace_quota &quota, core::time_point now)
 {
@@ -57,6 +59,16 @@
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
+/// Starts or stops to fill, with a line of each change.
+void fill(engine &state, workspace_quota &quota, const std::string &workspace, bool fills,
+          std::string_view reason, core::time_point now)
+{
+    if (quota.fills == fills)
+        return;
+    actAsHome(quota, fills, now);
+    noteFill(state, quota, workspace, reason, now);
+}
+
 void noteLent(engine &state, const std::string &workspace, std::string_view reason,
               core::token_amount amount)
 {
@@ -102,6 +114,13 @@
     return now >= state.fillsFrom && (isHome || now < quota.homeUntil);
 }
 
+std::string_view fillReason(const engine &state, const workspace_quota &quota, bool isHome)
+{
+    if (!isHome)
+        return "other_home";
+    return quota.homes.front() == state.settings.node ? "first_in_order" : "homes_before_it_silent";
+}
+
 /// @brief Asks for tokens if this daemon holds fewer than it needs.
 void askFor(engine &state, workspace_quota &quota, const std::string &workspace,
             core::time_point now)
@@ -114,7 +133,8 @@
     }
     const std::string home = homeOf(state, quota, now);
     const bool own = home == state.settings.node;
-    actAsHome(quota, mayFill(state, quota, own, now), now);
+    const bool fills = mayFill(state, quota, own, now);
+    fill(state, quota, workspace, fills, fillReason(state, quota, own), now);
     const auto amount = wanted(quota, now);
     if (!amount)
         return;
@@ -137,6 +157,22 @@
 
 } // namespace
 
+void noteFill(engine &state, const workspace_quota &quota, const std::string &workspace,
+              std::string_view reason, core::time_point now)
+{
+    const std::string home = homeOf(state, quota, now);
+    const auto peer = state.peers.find(home);
+    decision_note line;
+    line.kind = note_kind::QuotaFillChanged;
+    line.workspace = workspace;
+    line.member = home;
+    line.reason = reason;
+    if (peer != state.peers.end())
+        line.age = now - peer->second.lastHeard;
+    line.number = quota.fills ? std::llround(quota.zoneShare * millionths) : 0;
+    state.out.emplace_back(std::move(line));
+}
+
 void onJoined(engine &state, core::time_point now)
 {
     state.fillsFrom = now + joinTime;
@@ -236,7 +272,8 @@
         return;
     }
     quota->homeUntil = now + homeLife;
-    actAsHome(*quota, mayFill(state, *quota, false, now), now);
+    const bool fills = mayFill(state, *quota, false, now);
+    fill(state, *quota, message.subject, fills, "asked_as_home", now);
     countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
     // The homes of other zones may have tokens to spare, so that the answer waits for theirs.
     if (quota->loans.size() < mostWaitingLoans) {
