--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -71,6 +71,7 @@
     void perform(const proxy::draw_token &order);
     void perform(const proxy::order_promotion &order);
     void perform(const proxy::send_to_peer &order);
+    void perform(const proxy::claim_part &order);
     void perform(const proxy::decision_note &order);
     /// @brief Takes a connection to a daemon that was opened before, or opens one.
     std::shared_ptr<net::line_connection> connectionTo(const std::string &node,
--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -29,6 +29,9 @@
     std::string node;
     std::string zone;
     std::string address; ///< IP number
+    std::uint64_t incarnation = 0; ///< of the process that wrote the row
+    std::int64_t claimed = 0; ///< part of every limit, in millionths
+    std::uint64_t version = 0; ///< of the store's row
 };
 
 struct store_events
@@ -36,8 +39,6 @@
     std::function<void(std::shared_ptr<const proxy::manifest>)> manifest;
     std::function<void(const std::vector<proxy::listed_member> &)> members;
     std::function<void(const std::vector<listed_instance> &)> instances;
-    /// The own row was missing, so the other daemons do not know this one yet.
-    std::function<void()> joined;
     std::function<void(const std::string &service, std::uint64_t token)> token;
     /// Another daemon acts alone for this time.
     std::function<void(const std::string &service, std::chrono::milliseconds)> tokenHeld;
@@ -79,6 +80,9 @@
     void setWatching(bool watching) { watching_ = watching; }
     void drawToken(const std::string &service);
     void promote(const std::string &service, const std::string &member, std::uint64_t token);
+    /// @brief Writes the own row, unless it was changed since it was read, and reads the list again.
+    /// @param part of every limit, in millionths
+    void claim(std::int64_t part, std::uint64_t incarnation);
     /// @brief Removes the row of a daemon that is gone for good.
     void removeInstance(const std::string &node);
 
@@ -102,11 +106,11 @@
     void followMembers();
     void takeMembers(const std::vector<adapter::store_row> &rows);
     void reportMembers();
-    void registerSelf();
-    [[nodiscard]] std::string ownRow() const;
     void readInstances();
-    void followInstances();
+    void readInstances(const std::string &from, std::map<std::string, listed_instance> &&list);
+    void followInstances(std::uint64_t loop);
     void takeInstances(const std::vector<adapter::store_row> &rows);
+    void reportInstances();
     void readPromotion(const std::string &service);
     void claimPromotion(const std::string &service, const adapter::store_rows &rows);
     void onClaimConflict(const std::string &service, const adapter::store_rows &present);
@@ -123,6 +127,8 @@
     core::time_point lastManifestRead_{};
     bool watching_ = false;
     std::uint64_t instancesSeen_ = 0;
+    std::uint64_t instanceLoop_ = 0; ///< a loop that was started before a newer one ends
+    bool claiming_ = false; ///< until the list is read again
     int manifestFailures_ = 0;
     int instanceFailures_ = 0;
     int memberFailures_ = 0;
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -141,9 +141,28 @@
 bool admitOperation(engine &state, session &who, core::time_point now);
 /// @brief Goes on with a statement that waited for a token.
 void resume(engine &state, session &who, core::time_point now);
-/// @brief Writes a line on whether this daemon fills a workspace's limit, and why.
-void noteFill(engine &state, const workspace_quota &quota, const std::string &workspace,
-              std::string_view reason, core::time_point now);
+/// @return the daemon of the zone that collects a workspace's parts and tokens; may be this one
+[[nodiscard]] std::string homeOf(const engine &state, const workspace_quota &quota,
+                                 core::time_point now);
+/// @brief Writes a line if the part of a workspace's limit that this daemon holds has changed.
+/// @param other the daemon that lent or borrowed it, if any
+void notePart(engine &state, workspace_quota &quota, const std::string &workspace,
+              std::string_view reason, const std::string &other, core::time_point now);
+/// @brief A home asks soon for the parts of a workspace that is in use.
+void useParts(engine &state, workspace_quota &quota, core::time_point now);
+/// @brief Asks the daemons of the zone for the parts of the workspaces whose home this daemon is.
+void requestParts(engine &state, core::time_point now);
+void answerPartRequest(engine &state, const peer_message &message, core::time_point now);
+void takeParts(engine &state, const peer_message &message, core::time_point now);
+/// @brief Judges the own claim by a new list of daemons.
+void reviseClaim(engine &state, const std::vector<peer_state> &list, core::time_point now);
+/// @brief Writes a claim that is due.
+void stepClaim(engine &state, core::time_point now);
+/// @brief Gives tokens to the daemons of the zone that wait for them.
+void serveLoans(engine &state, workspace_quota &quota, const std::string &workspace,
+                core::time_point now);
+/// @brief Admits operations that wait for a token.
+void serveTokenWaiters(engine &state, const std::string &workspace, core::time_point now);
 void stepQuotas(engine &state, core::time_point now);
 /// @brief Gives lent tokens back that were not needed.
 void returnUnusedTokens(engine &state, core::time_point now);
@@ -153,5 +172,7 @@
 void takeLoan(engine &state, const peer_message &message, core::time_point now);
 void reshapeQuotas(engine &state, core::time_point now);
 void tellLeader(engine &state, const service_state &service);
+/// @return a message with the fields that every kind has
+[[nodiscard]] peer_message makeMessage(const engine &state, peer_message_kind kind);
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -77,8 +77,15 @@
     peer_message message;
 };
 
+/// Writes the own row of the list of daemons, if nobody has changed it since it was read; then the
+/// list is read again.
+struct claim_part
+{
+    limit_part part = 0; ///< of every limit; 0 only says that this daemon takes part
+};
+
 using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
                             refresh_directory, refresh_manifest, draw_token, order_promotion,
-                            send_to_peer, decision_note>;
+                            send_to_peer, claim_part, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -36,7 +36,7 @@
     PromotionEnded,
     InstancesChanged,
     StopStarted,
-    QuotaFillChanged,
+    QuotaPartChanged,
 };
 
 inline constexpr std::array<std::string_view, 23> noteKindNames{
@@ -45,7 +45,7 @@
     "member_listed",       "member_draining",   "member_gone",        "leader_learned",
     "leader_lost",         "manifest_applied",  "manifest_ignored",   "quota_lent",
     "promotion_started",   "promotion_step",    "promotion_done",     "promotion_ended",
-    "instances_changed",   "stop_started",      "quota_fill_changed",
+    "instances_changed",   "stop_started",      "quota_part_changed",
 };
 
 [[nodiscard]] constexpr std::string_view toString(note_kind kind)
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -9,6 +9,7 @@
 
 #include <fuchsiagw/core/random.hpp>
 #include <fuchsiagw/proxy/action.hpp>
+#include <fuchsiagw/proxy/limit_claim.hpp>
 #include <fuchsiagw/proxy/manifest.hpp>
 #include <fuchsiagw/proxy/member_state.hpp>
 #include <fuchsiagw/proxy/peer_message.hpp>
@@ -49,6 +50,11 @@
     /// second home beside it would exceed the limits.
     core::time_point keeperSilentUntil{};
     std::uint64_t manifestVersion = 0;
+    /// @name The row in the store
+    /// @{
+    std::uint64_t incarnation = 0; ///< of the process that wrote it
+    limit_part claimed = 0; ///< part of every limit
+    /// @}
 };
 
 /// How many of each thing happened; see metrics.
@@ -94,8 +100,8 @@
     core::time_point lastTime{}; ///< newest call of onTime()
     core::time_point nextExchange{};
     core::time_point nextMaintenance{};
-    /// A daemon fills no limits before it knows the others, and they know of it.
-    core::time_point fillsFrom = core::noDeadline;
+    limit_claim claim; ///< part of every limit that this daemon owns
+    core::time_point nextPartRequest = core::noDeadline; ///< parts of the zone are borrowed then
     std::uint64_t incarnation = 0;
     engine_counters counters;
     std::vector<action> out;
@@ -113,12 +119,9 @@
 /// @brief The list of members was read.
 void onDirectory(engine &state, const std::vector<listed_member> &list, core::time_point now);
 
-/// @brief The daemons that take part were read, this one included.
+/// @brief The daemons that take part were read, this one included if its row is there.
 void onInstances(engine &state, const std::vector<peer_state> &list, core::time_point now);
 
-/// @brief This daemon is new among those that take part.
-void onJoined(engine &state, core::time_point now);
-
 /// @return whether new callers can be served
 [[nodiscard]] bool isReady(const engine &state);
 
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/limit_part.hpp>
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,8 @@
     ReachQuestion, ///< does the peer reach this primary?
     ReachAnswer,
     LoanReturn, ///< tokens that were lent and not needed
+    PartRequest, ///< a home asks for the parts of its zone's daemons
+    PartGrant,
 };
 
 /// What one daemon knows of a service's primary.
@@ -52,12 +55,14 @@
     std::string member; ///< of a reach question
     bool betweenHomes = false; ///< a loan between the homes of two zones
     std::int64_t amount = 0; ///< of a loan; reach answer: 1 reached, 0 not reached, -1 unknown
+    std::vector<std::string> workspaces; ///< of a part request
+    std::vector<part_grant> parts; ///< of a part grant
 
     template <typename archive>
     void serialize(archive &ar)
     {
         ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member,
-           betweenHomes, amount);
+           betweenHomes, amount, workspaces, parts);
     }
 };
 
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -84,7 +84,6 @@
                    perform();
                },
                [this](const std::vector<listed_instance> &list) { onInstances(list); },
-               [this] { proxy::onJoined(engine_, net::currentBootTime()); },
                [this](const std::string &service, std::uint64_t token) {
                    proxy::onTokenDrawn(engine_, service, token, net::currentBootTime());
                    perform();
@@ -266,12 +265,14 @@
     for (const listed_instance &each : list) {
         boost::system::error_code error;
         const auto address = boost::asio::ip::make_address(each.address, error);
-        if (error)
-            continue;
-        peerAddresses_[each.node] = { address, values_.peerPort };
+        // A daemon that can't be reached still owns what it has claimed.
+        if (!error)
+            peerAddresses_[each.node] = { address, values_.peerPort };
         proxy::peer_state peer;
         peer.node = each.node;
         peer.zone = each.zone;
+        peer.incarnation = each.incarnation;
+        peer.claimed = each.claimed;
         peers.push_back(std::move(peer));
     }
     proxy::onInstances(engine_, peers, net::currentBootTime());
@@ -439,6 +440,11 @@
     datagrams_.send(found->second, stream.str());
 }
 
+void session_gateway::perform(const proxy::claim_part &order)
+{
+    store_.claim(order.part, engine_.incarnation);
+}
+
 void session_gateway::perform(const proxy::decision_note &order)
 {
     log_.write(order, net::currentBootTime());
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -27,6 +27,7 @@
     case proxy::note_kind::SessionClosed:
     case proxy::note_kind::MemberAvoided:
     case proxy::note_kind::QuotaLent:
+    case proxy::note_kind::QuotaPartChanged:
         return true;
     default:
         return false;
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds followPause{ 800 };
 /// Daemons join one after the other when all are started at once.
 constexpr milliseconds joinPause{ 3'000 };
+/// Daemons that start together know each other before they claim parts of the limits.
+constexpr milliseconds othersTime{ 800 };
 constexpr milliseconds leastMemberInterval{ 250 };
 constexpr milliseconds firstBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
@@ -52,6 +54,22 @@
     return found == rows.rows.end() ? nullptr : &*found;
 }
 
+/// @return none if the row was dropped or can't be read
+std::optional<listed_instance> decodeInstance(const adapter::store_row &row)
+{
+    const auto value = nlohmann::json::parse(row.value, nullptr, false);
+    if (row.deleted || !value.is_object())
+        return std::nullopt;
+    listed_instance each;
+    each.node = row.key;
+    each.zone = value.value("zone", std::string());
+    each.address = value.value("address", std::string());
+    each.incarnation = value.value("incarnation", std::uint64_t{ 0 });
+    each.claimed = value.value("part", std::int64_t{ 0 });
+    each.version = row.version;
+    return each;
+}
+
 } // namespace
 
 store_desk::store_desk(boost::asio::io_context &context, const session_settings &values,
@@ -279,77 +297,110 @@
     events_.members(list);
 }
 
-void store_desk::registerSelf()
+void store_desk::claim(std::int64_t part, std::uint64_t incarnation)
 {
-    events_.joined();
+    if (std::exchange(claiming_, true))
+        return;
+    const auto own = instances_.find(values_.instance);
+    const std::uint64_t version = own == instances_.end() ? 0 : own->second.version;
+    const nlohmann::json value = { { "address", values_.address },
+                                   { "zone", values_.zone },
+                                   { "incarnation", incarnation },
+                                   { "part", part } };
+    // A call that is carried out late must not replace what was written after it.
     call(store_purpose::Instances,
-         adapter::changeRows({ { instanceTable, values_.instance, std::nullopt, ownRow() } }),
-         callLimit, [this](int status, const std::string &) {
+         adapter::changeRows({ { instanceTable, values_.instance, version, value.dump() } }),
+         callLimit, [this, part](int status, const std::string &) {
+             milliseconds pause = part == 0 ? othersTime : milliseconds(0);
              if (status != statusOk)
-                 after(backoff(instanceFailures_++), [this] { registerSelf(); });
+                 pause = backoff(instanceFailures_++);
+             after(pause, [this] {
+                 claiming_ = false;
+                 readInstances();
+             });
          });
 }
 
-std::string store_desk::ownRow() const
+void store_desk::readInstances()
 {
-    const nlohmann::json value = { { "address", values_.address }, { "zone", values_.zone } };
-    return value.dump();
+    ++instanceLoop_;
+    readInstances({}, {});
 }
 
-void store_desk::readInstances()
+void store_desk::readInstances(const std::string &from,
+                               std::map<std::string, listed_instance> &&list)
 {
-    call(store_purpose::Instances, adapter::readRows(instanceTable, {}), callLimit,
-         [this](int status, const std::string &body) {
+    call(store_purpose::Instances, adapter::readRows(instanceTable, from), callLimit,
+         [this, loop = instanceLoop_, list = std::move(list)](int status,
+                                                              const std::string &body) mutable {
+             if (loop != instanceLoop_)
+                 return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
-                 after(backoff(instanceFailures_++), [this] { readInstances(); });
+                 after(backoff(instanceFailures_++), [this, loop] {
+                     if (loop == instanceLoop_)
+                         readInstances();
+                 });
+                 return;
+             }
+             for (const adapter::store_row &row : rows->rows) {
+                 if (const auto each = decodeInstance(row))
+                     list[row.key] = *each;
+             }
+             if (rows->hasMore && !rows->rows.empty()) {
+                 readInstances(rows->rows.back().key + '!', std::move(list));
                  return;
              }
              instanceFailures_ = 0;
              instancesSeen_ = rows->version;
-             instances_.clear();
-             takeInstances(rows->rows);
-             after(joinPause, [this] { followInstances(); });
+             instances_ = std::move(list);
+             reportInstances();
+             after(joinPause, [this, loop] { followInstances(loop); });
          });
 }
 
-void store_desk::followInstances()
+void store_desk::followInstances(std::uint64_t loop)
 {
+    if (loop != instanceLoop_)
+        return;
     call(store_purpose::Instances, adapter::followRows(instanceTable, instancesSeen_, followWait),
-         followWait + answerTime, [this](int status, const std::string &body) {
+         followWait + answerTime, [this, loop](int status, const std::string &body) {
+             if (loop != instanceLoop_)
+                 return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (rows) {
                  instanceFailures_ = 0;
                  instancesSeen_ = std::max(instancesSeen_, rows->version);
                  if (!rows->rows.empty())
                      takeInstances(rows->rows);
-                 after(joinPause, [this] { followInstances(); });
+                 after(joinPause, [this, loop] { followInstances(loop); });
                  return;
              }
              after(status == statusGone ? milliseconds(0) : backoff(instanceFailures_++),
-                   [this] { readInstances(); });
+                   [this, loop] {
+                       if (loop == instanceLoop_)
+                           readInstances();
+                   });
          });
 }
 
 void store_desk::takeInstances(const std::vector<adapter::store_row> &rows)
 {
     for (const adapter::store_row &row : rows) {
-        const auto value = nlohmann::json::parse(row.value, nullptr, false);
-        if (row.deleted || !value.is_object()) {
+        if (const auto each = decodeInstance(row))
+            instances_[row.key] = *each;
+        else
             instances_.erase(row.key);
-            continue;
-        }
-        instances_[row.key] = { row.key, value.value("zone", std::string()),
-                                value.value("address", std::string()) };
     }
+    reportInstances();
+}
+
+void store_desk::reportInstances()
+{
     std::vector<listed_instance> list;
     for (const auto &[node, each] : instances_)
         list.push_back(each);
     events_.instances(list);
-    // A process that starts again finds its row, and the others need not hear of it.
-    const auto own = instances_.find(values_.instance);
-    if (own == instances_.end() || own->second.address != values_.address)
-        registerSelf();
 }
 
 void store_desk::removeInstance(const std::string &node)
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -153,14 +153,9 @@
     std::vector<quota_node> nodes{ self };
     for (const auto &[name, peer] : state.peers)
         nodes.push_back({ peer.node, peer.zone });
-    std::map<std::string, bool> filled;
-    for (const auto &[name, quota] : state.quota.workspaces)
-        filled[name] = quota.fills;
-    reshape(state.quota, *state.config, nodes, self, now >= state.fillsFrom, now);
-    for (const auto &[name, quota] : state.quota.workspaces) {
-        if (quota.limited && quota.fills != filled[name])
-            noteFill(state, quota, name, "daemons_or_manifest_changed", now);
-    }
+    reshape(state.quota, *state.config, nodes, self, state.claim.granted, now);
+    for (auto &[name, quota] : state.quota.workspaces)
+        notePart(state, quota, name, "claim_or_manifest_changed", {}, now);
     state.waitingLoans = 0;
     for (const auto &[name, quota] : state.quota.workspaces)
         state.waitingLoans += quota.loans.size();
@@ -210,9 +205,8 @@
             continue;
         const auto known = state.peers.find(each.node);
         next[each.node] = known == state.peers.end() ? each : known->second;
+        next[each.node].claimed = each.claimed;
     }
-    if (state.fillsFrom == core::noDeadline)
-        state.fillsFrom = now;
     const auto count = static_cast<std::uint32_t>(next.size() + 1);
     if (count != state.instances) {
         decision_note line;
@@ -220,9 +214,13 @@
         line.number = count;
         state.out.emplace_back(std::move(line));
     }
+    const bool sameDaemons = std::equal(
+            next.begin(), next.end(), state.peers.begin(), state.peers.end(),
+            [](const auto &left, const auto &right) { return left.first == right.first; });
+    state.peersVersion += sameDaemons ? 0 : 1;
     state.peers = std::move(next);
-    ++state.peersVersion;
     state.instances = count;
+    reviseClaim(state, list, now);
     reshapeQuotas(state, now);
 }
 
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -22,16 +22,6 @@
 /// Reports of primaries that one datagram carries.
 constexpr std::size_t reportsPerMessage = 12;
 
-peer_message makeMessage(const engine &state, peer_message_kind kind)
-{
-    peer_message message;
-    message.kind = kind;
-    message.from = state.settings.node;
-    message.incarnation = state.incarnation;
-    message.manifestVersion = state.config ? state.config->version : 0;
-    return message;
-}
-
 void drawSome(engine &state, std::vector<std::string> &names, std::size_t count)
 {
     for (std::size_t i = 0; i < names.size() && i < count; ++i) {
@@ -155,6 +145,16 @@
 
 } // namespace
 
+peer_message makeMessage(const engine &state, peer_message_kind kind)
+{
+    peer_message message;
+    message.kind = kind;
+    message.from = state.settings.node;
+    message.incarnation = state.incarnation;
+    message.manifestVersion = state.config ? state.config->version : 0;
+    return message;
+}
+
 void exchangeWithPeers(engine &state, core::time_point now)
 {
     if (now < state.nextExchange)
@@ -218,6 +218,12 @@
     case peer_message_kind::LoanReturn:
         takeBack(state, message, now);
         break;
+    case peer_message_kind::PartRequest:
+        answerPartRequest(state, message, now);
+        break;
+    case peer_message_kind::PartGrant:
+        takeParts(state, message, now);
+        break;
     }
 }
 
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -177,6 +177,7 @@
             pump(state, service, now);
     }
     stepQuotas(state, now);
+    requestParts(state, now);
     stepPromotions(state, now);
     if (now >= state.nextMaintenance) {
         const bool idle = state.links.empty() && state.active.empty();
@@ -187,6 +188,7 @@
         followSilence(state, now);
         checkReplicas(state, now);
         returnUnusedTokens(state, now);
+        stepClaim(state, now);
     }
     if (state.stopping)
         closeRestingSessions(state, now);
@@ -196,6 +198,7 @@
 core::time_point nextDue(const engine &state)
 {
     core::time_point due = std::min(state.nextMaintenance, state.nextExchange);
+    due = std::min(due, state.nextPartRequest);
     due = std::min(due, nextPromotionStep(state));
     if (state.stopping)
         due = std::min(due, state.nextClosing);
