Give operators a command that forgets an instance which is gone for good

Removing rows by a time limit was ruled out: a daemon that is cut off from the store for longer would use a part that others have taken, and one that stops for that reason would serve no limited workspace in a long outage of the store. The JSON of the row and the call to the store are in one place each; removeInstance(), which nothing called, is gone.

--- a/include/fuchsiagw/ctl/commands.hpp
+++ b/include/fuchsiagw/ctl/commands.hpp
@@ -6,7 +6,7 @@
 #include <fuchsiagw/core/release_note.hpp>
 #include <fuchsiagw/ctl/admin_client.hpp>
 #include <fuchsiagw/ctl/exit_code.hpp>
-#include <fuchsiagw/ctl/store_switch.hpp>
+#include <fuchsiagw/ctl/store_call.hpp>
 
 #include <chrono>
 #include <functional>
@@ -68,6 +68,10 @@
 exit_code runGroupShow(const command_context &context, const std::vector<std::string> &parameters);
 exit_code runGroupPromote(const command_context &context,
                           const std::vector<std::string> &parameters);
+/// @brief Removes the row of a daemon whose machine is gone for good from the platform's store, so
+/// that the others take over its part of the limits.
+exit_code runInstanceForget(const command_context &context,
+                            const std::vector<std::string> &parameters);
 exit_code runInstanceList(const command_context &context,
                           const std::vector<std::string> &parameters);
 exit_code runSwitchList(const command_context &context, const std::vector<std::string> &parameters);
--- a/include/fuchsiagw/daemon/store_desk.hpp
+++ b/include/fuchsiagw/daemon/store_desk.hpp
@@ -7,6 +7,7 @@
 #include <fuchsiagw/daemon/session_settings.hpp>
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
+#include <fuchsiagw/wire/instance_row.hpp>
 
 #include <platform/store_codec.hpp>
 
@@ -27,10 +28,7 @@
 struct listed_instance
 {
     std::string node;
-    std::string zone;
-    std::string address; ///< IP number
-    std::uint64_t incarnation = 0; ///< of the process that wrote the row
-    std::int64_t claimed = 0; ///< part of every limit, in millionths
+    wire::instance_row row;
     std::uint64_t version = 0; ///< of the store's row
 };
 
@@ -80,11 +78,10 @@
     void setWatching(bool watching) { watching_ = watching; }
     void drawToken(const std::string &service);
     void promote(const std::string &service, const std::string &member, std::uint64_t token);
-    /// @brief Writes the own row, unless it was changed since it was read, and reads the list again.
+    /// @brief Writes the own row, unless it was changed since it was read, and reads the list
+    /// again.
     /// @param part of every limit, in millionths
     void claim(std::int64_t part, std::uint64_t incarnation);
-    /// @brief Removes the row of a daemon that is gone for good.
-    void removeInstance(const std::string &node);
 
     [[nodiscard]] const store_counters &counters() const { return counters_; }
 
--- a/src/ctl/store_switch.cpp
+++ b/src/ctl/store_switch.cpp
@@ -1,29 +1,20 @@
 /// @file
 /// @brief Reads and writes the operators' switch in the platform's store.
 
-#include <utility>
-
 #include <fuchsiagw/ctl/store_switch.hpp>
 
 #include <fuchsiagw/ctl/commands.hpp>
-#include <fuchsiagw/ctl/flags.hpp>
-#include <fuchsiagw/net/clock.hpp>
-#include <fuchsiagw/net/http_client.hpp>
+#include <fuchsiagw/ctl/store_call.hpp>
 #include <fuchsiagw/wire/automation_json.hpp>
 
 #include <platform/store_codec.hpp>
 
-#include <absl/flags/flag.h>
-
 #include <optional>
 
 namespace fuchsiagw::ctl {
 
 namespace {
 
-constexpr std::chrono::milliseconds callTime{ 3'000 };
-constexpr int statusOk = 200;
-
 /// What the store says of the switch.
 struct switch_state
 {
@@ -32,27 +23,16 @@
     std::uint64_t version = 0; ///< 0: it was never set
 };
 
-exit_code complain(const command_context &context, exit_code code, const std::string &text)
-{
-    context.err << text << '\n';
-    return code;
-}
-
-net::http_exchange call(const command_context &context, const net::http_request &request)
-{
-    const std::string address = absl::GetFlag(FLAGS_store);
-    return context.store ? context.store(address, request) : callStore(address, request);
-}
-
 switch_state readState(const command_context &context)
 {
     const std::string key(wire::promotionSwitch);
-    const net::http_exchange exchange = call(context, adapter::readRow(wire::automationTable, key));
+    const net::http_exchange exchange =
+            callStore(context, adapter::readRow(wire::automationTable, key));
     switch_state state;
     if (exchange.error)
         return state;
     state.code = exit_code::Refused;
-    const auto rows = exchange.response.status == statusOk
+    const auto rows = exchange.response.status == storeStatusOk
                               ? adapter::decodeRows(exchange.response.body)
                               : std::nullopt;
     if (!rows)
@@ -72,17 +52,6 @@
 
 } // namespace
 
-net::http_exchange callStore(const std::string &address, const net::http_request &request)
-{
-    net::endpoint peer;
-    if (const std::error_code failed = net::parseEndpoint(address, peer)) {
-        net::http_exchange result;
-        result.error = failed;
-        return result;
-    }
-    return net::callAndWait(peer, request, net::currentTime() + callTime);
-}
-
 exit_code setStoreSwitch(const command_context &context, const std::string &name, bool isOn)
 {
     if (name != wire::promotionSwitch && name != "all")
@@ -92,11 +61,11 @@
     change.table = wire::automationTable;
     change.key = wire::promotionSwitch;
     change.value = wire::toJson({ isOn });
-    const net::http_exchange exchange = call(context, adapter::changeRows({ change }));
+    const net::http_exchange exchange = callStore(context, adapter::changeRows({ change }));
     if (exchange.error && !exchange.sent)
         return complain(context, exit_code::Unreachable,
                         "the store does not answer; nothing was changed");
-    if (!exchange.error && exchange.response.status != statusOk)
+    if (!exchange.error && exchange.response.status != storeStatusOk)
         return complain(context, exit_code::Refused,
                         "the store refused the change with status "
                                 + std::to_string(exchange.response.status)
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -264,15 +264,15 @@
     peerAddresses_.clear();
     for (const listed_instance &each : list) {
         boost::system::error_code error;
-        const auto address = boost::asio::ip::make_address(each.address, error);
+        const auto address = boost::asio::ip::make_address(each.row.address, error);
         // A daemon that can't be reached still owns what it has claimed.
         if (!error)
             peerAddresses_[each.node] = { address, values_.peerPort };
         proxy::peer_state peer;
         peer.node = each.node;
-        peer.zone = each.zone;
-        peer.incarnation = each.incarnation;
-        peer.claimed = each.claimed;
+        peer.zone = each.row.zone;
+        peer.incarnation = each.row.incarnation;
+        peer.claimed = each.row.part;
         peers.push_back(std::move(peer));
     }
     proxy::onInstances(engine_, peers, net::currentBootTime());
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -46,6 +46,7 @@
     add("sessions", "gauge", engine_.sessions.size());
     add("links", "gauge", engine_.links.size());
     add("instances", "gauge", engine_.instances);
+    add("limit_part_millionths", "gauge", engine_.claim.granted);
     add("manifest_version", "gauge", engine_.config ? engine_.config->version : 0);
     text += "# TYPE fuchsiagw_refused_total counter\n";
     for (std::size_t i = 0; i < counts.refused.size(); ++i)
--- a/src/daemon/store_desk.cpp
+++ b/src/daemon/store_desk.cpp
@@ -36,7 +36,6 @@
 constexpr int maxBackoffDoublings = 3;
 /// A daemon that drew a token acts alone for this time.
 constexpr std::int64_t promotionLeaseMs = 3'000;
-constexpr const char *instanceTable = "instances";
 constexpr const char *promotionTable = "promotions";
 
 constexpr int statusOk = 200;
@@ -57,15 +56,12 @@
 /// @return none if the row was dropped or can't be read
 std::optional<listed_instance> decodeInstance(const adapter::store_row &row)
 {
-    const auto value = nlohmann::json::parse(row.value, nullptr, false);
-    if (row.deleted || !value.is_object())
+    const auto value = row.deleted ? std::nullopt : wire::readInstanceRow(row.value);
+    if (!value)
         return std::nullopt;
     listed_instance each;
     each.node = row.key;
-    each.zone = value.value("zone", std::string());
-    each.address = value.value("address", std::string());
-    each.incarnation = value.value("incarnation", std::uint64_t{ 0 });
-    each.claimed = value.value("part", std::int64_t{ 0 });
+    each.row = *value;
     each.version = row.version;
     return each;
 }
@@ -303,13 +299,10 @@
         return;
     const auto own = instances_.find(values_.instance);
     const std::uint64_t version = own == instances_.end() ? 0 : own->second.version;
-    const nlohmann::json value = { { "address", values_.address },
-                                   { "zone", values_.zone },
-                                   { "incarnation", incarnation },
-                                   { "part", part } };
+    const std::string value = wire::toJson({ values_.address, values_.zone, incarnation, part });
     // A call that is carried out late must not replace what was written after it.
     call(store_purpose::Instances,
-         adapter::changeRows({ { instanceTable, values_.instance, version, value.dump() } }),
+         adapter::changeRows({ { wire::instanceTable, values_.instance, version, value } }),
          callLimit, [this, part](int status, const std::string &) {
              milliseconds pause = part == 0 ? othersTime : milliseconds(0);
              if (status != statusOk)
@@ -330,7 +323,7 @@
 void store_desk::readInstances(const std::string &from,
                                std::map<std::string, listed_instance> &&list)
 {
-    call(store_purpose::Instances, adapter::readRows(instanceTable, from), callLimit,
+    call(store_purpose::Instances, adapter::readRows(wire::instanceTable, from), callLimit,
          [this, loop = instanceLoop_, list = std::move(list)](int status,
                                                               const std::string &body) mutable {
              if (loop != instanceLoop_)
@@ -363,7 +356,8 @@
 {
     if (loop != instanceLoop_)
         return;
-    call(store_purpose::Instances, adapter::followRows(instanceTable, instancesSeen_, followWait),
+    call(store_purpose::Instances,
+         adapter::followRows(wire::instanceTable, instancesSeen_, followWait),
          followWait + answerTime, [this, loop](int status, const std::string &body) {
              if (loop != instanceLoop_)
                  return;
@@ -403,13 +397,6 @@
     events_.instances(list);
 }
 
-void store_desk::removeInstance(const std::string &node)
-{
-    call(store_purpose::Instances,
-         adapter::changeRows({ { instanceTable, node, std::nullopt, std::nullopt } }), callLimit,
-         [](int, const std::string &) {});
-}
-
 void store_desk::drawToken(const std::string &service)
 {
     if (promotionsAllowed_) {
--- a/tests/unit-ctl.cpp
+++ b/tests/unit-ctl.cpp
@@ -41,6 +41,7 @@
     std::ostringstream out;
     std::ostringstream err;
     nlohmann::json storeRow; ///< null: never written
+    nlohmann::json storeRemoved; ///< the call that removed it
     int storeStatus = 200;
     bool storeLosesAnswers = false;
 
@@ -150,8 +151,13 @@
         auto body = nlohmann::json{ { "row-version", 9 }, { "now-ms", 1 } };
         if (request.method == "POST") {
             const auto change = nlohmann::json::parse(request.body);
-            storeRow = change.at("puts").at(0);
-            storeRow["row-version"] = 9;
+            if (change.contains("remove") && !change.at("remove").empty()) {
+                storeRemoved = change;
+                storeRow = nullptr;
+            } else {
+                storeRow = change.at("puts").at(0);
+                storeRow["row-version"] = 9;
+            }
         }
         body["rows"] =
                 storeRow.is_null() ? nlohmann::json::array() : nlohmann::json::array({ storeRow });
@@ -374,6 +380,25 @@
               daemon);
 }
 
+// Guards against the part of a limit that nobody uses once its daemon's machine is gone for good,
+// and against a row that is removed although its daemon has started again.
+TEST(ctl, instanceThatIsGoneIsForgotten)
+{
+    checkCode(exit_code::Usage, daemon.run({ "instance", "forget", "n1" }), daemon);
+    const std::vector<std::string> forget{ "instance", "forget", "n1", "--store=127.0.0.1:1" };
+    checkCode(exit_code::Refused, daemon.run(forget), daemon);
+    daemon.storeRow = { { "table-name", "instances" },
+                        { "part", "" },
+                        { "key", "n1" },
+                        { "value", "e30=" },
+                        { "row-version", 7 } };
+    checkCode(exit_code::Done, daemon.run(forget), daemon);
+    CHECK_EQUAL(7, daemon.storeRemoved.at("expected").at(0).at("row-version").get<int>());
+    STRCMP_EQUAL("n1", daemon.storeRemoved.at("remove").at(0).at("key").get<std::string>().c_str());
+    daemon.storeStatus = 503;
+    checkCode(exit_code::Refused, daemon.run(forget), daemon);
+}
+
 // Guards against a damaged row that is taken for a permission.
 TEST(ctl, unreadableStoreSwitchCountsAsOff)
 {
