--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -35,8 +35,8 @@
     return message;
 }
 
-void sendRequest(engine &state, const std::string &peer, const std::string &workspace,
-                 core::token_amount amount, bool betweenHomes, core::time_point now)
+void askForTokens(engine &state, const std::string &peer, const std::string &workspace,
+                  core::token_amount amount, bool betweenHomes, core::time_point now)
 {
     peer_message message =
             loanMessage(state, peer_message_kind::LoanRequest, workspace, amount, betweenHomes);
@@ -44,8 +44,8 @@
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
-void sendGrant(engine &state, const std::string &peer, const std::string &workspace,
-               core::token_amount amount, bool betweenHomes, std::int64_t askedAtUs)
+void grantTokens(engine &state, const std::string &peer, const std::string &workspace,
+                 core::token_amount amount, bool betweenHomes, std::int64_t askedAtUs)
 {
     peer_message message =
             loanMessage(state, peer_message_kind::LoanGrant, workspace, amount, betweenHomes);
@@ -53,8 +53,8 @@
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
-void sendReturn(engine &state, const std::string &peer, const std::string &workspace,
-                core::token_amount amount)
+void returnTokens(engine &state, const std::string &peer, const std::string &workspace,
+                  core::token_amount amount)
 {
     state.out.emplace_back(send_to_peer{
             peer, loanMessage(state, peer_message_kind::LoanReturn, workspace, amount, false) });
@@ -77,7 +77,7 @@
     std::vector<std::string> others = quota.otherHomes;
     for (std::size_t i = 0; i < others.size() && i < otherHomesAsked; ++i) {
         std::swap(others[i], others[i + core::drawBelow(state.random, others.size() - i)]);
-        sendRequest(state, others[i], workspace, amount, true, now);
+        askForTokens(state, others[i], workspace, amount, true, now);
     }
 }
 
@@ -102,7 +102,7 @@
     }
     if (quota.askedAt == core::noDeadline)
         quota.askedAt = now;
-    sendRequest(state, home, workspace, *amount, false, now);
+    askForTokens(state, home, workspace, *amount, false, now);
 }
 
 core::duration untilToken(const workspace_quota &quota, core::time_point now)
@@ -125,7 +125,7 @@
             return;
         if (given > 0)
             noteLent(state, workspace, "to_own_zone", given);
-        sendGrant(state, next.node, workspace, given, false, next.askedAtUs);
+        grantTokens(state, next.node, workspace, given, false, next.askedAtUs);
         quota.loans.pop_front();
         --state.waitingLoans;
     }
@@ -199,7 +199,7 @@
         if (home == state.settings.node)
             receive(quota, unused, now);
         else if (unused > 0)
-            sendReturn(state, home, name, unused);
+            returnTokens(state, home, name, unused);
         settle(quota, now);
         notePart(state, quota, name, "lease_ended", {}, now);
     }
@@ -227,7 +227,7 @@
         if (given == 0)
             return;
         noteLent(state, message.subject, "to_other_zone", given);
-        sendGrant(state, message.from, message.subject, given, true, message.askedAtUs);
+        grantTokens(state, message.from, message.subject, given, true, message.askedAtUs);
         return;
     }
     countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
@@ -254,7 +254,7 @@
     left = receive(quota, left, now);
     serveTokenWaiters(state, message.subject, now);
     if (left > 0)
-        sendReturn(state, message.from, message.subject, left);
+        returnTokens(state, message.from, message.subject, left);
 }
 
 } // namespace
--- a/tests/unit-quota-cluster.cpp
+++ b/tests/unit-quota-cluster.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <functional>
+
 using namespace fuchsiagw::proxy;
 using namespace fuchsiagw;
 
@@ -24,6 +26,17 @@
     CHECK_TRUE(most <= allowed);
 }
 
+/// Lets each seed's daemons settle, harms them, and checks every window.
+void checkWith(const std::function<void(quota_cluster &)> &harm)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        quota_cluster world(seed);
+        world.pass(settling);
+        harm(world);
+        checkLimit(world, seed);
+    }
+}
+
 /// One fault of any kind that ends by itself within a few seconds.
 void disturb(quota_cluster &world, std::vector<std::string> &cut)
 {
@@ -75,81 +88,63 @@
 // third of them is cut off from all others and from the store (QUOTA on mesa-compartida, issue 16).
 TEST(quota_cluster, daemonsThatAreCutOffStayInsideTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        quota_cluster world(seed);
-        world.pass(settling);
+    checkWith([](quota_cluster &world) {
         const std::vector<std::string> cut = world.draw(3);
         world.setCutOff(cut, true);
         world.pass(milliseconds(9'000));
         world.setCutOff(cut, false);
         world.pass(milliseconds(7'000));
-        checkLimit(world, seed);
-    }
+    });
 }
 
 // Guards against a daemon that fills a part because its home is slow to answer, while the home
 // fills it as well.
 TEST(quota_cluster, slowDaemonsStayInsideTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        quota_cluster world(seed);
-        world.pass(settling);
+    checkWith([](quota_cluster &world) {
         for (const std::string &name : world.draw(4))
             world.daemons.at(name).slowUntil = world.now + milliseconds(8'000);
         world.pass(milliseconds(14'000));
-        checkLimit(world, seed);
-    }
+    });
 }
 
 // Guards against tokens and parts that a frozen daemon uses after others have taken them over.
 TEST(quota_cluster, frozenDaemonsStayInsideTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        quota_cluster world(seed);
-        world.pass(settling);
+    checkWith([](quota_cluster &world) {
         for (int i = 0; i < 3; ++i) {
             for (const std::string &name : world.draw(4))
                 world.daemons.at(name).frozenUntil = world.now + milliseconds(2'500);
             world.pass(milliseconds(4'000));
         }
         world.pass(milliseconds(6'000));
-        checkLimit(world, seed);
-    }
+    });
 }
 
 // Guards against daemons that divide a limit by different lists: some can't read the store while
 // others join.
 TEST(quota_cluster, daemonsWithDifferentListsStayInsideTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        quota_cluster world(seed);
-        world.pass(settling);
+    checkWith([](quota_cluster &world) {
         for (const std::string &name : world.draw(4))
             world.daemons.at(name).storeCut = true;
-        for (int zone = 0; zone < 3; ++zone) {
-            for (int i = 0; i < 3; ++i)
-                world.addDaemon("new" + std::to_string(zone) + std::to_string(i),
-                                "z" + std::to_string(zone));
-        }
+        for (int i = 0; i < 9; ++i)
+            world.addDaemon("new" + std::to_string(i), "z" + std::to_string(i / 3));
         world.pass(milliseconds(16'000));
-        checkLimit(world, seed);
-    }
+    });
 }
 
 // Guards against processes that start with what the process before them has just used.
 TEST(quota_cluster, restartedDaemonsStayInsideTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        quota_cluster world(seed);
-        world.pass(settling);
+    checkWith([](quota_cluster &world) {
         for (int i = 0; i < 4; ++i) {
             for (const std::string &name : world.draw(5))
                 world.kill(name, milliseconds(300));
             world.pass(milliseconds(2'500));
         }
         world.pass(milliseconds(6'000));
-        checkLimit(world, seed);
-    }
+    });
 }
 
 // Guards against the tokens of a higher limit that are used after it was lowered, or by a daemon
