--- a/src/ctl/configuration_commands.cpp
+++ b/src/ctl/configuration_commands.cpp
@@ -3,8 +3,8 @@
 
 #include <fuchsiagw/ctl/commands.hpp>
 #include <fuchsiagw/ctl/flags.hpp>
-#include <fuchsiagw/ctl/store_switch.hpp>
 #include <fuchsiagw/ctl/note_file.hpp>
+#include <fuchsiagw/ctl/store_switch.hpp>
 #include <fuchsiagw/ctl/table.hpp>
 #include <fuchsiagw/wire/key_hash.hpp>
 
--- a/src/proxy/engine_parts.cpp
+++ b/src/proxy/engine_parts.cpp
@@ -225,6 +225,7 @@
 void reviseClaim(engine &state, const std::vector<peer_state> &list, core::time_point now)
 {
     std::vector<claim_row> rows;
+    rows.reserve(list.size());
     for (const peer_state &each : list)
         rows.push_back({ each.node == state.settings.node, each.incarnation, each.claimed });
     if (const auto part = revise(state.claim, rows, state.incarnation, now))
