Hold current reads until a replica proves that the primary still leads

Change: evidence from replicas (leadership_evidence, engine_evidence): one that has received nothing of a later term, asked after the read arrived, excludes acknowledged commits of later terms. Answers and first statements are held until then; positions enter the history only when proven; a later term orders the old primary to step down. New setting fenced_promotions; with it nothing changes. Promotion orders are sent only inside the token's lease. A role that is claimed later wins over the old primary's claim. Found by the random schedules of unit-leader-cluster and mended: a replica that was resumed before it followed the new term acknowledged commits of the old primary.

--- a/include/fuchsiagw/daemon/session_settings.hpp
+++ b/include/fuchsiagw/daemon/session_settings.hpp
@@ -30,6 +30,7 @@
     std::chrono::seconds gracePeriod{ 0 };
     std::chrono::milliseconds drainLimit{ 0 };
     std::chrono::milliseconds configurationLimit{ 0 };
+    bool promotionsAreFenced = false; ///< see proxy::engine_settings
 };
 
 /// @brief Reads and validates a settings file. Unknown entries are ignored.
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -92,8 +92,9 @@
                  core::time_point now);
 /// @return the relay of a member, which is the daemon that pools the member's connections for all
 /// daemons; may be this daemon
+/// @param skipped number of usable relays to pass over
 [[nodiscard]] std::string relayNodeFor(const engine &state, member_state &member,
-                                       core::time_point now);
+                                       core::time_point now, std::size_t skipped = 0);
 /// @brief Sends the current request on a link, together with its preparation.
 void sendRequest(engine &state, upstream_link &link, session &caller, core::time_point now);
 /// @brief Sends the first statement of a transaction after the member has confirmed its begin.
@@ -111,10 +112,11 @@
 
 /// @brief Records that a member was proven to be the leader.
 /// @param term highest known term in which the member led; @p position may be of an earlier term
+/// @param position position that was the newest acknowledged one at @p since; none: not proven
 /// @param since time for which the leadership is proven
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 core::term_number term, const core::log_position &position, core::time_point since,
-                 core::time_point now);
+                 core::term_number term, const std::optional<core::log_position> &position,
+                 core::time_point since, core::time_point now);
 /// @brief Records that a member denied being the leader.
 void loseLeader(engine &state, service_state &service, const std::string &member,
                 core::time_point now);
@@ -122,8 +124,9 @@
 void adoptClaimedLeader(engine &state, service_state &service, core::time_point now);
 
 /// @brief Sends a command of the proxy itself on the member's control link.
+/// @param serial identifies a question for evidence; 0: another command
 void sendControlCommand(engine &state, const std::string &member, command_kind kind,
-                        core::term_number term, core::time_point now);
+                        core::term_number term, core::time_point now, std::uint64_t serial = 0);
 /// @return the cached rank of this daemon for a service; it changes only with the set of daemons
 [[nodiscard]] std::size_t serviceRank(const engine &state, service_state &service);
 /// @brief Detects members that do not answer and probes them.
@@ -147,6 +150,25 @@
                      core::time_point sentAt, core::time_point now);
 [[nodiscard]] core::time_point nextPromotionStep(const engine &state);
 
+/// @brief Asks for evidence that the member of a link leads, if the request it gets depends on
+/// that.
+void beginEvidence(engine &state, const upstream_link &link, session &caller, core::time_point now);
+/// @brief Holds a result of the current request until its member is proven to lead.
+void holdResult(engine &state, session &caller, held_result held, core::time_point now);
+/// @brief Asks a replica for its status on behalf of a daemon.
+void answerEvidenceRequest(engine &state, const peer_message &message, core::time_point now);
+/// @brief Passes the answer to a question for evidence on to the daemons that wait for it.
+void onEvidenceStatus(engine &state, member_state &replica, std::uint64_t serial,
+                      const reply &answer, core::time_point now);
+void onEvidenceAnswer(engine &state, const peer_message &message, core::time_point now);
+/// @brief Records what a replica reported, and delivers the results that this proves.
+void recordReplicaReport(engine &state, service_state &service, const std::string &replica,
+                         const replica_report &report, core::time_point now);
+/// @brief Ends a question whose link is gone.
+void forgetEvidenceQuestion(member_state &replica, const upstream_link &link);
+void stepEvidence(engine &state, core::time_point now);
+[[nodiscard]] core::time_point nextEvidenceStep(const engine &state);
+
 /// @brief Asks a sample of the other daemons for positions and leaders.
 void exchangeWithPeers(engine &state, core::time_point now);
 /// @brief Takes a rate-limit token for the operation, waits for one, or refuses the statement.
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -70,6 +70,7 @@
     std::string service;
     std::string member;
     std::uint64_t token = 0;
+    core::time_point validUntil{}; ///< not sent later: another daemon may hold the token by then
 };
 
 struct send_to_peer
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -38,6 +38,10 @@
     std::uint32_t maxSessions = 0; ///< limit of concurrent caller connections
     core::duration drainLimit{ 0 }; ///< time within which a draining member stops receiving work
     core::duration gracePeriod{ 0 }; ///< from the shutdown request to the end of the process
+    /// The platform rejects outdated promotion orders, and a primary loses the lead in the moment
+    /// in which another member is promoted. Otherwise it may go on until it learns of its
+    /// successor.
+    bool promotionsAreFenced = false;
 };
 
 /// What this daemon knows of another daemon of the deployment.
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -14,6 +14,13 @@
 
 namespace fuchsiagw::proxy {
 
+/// A daemon that waits for a replica's status.
+struct evidence_request
+{
+    std::string node;
+    std::int64_t askedAtUs = 0; ///< clock of that daemon; copied unchanged to the answer
+};
+
 /// Invariant: `outstanding` is the number of statements on `links` without an answer.
 struct member_state
 {
@@ -41,6 +48,13 @@
     int consecutiveFailures = 0; ///< failed attempts to connect since its last answer
     double failureRate = 0; ///< moving average of the share of its statements that failed
     core::time_point lastFailureAt{}; ///< latest failure of a statement
+    /// @name Questions for other daemons, if this daemon is the member's relay
+    /// @{
+    std::vector<evidence_request> evidenceWaiting; ///< served by the next question
+    std::vector<evidence_request> evidenceAsked; ///< served by the question under way
+    std::uint64_t evidenceSerial = 0; ///< identifies the latest question
+    core::time_point evidenceAskedAt{}; ///< when the latest question was sent
+    /// @}
 };
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -26,6 +26,8 @@
     PartGrant,
     PartRecall, ///< a restarted daemon recalls the parts that its previous process lent
     PartRecallAnswer,
+    EvidenceRequest, ///< asks the relay of a replica for the replica's status
+    EvidenceAnswer, ///< the replica's position and term, as the only leader report
 };
 
 /// What one daemon knows of a service's primary.
@@ -53,10 +55,11 @@
     std::int64_t askedAtUs = 0; ///< clock of the requester; copied unchanged to the answer
     std::uint64_t manifestVersion = 0;
     std::vector<leader_report> leaders;
-    std::string subject; ///< workspace of a loan, or service of a reachability request
-    std::string member; ///< primary whose reachability is asked about
+    std::string subject; ///< workspace of a loan, or service of a question about a member
+    std::string member; ///< member whose reachability or status is asked about
     bool betweenHomes = false; ///< the loan is between the homes of two zones
-    std::int64_t amount = 0; ///< tokens; ReachabilityAnswer: 1 reached, 0 not reached, -1 unknown
+    /// Tokens. ReachabilityAnswer: 1 reached, 0 not reached, -1 unknown. EvidenceAnswer: 1 leads.
+    std::int64_t amount = 0;
     std::vector<std::string> workspaces; ///< workspaces whose parts a PartRequest asks for
     std::vector<part_grant> parts; ///< parts that a PartGrant lends
     std::uint64_t recall = 0; ///< incarnation that recalls its parts; copied to the answer
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -78,6 +78,9 @@
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
+    /// Replicas are resumed only once they follow this term; 0: at once. A replica that resumed
+    /// earlier could acknowledge commits of an old primary that goes on.
+    core::term_number resumeTerm = 0;
     core::time_point nextResumeAt = core::noDeadline;
     core::time_point nextProbeAt = core::noDeadline; ///< next repetition of orders to members
 };
--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -30,6 +30,7 @@
     NoAnswerInTime, ///< sent, but not answered within the route's timeout
     AnswerLost, ///< sent, but the connection was lost before the answer
     TooManySessions,
+    LeaderUnproven, ///< the primary may have been replaced; nothing was delivered
 };
 
 /// Maps a reason to its name and reply code.
@@ -40,7 +41,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 16> refusalRows{ {
+inline constexpr std::array<refusal_row, 17> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -57,6 +58,7 @@
         { refusal_reason::NoAnswerInTime, "no_answer_in_time", reply_code::TimedOut },
         { refusal_reason::AnswerLost, "answer_lost", reply_code::OutcomeUnknown },
         { refusal_reason::TooManySessions, "too_many_sessions", reply_code::Busy },
+        { refusal_reason::LeaderUnproven, "leader_unproven", reply_code::Busy },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/leadership_evidence.hpp>
 #include <fuchsiagw/proxy/position_history.hpp>
 #include <fuchsiagw/proxy/promotion.hpp>
 #include <fuchsiagw/proxy/session.hpp>
@@ -28,6 +29,9 @@
     /// Members that denied being the leader, with member_state::roleVersion at that time.
     std::map<std::string, std::uint64_t> leadershipDenials;
     position_history positions;
+    leadership_evidence evidence;
+    std::set<session_id> awaitingEvidence; ///< may contain sessions that no longer wait
+    core::time_point nextChallengeAt{}; ///< earliest order to a deposed leader to step down
     std::deque<session_id> queue; ///< sessions whose request is queued, oldest first
     promotion_state promotion;
     core::time_point nextReplicaCheckAt{}; ///< next check whether the replicas receive
--- a/include/fuchsiagw/proxy/session.hpp
+++ b/include/fuchsiagw/proxy/session.hpp
@@ -33,6 +33,17 @@
             minPosition; ///< log position that a replica must have reached
 };
 
+/// Result of a member that is not yet proven to be the leader; see leadership_evidence.hpp.
+struct held_result
+{
+    std::string member;
+    link_id link = 0;
+    std::optional<core::log_position> position; ///< newest position in the member's log
+    core::time_point seenAt{}; ///< the member had that position at this time or later
+    std::optional<reply> answer; ///< of a read; none: the transaction's first statement waits
+    core::time_point until{}; ///< refused then if the evidence is still missing
+};
+
 /// The statement whose answer the session is waiting for.
 struct request
 {
@@ -45,6 +56,8 @@
     bool writes = false;
     bool startsOperation = false; ///< first statement of its operation that is sent to a member
     placement where;
+    bool needsEvidence = false; ///< the member that runs it must be proven to lead
+    std::optional<held_result> held;
     core::time_point arrived{};
     core::time_point deadline{}; ///< end of the route's statement timeout
     core::time_point waitUntil{}; ///< refused at this time if no member is working on it
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -3,12 +3,14 @@
 
 #pragma once
 
+#include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_command.hpp>
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,7 +36,8 @@
 {
     answer_role role = answer_role::Statement;
     session_id session = 0;
-    std::uint64_t serial = 0; ///< request::serial
+    std::uint64_t serial =
+            0; ///< request::serial; of a control command: member_state::evidenceSerial
 };
 
 /// Invariants: while a transaction is open on the link, only statements of its session are sent.
@@ -53,6 +56,8 @@
     std::set<prepared_shape> prepared;
     session_id pinnedTo = 0; ///< session whose transaction runs on this link; 0: none
     bool beginProvesLeader = false; ///< latest begin was read-write; only a leader accepts it
+    std::optional<core::log_position> beginPosition; ///< from the answer to the latest begin
+    core::time_point beginSentAt{}; ///< when the latest begin was sent
     bool beginFailed = false; ///< the begin in the current batch was refused
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     bool refused = false; ///< Startup and the commands sent after it were refused
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -53,6 +53,7 @@
     result.maxSessions = sessionLimit(values);
     result.drainLimit = values.drainLimit;
     result.gracePeriod = values.gracePeriod;
+    result.promotionsAreFenced = values.promotionsAreFenced;
     return result;
 }
 
@@ -432,7 +433,12 @@
 
 void session_gateway::perform(const proxy::order_promotion &action)
 {
-    store_.promote(action.service, action.member, action.token);
+    // The process may have been suspended since the order was decided.
+    const core::time_point now = net::currentBootTime();
+    if (now >= action.validUntil)
+        proxy::onPromoteAnswer(engine_, action.service, proxy::promote_outcome::Refused, now);
+    else
+        store_.promote(action.service, action.member, action.token);
 }
 
 void session_gateway::perform(const proxy::send_to_peer &action)
--- a/src/daemon/session_settings.cpp
+++ b/src/daemon/session_settings.cpp
@@ -44,6 +44,14 @@
         return result;
     }
 
+    bool flag(const std::string &name)
+    {
+        const std::string value = scalar(name);
+        if (!value.empty() && value != "true" && value != "false")
+            addProblem(name, "must be true or false");
+        return value == "true";
+    }
+
     std::uint32_t count(const std::string &name, std::uint32_t minValue, std::uint32_t maxValue)
     {
         const std::string value = scalar(name);
@@ -94,6 +102,7 @@
             std::chrono::milliseconds(reader.count("drain_limit_ms", 1, maxTimeoutMilliseconds));
     result.configurationLimit = std::chrono::milliseconds(
             reader.count("configuration_limit_ms", 1, maxTimeoutMilliseconds));
+    result.promotionsAreFenced = reader.flag("fenced_promotions");
     return reader.problems;
 }
 
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -161,6 +161,15 @@
     const bool commits = pending.statement.kind == statement_kind::Commit;
     const bool wroteOutsideTransaction = caller.state == transaction_state::Idle && pending.writes;
     service_state &service = state.services.at(pending.effectiveRoute.service);
+    if (pending.needsEvidence && pending.where.wrapsInTransaction) {
+        // The position after the read may be of a later term: the member may have become a replica
+        // while the read was running on its old log.
+        holdResult(
+                state, caller,
+                { link.member, link.id, link.beginPosition, link.beginSentAt, std::move(answer) },
+                now);
+        return;
+    }
     const bool wrote =
             wroteOutsideTransaction || (commits && caller.transaction && caller.transaction->wrote);
     if (wrote && answer.position) {
@@ -259,13 +268,23 @@
         return;
     }
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
-    if (service != nullptr && answer.position && link.beginProvesLeader)
-        learnLeader(state, *service, link.member, answer.position->term, *answer.position,
-                    link.lastSent, now);
-    // learnLeader() may have placed queued requests, and the session may have ended.
+    link.beginPosition = answer.position;
+    const link_id id = link.id;
+    if (service != nullptr && answer.position && link.beginProvesLeader) {
+        const auto proven = state.settings.promotionsAreFenced ? answer.position : std::nullopt;
+        learnLeader(state, *service, link.member, answer.position->term, proven, link.lastSent,
+                    now);
+    }
+    // learnLeader() may have placed queued requests, and the session or the link may have ended.
     pending = findPendingRequest(state, expected, caller);
-    if (pending != nullptr && opensTransaction)
-        sendFirstStatement(state, link, *caller, now);
+    upstream_link *open = findLink(state, id);
+    if (pending == nullptr || !opensTransaction || open == nullptr)
+        return;
+    if (pending->needsEvidence)
+        holdResult(state, *caller,
+                   { open->member, id, answer.position, open->beginSentAt, std::nullopt }, now);
+    else
+        sendFirstStatement(state, *open, *caller, now);
 }
 
 void onStartupAnswer(engine &state, upstream_link &link, const reply &answer, core::time_point now)
@@ -386,6 +405,8 @@
         break;
     case answer_role::Control:
         onControlAnswer(state, link->member, answer, link->lastSent, now);
+        if (member_state *replica = findMember(state, link->member))
+            onEvidenceStatus(state, *replica, expected.serial, answer, now);
         break;
     }
     link = findLink(state, id);
@@ -414,6 +435,7 @@
     member_state *member = findMember(state, link.member);
     if (member != nullptr) {
         member->links.erase(id);
+        forgetEvidenceQuestion(*member, link);
         const bool unfinished = !link.expected.empty();
         const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
         for (const expected_answer &each : link.expected)
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -233,8 +233,8 @@
 }
 
 void learnLeader(engine &state, service_state &service, const std::string &member,
-                 core::term_number term, const core::log_position &position, core::time_point since,
-                 core::time_point now)
+                 core::term_number term, const std::optional<core::log_position> &position,
+                 core::time_point since, core::time_point now)
 {
     const bool same = service.leader == member;
     if (!same && term < service.term)
@@ -247,8 +247,10 @@
     if (!same && service.leaderProvenAt != core::time_point{})
         service.positions = {};
     service.term = std::max(service.term, term);
-    service.leaderProvenAt = std::max(service.leaderProvenAt, since);
-    addSample(service.positions, { since, position });
+    if (position || changed)
+        service.leaderProvenAt = std::max(service.leaderProvenAt, since);
+    if (position)
+        addSample(service.positions, { since, *position });
     service.leaderlessSince = core::noDeadline;
     if (!changed)
         return;
@@ -288,8 +290,11 @@
         if (best == nullptr || member.roleVersion > best->roleVersion)
             best = &member;
     }
+    // A replaced primary may go on claiming its role until it learns of its successor.
+    const bool knownClaimsLatest = known != nullptr && known->entry.claimsPrimary
+                                   && (best == nullptr || best->roleVersion <= known->roleVersion);
     const bool keepsKnown = known != nullptr && known->listed
-                            && (known->entry.claimsPrimary || best == nullptr
+                            && (knownClaimsLatest || best == nullptr
                                 || now - service.leaderProvenAt < maxRoleReportLag);
     if (keepsKnown || best == nullptr) {
         if (known == nullptr || !known->listed) {
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -103,6 +103,7 @@
     // Only a read-write begin proves that the member is the leader.
     const bool plainBegin = pending.where.needsPrimary;
     link.beginProvesLeader = plainBegin;
+    link.beginPosition.reset();
     upstream_command begin =
             makeCommand(plainBegin ? command_kind::Begin : command_kind::BeginReadOnly);
     if (!plainBegin)
@@ -230,7 +231,8 @@
 
 } // namespace
 
-std::string relayNodeFor(const engine &state, member_state &member, core::time_point now)
+std::string relayNodeFor(const engine &state, member_state &member, core::time_point now,
+                         std::size_t skipped)
 {
     if (member.relaysVersion != state.peersVersion) {
         member.relays = rankRelays(state, member);
@@ -238,8 +240,10 @@
     }
     for (const std::string &node : member.relays) {
         const auto peer = state.peers.find(node);
-        if (node == state.settings.node
-            || (peer != state.peers.end() && peer->second.relayAvoidedUntil <= now))
+        const bool isUsable =
+                node == state.settings.node
+                || (peer != state.peers.end() && peer->second.relayAvoidedUntil <= now);
+        if (isUsable && skipped-- == 0)
             return node;
     }
     return state.settings.node;
@@ -295,11 +299,13 @@
     if (link.state == link_state::Idle)
         link.state = link_state::Busy;
     link.lastSent = now;
+    link.beginSentAt = now;
     if (link.state == link_state::Busy)
         link.answerDeadline = std::max(pending.deadline, now) + orphanedAnswerTimeout;
     pending.wasSent = true;
     ++pending.tries;
     pending.outstandingLinks.push_back(link.id);
+    beginEvidence(state, link, caller, now);
     if (member_state *member = findMember(state, link.member))
         ++member->outstanding;
     state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
@@ -362,7 +368,9 @@
         std::vector<const upstream_link *> idle;
         for (const link_id each : member.links) {
             const upstream_link &link = state.links.at(each);
-            if (link.state == link_state::Idle)
+            const bool asksReplica =
+                    link.control && now - member.evidenceAskedAt < retainedIdleTimeout;
+            if (link.state == link_state::Idle && !asksReplica)
                 idle.push_back(&link);
         }
         const std::size_t kept = maxIdleLinks(state, member);
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -233,6 +233,12 @@
     case peer_message_kind::PartRecallAnswer:
         acceptRecallAnswer(state, message, now);
         break;
+    case peer_message_kind::EvidenceRequest:
+        answerEvidenceRequest(state, message, now);
+        break;
+    case peer_message_kind::EvidenceAnswer:
+        onEvidenceAnswer(state, message, now);
+        break;
     }
 }
 
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -117,9 +117,11 @@
 
 /// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
 /// confirm, but only while no other daemon can have started an attempt.
-void scheduleResume(service_state &service, core::time_point now)
+/// @param term see promotion_state::resumeTerm
+void scheduleResume(service_state &service, core::term_number term, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
+    attempt.resumeTerm = term;
     attempt.replicasToResume = attempt.fenced;
     attempt.replicasToResume.erase(attempt.chosen);
     attempt.nextResumeAt = attempt.replicasToResume.empty() ? core::noDeadline : now;
@@ -136,8 +138,10 @@
         attempt.nextResumeAt = core::noDeadline;
         return;
     }
+    const command_kind order =
+            attempt.resumeTerm == 0 ? command_kind::ResumeReceiving : command_kind::Status;
     for (const std::string &each : attempt.replicasToResume)
-        sendControlCommand(state, each, command_kind::ResumeReceiving, 0, now);
+        sendControlCommand(state, each, order, 0, now);
 }
 
 /// @brief Ends an attempt and resumes the replicas that it paused, unless an ordered promotion may
@@ -149,7 +153,7 @@
     logPromotion(state, note_kind::PromotionEnded, service, reason, now);
     if (!attempt.orderSent) {
         attempt.chosen.clear();
-        scheduleResume(service, now);
+        scheduleResume(service, 0, now);
     }
     attempt.phase = promotion_phase::None;
     attempt.earliestStartAt = now + retryDelay + randomBelow(state, retryDelay);
@@ -240,7 +244,8 @@
     attempt.nextProbeAt = core::noDeadline;
     enterPhase(attempt, promotion_phase::Ordering, now + orderTimeout);
     logPromotion(state, note_kind::PromotionStep, service, "ordered", now);
-    state.out.emplace_back(order_promotion{ service.name, attempt.chosen, attempt.token });
+    state.out.emplace_back(
+            order_promotion{ service.name, attempt.chosen, attempt.token, attempt.leaseUntil });
 }
 
 void tryToOrderPromotion(engine &state, service_state &service, core::time_point now)
@@ -289,11 +294,13 @@
     }
 }
 
-void finishPromotion(engine &state, service_state &service, core::time_point now)
+/// @param term term of the new primary
+void finishPromotion(engine &state, service_state &service, core::term_number term,
+                     core::time_point now)
 {
     promotion_state &attempt = service.promotion;
     logPromotion(state, note_kind::PromotionDone, service, "leads", now);
-    scheduleResume(service, now);
+    scheduleResume(service, state.settings.promotionsAreFenced ? 0 : term, now);
     attempt.phase = promotion_phase::None;
     attempt.nextProbeAt = core::noDeadline;
     attempt.phaseDeadline = core::noDeadline;
@@ -336,8 +343,14 @@
     case promotion_phase::AwaitingLeader:
         if (now >= attempt.phaseDeadline) {
             attempt.nextProbeAt = core::noDeadline;
+            if (now >= attempt.leaseUntil) {
+                // Another daemon may hold the token by now; only a new token may order again.
+                abortAttempt(state, service, "lease_expired", now);
+                return;
+            }
             enterPhase(attempt, promotion_phase::Ordering, now + orderTimeout);
-            state.out.emplace_back(order_promotion{ service.name, attempt.chosen, attempt.token });
+            state.out.emplace_back(order_promotion{ service.name, attempt.chosen, attempt.token,
+                                                    attempt.leaseUntil });
             return;
         }
         if (now >= attempt.nextProbeAt) {
@@ -456,11 +469,22 @@
     promotion_state &attempt = service->promotion;
     const member_status &status = *answer.status;
     if (status.leads) {
-        learnLeader(state, *service, memberId, status.term, status.received, sentAt, now);
+        const auto proven =
+                state.settings.promotionsAreFenced ? std::optional(status.received) : std::nullopt;
+        learnLeader(state, *service, memberId, status.term, proven, sentAt, now);
+    } else {
+        recordReplicaReport(state, *service, memberId, { sentAt, status.received }, now);
+        // A replaced primary has stepped down, by an order or since it has reached its successor.
+        if (!state.settings.promotionsAreFenced && service->promotion.phase == promotion_phase::None
+            && service->leader == memberId && sentAt > service->leaderProvenAt)
+            loseLeader(state, *service, memberId, now);
     }
     if (status.pausedTerm == 0) {
         attempt.replicasToResume.erase(memberId);
         service->pausedSince.erase(memberId);
+    } else if (attempt.resumeTerm != 0 && attempt.replicasToResume.contains(memberId)) {
+        if (status.term >= attempt.resumeTerm)
+            sendControlCommand(state, memberId, command_kind::ResumeReceiving, 0, now);
     } else if (attempt.phase == promotion_phase::None
                && !attempt.replicasToResume.contains(memberId)) {
         service->pausedSince.try_emplace(memberId, now);
@@ -479,7 +503,11 @@
         attempt.reports[memberId] = status;
     if (attempt.phase == promotion_phase::AwaitingLeader && status.leads
         && memberId == attempt.chosen) {
-        finishPromotion(state, *service, now);
+        const member_state *old = findMember(state, attempt.oldPrimary);
+        if (!state.settings.promotionsAreFenced && attempt.oldPrimary != attempt.chosen
+            && old != nullptr && old->listed)
+            sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown, status.term, now);
+        finishPromotion(state, *service, status.term, now);
         return;
     }
     if (attempt.phase == promotion_phase::Fencing)
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -185,6 +185,7 @@
     requestParts(state, now);
     stepRecall(state, now);
     stepPromotions(state, now);
+    stepEvidence(state, now);
     if (now >= state.nextMaintenanceAt) {
         const bool idle = state.links.empty() && state.active.empty();
         state.nextMaintenanceAt = now + (idle ? idleMaintenanceInterval : maintenanceInterval);
@@ -205,7 +206,7 @@
 {
     core::time_point due = std::min(state.nextMaintenanceAt, state.nextExchangeAt);
     due = std::min({ due, state.nextPartRequest, state.recall.nextRequestAt });
-    due = std::min(due, nextPromotionStep(state));
+    due = std::min({ due, nextPromotionStep(state), nextEvidenceStep(state) });
     if (state.stopping)
         due = std::min(due, state.nextSessionCloseAt);
     if (state.waitingLoans > 0)
--- a/src/proxy/engine_watch.cpp
+++ b/src/proxy/engine_watch.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 void sendControlCommand(engine &state, const std::string &memberId, command_kind kind,
-                        core::term_number term, core::time_point now)
+                        core::term_number term, core::time_point now, std::uint64_t serial)
 {
     member_state *member = findMember(state, memberId);
     if (member == nullptr)
@@ -51,6 +51,7 @@
     command.term = term;
     expected_answer expected;
     expected.role = answer_role::Control;
+    expected.serial = serial;
     link->expected.push_back(expected);
     if (link->state == link_state::Idle)
         link->state = link_state::Busy;
--- /dev/null
+++ b/tests/leader-cluster.hpp
@@ -0,0 +1,718 @@
+/// @file
+/// @brief Simulated database group, its daemons and the platform in virtual time, for tests of
+/// reads around promotions.
+///
+/// Each daemon is a complete engine. A primary that was replaced goes on until it is ordered to
+/// step down, or for a second after it can reach its successor. Connections are ordered; a message
+/// that is lost breaks its connection. Every row that a caller gets is checked against the list of
+/// acknowledged commits.
+
+#pragma once
+
+#include <fuchsiagw/proxy/engine.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fuchsiagw::proxy {
+
+using std::chrono::milliseconds;
+
+struct log_entry
+{
+    core::term_number term = 0;
+    std::uint64_t commit = 0; ///< unique number of the commit
+};
+
+struct group_member
+{
+    std::string id;
+    bool running = true;
+    bool leads = false;
+    core::term_number term = 1;
+    core::term_number pausedTerm = 0;
+    core::time_point successorReachedAt = core::noDeadline; ///< a replaced primary reached it then
+    std::vector<log_entry> log;
+
+    core::log_position head() const
+    {
+        return log.empty() ? core::log_position{ 1, 0 }
+                           : core::log_position{ log.back().term, log.size() };
+    }
+    bool contains(core::log_position position) const
+    {
+        if (position.index == 0)
+            return true;
+        return log.size() >= position.index && log[position.index - 1].term == position.term;
+    }
+};
+
+struct acknowledged_commit
+{
+    std::uint64_t commit = 0;
+    core::time_point at{};
+};
+
+struct cluster_link
+{
+    std::string daemon;
+    std::string relay;
+    std::string member;
+    bool broken = false;
+    bool inTransaction = false;
+    std::size_t writesInTransaction = 0;
+    core::time_point busyUntil{}; ///< commands of one connection run one after the other
+    std::set<std::uint64_t> logAtBegin; ///< commits in the log when the transaction began
+};
+
+/// A caller with one operation.
+struct cluster_caller
+{
+    consistency kind = consistency::Primary;
+    core::time_point startedAt{};
+    std::vector<caller_statement> rest; ///< statements of its transaction that follow
+};
+
+struct leader_cluster
+{
+    static constexpr core::time_point start{ std::chrono::hours(1) };
+    static constexpr milliseconds tick{ 2 };
+    static constexpr milliseconds maxStaleness{ 1'500 };
+    static constexpr milliseconds promotionDelay{ 300 };
+    static constexpr milliseconds leaseDuration{ 3'000 };
+    static constexpr const char *service = "books";
+
+    std::mt19937_64 random;
+    core::time_point now = start;
+    std::multimap<core::time_point, std::function<void()>> events;
+    std::map<std::string, group_member> members;
+    std::map<std::string, std::unique_ptr<engine>> daemons;
+    std::map<std::string, core::time_point> suspendedUntil; ///< by daemon
+    std::set<std::pair<std::string, std::string>> cuts; ///< pairs of names that can't communicate
+    std::map<std::pair<std::string, link_id>, cluster_link> links;
+    std::map<std::pair<std::string, session_id>, cluster_caller> callers;
+    std::map<std::pair<std::string, std::string>, std::set<std::uint64_t>>
+            rowsRead; ///< by daemon and statement
+    std::vector<acknowledged_commit> acknowledged;
+    std::uint64_t lastCommit = 0;
+    std::uint64_t lastStatement = 0;
+    std::string leaseHolder;
+    core::time_point leaseUntil{};
+    std::uint64_t lastToken = 0;
+    std::uint64_t highestOrderedToken = 0;
+    bool oldPrimaryGoesOn = true;
+    /// @name Results
+    /// @{
+    std::size_t reads = 0;
+    std::size_t staleReads = 0;
+    std::size_t lostCommits = 0;
+    std::size_t outdatedOrders = 0;
+    std::size_t promotions = 0;
+    std::size_t refused = 0;
+    /// @}
+
+    explicit leader_cluster(std::uint64_t seed, bool enginesAssumeFencing = false)
+        : random(seed)
+    {
+        for (const char *id : { "m1", "m2", "m3" })
+            members[id].id = id;
+        members["m1"].leads = true;
+        for (const char *name : { "n1", "n2", "n3" })
+            startDaemon(name, enginesAssumeFencing);
+    }
+
+    std::uint64_t below(std::uint64_t bound) { return random() % bound; }
+    milliseconds shortDelay() { return milliseconds(1 + below(4)); }
+    void after(core::duration delay, std::function<void()> task)
+    {
+        events.emplace(now + delay, std::move(task));
+    }
+
+    static std::string zoneOf(const std::string &name) { return "z" + name.substr(1); }
+    bool reaches(const std::string &from, const std::string &to) const
+    {
+        return from == to || !cuts.contains(std::minmax(from, to));
+    }
+    void cut(const std::string &one, const std::string &other, milliseconds duration)
+    {
+        const std::pair<std::string, std::string> pair = std::minmax(one, other);
+        cuts.insert(pair);
+        after(duration, [this, pair] { cuts.erase(pair); });
+    }
+
+    void startDaemon(const std::string &name, bool assumesFencing)
+    {
+        auto &state = daemons[name] = std::make_unique<engine>();
+        state->settings.node = name;
+        state->settings.zone = zoneOf(name);
+        state->settings.maxSessions = 100'000;
+        state->settings.gracePeriod = std::chrono::seconds(6);
+        state->settings.promotionsAreFenced = assumesFencing;
+        state->random.seed(random());
+        state->incarnation = random();
+        onManifest(*state, makeManifest(), now);
+        onMemberList(*state, listedMembers(), now);
+        std::vector<peer_state> peers;
+        for (const char *each : { "n1", "n2", "n3" }) {
+            peer_state peer;
+            peer.node = each;
+            peer.zone = zoneOf(each);
+            peers.push_back(peer);
+        }
+        onInstances(*state, peers, now);
+    }
+
+    static std::shared_ptr<const manifest> makeManifest()
+    {
+        manifest result;
+        result.version = 1;
+        const auto add = [&](const char *database, consistency kind) {
+            route each;
+            each.database = database;
+            each.service = service;
+            each.kind = kind;
+            each.statementTimeout = milliseconds(1'000);
+            each.latencyObjective = milliseconds(200);
+            each.maxStaleness = maxStaleness;
+            result.routes.emplace(database, each);
+        };
+        add("current", consistency::Primary);
+        add("bounded", consistency::BoundedStaleness);
+        add("own", consistency::ReadYourWrites);
+        service_entry entry;
+        entry.name = service;
+        entry.maxConnections = 1'000;
+        entry.synchronousReplicas = 1;
+        result.services.emplace(entry.name, entry);
+        workspace_entry workspace;
+        workspace.name = "house";
+        result.workspaces.push_back(workspace);
+        result.workspaceByKey.emplace("key", 0);
+        result.transactionIdleLimit = milliseconds(3'000);
+        return std::make_shared<const manifest>(std::move(result));
+    }
+
+    std::vector<listed_member> listedMembers() const
+    {
+        std::vector<listed_member> list;
+        for (const auto &[id, member] : members) {
+            upstream_entry entry;
+            entry.id = id;
+            entry.service = service;
+            entry.address = "127.0.0.1:1";
+            entry.zone = zoneOf(id);
+            entry.slots = 4;
+            entry.claimsPrimary = id == "m1";
+            entry.startedAtMs = 1;
+            list.push_back({ entry, 1 });
+        }
+        return list;
+    }
+
+    // --- members ---
+
+    std::set<std::uint64_t> commitsOf(const group_member &member) const
+    {
+        std::set<std::uint64_t> result;
+        for (const log_entry &each : member.log)
+            result.insert(each.commit);
+        return result;
+    }
+
+    /// Appends a commit and calls @p done once another member has received it.
+    void replicate(group_member &leader, std::function<void(core::log_position)> done)
+    {
+        const log_entry entry{ leader.term, ++lastCommit };
+        leader.log.push_back(entry);
+        const core::log_position position = leader.head();
+        const auto isDone = std::make_shared<bool>(false);
+        for (auto &[id, member] : members) {
+            if (id != leader.id)
+                sendLog(leader.id, id, position, entry, isDone, done);
+        }
+    }
+
+    void sendLog(const std::string &from, const std::string &to, core::log_position position,
+                 const log_entry &entry, const std::shared_ptr<bool> &isDone,
+                 const std::function<void(core::log_position)> &done)
+    {
+        after(milliseconds(2 + below(10)), [=, this] {
+            group_member &source = members.at(from);
+            group_member &target = members.at(to);
+            if (!source.leads || source.term != position.term)
+                return;
+            const bool receives = source.running && target.running && reaches(from, to)
+                                  && target.pausedTerm == 0 && !target.leads
+                                  && target.term == source.term;
+            if (!receives) {
+                sendLog(from, to, position, entry, isDone, done); // until it does
+                return;
+            }
+            while (target.log.size() < position.index)
+                target.log.push_back(source.log.at(target.log.size()));
+            if (std::exchange(*isDone, true))
+                return;
+            acknowledged.push_back({ entry.commit, now });
+            done(position);
+        });
+    }
+
+    void promote(const std::string &id)
+    {
+        group_member &chosen = members.at(id);
+        if (!chosen.running || chosen.leads)
+            return;
+        ++promotions;
+        core::term_number term = 0;
+        for (const auto &[name, member] : members)
+            term = std::max(term, member.term);
+        chosen.leads = true;
+        chosen.term = term + 1;
+        chosen.pausedTerm = 0;
+        const auto kept = commitsOf(chosen);
+        lostCommits += static_cast<std::size_t>(
+                std::count_if(acknowledged.begin(), acknowledged.end(),
+                              [&](const auto &each) { return !kept.contains(each.commit); }));
+        if (!oldPrimaryGoesOn) {
+            for (auto &[name, member] : members) {
+                if (name != id && member.leads)
+                    member.leads = false;
+            }
+        }
+        followLeader();
+    }
+
+    /// Replicas that reach a leader of a later term follow it: they drop what it does not have.
+    void followLeader()
+    {
+        const group_member *newest = nullptr;
+        for (const auto &[id, member] : members) {
+            if (member.leads && member.running && (newest == nullptr || member.term > newest->term))
+                newest = &member;
+        }
+        for (auto &[id, member] : members) {
+            if (newest == nullptr || member.term >= newest->term || !member.running
+                || !reaches(id, newest->id)) {
+                member.successorReachedAt = core::noDeadline;
+                continue;
+            }
+            constexpr std::chrono::seconds continuation{ 1 };
+            member.successorReachedAt = std::min(member.successorReachedAt, now);
+            if (!member.leads || now - member.successorReachedAt >= continuation)
+                becomeReplica(member, *newest);
+        }
+    }
+
+    void becomeReplica(group_member &member, const group_member &leader)
+    {
+        member.leads = false;
+        member.term = leader.term;
+        member.pausedTerm = 0;
+        member.log = leader.log;
+    }
+
+    void restartMember(const std::string &id)
+    {
+        group_member &member = members.at(id);
+        member.running = true;
+        member.pausedTerm = 0;
+        for (const auto &[name, other] : members) {
+            if (name != id && other.leads && other.term > member.term)
+                member.leads = false;
+        }
+    }
+
+    // --- connections ---
+
+    bool isConnected(const cluster_link &link) const
+    {
+        const std::string &relay = link.relay.empty() ? link.daemon : link.relay;
+        return members.at(link.member).running && reaches(link.daemon, relay)
+               && reaches(relay, link.member);
+    }
+
+    void breakLink(const std::string &daemon, link_id id)
+    {
+        cluster_link &link = links.at({ daemon, id });
+        if (std::exchange(link.broken, true))
+            return;
+        after(milliseconds(500 + below(2'500)), [this, daemon, id] {
+            links.erase({ daemon, id });
+            handle(daemon, [=, this](engine &state) { onLinkClosed(state, id, now); });
+        });
+    }
+
+    void sendCommand(const std::string &daemon, link_id id, const upstream_command &command)
+    {
+        const auto found = links.find({ daemon, id });
+        if (found == links.end())
+            return;
+        cluster_link &link = found->second;
+        const milliseconds work(command.kind == command_kind::Forward ? 1 + below(40) : 0);
+        const core::time_point arrival = std::max(now + shortDelay(), link.busyUntil);
+        link.busyUntil = arrival + work;
+        events.emplace(arrival, [this, daemon, id, command, work] {
+            const auto open = links.find({ daemon, id });
+            if (open == links.end() || open->second.broken)
+                return;
+            if (!isConnected(open->second)) {
+                breakLink(daemon, id);
+                return;
+            }
+            run(daemon, id, command, work);
+        });
+    }
+
+    void answer(const std::string &daemon, link_id id, reply result, core::duration delay)
+    {
+        after(delay + shortDelay(), [this, daemon, id, result = std::move(result)] {
+            const auto open = links.find({ daemon, id });
+            if (open == links.end() || open->second.broken)
+                return;
+            if (!isConnected(open->second))
+                breakLink(daemon, id);
+            else
+                handle(daemon,
+                       [=, this](engine &state) { onMemberAnswer(state, id, result, now); });
+        });
+    }
+
+    static reply refusal(reply_code code)
+    {
+        reply result;
+        result.code = code;
+        return result;
+    }
+
+    void run(const std::string &daemon, link_id id, const upstream_command &command,
+             core::duration work)
+    {
+        cluster_link &link = links.at({ daemon, id });
+        group_member &member = members.at(link.member);
+        reply result;
+        result.digest = "digest";
+        result.position = member.head();
+        switch (command.kind) {
+        case command_kind::Begin:
+        case command_kind::BeginReadOnly:
+            if (command.kind == command_kind::Begin && !member.leads)
+                result = refusal(reply_code::ReadOnly);
+            else if (command.after && !member.contains(*command.after))
+                result = refusal(reply_code::Lagging);
+            else {
+                link.inTransaction = true;
+                link.writesInTransaction = 0;
+                link.logAtBegin = commitsOf(member);
+                result.state = transaction_state::Open;
+            }
+            break;
+        case command_kind::Forward:
+            runStatement(daemon, id, command, work);
+            return;
+        case command_kind::Rollback:
+            link.inTransaction = false;
+            break;
+        case command_kind::PauseReceiving:
+            if (!member.leads && command.term > member.term)
+                member.pausedTerm = command.term;
+            addStatus(result, member);
+            break;
+        case command_kind::ResumeReceiving:
+            member.pausedTerm = 0;
+            addStatus(result, member);
+            break;
+        case command_kind::StepDown:
+            if (member.leads && command.term > member.term)
+                member.leads = false;
+            addStatus(result, member);
+            break;
+        case command_kind::Status:
+            addStatus(result, member);
+            break;
+        default:
+            break;
+        }
+        answer(daemon, id, std::move(result), work);
+    }
+
+    static void addStatus(reply &result, const group_member &member)
+    {
+        result.status =
+                member_status{ member.leads, member.term, member.head(), member.pausedTerm };
+    }
+
+    void runStatement(const std::string &daemon, link_id id, const upstream_command &command,
+                      core::duration work)
+    {
+        cluster_link &link = links.at({ daemon, id });
+        group_member &member = members.at(link.member);
+        reply result;
+        result.digest = "digest";
+        result.position = member.head();
+        result.state = link.inTransaction ? transaction_state::Open : transaction_state::Idle;
+        const bool writes = command.text.starts_with("WRITE");
+        const bool commits = command.text == "COMMIT";
+        if (command.after && !member.contains(*command.after)) {
+            result = refusal(reply_code::Lagging);
+        } else if (writes && !member.leads) {
+            result = refusal(reply_code::ReadOnly);
+        } else if (writes && link.inTransaction) {
+            ++link.writesInTransaction;
+        } else if (writes || (commits && link.writesInTransaction > 0)) {
+            link.inTransaction = false;
+            if (member.leads) {
+                replicate(member, [this, daemon, id](core::log_position position) {
+                    reply success;
+                    success.digest = "digest";
+                    success.position = position;
+                    answer(daemon, id, std::move(success), {});
+                });
+                return;
+            }
+            result = refusal(reply_code::ReadOnly);
+        } else if (commits) {
+            link.inTransaction = false;
+            result.state = transaction_state::Idle;
+        } else {
+            rowsRead[{ daemon, command.id }] =
+                    link.inTransaction ? link.logAtBegin : commitsOf(member);
+            // The position is that of the log after the read, which may have changed meanwhile.
+            after(work, [this, daemon, id, result] {
+                const auto open = links.find({ daemon, id });
+                if (open == links.end())
+                    return;
+                reply late = result;
+                late.position = members.at(open->second.member).head();
+                answer(daemon, id, std::move(late), {});
+            });
+            return;
+        }
+        answer(daemon, id, std::move(result), work);
+    }
+
+    // --- daemons ---
+
+    void handle(const std::string &daemon, const std::function<void(engine &)> &event)
+    {
+        const auto suspended = suspendedUntil.find(daemon);
+        if (suspended != suspendedUntil.end() && suspended->second > now) {
+            events.emplace(suspended->second, [this, daemon, event] { handle(daemon, event); });
+            return;
+        }
+        engine &state = *daemons.at(daemon);
+        event(state);
+        perform(daemon, state);
+    }
+
+    void perform(const std::string &daemon, engine &state)
+    {
+        while (!state.out.empty()) {
+            std::vector<action> batch;
+            batch.swap(state.out);
+            for (const action &next : batch)
+                std::visit([&](const auto &each) { perform(daemon, state, each); }, next);
+        }
+    }
+
+    template <typename other>
+    void perform(const std::string &, engine &, const other &)
+    { }
+
+    void perform(const std::string &daemon, engine &, const open_link &each)
+    {
+        const auto &link = daemons.at(daemon)->links.at(each.link);
+        cluster_link opened;
+        opened.daemon = daemon;
+        opened.relay = each.relay;
+        opened.member = link.member;
+        links[{ daemon, each.link }] = opened;
+    }
+    void perform(const std::string &daemon, engine &, const close_link &each)
+    {
+        links.erase({ daemon, each.link });
+    }
+    void perform(const std::string &daemon, engine &, const send_to_member &each)
+    {
+        for (const upstream_command &command : each.commands)
+            sendCommand(daemon, each.link, command);
+    }
+    void perform(const std::string &daemon, engine &, const send_to_peer &each)
+    {
+        constexpr std::uint64_t lossPercent = 3;
+        if (below(100) < lossPercent)
+            return;
+        after(shortDelay(), [this, daemon, each] {
+            if (reaches(daemon, each.peer))
+                handle(each.peer,
+                       [=, this](engine &state) { onPeerMessage(state, each.message, now); });
+        });
+    }
+    void perform(const std::string &daemon, engine &, const acquire_fencing_token &each)
+    {
+        if (!reaches(daemon, "store")) {
+            after(milliseconds(1'500), [=, this] {
+                handle(daemon,
+                       [=, this](engine &state) { onTokenAcquired(state, service, 0, now); });
+            });
+            return;
+        }
+        after(milliseconds(8), [=, this] {
+            const bool held = leaseHolder != daemon && leaseUntil > now;
+            const core::time_point until = leaseUntil;
+            if (!held) {
+                leaseHolder = daemon;
+                leaseUntil = now + leaseDuration;
+                ++lastToken;
+            }
+            const std::uint64_t token = lastToken;
+            after(milliseconds(4), [=, this] {
+                handle(daemon, [=, this](engine &state) {
+                    if (held)
+                        onTokenHeldElsewhere(state, each.service, until, now);
+                    else
+                        onTokenAcquired(state, each.service, token, now);
+                });
+            });
+        });
+    }
+    void perform(const std::string &daemon, engine &state, const order_promotion &each)
+    {
+        if (now >= each.validUntil) {
+            onPromoteAnswer(state, each.service, promote_outcome::Refused, now);
+            return;
+        }
+        after(milliseconds(10), [=, this] {
+            if (each.token < highestOrderedToken)
+                ++outdatedOrders;
+            highestOrderedToken = std::max(highestOrderedToken, each.token);
+            after(promotionDelay, [=, this] { promote(each.member); });
+            after(milliseconds(5), [=, this] {
+                handle(daemon, [=, this](engine &target) {
+                    onPromoteAnswer(target, each.service, promote_outcome::Ordered, now);
+                });
+            });
+        });
+    }
+    void perform(const std::string &daemon, engine &, const send_to_caller &each)
+    {
+        const auto found = callers.find({ daemon, each.session });
+        if (found == callers.end() || each.opens)
+            return;
+        continueCaller(daemon, each.session, each.answer);
+    }
+
+    // --- callers ---
+
+    void startCaller(const std::string &daemon)
+    {
+        static constexpr const char *databases[] = { "current", "bounded", "own" };
+        const std::size_t kind = below(3);
+        const session_id id = ++lastStatement;
+        cluster_caller &caller = callers[{ daemon, id }];
+        caller.kind = static_cast<consistency>(0);
+        caller.kind = kind == 0   ? consistency::Primary
+                      : kind == 1 ? consistency::BoundedStaleness
+                                  : consistency::ReadYourWrites;
+        const bool writes = kind != 1 && below(100) < 30;
+        if (below(100) < 30) {
+            caller.rest = { statement(statement_kind::Begin, "BEGIN"),
+                            statement(statement_kind::Read, "READ a"),
+                            statement(statement_kind::Commit, "COMMIT") };
+            if (writes)
+                caller.rest.insert(caller.rest.end() - 1,
+                                   statement(statement_kind::Write, "WRITE a x"));
+        } else {
+            caller.rest = { writes ? statement(statement_kind::Write, "WRITE a x")
+                                   : statement(statement_kind::Read, "READ a") };
+        }
+        caller.startedAt = now;
+        handle(daemon, [=, this](engine &state) {
+            onSessionOpened(state, id, databases[kind], "key", now);
+        });
+        sendNext(daemon, id);
+    }
+
+    caller_statement statement(statement_kind kind, const std::string &text)
+    {
+        caller_statement result;
+        result.id = "s" + std::to_string(++lastStatement);
+        result.kind = kind;
+        result.text = text;
+        return result;
+    }
+
+    void sendNext(const std::string &daemon, session_id id)
+    {
+        const auto found = callers.find({ daemon, id });
+        if (found == callers.end())
+            return;
+        if (found->second.rest.empty()) {
+            callers.erase(found);
+            handle(daemon, [=, this](engine &state) { onCallerDisconnected(state, id, now); });
+            return;
+        }
+        const caller_statement next = found->second.rest.front();
+        handle(daemon, [=, this](engine &state) { onCallerStatement(state, id, next, now); });
+    }
+
+    void continueCaller(const std::string &daemon, session_id id, const reply &result)
+    {
+        cluster_caller &caller = callers.at({ daemon, id });
+        const caller_statement done = caller.rest.front();
+        caller.rest.erase(caller.rest.begin());
+        if (result.code != reply_code::Success) {
+            ++refused;
+            caller.rest.clear();
+        } else if (done.kind == statement_kind::Read) {
+            checkRead(caller, rowsRead[{ daemon, done.id }]);
+        }
+        rowsRead.erase({ daemon, done.id });
+        after(milliseconds(1), [this, daemon, id] { sendNext(daemon, id); });
+    }
+
+    void checkRead(const cluster_caller &caller, const std::set<std::uint64_t> &rows)
+    {
+        ++reads;
+        const core::time_point bound = caller.kind == consistency::Primary
+                                               ? caller.startedAt
+                                               : caller.startedAt - maxStaleness;
+        const bool isStale =
+                std::any_of(acknowledged.begin(), acknowledged.end(), [&](const auto &each) {
+                    return each.at < bound && !rows.contains(each.commit);
+                });
+        staleReads += isStale ? 1 : 0;
+    }
+
+    // --- time ---
+
+    void advance(core::duration elapsed)
+    {
+        const core::time_point end = now + elapsed;
+        for (; now < end; now += tick) {
+            while (!events.empty() && events.begin()->first <= now) {
+                const auto task = std::move(events.begin()->second);
+                events.erase(events.begin());
+                task();
+            }
+            followLeader();
+            for (const auto &[name, state] : daemons) {
+                if (nextTimerAt(*state) <= now)
+                    handle(name, [this](engine &each) { onTimer(each, now); });
+            }
+            constexpr std::uint64_t callersPerThousandTicks = 60;
+            for (const auto &[name, state] : daemons) {
+                if (below(1'000) < callersPerThousandTicks)
+                    startCaller(name);
+            }
+        }
+    }
+};
+
+} // namespace fuchsiagw::proxy
--- a/tests/proxy-fixture.hpp
+++ b/tests/proxy-fixture.hpp
@@ -32,6 +32,7 @@
         state.settings.zone = "north";
         state.settings.maxSessions = 1000;
         state.settings.gracePeriod = std::chrono::seconds(6);
+        state.settings.promotionsAreFenced = true;
         state.random.seed(1);
         applyManifest(makeManifest(1));
         setMembers({ member("m1", true), member("m2", false), member("m3", false) });
