Bound what datagrams, rows and manifests of others can do to the process

JSON fields were copied with value(), which overflows the stack at deep nesting; a text where the holder of a promotion lease should be threw out of the store's loop; numbers were narrowed or cast out of range; a member with port 65,536 was taken as a member that is silent. Change: datagrams use the bounded compact archive of the product's own messages, and are validated; one bounded JSON reader with typed fields serves the store codec, the list of daemons, the switch and the lease (three copies of the same readers became one); unreadable rows are logged by key and cost that row alone; keys are encoded in requests; one guard between an event and the process. Counters events_dropped_total, datagrams_unreadable_total and store_rows_unreadable_total. http_client no longer stores a connection in its own handler, a cycle that leaked when a context ended during a call. Ruled out: catching more exceptions around the old archive, which still allocates gigabytes for smaller lengths.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -59,6 +59,10 @@
     void onCallerLine(proxy::session_id id, std::string_view line);
     void onUpstreamLine(proxy::link_id id, std::string_view line);
     void onDatagram(std::string_view bytes);
+    /// @brief Runs the handler of one event. An unexpected error drops this event alone; it is
+    /// counted and logged.
+    /// @return whether the handler ended without an error
+    bool runGuarded(std::string_view source, const std::function<void()> &handler);
     void onInstances(const std::vector<listed_instance> &list);
 
     /// @brief Performs the engine's queued actions and schedules its next timer event.
@@ -92,6 +96,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     core::time_point timerDueAt_ = core::noDeadline; ///< when timer_ expires
+    core::time_point earliestTimerAt_{}; ///< timer_ does not expire earlier
     bool isPerforming_ = false;
     bool isAccepting_ = false;
     proxy::session_id lastSession_ = 0;
@@ -102,6 +107,9 @@
     std::map<std::string, std::vector<std::shared_ptr<net::line_connection>>> spareConnections_;
     std::function<void()> onStopped_;
     latency_histograms latencies_;
+    std::uint64_t droppedEvents_ = 0;
+    std::uint64_t unreadableDatagrams_ = 0;
+    core::time_point nextUnreadableLogAt_{};
 };
 
 } // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -59,6 +59,7 @@
     std::array<std::uint64_t, storePurposeNames.size()> calls{};
     std::uint64_t failures = 0;
     std::uint64_t bytesReceived = 0;
+    std::uint64_t unreadableRows = 0; ///< versions of rows that could not be read
 };
 
 /// Not thread-safe; runs on the thread of its I/O context.
@@ -95,6 +96,10 @@
     void runAfter(std::chrono::milliseconds waitTime, std::function<void()> task);
     std::chrono::milliseconds backoff(int failures);
     void updateReachability(bool isReached);
+    void handleResponse(const response_handler &done, int status, const std::string &body);
+    std::optional<listed_instance> decodeInstance(const adapter::store_row &row);
+    std::optional<proxy::listed_member> decodeMember(const adapter::store_row &row);
+    void reportUnreadable(const adapter::store_row &row);
 
     void readManifest();
     void followManifest();
@@ -135,6 +140,7 @@
     bool promotionsAllowed_ = true;
     std::uint64_t switchVersion_ = 0; ///< 0: the row does not exist
     bool isStopped_ = false;
+    std::map<std::string, std::uint64_t> unreadableRows_; ///< version last logged, by key
     core::time_point lastMemberRead_{};
     std::uint64_t memberFeedVersion_ = 0;
     std::uint64_t memberGeneration_ = 0; ///< callbacks of older generations are ignored
--- a/include/fuchsiagw/wire/instance_row.hpp
+++ b/include/fuchsiagw/wire/instance_row.hpp
@@ -10,6 +10,8 @@
 namespace fuchsiagw::wire {
 
 inline constexpr const char *instanceTable = "instances";
+/// The whole of every limit, in millionths.
+inline constexpr std::int64_t maxInstancePart = 1'000'000;
 
 struct instance_row
 {
@@ -20,8 +22,8 @@
 };
 
 [[nodiscard]] std::string toJson(const instance_row &row);
-/// @return nullopt unless @p text is a JSON object; a field that is missing or has the wrong type
-/// is left empty
+/// @return nullopt unless @p text is a JSON object whose part is at most maxInstancePart; a field
+/// that is missing or does not fit its type is left empty
 [[nodiscard]] std::optional<instance_row> readInstanceRow(const std::string &text);
 
 } // namespace fuchsiagw::wire
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -3,16 +3,14 @@
 
 #include <fuchsiagw/daemon/session_gateway.hpp>
 
+#include <fuchsiagw/daemon/session_datagram.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
 #include <boost/asio/post.hpp>
-#include <cereal/archives/binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <algorithm>
 #include <random>
-#include <sstream>
+#include <string>
 
 namespace fuchsiagw::daemon {
 
@@ -31,8 +29,13 @@
 /// If no manifest has been read after this time, callers are accepted and refused at once instead
 /// of waiting in the listen backlog.
 constexpr std::chrono::milliseconds maxAcceptDelay{ 800 };
+/// Unreadable datagrams are counted, and logged at most this often.
+constexpr std::chrono::seconds unreadableLogInterval{ 1 };
 constexpr int storeEventNumber = 930;
 constexpr int socketEventNumber = 931;
+constexpr int droppedEventNumber = 932;
+/// Pause after a timer handler that failed, which is then due again at once.
+constexpr std::chrono::milliseconds failedTimerPause{ 50 };
 
 std::uint32_t sessionLimit(const session_settings &values)
 {
@@ -222,7 +225,14 @@
     }
     source.statementReceivedAt = now;
     source.statementKind = statement->statement.kind;
-    proxy::onCallerStatement(engine_, id, std::move(statement->statement), now);
+    const bool handled = runGuarded("statement", [&] {
+        proxy::onCallerStatement(engine_, id, std::move(statement->statement), now);
+    });
+    if (!handled) {
+        // The caller learns from the end of its connection that the outcome is unknown.
+        perform(proxy::close_caller{ id });
+        proxy::onCallerDisconnected(engine_, id, now);
+    }
     perform();
 }
 
@@ -245,25 +255,46 @@
     link.isOpen = true;
     if (answer->rows.size() == 1)
         answer->status = adapter::decodeStatus(answer->rows.front());
-    proxy::onMemberAnswer(engine_, id, std::move(*answer), net::currentBootTime());
+    const core::time_point now = net::currentBootTime();
+    const bool handled = runGuarded(
+            "answer", [&] { proxy::onMemberAnswer(engine_, id, std::move(*answer), now); });
+    if (!handled) {
+        perform(proxy::close_link{ id, false });
+        proxy::onLinkClosed(engine_, id, now);
+    }
     perform();
 }
 
 void session_gateway::onDatagram(std::string_view bytes)
 {
-    proxy::peer_message message;
-    try {
-        std::istringstream stream{ std::string(bytes) };
-        cereal::BinaryInputArchive archive(stream);
-        archive(message);
-    } catch (const cereal::Exception &) {
-        log_.write(socketEventNumber, "datagram_unreadable", {});
+    const core::time_point now = net::currentBootTime();
+    const auto message = decodeDatagram(bytes);
+    if (!message) {
+        ++unreadableDatagrams_;
+        if (now >= nextUnreadableLogAt_) {
+            nextUnreadableLogAt_ = now + unreadableLogInterval;
+            log_.write(socketEventNumber, "datagram_unreadable",
+                       std::to_string(unreadableDatagrams_));
+        }
         return;
     }
-    proxy::onPeerMessage(engine_, message, net::currentBootTime());
+    runGuarded("datagram", [&] { proxy::onPeerMessage(engine_, *message, now); });
     perform();
 }
 
+bool session_gateway::runGuarded(std::string_view source, const std::function<void()> &handler)
+{
+    try {
+        handler();
+        return true;
+    } catch (const std::exception &failure) {
+        ++droppedEvents_;
+        log_.write(droppedEventNumber, "event_dropped",
+                   std::string(source) + ": " + failure.what());
+        return false;
+    }
+}
+
 void session_gateway::onInstances(const std::vector<listed_instance> &list)
 {
     std::vector<proxy::peer_state> peers;
@@ -295,8 +326,10 @@
     while (!engine_.out.empty()) {
         std::vector<proxy::action> batch;
         batch.swap(engine_.out);
-        for (const proxy::action &next : batch)
-            std::visit([this](const auto &action) { perform(action); }, next);
+        for (const proxy::action &next : batch) {
+            runGuarded("action",
+                       [&] { std::visit([this](const auto &action) { perform(action); }, next); });
+        }
     }
     isPerforming_ = false;
     if (!isAccepting_ && proxy::isReady(engine_))
@@ -446,12 +479,7 @@
     const auto found = peerAddresses_.find(action.peer);
     if (found == peerAddresses_.end())
         return;
-    std::ostringstream stream;
-    {
-        cereal::BinaryOutputArchive archive(stream);
-        archive(action.message);
-    }
-    datagrams_.send(found->second, stream.str());
+    datagrams_.send(found->second, encodeDatagram(action.message));
 }
 
 void session_gateway::perform(const proxy::claim_part &action)
@@ -466,7 +494,7 @@
 
 void session_gateway::scheduleTimer()
 {
-    const core::time_point dueAt = proxy::nextTimerAt(engine_);
+    const core::time_point dueAt = std::max(proxy::nextTimerAt(engine_), earliestTimerAt_);
     if (dueAt >= timerDueAt_ && timerDueAt_ != core::noDeadline)
         return;
     timerDueAt_ = dueAt;
@@ -476,7 +504,9 @@
         if (error)
             return;
         timerDueAt_ = core::noDeadline;
-        proxy::onTimer(engine_, net::currentBootTime());
+        const bool handled =
+                runGuarded("timer", [this] { proxy::onTimer(engine_, net::currentBootTime()); });
+        earliestTimerAt_ = handled ? core::time_point{} : net::currentBootTime() + failedTimerPause;
         perform();
     });
 }
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace fuchsiagw::daemon {
 
 std::string session_gateway::summary() const
@@ -42,10 +44,16 @@
     add("links_opened_total", "counter", counts.linksOpened);
     add("links_reused_total", "counter", counts.linksReused);
     add("promotions_ordered_total", "counter", counts.promotionsOrdered);
+    add("datagrams_unreadable_total", "counter", unreadableDatagrams_);
+    add("events_dropped_total", "counter", droppedEvents_);
+    add("store_rows_unreadable_total", "counter", store_.counters().unreadableRows);
     add("store_failures_total", "counter", store_.counters().failures);
     add("sessions", "gauge", engine_.sessions.size());
     add("links", "gauge", engine_.links.size());
     add("instances", "gauge", engine_.instances);
+    const auto listed = std::count_if(engine_.members.begin(), engine_.members.end(),
+                                      [](const auto &each) { return each.second.listed; });
+    add("members", "gauge", listed);
     add("limit_part_millionths", "gauge", engine_.claim.granted);
     add("manifest_version", "gauge", engine_.config ? engine_.config->version : 0);
     text += "# TYPE fuchsiagw_refused_total counter\n";
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -4,6 +4,7 @@
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
+#include <fuchsiagw/detail/bounded_json.hpp>
 #include <fuchsiagw/net/clock.hpp>
 #include <fuchsiagw/wire/automation_json.hpp>
 
@@ -38,6 +39,7 @@
 constexpr milliseconds minMemberReadInterval{ 250 };
 constexpr milliseconds initialBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
+constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
 /// For this time only the daemon that acquired the token orders promotions of the service.
 constexpr std::int64_t promotionLeaseMs = 3'000;
 constexpr const char *promotionTable = "promotions";
@@ -57,19 +59,6 @@
     return found == rows.rows.end() ? nullptr : &*found;
 }
 
-/// @return none if the row was deleted or can't be parsed
-std::optional<listed_instance> decodeInstance(const adapter::store_row &row)
-{
-    const auto value = row.deleted ? std::nullopt : wire::readInstanceRow(row.value);
-    if (!value)
-        return std::nullopt;
-    listed_instance each;
-    each.node = row.key;
-    each.row = *value;
-    each.version = row.version;
-    return each;
-}
-
 } // namespace
 
 store_client::store_client(boost::asio::io_context &context, const session_settings &values,
@@ -108,10 +97,22 @@
                                                || status == statusConditionFailed;
                          updateReachability(isServed);
                          if (!isStopped_)
-                             done(status, result.response.body);
+                             handleResponse(done, status, result.response.body);
                      });
 }
 
+/// An unexpected error in the handling of a response must not end the loop that waits for it. The
+/// call then counts as failed, and the loop continues with its backoff.
+void store_client::handleResponse(const response_handler &done, int status, const std::string &body)
+{
+    try {
+        done(status, body);
+    } catch (const std::exception &failure) {
+        callbacks_.onStoreEvent("response_failed", failure.what());
+        done(statusNoResponse, {});
+    }
+}
+
 void store_client::updateReachability(bool isReached)
 {
     if (!isReached)
@@ -238,8 +239,8 @@
                  return;
              }
              for (const adapter::store_row &row : rows->rows) {
-                 if (const auto entry = adapter::decodeMember(row))
-                     list[row.key] = { *entry, row.version };
+                 if (const auto entry = decodeMember(row))
+                     list[row.key] = *entry;
              }
              if (rows->hasMore && !rows->rows.empty()) {
                  readMembers(rows->rows.back().key + '!', std::move(list));
@@ -285,9 +286,8 @@
 void store_client::applyMemberRows(const std::vector<adapter::store_row> &rows)
 {
     for (const adapter::store_row &row : rows) {
-        const auto entry = row.deleted ? std::nullopt : adapter::decodeMember(row);
-        if (entry)
-            members_[row.key] = { *entry, row.version };
+        if (const auto entry = decodeMember(row))
+            members_[row.key] = *entry;
         else
             members_.erase(row.key);
     }
@@ -398,6 +398,51 @@
     reportInstances();
 }
 
+/// Another writer may have overwritten a daemon's row. The daemon still holds its part of the
+/// limits, so the last readable value stays in force with the version of the present row; the
+/// daemon itself replaces the row.
+std::optional<listed_instance> store_client::decodeInstance(const adapter::store_row &row)
+{
+    if (row.deleted)
+        return std::nullopt;
+    listed_instance result;
+    result.node = row.key;
+    result.version = row.version;
+    if (const auto value = wire::readInstanceRow(row.value)) {
+        result.row = *value;
+        return result;
+    }
+    reportUnreadable(row);
+    const auto known = instances_.find(row.key);
+    if (known != instances_.end())
+        result.row = known->second.row;
+    else if (row.key != values_.instance)
+        return std::nullopt;
+    return result;
+}
+
+std::optional<proxy::listed_member> store_client::decodeMember(const adapter::store_row &row)
+{
+    if (row.deleted)
+        return std::nullopt;
+    const auto entry = adapter::decodeMember(row);
+    if (entry)
+        return proxy::listed_member{ *entry, row.version };
+    reportUnreadable(row);
+    return std::nullopt;
+}
+
+/// Logs an unreadable row once for each of its versions.
+void store_client::reportUnreadable(const adapter::store_row &row)
+{
+    if (unreadableRows_.size() >= maxUnreadableRows && !unreadableRows_.contains(row.key))
+        unreadableRows_.erase(unreadableRows_.begin());
+    if (std::exchange(unreadableRows_[row.key], row.version) == row.version)
+        return;
+    ++counters_.unreadableRows;
+    callbacks_.onStoreEvent("row_unreadable", row.key);
+}
+
 void store_client::reportInstances()
 {
     std::vector<listed_instance> list;
@@ -452,12 +497,15 @@
     std::uint64_t version = 0;
     if (const adapter::store_row *row = findRow(rows, promotionTable, service)) {
         version = row->version;
-        const auto lease = nlohmann::json::parse(row->value, nullptr, false);
+        // A row that can't be read holds no lease; the compare-and-set below still excludes two
+        // holders.
+        const auto lease = detail::parseBounded(row->value);
         const bool isReadable = lease.is_object();
         const bool isOwnLease =
-                isReadable && lease.value("holder", std::string()) == values_.instance;
-        const std::int64_t remainingMs =
-                isReadable ? lease.value("until_ms", std::int64_t{ 0 }) - rows.storeClockMs : 0;
+                isReadable && detail::textField(lease, "holder") == values_.instance;
+        const auto untilMs =
+                isReadable ? detail::integerField<std::int64_t>(lease, "until_ms") : std::nullopt;
+        const std::int64_t remainingMs = untilMs.value_or(0) - rows.storeClockMs;
         if (!isOwnLease && remainingMs > 0) {
             callbacks_.onTokenHeldElsewhere(service,
                                             milliseconds(std::min(remainingMs, promotionLeaseMs)));
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -40,11 +40,15 @@
                       const http_request &request, core::time_point deadline,
                       http_connection::exchange_handler done)
 {
+    // The connection stores this handler, so a strong reference to it would be a cycle, which stays
+    // if the context is destroyed during the exchange. The pending operation keeps the connection.
     connection->exchange(request, deadline,
-                         [this, name, connection, done = std::move(done)](http_exchange &&result) {
+                         [this, name, weak = std::weak_ptr(connection),
+                          done = std::move(done)](http_exchange &&result) {
+                             const auto used = weak.lock();
                              auto &idleConnections = idle_[name];
-                             if (connection->isOpen() && idleConnections.size() < maxIdlePerPeer)
-                                 idleConnections.push_back(connection);
+                             if (used && used->isOpen() && idleConnections.size() < maxIdlePerPeer)
+                                 idleConnections.push_back(used);
                              done(std::move(result));
                          });
 }
--- a/src/wire/automation_json.cpp
+++ b/src/wire/automation_json.cpp
@@ -3,7 +3,7 @@
 
 #include <fuchsiagw/wire/automation_json.hpp>
 
-#include <nlohmann/json.hpp>
+#include <fuchsiagw/detail/bounded_json.hpp>
 
 namespace fuchsiagw::wire {
 
@@ -14,10 +14,10 @@
 
 automation_switch readSwitch(const std::string &row)
 {
-    const auto parsed = nlohmann::json::parse(row, nullptr, false);
+    const auto parsed = detail::parseBounded(row);
     if (!parsed.is_object())
         return {};
-    return { parsed.value("allowed", nlohmann::json(false)) == nlohmann::json(true) };
+    return { detail::flagField(parsed, "allowed") };
 }
 
 } // namespace fuchsiagw::wire
--- a/src/wire/instance_row.cpp
+++ b/src/wire/instance_row.cpp
@@ -3,27 +3,10 @@
 
 #include <fuchsiagw/wire/instance_row.hpp>
 
-#include <nlohmann/json.hpp>
+#include <fuchsiagw/detail/bounded_json.hpp>
 
 namespace fuchsiagw::wire {
 
-namespace {
-
-std::string textOf(const nlohmann::json &object, const char *name)
-{
-    const auto field = object.find(name);
-    return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
-}
-
-template <typename number>
-number numberOf(const nlohmann::json &object, const char *name)
-{
-    const auto field = object.find(name);
-    return field != object.end() && field->is_number_integer() ? field->get<number>() : number{ 0 };
-}
-
-} // namespace
-
 std::string toJson(const instance_row &row)
 {
     const nlohmann::json value = { { "address", row.address },
@@ -35,14 +18,16 @@
 
 std::optional<instance_row> readInstanceRow(const std::string &text)
 {
-    const auto value = nlohmann::json::parse(text, nullptr, false);
+    const auto value = detail::parseBounded(text);
     if (!value.is_object())
         return std::nullopt;
     instance_row row;
-    row.address = textOf(value, "address");
-    row.zone = textOf(value, "zone");
-    row.incarnation = numberOf<std::uint64_t>(value, "incarnation");
-    row.part = numberOf<std::int64_t>(value, "part");
+    row.address = detail::textField(value, "address");
+    row.zone = detail::textField(value, "zone");
+    row.incarnation = detail::integerField<std::uint64_t>(value, "incarnation").value_or(0);
+    row.part = detail::integerField<std::int64_t>(value, "part").value_or(0);
+    if (row.part > maxInstancePart)
+        return std::nullopt;
     return row;
 }
 
--- /dev/null
+++ b/tests/unit-session-gateway.cpp
@@ -0,0 +1,228 @@
+/// @file
+/// @brief Tests of a session gateway over real sockets under hostile datagrams and odd rows.
+
+#include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/daemon/session_gateway.hpp>
+#include <fuchsiagw/daemon/session_log.hpp>
+
+#include <platform/standin/table_store.hpp>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+using namespace fuchsiagw;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+namespace {
+
+/// @return a port that was free a moment ago, for TCP and UDP
+std::uint16_t findFreePort(boost::asio::io_context &context)
+{
+    tcp::acceptor probe(context, { boost::asio::ip::address_v4::loopback(), 0 });
+    return probe.local_endpoint().port();
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+daemon::log_settings quietLog()
+{
+    daemon::log_settings settings;
+    settings.level = daemon::log_level::Error;
+    return settings;
+}
+
+/// A gateway before the stand-in of the store, on one thread.
+struct gateway_fixture
+{
+    boost::asio::io_context context;
+    testing::table_store store{ context, 1 };
+    daemon::log_sink sink{ quietLog() };
+    daemon::session_log log{ sink };
+    daemon::session_settings values;
+    std::optional<daemon::session_gateway> gateway;
+
+    gateway_fixture()
+    {
+        CHECK_FALSE(store.start());
+        values.instance = "n1";
+        values.zone = "north";
+        values.address = "127.0.0.1";
+        values.callerAddress = { boost::asio::ip::address_v4::loopback(), findFreePort(context) };
+        values.peerPort = findFreePort(context);
+        values.storeAddress = store.address();
+        values.promotionAddress = store.address();
+        values.openFiles = 1'024;
+        values.memoryMegabytes = 160;
+        values.gracePeriod = std::chrono::seconds(6);
+        store.put("op", "config",
+                  R"({"version":1,"routes":[{"database":"d","service":"s","type":"primary",
+                  "timeout-ms":500,"target-latency-ms":200}],"services":[{"name":"s"}],
+                  "tenants":[{"name":"t","api-keys":["k"]}]})");
+        gateway.emplace(context, values, log);
+        CHECK_FALSE(gateway->start());
+        runUntil([this] { return gateway->isReady(); });
+        CHECK_TRUE(gateway->isReady());
+    }
+
+    template <typename condition>
+    bool runUntil(const condition &isMet, std::chrono::milliseconds limit = 3s)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!isMet() && std::chrono::steady_clock::now() < end)
+            context.run_for(2ms);
+        return isMet();
+    }
+
+    /// @return the value of a counter in the gateway's metrics; -1 if it is missing
+    double metric(const std::string &name) const
+    {
+        const std::string text = gateway->metricsText();
+        const std::string prefix = "\nfuchsiagw_" + name + " ";
+        const std::size_t at = text.find(prefix);
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + prefix.size()));
+    }
+
+    void sendDatagram(const std::string &bytes)
+    {
+        udp::socket socket(context, udp::v4());
+        socket.send_to(boost::asio::buffer(bytes),
+                       { boost::asio::ip::address_v4::loopback(), values.peerPort });
+    }
+
+    /// @return the first line that a caller gets for these bytes; empty if there is none in time
+    std::string answerTo(const std::string &bytes)
+    {
+        tcp::socket socket(context);
+        socket.connect({ values.callerAddress.address, values.callerAddress.port });
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string line;
+        std::array<char, 256> buffer{};
+        socket.async_read_some(boost::asio::buffer(buffer), [&](const auto &error, std::size_t n) {
+            line = error ? "closed" : std::string(buffer.data(), n);
+        });
+        runUntil([&] { return !line.empty(); });
+        return line;
+    }
+
+    bool servesCallers() { return answerTo("STARTUP d k\r\n").starts_with("READY I"); }
+};
+
+constexpr const char *validMember = R"({"service":"s","address":"127.0.0.1:1","zone":"north",
+    "slots":2,"state":"ready","db-role":"replica","born":17})";
+
+} // namespace
+
+TEST_GROUP(session_gateway)
+{
+    gateway_fixture fixture;
+};
+
+// Guards against the end of the process by one datagram that holds a huge length: callers are still
+// served, and the datagrams are counted.
+TEST(session_gateway, hostileDatagramsAreDropped)
+{
+    for (std::size_t before = 0; before < 24; ++before) {
+        for (const char fill : { '\0', '\xff' })
+            fixture.sendDatagram(std::string(before, fill) + std::string("\0\0\0\0\x02\0\0\0", 8)
+                                 + std::string(20, 'x'));
+        fixture.context.run_for(1ms);
+    }
+    CHECK_TRUE(
+            fixture.runUntil([&] { return fixture.metric("datagrams_unreadable_total") == 48; }));
+    CHECK_TRUE(fixture.servesCallers());
+    DOUBLES_EQUAL(0, fixture.metric("events_dropped_total"), 0);
+}
+
+// Guards against a daemon that ends, or that stops to follow the list, because another writer left
+// one odd row among the members: the other rows are used, also those that come later.
+TEST(session_gateway, oddMemberRowCostsThatRowAlone)
+{
+    const std::string good = validMember;
+    const auto with = [&](const std::string &from, const std::string &to) {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    const std::vector<std::string> odd{
+        nested(10),
+        nested(20'000),
+        R"({"service":)" + nested(20'000) + "}",
+        R"({"service":"s","x":)" + nested(10'000) + "}",
+        with("\"slots\":2", "\"slots\":1e308"),
+        with("\"slots\":2", "\"slots\":1e999"),
+        with("\"slots\":2", "\"slots\":-1"),
+        with("\"slots\":2", "\"slots\":4294967297"),
+        with("\"slots\":2", "\"slots\":18446744073709551616"),
+        with("\"slots\":2", "\"slots\":0"),
+        with("127.0.0.1:1", "127.0.0.1:65536"),
+        with("127.0.0.1:1", "127.0.0.1:0"),
+        with("127.0.0.1:1", "127.0.0.1:99999999999"),
+        with("127.0.0.1:1", "somewhere"),
+        with("\"s\"", "17"),
+        with("\"ready\"", "\"asleep\""),
+        "",
+        std::string("\0\xff\xfe{", 4),
+        "\"" + std::string(40'000, 'x') + "\"",
+    };
+    for (std::size_t i = 0; i < odd.size(); ++i)
+        fixture.store.put("servers", "odd" + std::to_string(i), odd[i]);
+    fixture.store.put("servers", "good", good);
+    const auto listed = [&] { return fixture.metric("members"); };
+    CHECK_TRUE(fixture.runUntil([&] { return listed() == 1; }));
+    DOUBLES_EQUAL(static_cast<double>(odd.size()), fixture.metric("store_rows_unreadable_total"),
+                  0);
+    fixture.store.put("servers", "later", good);
+    CHECK_TRUE(fixture.runUntil([&] { return listed() == 2; }));
+    CHECK_TRUE(fixture.servesCallers());
+}
+
+// Guards against odd rows in the product's own tables: the list of daemons, the operators' switch
+// and the lease of a promotion.
+TEST(session_gateway, oddRowsOfOwnTablesAreSurvived)
+{
+    for (const char *key : { "n1", "n2", "n3" }) {
+        fixture.store.put("instances", key, nested(20'000));
+        fixture.context.run_for(20ms);
+        fixture.store.put("instances", key, R"({"address":5,"zone":{},"part":9e300})");
+        fixture.context.run_for(20ms);
+        fixture.store.put("instances", key, R"({"part":9000000000000000000})");
+        fixture.context.run_for(20ms);
+    }
+    // The gateway registers itself in spite of the odd row under its own name.
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("limit_part_millionths") > 0; }, 12s));
+    CHECK_TRUE(fixture.servesCallers());
+}
+
+// Guards against a manifest that can't be read in place of the one in force.
+TEST(session_gateway, oddManifestKeepsTheOneInForce)
+{
+    fixture.store.put("op", "config", R"({"version":2,"routes":)" + nested(20'000) + "}");
+    fixture.store.put("op", "config", R"({"version":1e300})");
+    fixture.context.run_for(300ms);
+    DOUBLES_EQUAL(1, fixture.metric("manifest_version"), 0);
+    CHECK_TRUE(fixture.servesCallers());
+    fixture.store.put("op", "config", R"({"version":3,"routes":[]})");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("manifest_version") == 3; }));
+}
+
+// Guards against the end of the process by bytes on the callers' port.
+TEST(session_gateway, hostileCallersAreDisconnected)
+{
+    for (const std::string &bytes :
+         { std::string("\0\0\0\0\n", 5), std::string("QUERY\n"), std::string("STARTUP\n"),
+           std::string("STARTUP d k\r\nSTARTUP d k\r\n"), std::string(300, '\xff') + "\n" })
+        fixture.answerTo(bytes);
+    CHECK_TRUE(fixture.servesCallers());
+}
--- a/tests/unit-store-codec.cpp
+++ b/tests/unit-store-codec.cpp
@@ -146,3 +146,45 @@
         static_cast<void>(decodeMember(rowWith(body)));
     }
 }
+
+// Guards against numbers beyond their range: casting a double that an integer can't hold is
+// undefined, and a narrowed number is another number.
+TEST(store_codec, numbersOutOfRangeAreBounded)
+{
+    const auto manifest = decodeManifest(R"({"version":1,
+        "routes":[{"database":"d","service":"s","type":"primary","timeout-ms":1e308,
+                   "target-latency-ms":-5,"max-staleness-ms":1e18,"priority":99999999999}],
+        "services":[{"name":"s","max-connections":4294967297}],
+        "limits":{"tx-idle-ms":1e300}})");
+    CHECK_TRUE(manifest.has_value());
+    const proxy::route &route = manifest->routes.begin()->second;
+    CHECK(route.statementTimeout == std::chrono::hours(24));
+    CHECK(route.maxStaleness == std::chrono::hours(24));
+    CHECK(route.latencyObjective == core::duration::zero());
+    LONGS_EQUAL(0, route.priority);
+    UNSIGNED_LONGS_EQUAL(1, manifest->services.at("s").maxConnections);
+    CHECK(manifest->transactionIdleLimit == std::chrono::hours(24));
+}
+
+// Guards against a stack overflow by deep nesting, in every reader and at every place of the text.
+TEST(store_codec, deepNestingIsRejected)
+{
+    for (const std::size_t depth : { 33U, 1'000U, 100'000U, 1'000'000U }) {
+        const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+        CHECK_FALSE(decodeRows(deep).has_value());
+        CHECK_FALSE(decodeRows(R"({"has-more":)" + deep + "}").has_value());
+        CHECK_FALSE(decodeManifest(R"({"version":1,"routes":[{"allow-anonymous":)" + deep + "}]}")
+                            .has_value());
+        CHECK_FALSE(decodeMember(rowWith(R"({"state":)" + deep + "}")).has_value());
+    }
+    // Brackets inside of texts are no nesting.
+    const std::string text(5'000, '[');
+    CHECK_TRUE(decodeRows(R"({"rows":[],"note":")" + text + R"(\""})").has_value());
+}
+
+// Guards against a key of another writer that changes the request in which it is sent.
+TEST(store_codec, keysAreEncodedInRequests)
+{
+    STRCMP_EQUAL("/-/rows-get?table-name=t&part=&from=a%20b%26c%0D%0A",
+                 readRows("t", "a b&c\r\n").target.c_str());
+}
