Pace reads of the store by the size of the deployment

A daemon that heard of a newer manifest read it although its own feed brought it a moment later. Change: read_pacing: pauses grow with the number of daemons inside limits; a manifest that a peer has is read only if the own feed has not brought it within 400 ms. Ruled out for now: rows passed on between daemons, as their datagrams carry no MAC.

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <fuchsiagw/daemon/read_pacing.hpp>
 #include <fuchsiagw/daemon/session_settings.hpp>
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
@@ -71,10 +72,13 @@
 
     void start();
     void stop() { isStopped_ = true; }
-    /// @brief Reads the list of members again, limited to one read per minMemberReadInterval.
+    /// @brief Reads the list of members again, limited to one read per
+    /// read_pacing::minMemberReadInterval.
     void refreshMembers();
-    /// @brief Reads the manifest again, limited to one read per minManifestReadInterval.
-    void refreshManifest();
+    /// @brief Reads the manifest again if the feed does not deliver it soon; limited to one read
+    /// per minManifestReadInterval.
+    /// @param version newest version that another daemon has
+    void refreshManifest(std::uint64_t version);
     /// @brief Makes the long polls for the manifest short, so that a feed that delivers nothing is
     /// noticed sooner.
     void setShortPolls(bool isEnabled) { usesShortPolls_ = isEnabled; }
@@ -96,6 +100,7 @@
     void runAfter(std::chrono::milliseconds waitTime, std::function<void()> task);
     std::chrono::milliseconds backoff(int failures);
     void updateReachability(bool isReached);
+    [[nodiscard]] read_pacing pacing() const;
     void handleResponse(const response_handler &done, int status, const std::string &body);
     std::optional<listed_instance> decodeInstance(const adapter::store_row &row);
     std::optional<proxy::listed_member> decodeMember(const adapter::store_row &row);
@@ -126,6 +131,9 @@
     core::random_engine random_;
     store_counters counters_;
     std::uint64_t manifestFeedVersion_ = 0; ///< store version up to which changes were read
+    std::uint64_t manifestVersion_ = 0; ///< newest manifest that was read
+    std::uint64_t newestManifestHeard_ = 0; ///< newest manifest that another daemon has
+    bool isManifestCheckDue_ = false; ///< refreshManifest() will compare the two versions
     std::uint64_t manifestGeneration_ = 0; ///< callbacks of older generations are ignored
     core::time_point lastManifestRead_{};
     bool usesShortPolls_ = false;
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -55,7 +55,9 @@
 
 /// Reads the manifest again: another daemon has a newer one, so the change feed may be broken.
 struct refresh_manifest
-{ };
+{
+    std::uint64_t version = 0; ///< version that the other daemon has
+};
 
 /// Acquires a fencing token by a compare-and-set on the service's promotion row; answered with
 /// onTokenAcquired().
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -454,9 +454,9 @@
     store_.refreshMembers();
 }
 
-void session_gateway::perform(const proxy::refresh_manifest &)
+void session_gateway::perform(const proxy::refresh_manifest &action)
 {
-    store_.refreshManifest();
+    store_.refreshManifest(action.version);
 }
 
 void session_gateway::perform(const proxy::acquire_fencing_token &action)
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -29,14 +29,11 @@
 /// Time for the response after the wait of a long poll.
 constexpr milliseconds longPollGrace{ 1'500 };
 constexpr milliseconds minManifestReadInterval{ 700 };
-/// Pause between long polls, so that changes in quick succession are read in one batch.
-constexpr milliseconds memberPollPause{ 800 };
-/// Daemons that start at the same time register one after the other; the pause batches their rows.
-constexpr milliseconds instancePollPause{ 3'000 };
+/// Time within which this daemon's own feed normally delivers a manifest that another daemon has.
+constexpr milliseconds manifestFeedDelay{ 400 };
 /// Pause after a daemon has registered, so that daemons that start at the same time read each
 /// other's rows before they claim parts of the limits.
 constexpr milliseconds peerDiscoveryDelay{ 800 };
-constexpr milliseconds minMemberReadInterval{ 250 };
 constexpr milliseconds initialBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
@@ -147,17 +144,27 @@
         if (!adapter::isManifestRow(row) || row.deleted)
             continue;
         auto manifest = adapter::decodeManifest(row.value);
-        if (manifest)
-            callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)));
-        else
+        if (!manifest) {
             callbacks_.onStoreEvent("manifest_unreadable", row.key);
+            continue;
+        }
+        manifestVersion_ = std::max(manifestVersion_, manifest->version);
+        callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)));
     }
 }
 
-void store_client::refreshManifest()
+void store_client::refreshManifest(std::uint64_t version)
 {
-    if (net::currentBootTime() - lastManifestRead_ >= minManifestReadInterval)
-        readManifest();
+    newestManifestHeard_ = std::max(newestManifestHeard_, version);
+    if (std::exchange(isManifestCheckDue_, true))
+        return;
+    // Most daemons get the change from their own feed at about the same time.
+    runAfter(manifestFeedDelay, [this] {
+        isManifestCheckDue_ = false;
+        const bool isBehind = manifestVersion_ < newestManifestHeard_;
+        if (isBehind && net::currentBootTime() - lastManifestRead_ >= minManifestReadInterval)
+            readManifest();
+    });
 }
 
 void store_client::readManifest()
@@ -209,9 +216,14 @@
          });
 }
 
+read_pacing store_client::pacing() const
+{
+    return pacingFor(instances_.size());
+}
+
 void store_client::refreshMembers()
 {
-    if (net::currentBootTime() - lastMemberRead_ >= minMemberReadInterval)
+    if (net::currentBootTime() - lastMemberRead_ >= pacing().minMemberReadInterval)
         readMembers();
 }
 
@@ -263,7 +275,7 @@
              if (generation != memberGeneration_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             const auto waitTime = rows                   ? memberPollPause
+             const auto waitTime = rows                   ? pacing().memberPollPause
                                    : status == statusGone ? milliseconds(0)
                                                           : backoff(memberFailures_++);
              if (rows) {
@@ -357,7 +369,7 @@
              instanceFeedVersion_ = rows->version;
              instances_ = std::move(list);
              reportInstances();
-             runAfter(instancePollPause, [this, generation] { followInstances(generation); });
+             runAfter(pacing().instancePollPause, [this, generation] { followInstances(generation); });
          });
 }
 
@@ -376,7 +388,7 @@
                  instanceFeedVersion_ = std::max(instanceFeedVersion_, rows->version);
                  if (!rows->rows.empty())
                      applyInstanceRows(rows->rows);
-                 runAfter(instancePollPause, [this, generation] { followInstances(generation); });
+                 runAfter(pacing().instancePollPause, [this, generation] { followInstances(generation); });
                  return;
              }
              runAfter(status == statusGone ? milliseconds(0) : backoff(instanceFailures_++),
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -190,7 +190,7 @@
         peer->second.manifestVersion = message.manifestVersion;
     }
     if (state.config && message.manifestVersion > state.config->version)
-        state.out.emplace_back(refresh_manifest{});
+        state.out.emplace_back(refresh_manifest{ message.manifestVersion });
     switch (message.kind) {
     case peer_message_kind::Exchange: {
         peer_message answer = makeMessage(state, peer_message_kind::ExchangeAnswer);
