--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -140,6 +140,11 @@
 [[nodiscard]] std::optional<promotion_cause>
 findPromotionCause(engine &state, service_state &service, core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
+/// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
+/// confirm, but only while no other daemon can have started an attempt.
+/// @param term see promotion_state::resumeTerm
+void scheduleResume(service_state &service, core::term_number term, core::time_point now);
+void stepResume(engine &state, service_state &service, core::time_point now);
 /// @brief Asks replicas whether they receive, so that none stays paused after a promotion attempt
 /// has ended.
 void checkReplicas(engine &state, core::time_point now);
--- /dev/null
+++ b/include/fuchsiagw/detail/session_connections.hpp
@@ -0,0 +1,29 @@
+/// @file
+/// @brief State of the session gateway's connections, shared by its source files.
+
+#pragma once
+
+#include <fuchsiagw/daemon/session_gateway.hpp>
+
+#include <platform/wire_codec.hpp>
+
+#include <memory>
+
+namespace fuchsiagw::daemon {
+
+struct session_gateway::caller_connection
+{
+    std::shared_ptr<net::line_connection> connection;
+    bool isOpen = false; ///< the startup message was read
+    core::time_point statementReceivedAt{};
+    proxy::statement_kind statementKind = proxy::statement_kind::Malformed;
+};
+
+struct session_gateway::upstream_connection
+{
+    std::shared_ptr<net::line_connection> connection;
+    adapter::reply_decoder decoder;
+    bool isOpen = false; ///< the reply to the startup command was read
+};
+
+} // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/proxy/leadership_evidence.hpp
+++ b/include/fuchsiagw/proxy/leadership_evidence.hpp
@@ -14,6 +14,7 @@
 #include <fuchsiagw/core/time.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -31,10 +32,17 @@
 {
     std::map<std::string, replica_report> reports; ///< latest report by replica
     core::time_point askedAt{}; ///< when the replicas were last asked
+    std::deque<core::time_point> questions; ///< times of the latest questions, oldest first
     core::time_point nextAskAt = core::noDeadline; ///< next question while requests wait for it
     std::size_t unansweredAsks = 0; ///< consecutive; selects other replicas and relays
 };
 
+/// @brief Records that the replicas are asked now.
+void addQuestion(leadership_evidence &evidence, core::time_point now);
+
+/// @return whether this daemon asked at that time; other answers are forged or too old
+[[nodiscard]] bool hasAsked(const leadership_evidence &evidence, core::time_point askedAt);
+
 /// @return number of replicas whose reports are required
 /// @param others members of the group besides the assumed leader
 [[nodiscard]] std::size_t requiredReports(std::size_t others);
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/daemon/session_gateway.hpp>
 
 #include <fuchsiagw/daemon/session_datagram.hpp>
+#include <fuchsiagw/detail/session_connections.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
 #include <boost/asio/post.hpp>
@@ -24,8 +25,6 @@
 constexpr std::size_t memoryPerSession = 32 * 1024; // bytes
 constexpr std::size_t reservedMemory = 48 * 1024 * 1024; // bytes, for everything except sessions
 constexpr std::size_t maxQueuedReplyBytes = 4 * adapter::maxMessageBytes;
-/// Spare connections are opened in advance, which saves a round trip when a session needs one.
-constexpr std::size_t maxSparesPerRelay = 2;
 /// If no manifest has been read after this time, callers are accepted and refused at once instead
 /// of waiting in the listen backlog.
 constexpr std::chrono::milliseconds maxAcceptDelay{ 800 };
@@ -62,21 +61,6 @@
 
 } // namespace
 
-struct session_gateway::caller_connection
-{
-    std::shared_ptr<net::line_connection> connection;
-    bool isOpen = false; ///< the startup message was read
-    core::time_point statementReceivedAt{};
-    proxy::statement_kind statementKind = proxy::statement_kind::Malformed;
-};
-
-struct session_gateway::upstream_connection
-{
-    std::shared_ptr<net::line_connection> connection;
-    adapter::reply_decoder decoder;
-    bool isOpen = false; ///< the reply to the startup command was read
-};
-
 session_gateway::session_gateway(boost::asio::io_context &context, const session_settings &values,
                                  session_log &log)
     : context_(context)
@@ -236,35 +220,6 @@
     perform();
 }
 
-void session_gateway::onUpstreamLine(proxy::link_id id, std::string_view line)
-{
-    const auto found = upstreams_.find(id);
-    if (found == upstreams_.end())
-        return;
-    upstream_connection &link = *found->second;
-    auto answer = link.decoder.feed(line, !link.isOpen);
-    if (link.decoder.failed()) {
-        link.connection->close();
-        upstreams_.erase(found);
-        proxy::onLinkClosed(engine_, id, net::currentBootTime());
-        perform();
-        return;
-    }
-    if (!answer)
-        return;
-    link.isOpen = true;
-    if (answer->rows.size() == 1)
-        answer->status = adapter::decodeStatus(answer->rows.front());
-    const core::time_point now = net::currentBootTime();
-    const bool handled = runGuarded(
-            "answer", [&] { proxy::onMemberAnswer(engine_, id, std::move(*answer), now); });
-    if (!handled) {
-        perform(proxy::close_link{ id, false });
-        proxy::onLinkClosed(engine_, id, now);
-    }
-    perform();
-}
-
 void session_gateway::onDatagram(std::string_view bytes)
 {
     const core::time_point now = net::currentBootTime();
@@ -366,89 +321,6 @@
     callers_.erase(found);
 }
 
-void session_gateway::perform(const proxy::open_link &action)
-{
-    net::endpoint peer;
-    auto entry = std::make_unique<upstream_connection>();
-    const auto relay = peerAddresses_.find(action.relay);
-    const bool isRelayed = relay != peerAddresses_.end();
-    entry->connection = isRelayed
-                                ? relayConnectionTo(action.relay, relay->second)
-                                : net::line_connection::create(context_, adapter::maxMessageBytes);
-    const auto connection = entry->connection;
-    const proxy::link_id id = action.link;
-    const auto onClosed = [this, id] {
-        upstreams_.erase(id);
-        proxy::onLinkClosed(engine_, id, net::currentBootTime());
-        perform();
-    };
-    connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); },
-                            onClosed);
-    upstreams_.emplace(id, std::move(entry));
-    if (isRelayed)
-        return;
-    if (net::parseEndpoint(action.address, peer)) {
-        boost::asio::post(context_, onClosed);
-        return;
-    }
-    connection->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
-}
-
-std::shared_ptr<net::line_connection> session_gateway::relayConnectionTo(const std::string &node,
-                                                                         const net::endpoint &peer)
-{
-    auto &available = spareConnections_[node];
-    std::shared_ptr<net::line_connection> connection;
-    if (available.empty()) {
-        connection = net::line_connection::create(context_, adapter::maxMessageBytes);
-        connection->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
-    } else {
-        connection = std::move(available.back());
-        available.pop_back();
-    }
-    if (available.size() < maxSparesPerRelay)
-        addSpareConnection(node, peer);
-    return connection;
-}
-
-void session_gateway::addSpareConnection(const std::string &node, const net::endpoint &peer)
-{
-    const auto spare = net::line_connection::create(context_, adapter::maxMessageBytes);
-    const auto removeSpare = [this, node, raw = spare.get()] {
-        std::erase_if(spareConnections_[node],
-                      [raw](const auto &each) { return each.get() == raw; });
-    };
-    spare->setHandlers([](std::string_view) {}, removeSpare);
-    spare->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
-    spareConnections_[node].push_back(spare);
-}
-
-void session_gateway::perform(const proxy::send_to_member &action)
-{
-    const auto found = upstreams_.find(action.link);
-    if (found == upstreams_.end())
-        return;
-    std::string text;
-    for (const proxy::upstream_command &each : action.commands)
-        text += adapter::encodeCommand(each);
-    found->second->connection->send(std::move(text));
-}
-
-void session_gateway::perform(const proxy::close_link &action)
-{
-    const auto found = upstreams_.find(action.link);
-    if (found == upstreams_.end())
-        return;
-    const auto connection = found->second->connection;
-    if (action.graceful) {
-        connection->send(std::string(adapter::terminateMessage()));
-        connection->closeGracefully();
-    } else {
-        connection->close();
-    }
-    upstreams_.erase(found);
-}
-
 void session_gateway::perform(const proxy::refresh_directory &)
 {
     store_.refreshMembers();
--- /dev/null
+++ b/src/daemon/store_promotion.cpp
@@ -0,0 +1,156 @@
+/// @file
+/// @brief Fencing tokens and promotion orders: a lease for each service in the platform's store,
+/// drawn by a compare-and-set that also checks the operators' switch.
+
+#include <fuchsiagw/daemon/store_client.hpp>
+
+#include <fuchsiagw/detail/bounded_json.hpp>
+#include <fuchsiagw/detail/store_calls.hpp>
+#include <fuchsiagw/net/clock.hpp>
+#include <fuchsiagw/wire/automation_json.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::daemon {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// For this time only the daemon that acquired the token orders promotions of the service.
+constexpr std::int64_t promotionLeaseMs = 3'000;
+constexpr const char *promotionTable = "promotions";
+
+const adapter::store_row *findRow(const adapter::store_rows &rows, std::string_view table,
+                                  std::string_view key)
+{
+    const auto found = std::find_if(rows.rows.begin(), rows.rows.end(), [&](const auto &each) {
+        return each.key == key && (each.table.empty() || each.table == table);
+    });
+    return found == rows.rows.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+void store_client::acquireFencingToken(const std::string &service)
+{
+    if (promotionsAllowed_) {
+        readPromotion(service);
+        return;
+    }
+    call(store_purpose::Promotion,
+         adapter::readRow(wire::automationTable, std::string(wire::promotionSwitchKey)),
+         callTimeout, [this, service](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (!rows) {
+                 callbacks_.onTokenAcquired(service, 0);
+                 return;
+             }
+             applyPromotionSwitch(*rows);
+             if (promotionsAllowed_)
+                 readPromotion(service);
+             else
+                 callbacks_.onPromotionsDisabled(service);
+         });
+}
+
+void store_client::readPromotion(const std::string &service)
+{
+    call(store_purpose::Promotion, adapter::readRow(promotionTable, service), callTimeout,
+         [this, service](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows)
+                 claimPromotion(service, *rows);
+             else
+                 callbacks_.onTokenAcquired(service, 0);
+         });
+}
+
+void store_client::applyPromotionSwitch(const adapter::store_rows &rows)
+{
+    const adapter::store_row *row = findRow(rows, wire::automationTable, wire::promotionSwitchKey);
+    switchVersion_ = row == nullptr ? 0 : row->version;
+    promotionsAllowed_ = row == nullptr || wire::readSwitch(row->value).allowed;
+}
+
+void store_client::claimPromotion(const std::string &service, const adapter::store_rows &rows)
+{
+    std::uint64_t version = 0;
+    if (const adapter::store_row *row = findRow(rows, promotionTable, service)) {
+        version = row->version;
+        // A row that can't be read holds no lease; the compare-and-set below still excludes two
+        // holders.
+        const auto lease = detail::parseBounded(row->value);
+        const bool isReadable = lease.is_object();
+        const bool isOwnLease =
+                isReadable && detail::textField(lease, "holder") == values_.instance;
+        const auto untilMs =
+                isReadable ? detail::integerField<std::int64_t>(lease, "until_ms") : std::nullopt;
+        const std::int64_t remainingMs = untilMs.value_or(0) - rows.storeClockMs;
+        if (!isOwnLease && remainingMs > 0) {
+            callbacks_.onTokenHeldElsewhere(service,
+                                            milliseconds(std::min(remainingMs, promotionLeaseMs)));
+            return;
+        }
+    }
+    const nlohmann::json value = { { "holder", values_.instance },
+                                   { "until_ms", rows.storeClockMs + promotionLeaseMs } };
+    // The transaction also checks the switch's version, so that no promotion attempt starts after
+    // the operator's change of the switch was acknowledged.
+    adapter::row_change switchUnchanged;
+    switchUnchanged.table = wire::automationTable;
+    switchUnchanged.key = wire::promotionSwitchKey;
+    switchUnchanged.expectedVersion = switchVersion_;
+    switchUnchanged.checkedOnly = true;
+    call(store_purpose::Promotion,
+         adapter::changeRows(
+                 { switchUnchanged, { promotionTable, service, version, value.dump() } }),
+         callTimeout, [this, service](int status, const std::string &body) {
+             const auto answer = adapter::decodeRows(body);
+             if (status == statusConditionFailed && answer) {
+                 onClaimConflict(service, *answer);
+                 return;
+             }
+             // The store assigns strictly increasing versions to changes, so the version serves as
+             // the fencing token.
+             callbacks_.onTokenAcquired(service,
+                                        status == statusOk && answer ? answer->version : 0);
+         });
+}
+
+/// Handles a lost compare-and-set: another daemon wrote the lease first, or the operator has
+/// changed the switch since it was last read.
+void store_client::onClaimConflict(const std::string &service, const adapter::store_rows &present)
+{
+    const std::uint64_t previousVersion = switchVersion_;
+    applyPromotionSwitch(present);
+    if (!promotionsAllowed_)
+        callbacks_.onPromotionsDisabled(service);
+    else if (switchVersion_ != previousVersion)
+        readPromotion(service);
+    else
+        callbacks_.onTokenAcquired(service, 0);
+}
+
+void store_client::promote(const std::string &service, const std::string &member,
+                           std::uint64_t token)
+{
+    countCall(store_purpose::Promotion);
+    httpClient_.call(
+            values_.promotionAddress, adapter::promote(service, member, values_.instance, token),
+            net::currentTime() + callTimeout, [this, service](net::http_exchange &&result) {
+                proxy::promote_outcome outcome = proxy::promote_outcome::Refused;
+                if (result.error)
+                    outcome = proxy::promote_outcome::NoAnswer;
+                else if (result.response.status == statusOk)
+                    outcome = proxy::promote_outcome::Ordered;
+                else if (result.response.status == statusConflict)
+                    outcome = proxy::promote_outcome::FencedOff;
+                if (!isStopped_)
+                    callbacks_.onPromoteAnswer(service, outcome);
+            });
+}
+
+} // namespace fuchsiagw::daemon
--- a/src/proxy/engine_evidence.cpp
+++ b/src/proxy/engine_evidence.cpp
@@ -84,7 +84,7 @@
 {
     leadership_evidence &evidence = service.evidence;
     const std::size_t attempt = evidence.unansweredAsks++;
-    evidence.askedAt = now;
+    addQuestion(evidence, now);
     evidence.nextAskAt = now + askRepeatInterval;
     const std::set<std::string> replicas = otherMembers(state, service, leader);
     if (replicas.empty())
@@ -292,7 +292,7 @@
 {
     service_state *service = findService(state, message.subject);
     const core::time_point askedAt{ core::duration(message.askedAtUs) };
-    if (service == nullptr || message.leaders.empty() || askedAt > now
+    if (service == nullptr || message.leaders.empty() || !hasAsked(service->evidence, askedAt)
         || !service->members.contains(message.member))
         return;
     const leader_report &log = message.leaders.front();
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds fencingTimeout{ 2'000 };
 /// The lease in the store lasts 3 s; the difference allows for the latency of the store's answer.
 constexpr milliseconds usableLeaseDuration{ 2'700 };
-constexpr milliseconds resumeInterval{ 150 };
 /// If a witness does not answer, the old primary is ordered to step down after this time.
 constexpr milliseconds stepDownDelay{ 400 };
 constexpr milliseconds probeInterval{ 40 };
@@ -115,35 +114,6 @@
     }
 }
 
-/// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
-/// confirm, but only while no other daemon can have started an attempt.
-/// @param term see promotion_state::resumeTerm
-void scheduleResume(service_state &service, core::term_number term, core::time_point now)
-{
-    promotion_state &attempt = service.promotion;
-    attempt.resumeTerm = term;
-    attempt.replicasToResume = attempt.fenced;
-    attempt.replicasToResume.erase(attempt.chosen);
-    attempt.nextResumeAt = attempt.replicasToResume.empty() ? core::noDeadline : now;
-}
-
-void stepResume(engine &state, service_state &service, core::time_point now)
-{
-    promotion_state &attempt = service.promotion;
-    if (now < attempt.nextResumeAt)
-        return;
-    attempt.nextResumeAt = now + resumeInterval;
-    if (attempt.replicasToResume.empty() || now >= attempt.leaseUntil) {
-        attempt.replicasToResume.clear();
-        attempt.nextResumeAt = core::noDeadline;
-        return;
-    }
-    const command_kind order =
-            attempt.resumeTerm == 0 ? command_kind::ResumeReceiving : command_kind::Status;
-    for (const std::string &each : attempt.replicasToResume)
-        sendControlCommand(state, each, order, 0, now);
-}
-
 /// @brief Ends an attempt and resumes the replicas that it paused, unless an ordered promotion may
 /// still take effect.
 void abortAttempt(engine &state, service_state &service, std::string_view reason,
--- a/src/proxy/leadership_evidence.cpp
+++ b/src/proxy/leadership_evidence.cpp
@@ -9,6 +9,26 @@
 
 namespace fuchsiagw::proxy {
 
+namespace {
+
+constexpr std::size_t maxQuestions = 64; // remembered
+
+} // namespace
+
+void addQuestion(leadership_evidence &evidence, core::time_point now)
+{
+    evidence.askedAt = now;
+    evidence.questions.push_back(now);
+    if (evidence.questions.size() > maxQuestions)
+        evidence.questions.pop_front();
+}
+
+bool hasAsked(const leadership_evidence &evidence, core::time_point askedAt)
+{
+    return std::find(evidence.questions.begin(), evidence.questions.end(), askedAt)
+           != evidence.questions.end();
+}
+
 std::size_t requiredReports(std::size_t others)
 {
     return others > 1 ? others - 1 : 1;
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -9,6 +9,9 @@
 
 #pragma once
 
+#include "proxy-fixture.hpp"
+#include "simulated-group.hpp"
+
 #include <fuchsiagw/proxy/engine.hpp>
 
 #include <algorithm>
@@ -25,41 +28,6 @@
 
 using std::chrono::milliseconds;
 
-struct log_entry
-{
-    core::term_number term = 0;
-    std::uint64_t commit = 0; ///< unique number of the commit
-};
-
-struct group_member
-{
-    std::string id;
-    bool running = true;
-    bool leads = false;
-    core::term_number term = 1;
-    core::term_number pausedTerm = 0;
-    core::time_point successorReachedAt = core::noDeadline; ///< a replaced primary reached it then
-    std::vector<log_entry> log;
-
-    core::log_position head() const
-    {
-        return log.empty() ? core::log_position{ 1, 0 }
-                           : core::log_position{ log.back().term, log.size() };
-    }
-    bool contains(core::log_position position) const
-    {
-        if (position.index == 0)
-            return true;
-        return log.size() >= position.index && log[position.index - 1].term == position.term;
-    }
-};
-
-struct acknowledged_commit
-{
-    std::uint64_t commit = 0;
-    core::time_point at{};
-};
-
 struct cluster_link
 {
     std::string daemon;
@@ -80,73 +48,40 @@
     std::vector<caller_statement> rest; ///< statements of its transaction that follow
 };
 
-struct leader_cluster
+struct leader_cluster : simulated_group
 {
-    static constexpr core::time_point start{ std::chrono::hours(1) };
     static constexpr milliseconds tick{ 2 };
     static constexpr milliseconds maxStaleness{ 1'500 };
     static constexpr milliseconds promotionDelay{ 300 };
     static constexpr milliseconds leaseDuration{ 3'000 };
     static constexpr const char *service = "books";
 
-    std::mt19937_64 random;
-    core::time_point now = start;
-    std::multimap<core::time_point, std::function<void()>> events;
-    std::map<std::string, group_member> members;
     std::map<std::string, std::unique_ptr<engine>> daemons;
     std::map<std::string, core::time_point> suspendedUntil; ///< by daemon
-    std::set<std::pair<std::string, std::string>> cuts; ///< pairs of names that can't communicate
     std::map<std::pair<std::string, link_id>, cluster_link> links;
     std::map<std::pair<std::string, session_id>, cluster_caller> callers;
     std::map<std::pair<std::string, std::string>, std::set<std::uint64_t>>
             rowsRead; ///< by daemon and statement
-    std::vector<acknowledged_commit> acknowledged;
-    std::uint64_t lastCommit = 0;
     std::uint64_t lastStatement = 0;
     std::string leaseHolder;
     core::time_point leaseUntil{};
     std::uint64_t lastToken = 0;
     std::uint64_t highestOrderedToken = 0;
-    bool oldPrimaryGoesOn = true;
     /// @name Results
     /// @{
     std::size_t reads = 0;
     std::size_t staleReads = 0;
-    std::size_t lostCommits = 0;
     std::size_t outdatedOrders = 0;
-    std::size_t promotions = 0;
     std::size_t refused = 0;
     /// @}
 
     explicit leader_cluster(std::uint64_t seed, bool enginesAssumeFencing = false)
-        : random(seed)
+        : simulated_group(seed)
     {
-        for (const char *id : { "m1", "m2", "m3" })
-            members[id].id = id;
-        members["m1"].leads = true;
         for (const char *name : { "n1", "n2", "n3" })
             startDaemon(name, enginesAssumeFencing);
     }
 
-    std::uint64_t below(std::uint64_t bound) { return random() % bound; }
-    milliseconds shortDelay() { return milliseconds(1 + below(4)); }
-    void after(core::duration delay, std::function<void()> task)
-    {
-        events.emplace(now + delay, std::move(task));
-    }
-
-    static std::string zoneOf(const std::string &name) { return "z" + name.substr(1); }
-    bool reaches(const std::string &from, const std::string &to) const
-    {
-        return from == to || !cuts.contains(std::minmax(from, to));
-    }
-    void cut(const std::string &one, const std::string &other, milliseconds duration)
-    {
-        const std::pair<std::string, std::string> pair = std::minmax(one, other);
-        cuts.insert(pair);
-        after(duration, [this, pair] { cuts.erase(pair); });
-    }
-
     void startDaemon(const std::string &name, bool assumesFencing)
     {
         auto &state = daemons[name] = std::make_unique<engine>();
@@ -171,31 +106,8 @@
 
     static std::shared_ptr<const manifest> makeManifest()
     {
-        manifest result;
-        result.version = 1;
-        const auto add = [&](const char *database, consistency kind) {
-            route each;
-            each.database = database;
-            each.service = service;
-            each.kind = kind;
-            each.statementTimeout = milliseconds(1'000);
-            each.latencyObjective = milliseconds(200);
-            each.maxStaleness = maxStaleness;
-            result.routes.emplace(database, each);
-        };
-        add("current", consistency::Primary);
-        add("bounded", consistency::BoundedStaleness);
-        add("own", consistency::ReadYourWrites);
-        service_entry entry;
-        entry.name = service;
-        entry.maxConnections = 1'000;
-        entry.synchronousReplicas = 1;
-        result.services.emplace(entry.name, entry);
-        workspace_entry workspace;
-        workspace.name = "house";
-        result.workspaces.push_back(workspace);
-        result.workspaceByKey.emplace("key", 0);
-        result.transactionIdleLimit = milliseconds(3'000);
+        manifest result = proxy_fixture::makeManifest(1);
+        result.services.at(service).maxConnections = 1'000;
         return std::make_shared<const manifest>(std::move(result));
     }
 
@@ -203,132 +115,14 @@
     {
         std::vector<listed_member> list;
         for (const auto &[id, member] : members) {
-            upstream_entry entry;
-            entry.id = id;
-            entry.service = service;
-            entry.address = "127.0.0.1:1";
+            upstream_entry entry = proxy_fixture::member(id, id == "m1");
             entry.zone = zoneOf(id);
             entry.slots = 4;
-            entry.claimsPrimary = id == "m1";
-            entry.startedAtMs = 1;
             list.push_back({ entry, 1 });
         }
         return list;
     }
 
-    // --- members ---
-
-    std::set<std::uint64_t> commitsOf(const group_member &member) const
-    {
-        std::set<std::uint64_t> result;
-        for (const log_entry &each : member.log)
-            result.insert(each.commit);
-        return result;
-    }
-
-    /// Appends a commit and calls @p done once another member has received it.
-    void replicate(group_member &leader, std::function<void(core::log_position)> done)
-    {
-        const log_entry entry{ leader.term, ++lastCommit };
-        leader.log.push_back(entry);
-        const core::log_position position = leader.head();
-        const auto isDone = std::make_shared<bool>(false);
-        for (auto &[id, member] : members) {
-            if (id != leader.id)
-                sendLog(leader.id, id, position, entry, isDone, done);
-        }
-    }
-
-    void sendLog(const std::string &from, const std::string &to, core::log_position position,
-                 const log_entry &entry, const std::shared_ptr<bool> &isDone,
-                 const std::function<void(core::log_position)> &done)
-    {
-        after(milliseconds(2 + below(10)), [=, this] {
-            group_member &source = members.at(from);
-            group_member &target = members.at(to);
-            if (!source.leads || source.term != position.term)
-                return;
-            const bool receives = source.running && target.running && reaches(from, to)
-                                  && target.pausedTerm == 0 && !target.leads
-                                  && target.term == source.term;
-            if (!receives) {
-                sendLog(from, to, position, entry, isDone, done); // until it does
-                return;
-            }
-            while (target.log.size() < position.index)
-                target.log.push_back(source.log.at(target.log.size()));
-            if (std::exchange(*isDone, true))
-                return;
-            acknowledged.push_back({ entry.commit, now });
-            done(position);
-        });
-    }
-
-    void promote(const std::string &id)
-    {
-        group_member &chosen = members.at(id);
-        if (!chosen.running || chosen.leads)
-            return;
-        ++promotions;
-        core::term_number term = 0;
-        for (const auto &[name, member] : members)
-            term = std::max(term, member.term);
-        chosen.leads = true;
-        chosen.term = term + 1;
-        chosen.pausedTerm = 0;
-        const auto kept = commitsOf(chosen);
-        lostCommits += static_cast<std::size_t>(
-                std::count_if(acknowledged.begin(), acknowledged.end(),
-                              [&](const auto &each) { return !kept.contains(each.commit); }));
-        if (!oldPrimaryGoesOn) {
-            for (auto &[name, member] : members) {
-                if (name != id && member.leads)
-                    member.leads = false;
-            }
-        }
-        followLeader();
-    }
-
-    /// Replicas that reach a leader of a later term follow it: they drop what it does not have.
-    void followLeader()
-    {
-        const group_member *newest = nullptr;
-        for (const auto &[id, member] : members) {
-            if (member.leads && member.running && (newest == nullptr || member.term > newest->term))
-                newest = &member;
-        }
-        for (auto &[id, member] : members) {
-            if (newest == nullptr || member.term >= newest->term || !member.running
-                || !reaches(id, newest->id)) {
-                member.successorReachedAt = core::noDeadline;
-                continue;
-            }
-            constexpr std::chrono::seconds continuation{ 1 };
-            member.successorReachedAt = std::min(member.successorReachedAt, now);
-            if (!member.leads || now - member.successorReachedAt >= continuation)
-                becomeReplica(member, *newest);
-        }
-    }
-
-    void becomeReplica(group_member &member, const group_member &leader)
-    {
-        member.leads = false;
-        member.term = leader.term;
-        member.pausedTerm = 0;
-        member.log = leader.log;
-    }
-
-    void restartMember(const std::string &id)
-    {
-        group_member &member = members.at(id);
-        member.running = true;
-        member.pausedTerm = 0;
-        for (const auto &[name, other] : members) {
-            if (name != id && other.leads && other.term > member.term)
-                member.leads = false;
-        }
-    }
-
     // --- connections ---
 
     bool isConnected(const cluster_link &link) const
--- a/tests/unit-leadership-evidence.cpp
+++ b/tests/unit-leadership-evidence.cpp
@@ -87,6 +87,17 @@
     CHECK(provenThrough(evidence, 1, three) == at(10));
 }
 
+// Guards against answers to questions that were never asked, and a memory that grows.
+TEST(leadership_evidence, onlyOwnQuestionsAreKnown)
+{
+    for (int i = 1; i <= 1'000; ++i)
+        addQuestion(evidence, at(i));
+    CHECK_TRUE(hasAsked(evidence, at(1'000)));
+    CHECK_TRUE(hasAsked(evidence, at(950)));
+    CHECK_FALSE(hasAsked(evidence, at(1'001)));
+    CHECK_FALSE(hasAsked(evidence, at(1)));
+}
+
 TEST(leadership_evidence, replicaOfLaterTermProvesNothing)
 {
     addReport(evidence, "m2", { at(10), { 2, 6 } });
@@ -121,6 +132,15 @@
     CHECK(answers[0].code == reply_code::Success);
 }
 
+// Guards against an answer that nobody asked for, such as a forged one.
+TEST(unproven_leader, unaskedReportIsIgnored)
+{
+    const session_id id = fixture.readAtPrimary({ 1, 7 });
+    fixture.now += milliseconds(1);
+    fixture.reportReplica("m2", { 1, 6 });
+    CHECK(proxy_fixture::answersTo(id, fixture.takeActions()).empty());
+}
+
 // Guards against evidence from before the read: a commit of a later term may have been acknowledged
 // in between.
 TEST(unproven_leader, earlierEvidenceDoesNotCount)
