End a promotion attempt that learns of a newer term

Cause: an attempt took the answer of its old primary to STEPDOWN for a bound of the acknowledged commits, also if that member had long become a replica of a later leader, which this daemon had missed. The later leader went on acknowledging with it, and the promoted member lacked these commits. Fenced platforms are affected as well. Change: a report of a term above the one known at the attempt's start ends it, and the old primary is no longer the leader.

--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -69,6 +69,7 @@
     std::uint64_t token = 0; ///< fencing token from the store
     core::term_number fenceTerm = 0; ///< higher than every known term
     std::string oldPrimary;
+    core::term_number oldTerm = 0; ///< newest term known at the start; 0: none
     std::string chosen;
     std::map<std::string, member_status> reports; ///< received during fencing, by member
     std::set<std::string> fenced; ///< replicas that were ordered to pause replication
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -91,6 +91,7 @@
     attempt.cause = cause;
     attempt.startedAt = now;
     attempt.oldPrimary = service.leader;
+    attempt.oldTerm = service.term;
     attempt.earliestStartAt = now;
     logPromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
     const bool primaryServes =
@@ -192,6 +193,14 @@
     return basedOnSilence && beforeOrder;
 }
 
+/// @return whether a status shows that another member was promoted since the old primary led. Then
+/// neither the old primary's log nor the replicas' bounds the acknowledged commits.
+bool isOutdated(const promotion_state &attempt, const member_status &status)
+{
+    return attempt.phase == promotion_phase::Fencing && attempt.oldTerm != 0
+           && status.term > attempt.oldTerm;
+}
+
 /// @return whether a status bounds the commits that the members can have acknowledged: the member
 /// is paused for this attempt, or its log can only grow from now on
 bool countsAsReport(const promotion_state &attempt, const std::string &member,
@@ -469,6 +478,12 @@
         abortAttempt(state, *service, "primary_leads", now);
         return;
     }
+    if (isOutdated(attempt, status)) {
+        service->term = std::max(service->term, status.term);
+        abortAttempt(state, *service, "newer_term", now);
+        loseLeader(state, *service, attempt.oldPrimary, now);
+        return;
+    }
     if (countsAsReport(attempt, memberId, status))
         attempt.reports[memberId] = status;
     if (attempt.phase == promotion_phase::AwaitingLeader && status.leads
