Keep replicas paused after a promotion until they follow the newest term

Cause: an aborted attempt resumed its replicas at once. One of them had been paused by an earlier attempt and did not follow the promoted primary yet, so the old one got its commits acknowledged again. Change: where promotions are not fenced, every resumption waits for the newest known term, also after STEPDOWN and after an attempt that ended early; a replica that has restarted before it follows is paused again.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -141,10 +141,14 @@
 findPromotionCause(engine &state, service_state &service, core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
 /// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
-/// confirm, but only while no other daemon can have started an attempt.
-/// @param term see promotion_state::resumeTerm
-void scheduleResume(service_state &service, core::term_number term, core::time_point now);
+/// confirm, but only while no other daemon can have started an attempt. A replica that does not
+/// follow the newest known term stays paused if an old primary of its term may go on.
+void scheduleResume(const engine &state, service_state &service, core::time_point now);
 void stepResume(engine &state, service_state &service, core::time_point now);
+/// @brief Resumes a replica that follows promotion_state::resumeTerm; pauses one again that has
+/// restarted before it did, because a pause does not outlive a restart.
+void resumeOrPauseAgain(engine &state, const promotion_state &attempt, const std::string &replica,
+                        const member_status &status, core::time_point now);
 /// @brief Asks replicas whether they receive, so that none stays paused after a promotion attempt
 /// has ended.
 void checkReplicas(engine &state, core::time_point now);
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -124,7 +124,7 @@
     logPromotion(state, note_kind::PromotionEnded, service, reason, now);
     if (!attempt.orderSent) {
         attempt.chosen.clear();
-        scheduleResume(service, 0, now);
+        scheduleResume(state, service, now);
     }
     attempt.phase = promotion_phase::None;
     attempt.earliestStartAt = now + retryDelay + randomBelow(state, retryDelay);
@@ -176,9 +176,7 @@
     // The replicas resume, so their earlier reports no longer bound the acknowledged commits; only
     // the old primary's answer does.
     attempt.reports.clear();
-    for (const std::string &each : attempt.fenced)
-        sendControlCommand(state, each, command_kind::ResumeReceiving, 0, now);
-    // A resume order that gets lost is repeated at the end of the attempt.
+    scheduleResume(state, service, now);
     sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown, attempt.fenceTerm, now);
 }
 
@@ -273,13 +271,11 @@
     }
 }
 
-/// @param term term of the new primary
-void finishPromotion(engine &state, service_state &service, core::term_number term,
-                     core::time_point now)
+void finishPromotion(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
     logPromotion(state, note_kind::PromotionDone, service, "leads", now);
-    scheduleResume(service, state.settings.promotionsAreFenced ? 0 : term, now);
+    scheduleResume(state, service, now);
     attempt.phase = promotion_phase::None;
     attempt.nextProbeAt = core::noDeadline;
     attempt.phaseDeadline = core::noDeadline;
@@ -458,12 +454,13 @@
             && service->leader == memberId && sentAt > service->leaderProvenAt)
             loseLeader(state, *service, memberId, now);
     }
-    if (status.pausedTerm == 0) {
+    const bool awaitsTerm = attempt.resumeTerm != 0 && attempt.replicasToResume.contains(memberId);
+    if (awaitsTerm && !status.leads
+        && (status.pausedTerm != 0) == (status.term >= attempt.resumeTerm)) {
+        resumeOrPauseAgain(state, attempt, memberId, status, now);
+    } else if (status.pausedTerm == 0) {
         attempt.replicasToResume.erase(memberId);
         service->pausedSince.erase(memberId);
-    } else if (attempt.resumeTerm != 0 && attempt.replicasToResume.contains(memberId)) {
-        if (status.term >= attempt.resumeTerm)
-            sendControlCommand(state, memberId, command_kind::ResumeReceiving, 0, now);
     } else if (attempt.phase == promotion_phase::None
                && !attempt.replicasToResume.contains(memberId)) {
         service->pausedSince.try_emplace(memberId, now);
@@ -492,7 +489,7 @@
         if (!state.settings.promotionsAreFenced && attempt.oldPrimary != attempt.chosen
             && old != nullptr && old->listed)
             sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown, status.term, now);
-        finishPromotion(state, *service, status.term, now);
+        finishPromotion(state, *service, now);
         return;
     }
     if (attempt.phase == promotion_phase::Fencing)
--- a/src/proxy/engine_resume.cpp
+++ b/src/proxy/engine_resume.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-void scheduleResume(service_state &service, core::term_number term, core::time_point now)
+void scheduleResume(const engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
-    attempt.resumeTerm = term;
+    attempt.resumeTerm = state.settings.promotionsAreFenced ? 0 : service.term;
     attempt.replicasToResume = attempt.fenced;
     attempt.replicasToResume.erase(attempt.chosen);
     attempt.nextResumeAt = attempt.replicasToResume.empty() ? core::noDeadline : now;
@@ -37,4 +37,13 @@
         sendControlCommand(state, each, order, 0, now);
 }
 
+void resumeOrPauseAgain(engine &state, const promotion_state &attempt, const std::string &replica,
+                        const member_status &status, core::time_point now)
+{
+    if (status.term >= attempt.resumeTerm)
+        sendControlCommand(state, replica, command_kind::ResumeReceiving, 0, now);
+    else
+        sendControlCommand(state, replica, command_kind::PauseReceiving, attempt.fenceTerm, now);
+}
+
 } // namespace fuchsiagw::proxy
--- a/tests/unit-leadership-evidence.cpp
+++ b/tests/unit-leadership-evidence.cpp
@@ -300,3 +300,33 @@
     fixture.advanceTime(milliseconds(700));
     CHECK(proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).empty());
 }
+
+// Guards against a replica that restarts after a promotion, before it follows the new primary: it
+// receives again, and could acknowledge commits of the old primary, so it is paused again. Once it
+// follows, it is resumed.
+TEST(unproven_leader, restartedReplicaIsPausedAgain)
+{
+    promotion_state &attempt = fixture.state.services.at(proxy_fixture::service).promotion;
+    attempt.fenceTerm = 2;
+    attempt.resumeTerm = 2;
+    attempt.replicasToResume = { "m3" };
+    attempt.leaseUntil = fixture.now + milliseconds(2'000);
+    attempt.nextResumeAt = fixture.now;
+    const auto answerWith = [&](member_status status) {
+        fixture.advanceTime(milliseconds(160));
+        fixture.acceptLinks();
+        fixture.takeActions();
+        for (const auto &[id, link] : fixture.state.links) {
+            if (!link.control || link.member != "m3" || link.expected.empty())
+                continue;
+            reply answer = proxy_fixture::success(status.received);
+            answer.status = status;
+            fixture.answer(id, answer);
+            break;
+        }
+        const auto commands = proxy_fixture::commandsOf(fixture.takeActions());
+        return commands.empty() ? command_kind::Startup : commands.back().kind;
+    };
+    CHECK(answerWith({ false, 1, { 1, 5 }, 0 }) == command_kind::PauseReceiving);
+    CHECK(answerWith({ false, 2, { 2, 6 }, 2 }) == command_kind::ResumeReceiving);
+}
