Resume paused replicas without a promotion where promotions are not fenced

Cause: a daemon that finds a replica paused for 3.5 s promotes the present primary, so that the new token invalidates earlier orders. Without fencing it invalidates nothing, and the member that the daemon takes for the present primary may have been replaced: it would be promoted with its old log. Change: there the paused replicas are resumed, without an order, only when every other member has reported, after the time in which an earlier order can take effect, that it leads no term and follows the known one.

--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -366,8 +366,7 @@
         return;
     }
     attempt.token = token;
-    // Reports sent before fencing are discarded: a member that was still receiving may since have
-    // received more than it reported.
+    // A member that was still receiving may since have received more than it reported.
     attempt.reports.clear();
     if (now >= attempt.leaseUntil) {
         abortAttempt(state, *service, "token_came_late", now);
@@ -375,13 +374,16 @@
     }
     attempt.fenceTerm = service->term + 1;
     if (attempt.cause == promotion_cause::ReplicaPaused) {
-        // Promoting the present primary changes nothing, but the new fencing token invalidates all
-        // earlier orders, so that the replicas can safely be resumed.
+        // Promoting the present primary changes nothing, but invalidates all earlier orders.
         attempt.chosen = attempt.oldPrimary;
         for (const auto &[id, since] : service->pausedSince)
             attempt.fenced.insert(id);
         service->pausedSince.clear();
-        orderPromotion(state, *service, now);
+        // Without fencing the order would invalidate nothing, and promote a replaced primary.
+        if (state.settings.promotionsAreFenced)
+            orderPromotion(state, *service, now);
+        else
+            abortAttempt(state, *service, "replicas_resumed", now);
         return;
     }
     enterPhase(attempt, promotion_phase::Fencing,
@@ -468,8 +470,7 @@
     }
     if (attempt.phase == promotion_phase::None)
         return;
-    // A member rejects a pause under a term that is not higher than its own; the order is repeated
-    // with a higher term.
+    // A member rejects a pause under a term that is not higher than its own.
     attempt.fenceTerm = std::max(attempt.fenceTerm, status.term + 1);
     if (status.leads && assumesNoLeader(attempt)) {
         abortAttempt(state, *service, "primary_leads", now);
--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -16,6 +16,19 @@
 /// Longer than a promotion attempt of another daemon takes.
 constexpr milliseconds pausedReplicaTimeout{ 3'500 };
 
+/// @return whether every other member has reported, when asked at @p since or later, that it leads
+/// no term and has received nothing newer than the leader's term
+bool othersFollow(const engine &state, const service_state &service, core::time_point since)
+{
+    return std::all_of(service.members.begin(), service.members.end(), [&](const auto &id) {
+        if (id == service.leader || !state.members.at(id).listed)
+            return true;
+        const auto report = service.evidence.reports.find(id);
+        return report != service.evidence.reports.end() && report->second.askedAt >= since
+               && report->second.received.term <= service.term;
+    });
+}
+
 } // namespace
 
 promotion_choice chooseNewPrimary(const promotion_state &state,
@@ -111,7 +124,8 @@
     if (leader->entry.draining)
         return promotion_cause::PrimaryDraining;
     for (const auto &[id, since] : service.pausedSince) {
-        if (now - since >= pausedReplicaTimeout)
+        const core::time_point due = since + pausedReplicaTimeout;
+        if (now >= due && (state.settings.promotionsAreFenced || othersFollow(state, service, due)))
             return promotion_cause::ReplicaPaused;
     }
     return std::nullopt;
