--- a/include/fuchsiagw/daemon/read_pacing.hpp
+++ b/include/fuchsiagw/daemon/read_pacing.hpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief How often a daemon reads news of the platform's store, by the size of the deployment.
 ///
-/// Every change wakes the feed of every daemon. With a fixed pause between two reads, the calls of a
-/// deployment grow with its size; with a pause that grows with it, they don't. Urgent news, such as
-/// a new leader or a newer manifest, also spreads between the daemons.
+/// Every change wakes the feed of every daemon. With a fixed pause between two reads, the calls of
+/// a deployment grow with its size; with a pause that grows with it, they don't. Urgent news, such
+/// as a new leader or a newer manifest, also spreads between the daemons.
 
 #pragma once
 
