Count only repeated questions for evidence as unanswered

Cause: every new question counted as an unanswered one, so five current reads at one daemon within a round trip made it ask the replicas by direct connections, of which a member has few. Seen on reading the change, not in a run. Change: the count grows only when a question is repeated for want of an answer. Result: unit-leadership-evidence: burstOfReadsAsksTheRelay and 17 more pass.

--- a/include/fuchsiagw/proxy/leadership_evidence.hpp
+++ b/include/fuchsiagw/proxy/leadership_evidence.hpp
@@ -34,7 +34,7 @@
     core::time_point askedAt{}; ///< when the replicas were last asked
     std::deque<core::time_point> questions; ///< times of the latest questions, oldest first
     core::time_point nextAskAt = core::noDeadline; ///< next question while requests wait for it
-    std::size_t unansweredAsks = 0; ///< consecutive; selects other replicas and relays
+    std::size_t repeatedAsks = 0; ///< since the latest answer; selects other replicas and relays
 };
 
 /// @brief Records that the replicas are asked now.
--- a/src/proxy/engine_evidence.cpp
+++ b/src/proxy/engine_evidence.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds evidenceTimeout{ 300 };
 constexpr milliseconds challengeInterval{ 200 };
 constexpr milliseconds contradictedRetryDelay{ 25 };
-/// After this many unanswered questions this daemon asks the replicas itself.
+/// After this many repeated questions this daemon asks the replicas itself.
 constexpr std::size_t maxRelayedAsks = 4;
 /// Limit of daemons that wait for the same replica's status; further ones ask again later.
 constexpr std::size_t maxEvidenceRequests = 512;
@@ -83,7 +83,7 @@
                     core::time_point now)
 {
     leadership_evidence &evidence = service.evidence;
-    const std::size_t attempt = evidence.unansweredAsks++;
+    const std::size_t attempt = evidence.repeatedAsks;
     addQuestion(evidence, now);
     evidence.nextAskAt = now + askRepeatInterval;
     const std::set<std::string> replicas = otherMembers(state, service, leader);
@@ -309,7 +309,7 @@
     if (state.settings.promotionsAreFenced)
         return;
     addReport(service.evidence, replica, report);
-    service.evidence.unansweredAsks = 0;
+    service.evidence.repeatedAsks = 0;
     stepHeldOf(state, service, now);
 }
 
@@ -332,8 +332,10 @@
         if (service.awaitingEvidence.empty())
             continue;
         stepHeldOf(state, service, now);
-        if (now >= service.evidence.nextAskAt && lacksReports(state, service))
-            askForEvidence(state, service, service.leader, now);
+        if (now < service.evidence.nextAskAt || !lacksReports(state, service))
+            continue;
+        ++service.evidence.repeatedAsks;
+        askForEvidence(state, service, service.leader, now);
     }
 }
 
--- a/tests/unit-leadership-evidence.cpp
+++ b/tests/unit-leadership-evidence.cpp
@@ -330,3 +330,34 @@
     CHECK(answerWith({ false, 1, { 1, 5 }, 0 }) == command_kind::PauseReceiving);
     CHECK(answerWith({ false, 2, { 2, 6 }, 2 }) == command_kind::ResumeReceiving);
 }
+
+// The pattern: a burst of current reads at one daemon, within one round trip. The questions must go
+// to the replica's relay, and not as direct connections, of which a member has few.
+TEST(unproven_leader, burstOfReadsAsksTheRelay)
+{
+    peer_state relay;
+    relay.node = "node-2";
+    relay.zone = "north";
+    std::vector<peer_state> peers;
+    for (int i = 2; i <= 30; ++i) {
+        relay.node = "node-" + std::to_string(i);
+        peers.push_back(relay);
+    }
+    onInstances(fixture.state, peers, fixture.now);
+    fixture.takeActions();
+    for (int i = 0; i < 20; ++i) {
+        fixture.sendRead(fixture.openSession("current"));
+        fixture.acceptLinks();
+        fixture.now += milliseconds(1);
+    }
+    const auto actions = fixture.takeActions();
+    const auto commands = proxy_fixture::commandsOf(actions);
+    CHECK(std::none_of(commands.begin(), commands.end(),
+                       [](const auto &each) { return each.kind == command_kind::Status; }));
+    const auto datagrams = proxy_fixture::actionsOf<send_to_peer>(actions);
+    CHECK(std::count_if(datagrams.begin(), datagrams.end(),
+                        [](const auto &each) {
+                            return each.message.kind == peer_message_kind::EvidenceRequest;
+                        })
+          >= 8);
+}
