--- a/src/proxy/engine_evidence.cpp
+++ b/src/proxy/engine_evidence.cpp
@@ -138,7 +138,6 @@
 {
     const held_result held = std::move(*caller.current->held);
     caller.current->held.reset();
-    upstream_link *link = findLink(state, held.link);
     const session_id id = caller.id;
     if (held.position)
         learnLeader(state, service, held.member, held.position->term, held.position,
@@ -151,8 +150,7 @@
         finishRequest(state, *recipient, *held.answer, now);
         return;
     }
-    link = findLink(state, held.link);
-    if (link != nullptr) {
+    if (upstream_link *link = findLink(state, held.link)) {
         sendFirstStatement(state, *link, *recipient, now);
         return;
     }
