--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -402,6 +402,28 @@
         continueCaller(daemon, each.session, each.answer);
     }
 
+    /// Splits the network: a member, and the daemons that are not named, on one side; the other
+    /// members, the named daemons and the store on the other side.
+    void isolate(const std::string &member, const std::vector<std::string> &reachable,
+                 milliseconds duration)
+    {
+        std::vector<std::string> here{ member };
+        std::vector<std::string> there{ "store" };
+        for (const auto &[name, unused] : daemons) {
+            const bool isNamed =
+                    std::find(reachable.begin(), reachable.end(), name) != reachable.end();
+            (isNamed ? there : here).push_back(name);
+        }
+        for (const auto &[name, unused] : members) {
+            if (name != member)
+                there.push_back(name);
+        }
+        for (const std::string &one : here) {
+            for (const std::string &other : there)
+                cut(one, other, duration);
+        }
+    }
+
     // --- callers ---
 
     void startCaller(const std::string &daemon)
