Keep the handling of paused replicas in one place; share the allocation recorder

Cause: re-reading the change. Change: trackPause() in engine_resume holds all of it in four named cases; the comments are back as they were; tests/allocation-recorder.hpp serves unit-fuzz and unit-session-datagram. No behaviour is meant to change.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -145,10 +145,11 @@
 /// follow the newest known term stays paused if an old primary of its term may go on.
 void scheduleResume(const engine &state, service_state &service, core::time_point now);
 void stepResume(engine &state, service_state &service, core::time_point now);
-/// @brief Resumes a replica that follows promotion_state::resumeTerm; pauses one again that has
-/// restarted before it did, because a pause does not outlive a restart.
-void resumeOrPauseAgain(engine &state, const promotion_state &attempt, const std::string &replica,
-                        const member_status &status, core::time_point now);
+/// @brief Handles what a member reports of its pause: resumes a replica that follows
+/// promotion_state::resumeTerm, pauses one again that has restarted before it did, because a pause
+/// does not outlive a restart, and records replicas that nobody is about to resume.
+void trackPause(engine &state, service_state &service, const std::string &replica,
+                const member_status &status, core::time_point now);
 /// @brief Asks replicas whether they receive, so that none stays paused after a promotion attempt
 /// has ended.
 void checkReplicas(engine &state, core::time_point now);
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -366,7 +366,8 @@
         return;
     }
     attempt.token = token;
-    // A member that was still receiving may since have received more than it reported.
+    // Reports sent before fencing are discarded: a member that was still receiving may since have
+    // received more than it reported.
     attempt.reports.clear();
     if (now >= attempt.leaseUntil) {
         abortAttempt(state, *service, "token_came_late", now);
@@ -374,7 +375,8 @@
     }
     attempt.fenceTerm = service->term + 1;
     if (attempt.cause == promotion_cause::ReplicaPaused) {
-        // Promoting the present primary changes nothing, but invalidates all earlier orders.
+        // Promoting the present primary changes nothing, but the new fencing token invalidates all
+        // earlier orders, so that the replicas can safely be resumed.
         attempt.chosen = attempt.oldPrimary;
         for (const auto &[id, since] : service->pausedSince)
             attempt.fenced.insert(id);
@@ -456,21 +458,11 @@
             && service->leader == memberId && sentAt > service->leaderProvenAt)
             loseLeader(state, *service, memberId, now);
     }
-    const bool awaitsTerm = attempt.resumeTerm != 0 && attempt.replicasToResume.contains(memberId);
-    if (awaitsTerm && !status.leads
-        && (status.pausedTerm != 0) == (status.term >= attempt.resumeTerm)) {
-        resumeOrPauseAgain(state, attempt, memberId, status, now);
-    } else if (status.pausedTerm == 0) {
-        attempt.replicasToResume.erase(memberId);
-        service->pausedSince.erase(memberId);
-    } else if (attempt.phase == promotion_phase::None
-               && !attempt.replicasToResume.contains(memberId)) {
-        service->pausedSince.try_emplace(memberId, now);
-        scheduleReplicaCheck(*service, now);
-    }
+    trackPause(state, *service, memberId, status, now);
     if (attempt.phase == promotion_phase::None)
         return;
-    // A member rejects a pause under a term that is not higher than its own.
+    // A member rejects a pause under a term that is not higher than its own; the order is repeated
+    // with a higher term.
     attempt.fenceTerm = std::max(attempt.fenceTerm, status.term + 1);
     if (status.leads && assumesNoLeader(attempt)) {
         abortAttempt(state, *service, "primary_leads", now);
--- a/src/proxy/engine_resume.cpp
+++ b/src/proxy/engine_resume.cpp
@@ -37,13 +37,25 @@
         sendControlCommand(state, each, order, 0, now);
 }
 
-void resumeOrPauseAgain(engine &state, const promotion_state &attempt, const std::string &replica,
-                        const member_status &status, core::time_point now)
+void trackPause(engine &state, service_state &service, const std::string &replica,
+                const member_status &status, core::time_point now)
 {
-    if (status.term >= attempt.resumeTerm)
+    promotion_state &attempt = service.promotion;
+    const bool isToResume = attempt.replicasToResume.contains(replica);
+    const bool waitsForTerm = isToResume && attempt.resumeTerm != 0 && !status.leads;
+    const bool follows = status.term >= attempt.resumeTerm;
+    const bool isPaused = status.pausedTerm != 0;
+    if (waitsForTerm && isPaused && follows) {
         sendControlCommand(state, replica, command_kind::ResumeReceiving, 0, now);
-    else
+    } else if (waitsForTerm && !isPaused && !follows) {
         sendControlCommand(state, replica, command_kind::PauseReceiving, attempt.fenceTerm, now);
+    } else if (!isPaused) {
+        attempt.replicasToResume.erase(replica);
+        service.pausedSince.erase(replica);
+    } else if (attempt.phase == promotion_phase::None && !isToResume) {
+        service.pausedSince.try_emplace(replica, now);
+        scheduleReplicaCheck(service, now);
+    }
 }
 
 } // namespace fuchsiagw::proxy
--- a/tests/unit-fuzz.cpp
+++ b/tests/unit-fuzz.cpp
@@ -4,6 +4,8 @@
 /// Seeds are fixed and counts are bounded. Every input must give a value within its bounds or an
 /// error, and must not make the parser allocate much more than the input's size.
 
+#include "allocation-recorder.hpp"
+
 #include <fuchsiagw/daemon/log_event.hpp>
 #include <fuchsiagw/daemon/peer_body.hpp>
 #include <fuchsiagw/net/tcp_link.hpp>
@@ -30,15 +32,6 @@
 
 constexpr int mutationCount = 20'000;
 
-thread_local std::size_t largestAllocation = 0;
-
-/// Records the largest allocation; CppUTest's operator new calls it.
-void *recordingMalloc(std::size_t size)
-{
-    largestAllocation = std::max(largestAllocation, size);
-    return std::malloc(size);
-}
-
 /// Changes bytes of a random sample, truncates it, repeats pieces of it, or inserts other pieces.
 std::string mutate(const std::vector<std::string> &samples, std::mt19937_64 &random)
 {
--- a/tests/unit-session-datagram.cpp
+++ b/tests/unit-session-datagram.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// @brief Tests of the datagrams between daemons, with valid, changed and hostile bytes.
 
+#include "allocation-recorder.hpp"
+
 #include <fuchsiagw/daemon/session_datagram.hpp>
 
 #include <CppUTest/PlatformSpecificFunctions_c.h>
@@ -8,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <limits>
 #include <random>
 
@@ -20,14 +21,6 @@
 
 constexpr int changedInputs = 200'000;
 
-thread_local std::size_t largestAllocation = 0;
-
-void *recordingMalloc(std::size_t size)
-{
-    largestAllocation = std::max(largestAllocation, size);
-    return std::malloc(size);
-}
-
 peer_message fullMessage()
 {
     peer_message message;
