Review: show statements cut by a planned stop

Cause: a transaction is ended in the middle of the grace period only if it rests when the timer looks. One whose caller sends the next statement at once goes on until the process ends and cuts it.

--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -428,27 +428,34 @@
     }
 }
 
+void world::addRoute(const std::string &name, const std::string &type, int timeout, int target,
+                     int staleness)
+{
+    json route = { { "name", "r-" + name },   { "database", name },
+                   { "prefix", "/" },         { "type", type },
+                   { "timeout-ms", timeout }, { "target-latency-ms", target },
+                   { "priority", 1 },         { "service", database.options.service },
+                   { "max-attempts", 2 },     { "allow-anonymous", false } };
+    if (staleness > 0)
+        route["max-staleness-ms"] = staleness;
+    routes.push_back(std::move(route));
+}
+
 void world::writeManifest(std::uint64_t newVersion)
 {
+    const auto tenant = [](const char *name, const char *key) -> json {
+        return { { "name", name },
+                 { "api-keys", json::array({ key }) },
+                 { "priority", 1 },
+                 { "rate-per-s", 5'000 },
+                 { "burst-size", 5'000 } };
+    };
     if (manifest.is_null()) {
-        const auto route = [this](const char *name, const char *database, const char *type,
-                                  int timeout, int target, int staleness) {
-            json result = {
-                { "name", name },          { "database", database },
-                { "prefix", "/" },         { "type", type },
-                { "timeout-ms", timeout }, { "target-latency-ms", target },
-                { "priority", 1 },         { "service", this->database.options.service },
-                { "max-attempts", 2 },     { "allow-anonymous", false }
-            };
-            if (staleness > 0)
-                result["max-staleness-ms"] = staleness;
-            return result;
-        };
+        addRoute("current", "primary", 800, 120, 0);
+        addRoute("bounded", "bounded_staleness", 1'200, 300, 1'500);
+        addRoute("own", "read_your_writes", 800, 250, 2'500);
         manifest = {
-            { "routes",
-              { route("r-1", "current", "primary", 800, 120, 0),
-                route("r-2", "bounded", "bounded_staleness", 1'200, 300, 1'500),
-                route("r-3", "own", "read_your_writes", 800, 250, 2'500) } },
+            { "routes", routes },
             { "services", json::array({ { { "name", database.options.service },
                                           { "health-check-path", "/health" },
                                           { "max-connections", database.options.maxConnections },
@@ -457,20 +464,12 @@
                                           { "sync-replicas", 1 } } }) },
             { "limits", { { "idle-timeout-ms", 15'000 }, { "tx-idle-ms", 3'000 } } },
             { "tenants",
-              { { { "name", "nypu920" },
-                  { "api-keys", { "key-one" } },
-                  { "priority", 1 },
-                  { "rate-per-s", 5'000 },
-                  { "burst-size", 5'000 } },
-                { { "name", "kara114" },
-                  { "api-keys", { "key-two" } },
-                  { "priority", 1 },
-                  { "rate-per-s", 5'000 },
-                  { "burst-size", 5'000 } } } },
+              json::array({ tenant("nypu920", "key-one"), tenant("kara114", "key-two") }) },
         };
     }
     manifest["version"] = newVersion;
     put("op", "config", manifest.dump());
+    manifestAt = now();
     record("operator", "manifest " + std::to_string(newVersion) + " is acknowledged");
 }
 
@@ -869,7 +868,8 @@
             --self.waiting;
         }
         ++self.running;
-        co_await sleep(self.work);
+        const milliseconds work = workOf ? workOf(client.tenant, text) : self.work;
+        co_await sleep(work);
         if (isDead())
             co_return;
         --self.running;
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -186,14 +186,19 @@
     std::vector<acknowledged> acks;
     std::map<std::string, double> sentAt; ///< by id: when a caller sent the statement
     json manifest;
+    json routes = json::array();
     std::uint16_t storePort = 0;
     std::uint16_t cloudPort = 0;
     std::uint16_t callerPort = 0;
+    double manifestAt = 0; ///< when the newest manifest was acknowledged
     int exitCode = couldNotRun;
     /// Called for each promotion order, before it is carried out. False: the order gets no answer;
     /// the hook then decides whether it is carried out later.
     std::function<bool(const std::string &id, const std::string &holder, std::uint64_t token)>
             onPromotionOrder;
+    /// Work of one statement; not set: member::work.
+    std::function<std::chrono::milliseconds(const std::string &tenant, const std::string &text)>
+            workOf;
     /// Called when a member accepts BEGIN.
     std::function<void(member &, const std::string &tenant)> onBegin;
 
@@ -210,6 +215,9 @@
     /// @brief Builds the manifest of a small installation: three routes to the group, and one
     /// tenant.
     void writeManifest(std::uint64_t newVersion);
+    /// @brief Adds a route to the manifest; only before the first writeManifest().
+    void addRoute(const std::string &database, const std::string &type, int timeout, int target,
+                  int staleness);
     void put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
 
