Review: show the loss of commits after a replica restarts in a promotion

A pause ends with the restart of the replica; after the order nobody looks at it again, and the old primary gets commits acknowledged that the chosen member lacks.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,35 +1,23 @@
 /// @file
-/// @brief STALE: a caller that leaves while the answer to its BEGIN is delayed makes an old log
-/// position look new.
+/// @brief LOST: a replica that restarts between its report and the promotion receives again.
 
 #include "../standin/world.hpp"
 
-#include <csignal>
-
 using namespace review;
 
 namespace {
 
-constexpr std::size_t entry = 0; ///< daemon of the callers whose reads are checked
-constexpr std::size_t relay =
-        1; ///< daemon in the primary's zone, which keeps the connections to it
-constexpr milliseconds replicaLag{ 2'000 };
-constexpr milliseconds leavesAfter{ 1'100 };
-constexpr milliseconds freeze{ 1'150 };
-constexpr double maxStaleness = 1.5; // seconds, of the route
-constexpr int rounds = 3;
-constexpr int writers = 8;
-constexpr int readers = 4;
+constexpr std::size_t primary = 0;
+constexpr milliseconds replicaCrashesAfter{ 100 }; ///< after the order
+constexpr milliseconds primaryIsBackAfter{ 400 };
+constexpr milliseconds replicaIsBackAfter{ 500 };
 
 bool isStopped = false;
-bool isReading = false;
 
-/// One of many callers that write now and then, so that few of them wait at the moment of the
-/// freeze.
+/// Writes one value after the other through one daemon, and opens a new session after each failure.
 task<> writeOn(world &owner, std::size_t daemon, int number)
 {
-    co_await owner.sleep(milliseconds(75 * number));
-    const std::string name = "writer-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
+    const std::string name = "caller-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
     session caller(owner, name);
     bool isOpen = false;
     for (int i = 0; !isStopped; ++i) {
@@ -40,91 +28,18 @@
             const reply answer = co_await caller.query(text, milliseconds(1'000));
             isOpen = answer.isSuccess();
         }
-        co_await owner.sleep(milliseconds(600));
+        co_await owner.sleep(milliseconds(30));
     }
 }
 
-task<> readOn(world &owner, int number)
+/// Restarts the replica that was not chosen, and ends the primary's darkness, while the promotion
+/// is under way.
+void disturbPromotion(world &owner, const std::string &chosen)
 {
-    const std::string name = "reader-" + std::to_string(number);
-    session caller(owner, name);
-    bool isOpen = false;
-    while (!isStopped) {
-        if (!isOpen)
-            isOpen = co_await caller.open(entry, "bounded", "key-one");
-        if (isOpen && isReading) {
-            const std::string text = "READ writer-3-1";
-            const reply answer = co_await caller.query(text, milliseconds(1'500));
-            isOpen = answer.isSuccess();
-        }
-        co_await owner.sleep(milliseconds(25));
-    }
-}
-
-/// Opens a transaction; the relay freezes when the primary has accepted its BEGIN, and the caller
-/// leaves before it wakes.
-task<> playRound(world &owner)
-{
-    session caller(owner, "leaver");
-    if (owner.trouble) {
-        for (std::size_t replica = 1; replica <= 2; ++replica)
-            owner.at(replica).lag = replicaLag;
-        owner.record("replicas", "apply 2 s late");
-        co_await owner.sleep(milliseconds(1'000));
-        owner.onBegin = [&owner, done = false](member &, const std::string &tenant) mutable {
-            if (tenant != "kara114" || std::exchange(done, true))
-                return;
-            owner.signalDaemon(relay, SIGSTOP);
-            owner.runAfter(freeze, [&owner] { owner.signalDaemon(relay, SIGCONT); });
-        };
-    }
-    if (!co_await caller.open(entry, "bounded", "key-two"))
-        co_return;
-    const std::string begin = "BEGIN";
-    co_await caller.query(begin);
-    const std::string text = "READ writer-3-1";
-    co_await caller.query(text, leavesAfter);
-    caller.close();
-    owner.record("leaver", "has closed its connection");
-    co_await owner.sleep(milliseconds(80));
-    isReading = true;
-    co_await owner.sleep(milliseconds(1'500));
-    isReading = false;
-    owner.onBegin = nullptr;
-    for (std::size_t replica = 1; replica <= 2; ++replica)
-        owner.at(replica).lag = milliseconds(60);
-    owner.record("replicas", "apply 60 ms late");
-    co_await owner.sleep(milliseconds(4'000));
-}
-
-/// Counts the reads that ran on a log without a commit that was acknowledged more than maxStaleness
-/// before they were sent.
-int countStaleReads(world &owner)
-{
-    std::map<std::string, std::size_t> indexes; // by id of a commit
-    for (const log_entry &each : owner.at(owner.database.primary).log)
-        indexes[each.id] = each.at.index;
-    int stale = 0;
-    for (const executed &run : owner.runs) {
-        if (!run.text.starts_with("READ"))
-            continue;
-        const double sent = owner.sentAt.at(run.id);
-        for (const acknowledged &commit : owner.acks) {
-            if (commit.at >= sent - maxStaleness || !indexes.contains(commit.id)
-                || indexes[commit.id] <= run.applied)
-                continue;
-            ++stale;
-            char text[200];
-            std::snprintf(text, sizeof text,
-                          "%s, sent at %.3f, ran at %s on %zu entries without commit %s (entry "
-                          "%zu), acknowledged %.3f s before",
-                          run.id.c_str(), sent, run.member.c_str(), run.applied, commit.id.c_str(),
-                          indexes[commit.id], sent - commit.at);
-            owner.record("check", text);
-            break;
-        }
-    }
-    return stale;
+    const std::size_t other = owner.at(1).id == chosen ? 2 : 1;
+    owner.runAfter(replicaCrashesAfter, [&owner, other] { owner.crash(other); });
+    owner.runAfter(replicaIsBackAfter, [&owner, other] { owner.restart(other); });
+    owner.runAfter(primaryIsBackAfter, [&owner] { owner.restart(primary); });
 }
 
 task<> scenario(world &owner)
@@ -133,18 +48,32 @@
     owner.startDaemons({ "alajuela", "heredia", "cartago" });
     if (!co_await owner.waitUntilReady(30))
         co_return;
-    for (int number = 1; number <= writers; ++number)
-        owner.spawn(writeOn(owner, 2, number));
-    for (int number = 1; number <= readers; ++number)
-        owner.spawn(readOn(owner, number));
+    for (std::size_t daemon = 0; daemon < owner.daemons.size(); ++daemon) {
+        for (int number = 1; number <= 2; ++number)
+            owner.spawn(writeOn(owner, daemon, number));
+    }
     co_await owner.sleep(milliseconds(5'000));
-    for (int i = 0; i < rounds; ++i)
-        co_await playRound(owner);
+    if (owner.trouble) {
+        bool isDisturbed = false;
+        owner.onPromotionOrder = [&](const std::string &chosen, const std::string &,
+                                     std::uint64_t) {
+            if (!std::exchange(isDisturbed, true))
+                disturbPromotion(owner, chosen);
+            return true;
+        };
+        owner.crash(primary);
+        co_await owner.sleep(milliseconds(6'000));
+        if (!isDisturbed)
+            co_return; // no promotion was ordered
+    }
+    co_await owner.sleep(milliseconds(4'000));
     isStopped = true;
-    co_await owner.sleep(milliseconds(2'000));
-    const int stale = countStaleReads(owner);
-    owner.record("check", std::to_string(stale) + " reads ran on a log that was too old");
-    owner.exitCode = stale == 0 ? ruleHeld : ruleBroken;
+    co_await owner.sleep(milliseconds(1'500));
+    owner.onPromotionOrder = nullptr;
+    owner.record("check", std::to_string(owner.acks.size()) + " commits were acknowledged, "
+                                  + std::to_string(owner.database.lost.size())
+                                  + " of them were not in the log of the member that was promoted");
+    owner.exitCode = owner.database.lost.empty() ? ruleHeld : ruleBroken;
 }
 
 } // namespace
@@ -152,5 +81,5 @@
 int main(int argc, char **argv)
 {
     return runCase(
-            argc, argv, { "heredia", "alajuela", "cartago" }, {}, [](world &) {}, scenario, 90);
+            argc, argv, { "alajuela", "heredia", "cartago" }, {}, [](world &) {}, scenario, 90);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,65 +1,150 @@
 /// @file
-/// @brief UNASKED: a line feed inside the last field of a statement ends the statement, and what
-/// follows is run.
+/// @brief STALE: a caller that leaves while the answer to its BEGIN is delayed makes an old log
+/// position look new.
 
 #include "../standin/world.hpp"
 
+#include <csignal>
+
 using namespace review;
 
 namespace {
 
-int broken = 0;
+constexpr std::size_t entry = 0; ///< daemon of the callers whose reads are checked
+constexpr std::size_t relay =
+        1; ///< daemon in the primary's zone, which keeps the connections to it
+constexpr milliseconds replicaLag{ 2'000 };
+constexpr milliseconds leavesAfter{ 1'100 };
+constexpr milliseconds freeze{ 1'150 };
+constexpr double maxStaleness = 1.5; // seconds, of the route
+constexpr int rounds = 3;
+constexpr int writers = 8;
+constexpr int readers = 4;
+
+bool isStopped = false;
+bool isReading = false;
 
-void report(world &owner, const std::string &text)
+/// One of many callers that write now and then, so that few of them wait at the moment of the
+/// freeze.
+task<> writeOn(world &owner, std::size_t daemon, int number)
 {
-    ++broken;
-    owner.record("check", text);
+    co_await owner.sleep(milliseconds(75 * number));
+    const std::string name = "writer-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
+    session caller(owner, name);
+    bool isOpen = false;
+    for (int i = 0; !isStopped; ++i) {
+        if (!isOpen)
+            isOpen = co_await caller.open(daemon, "current", "key-one");
+        if (isOpen) {
+            const std::string text = "WRITE " + name + " v" + std::to_string(i);
+            const reply answer = co_await caller.query(text, milliseconds(1'000));
+            isOpen = answer.isSuccess();
+        }
+        co_await owner.sleep(milliseconds(600));
+    }
 }
 
-task<> scenario(world &owner)
+task<> readOn(world &owner, int number)
 {
-    owner.writeManifest(1);
-    owner.startDaemons({ "alajuela", "heredia", "cartago" });
-    if (!co_await owner.waitUntilReady(30))
-        co_return;
-    const char *separator = owner.trouble ? "\n" : " ";
-
-    // A note of two lines: data is the last field, which extends to the end of the line, and CR LF
-    // ends a line.
-    session clerk(owner, "clerk");
-    if (!co_await clerk.open(0, "current", "key-one"))
-        co_return;
-    const std::string note =
-            std::string("WRITE note-17 net torn at the edge") + separator + "refund the deposit";
-    const reply noted = co_await clerk.query(note);
-    const std::string noteId = clerk.lastId;
-    clerk.close();
+    const std::string name = "reader-" + std::to_string(number);
+    session caller(owner, name);
+    bool isOpen = false;
+    while (!isStopped) {
+        if (!isOpen)
+            isOpen = co_await caller.open(entry, "bounded", "key-one");
+        if (isOpen && isReading) {
+            const std::string text = "READ writer-3-1";
+            const reply answer = co_await caller.query(text, milliseconds(1'500));
+            isOpen = answer.isSuccess();
+        }
+        co_await owner.sleep(milliseconds(25));
+    }
+}
 
-    // The same with a second line that looks like a statement.
-    session guest(owner, "guest");
-    if (!co_await guest.open(1, "current", "key-two"))
+/// Opens a transaction; the relay freezes when the primary has accepted its BEGIN, and the caller
+/// leaves before it wakes.
+task<> playRound(world &owner)
+{
+    session caller(owner, "leaver");
+    if (owner.trouble) {
+        for (std::size_t replica = 1; replica <= 2; ++replica)
+            owner.at(replica).lag = replicaLag;
+        owner.record("replicas", "apply 2 s late");
+        co_await owner.sleep(milliseconds(1'000));
+        owner.onBegin = [&owner, done = false](member &, const std::string &tenant) mutable {
+            if (tenant != "kara114" || std::exchange(done, true))
+                return;
+            owner.signalDaemon(relay, SIGSTOP);
+            owner.runAfter(freeze, [&owner] { owner.signalDaemon(relay, SIGCONT); });
+        };
+    }
+    if (!co_await caller.open(entry, "bounded", "key-two"))
         co_return;
-    const std::string smuggledId = "5c0e7a21d94b36f8";
-    const std::string text = std::string("WRITE note-18 returned") + separator + "QUERY "
-                             + smuggledId + " WRITE deposit-18 paid";
-    co_await guest.query(text);
-    const std::string guestId = guest.lastId;
-    co_await owner.sleep(milliseconds(500));
-    guest.close();
+    const std::string begin = "BEGIN";
+    co_await caller.query(begin);
+    const std::string text = "READ writer-3-1";
+    co_await caller.query(text, leavesAfter);
+    caller.close();
+    owner.record("leaver", "has closed its connection");
+    co_await owner.sleep(milliseconds(80));
+    isReading = true;
+    co_await owner.sleep(milliseconds(1'500));
+    isReading = false;
+    owner.onBegin = nullptr;
+    for (std::size_t replica = 1; replica <= 2; ++replica)
+        owner.at(replica).lag = milliseconds(60);
+    owner.record("replicas", "apply 60 ms late");
+    co_await owner.sleep(milliseconds(4'000));
+}
 
-    std::map<std::string, std::string> sent = { { noteId, note }, { guestId, text } };
+/// Counts the reads that ran on a log without a commit that was acknowledged more than maxStaleness
+/// before they were sent.
+int countStaleReads(world &owner)
+{
+    std::map<std::string, std::size_t> indexes; // by id of a commit
+    for (const log_entry &each : owner.at(owner.database.primary).log)
+        indexes[each.id] = each.at.index;
+    int stale = 0;
     for (const executed &run : owner.runs) {
-        if (!owner.sentAt.contains(run.id))
-            report(owner,
-                   "a member ran " + run.id + " '" + run.text + "', an id that no caller sent");
-        else if (sent.contains(run.id) && sent[run.id] != run.text)
-            report(owner, "a member ran " + run.id + " with changed text: '" + run.text + "'"
-                                  + (run.id == noteId && noted.isSuccess()
-                                             ? ", and its caller was told that it succeeded"
-                                             : ""));
+        if (!run.text.starts_with("READ"))
+            continue;
+        const double sent = owner.sentAt.at(run.id);
+        for (const acknowledged &commit : owner.acks) {
+            if (commit.at >= sent - maxStaleness || !indexes.contains(commit.id)
+                || indexes[commit.id] <= run.applied)
+                continue;
+            ++stale;
+            char text[200];
+            std::snprintf(text, sizeof text,
+                          "%s, sent at %.3f, ran at %s on %zu entries without commit %s (entry "
+                          "%zu), acknowledged %.3f s before",
+                          run.id.c_str(), sent, run.member.c_str(), run.applied, commit.id.c_str(),
+                          indexes[commit.id], sent - commit.at);
+            owner.record("check", text);
+            break;
+        }
     }
-    owner.record("check", std::to_string(broken) + " statements were run that nobody sent so");
-    owner.exitCode = broken == 0 ? ruleHeld : ruleBroken;
+    return stale;
+}
+
+task<> scenario(world &owner)
+{
+    owner.writeManifest(1);
+    owner.startDaemons({ "alajuela", "heredia", "cartago" });
+    if (!co_await owner.waitUntilReady(30))
+        co_return;
+    for (int number = 1; number <= writers; ++number)
+        owner.spawn(writeOn(owner, 2, number));
+    for (int number = 1; number <= readers; ++number)
+        owner.spawn(readOn(owner, number));
+    co_await owner.sleep(milliseconds(5'000));
+    for (int i = 0; i < rounds; ++i)
+        co_await playRound(owner);
+    isStopped = true;
+    co_await owner.sleep(milliseconds(2'000));
+    const int stale = countStaleReads(owner);
+    owner.record("check", std::to_string(stale) + " reads ran on a log that was too old");
+    owner.exitCode = stale == 0 ? ruleHeld : ruleBroken;
 }
 
 } // namespace
@@ -67,5 +152,5 @@
 int main(int argc, char **argv)
 {
     return runCase(
-            argc, argv, { "alajuela", "heredia", "cartago" }, {}, [](world &) {}, scenario, 60);
+            argc, argv, { "heredia", "alajuela", "cartago" }, {}, [](world &) {}, scenario, 90);
 }
