--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -14,24 +14,6 @@
 
 bool isStopped = false;
 
-/// Writes one value after the other through one daemon, and opens a new session after each failure.
-task<> writeOn(world &owner, std::size_t daemon, int number)
-{
-    const std::string name = "caller-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
-    session caller(owner, name);
-    bool isOpen = false;
-    for (int i = 0; !isStopped; ++i) {
-        if (!isOpen)
-            isOpen = co_await caller.open(daemon, "current", "key-one");
-        if (isOpen) {
-            const std::string text = "WRITE " + name + " v" + std::to_string(i);
-            const reply answer = co_await caller.query(text, milliseconds(1'000));
-            isOpen = answer.isSuccess();
-        }
-        co_await owner.sleep(milliseconds(30));
-    }
-}
-
 /// Restarts the replica that was not chosen, and ends the primary's darkness, while the promotion
 /// is under way.
 void disturbPromotion(world &owner, const std::string &chosen)
@@ -50,7 +32,8 @@
         co_return;
     for (std::size_t daemon = 0; daemon < owner.daemons.size(); ++daemon) {
         for (int number = 1; number <= 2; ++number)
-            owner.spawn(writeOn(owner, daemon, number));
+            owner.spawn(writeUntilStopped(owner, daemon, number, milliseconds(0), milliseconds(30),
+                                          isStopped));
     }
     co_await owner.sleep(milliseconds(5'000));
     if (owner.trouble) {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -18,32 +18,12 @@
 constexpr milliseconds freeze{ 1'150 };
 constexpr double maxStaleness = 1.5; // seconds, of the route
 constexpr int rounds = 3;
-constexpr int writers = 8;
+constexpr int writers = 8; ///< spread over time, so that few of them wait when the relay freezes
 constexpr int readers = 4;
 
 bool isStopped = false;
 bool isReading = false;
 
-/// One of many callers that write now and then, so that few of them wait at the moment of the
-/// freeze.
-task<> writeOn(world &owner, std::size_t daemon, int number)
-{
-    co_await owner.sleep(milliseconds(75 * number));
-    const std::string name = "writer-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
-    session caller(owner, name);
-    bool isOpen = false;
-    for (int i = 0; !isStopped; ++i) {
-        if (!isOpen)
-            isOpen = co_await caller.open(daemon, "current", "key-one");
-        if (isOpen) {
-            const std::string text = "WRITE " + name + " v" + std::to_string(i);
-            const reply answer = co_await caller.query(text, milliseconds(1'000));
-            isOpen = answer.isSuccess();
-        }
-        co_await owner.sleep(milliseconds(600));
-    }
-}
-
 task<> readOn(world &owner, int number)
 {
     const std::string name = "reader-" + std::to_string(number);
@@ -134,7 +114,8 @@
     if (!co_await owner.waitUntilReady(30))
         co_return;
     for (int number = 1; number <= writers; ++number)
-        owner.spawn(writeOn(owner, 2, number));
+        owner.spawn(writeUntilStopped(owner, 2, number, milliseconds(75 * number),
+                                      milliseconds(600), isStopped));
     for (int number = 1; number <= readers; ++number)
         owner.spawn(readOn(owner, number));
     co_await owner.sleep(milliseconds(5'000));
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -1053,6 +1053,25 @@
     co_return answer;
 }
 
+task<> writeUntilStopped(world &owner, std::size_t daemon, int number, milliseconds first,
+                         milliseconds pause, const bool &isStopped)
+{
+    co_await owner.sleep(first);
+    const std::string name = "writer-" + std::to_string(daemon + 1) + "-" + std::to_string(number);
+    session caller(owner, name);
+    bool isOpen = false;
+    for (int i = 0; !isStopped; ++i) {
+        if (!isOpen)
+            isOpen = co_await caller.open(daemon, "current", "key-one");
+        if (isOpen) {
+            const std::string text = "WRITE " + name + " v" + std::to_string(i);
+            const reply answer = co_await caller.query(text, milliseconds(1'000));
+            isOpen = answer.isSuccess();
+        }
+        co_await owner.sleep(pause);
+    }
+}
+
 // Daemons
 
 void world::startDaemons(const std::vector<std::string> &zones)
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -257,6 +257,13 @@
     std::FILE *file_ = nullptr;
 };
 
+/// @brief Writes one value after the other through one daemon until @p isStopped, and opens a new
+/// session after each failure.
+/// @param first pause before the first write, which spreads several callers over time
+task<> writeUntilStopped(world &owner, std::size_t daemon, int number,
+                         std::chrono::milliseconds first, std::chrono::milliseconds pause,
+                         const bool &isStopped);
+
 /// @brief Reads TROUBLE and the path of the record, builds a world and runs a scenario in it.
 int runCase(int argc, char **argv, const std::vector<std::string> &memberZones,
             const group_options &options, const std::function<void(world &)> &prepare,
