Pause replicas without an entry in the store during a promotion

Cause: a replica whose entry had expired was neither paused nor asked, if the primary had acknowledged commits since the removal. A missing entry shows only that the member does not reach the store. It received, so the old primary, back before the promotion took effect, got its commits acknowledged by it. Other hypotheses (a pause that came late, or was lifted by another daemon) are refuted by the record: one PAUSE, of the other replica, and no RESUME.

Fix: members without an entry are paused and asked like the others. One that refuses connections or is silent for 300 ms is passed over as before, if a reported log covers what it held. With its report or its pause, nothing can be acknowledged that the chosen member lacks.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -135,11 +135,16 @@
 [[nodiscard]] std::set<std::string> electableMembers(const engine &state,
                                                      const service_state &service);
 /// @return replicas whose log may hold the only second copy of an acknowledged commit
-[[nodiscard]] std::set<std::string> witnessesOf(const engine &state, const service_state &service);
+[[nodiscard]] std::set<std::string> witnessesOf(const engine &state, const service_state &service,
+                                                core::time_point now);
 /// @return why the service needs a promotion now, if it does
 [[nodiscard]] std::optional<promotion_cause>
 findPromotionCause(engine &state, service_state &service, core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
+/// @brief Orders the replicas of a service to pause, also those without an entry in the store,
+/// which may receive as well. At a planned replacement one replica goes on, and is asked for its
+/// status.
+void pauseReplicas(engine &state, service_state &service, core::time_point now);
 /// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
 /// confirm, but only while no other daemon can have started an attempt. A replica that does not
 /// follow the newest known term stays paused if an old primary of its term may go on.
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -75,6 +75,9 @@
     std::set<std::string> fenced; ///< replicas that were ordered to pause replication
     std::set<std::string> peersReaching; ///< peers that can reach the old primary
     std::set<std::string> peersNotReaching; ///< peers that can't reach the old primary
+    /// Latest time for an answer of a member without an entry in the store, from the first order to
+    /// pause in this attempt.
+    std::map<std::string, core::time_point> unlistedDeadlines;
     bool orderSent = false; ///< a promotion was ordered and may still take effect
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -132,38 +132,6 @@
     attempt.phaseDeadline = core::noDeadline;
 }
 
-void fenceReplicas(engine &state, service_state &service, core::time_point now)
-{
-    promotion_state &attempt = service.promotion;
-    attempt.nextProbeAt = now + probeInterval;
-    const bool isPrimaryDraining = attempt.cause == promotion_cause::PrimaryDraining;
-    const std::set<std::string> electable = electableMembers(state, service);
-    if (isPrimaryDraining && attempt.chosen.empty()) {
-        // Pausing all other replicas makes every further commit depend on the chosen one.
-        core::time_point newest{};
-        for (const std::string &id : electable) {
-            const member_state &member = state.members.at(id);
-            const bool better = attempt.chosen.empty() || member.lastAnswerAt > newest;
-            if (member.unresponsiveSince == core::noDeadline && better) {
-                attempt.chosen = id;
-                newest = member.lastAnswerAt;
-            }
-        }
-    }
-    for (const std::string &id : service.members) {
-        const member_state &member = state.members.at(id);
-        if (id == attempt.oldPrimary || !member.listed)
-            continue;
-        const auto report = attempt.reports.find(id);
-        if (isPrimaryDraining && id == attempt.chosen) {
-            sendControlCommand(state, id, command_kind::Status, 0, now);
-        } else if (report == attempt.reports.end() || report->second.pausedTerm == 0) {
-            attempt.fenced.insert(id);
-            sendControlCommand(state, id, command_kind::PauseReceiving, attempt.fenceTerm, now);
-        }
-    }
-}
-
 /// @brief Orders the old primary to step down. If a witness does not answer, only the old primary
 /// knows which commits were acknowledged.
 void stepDownOldPrimary(engine &state, service_state &service, core::time_point now)
@@ -238,7 +206,7 @@
             each = *each == attempt.chosen ? std::next(each) : electable.erase(each);
     }
     const promotion_choice choice =
-            chooseNewPrimary(attempt, electable, witnessesOf(state, service));
+            chooseNewPrimary(attempt, electable, witnessesOf(state, service, now));
     if (choice.member.empty() || choice.waitsForCatchUp)
         return;
     attempt.chosen = choice.member;
@@ -266,7 +234,7 @@
                 sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown,
                                    attempt.fenceTerm, now);
         } else {
-            fenceReplicas(state, service, now);
+            pauseReplicas(state, service, now);
         }
     }
 }
@@ -391,7 +359,7 @@
     enterPhase(attempt, promotion_phase::Fencing,
                std::min(now + fencingTimeout, attempt.leaseUntil));
     logPromotion(state, note_kind::PromotionStep, *service, "fencing", now);
-    fenceReplicas(state, *service, now);
+    pauseReplicas(state, *service, now);
 }
 
 void onTokenHeldElsewhere(engine &state, const std::string &serviceName, core::time_point until,
--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -29,6 +29,30 @@
     });
 }
 
+/// @return whether a member without an entry has reported, or may still do so. It may run and
+/// receive: a missing entry shows only that the member does not reach the store.
+bool mayAnswerUnlisted(const promotion_state &attempt, const member_state &member,
+                       core::time_point now)
+{
+    if (attempt.reports.contains(member.entry.id))
+        return true;
+    const auto deadline = attempt.unlistedDeadlines.find(member.entry.id);
+    const bool isOverdue = deadline != attempt.unlistedDeadlines.end() && now >= deadline->second;
+    return member.unresponsiveSince == core::noDeadline && !isOverdue;
+}
+
+/// @return whether a reported log has everything that a removed member held. Commits up to a
+/// position that the primary reached after the removal are stored elsewhere: a member that has
+/// received this position has all of them.
+bool isCovered(const service_state &service, const member_state &removed)
+{
+    const auto after = positionSince(service.positions, removed.removedAt);
+    const auto &reports = service.promotion.reports;
+    return after && std::any_of(reports.begin(), reports.end(), [&](const auto &each) {
+               return each.second.received >= *after;
+           });
+}
+
 } // namespace
 
 promotion_choice chooseNewPrimary(const promotion_state &state,
@@ -78,26 +102,16 @@
     return result;
 }
 
-std::set<std::string> witnessesOf(const engine &state, const service_state &service)
+std::set<std::string> witnessesOf(const engine &state, const service_state &service,
+                                  core::time_point now)
 {
     std::set<std::string> result;
     for (const std::string &id : service.members) {
         if (id == service.promotion.oldPrimary)
             continue;
         const member_state &member = state.members.at(id);
-        if (member.listed) {
-            result.insert(id);
-            continue;
-        }
-        // The log of this removed replica is lost. Commits up to a position that the primary
-        // reached after the removal are stored elsewhere: a member that has received this position
-        // has everything that the removed replica held.
-        const auto after = positionSince(service.positions, member.removedAt);
-        const bool covered =
-                after
-                && std::any_of(service.promotion.reports.begin(), service.promotion.reports.end(),
-                               [&](const auto &each) { return each.second.received >= *after; });
-        if (!covered)
+        if (member.listed || mayAnswerUnlisted(service.promotion, member, now)
+            || !isCovered(service, member))
             result.insert(id);
     }
     return result;
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -52,7 +52,6 @@
 {
     static constexpr milliseconds tick{ 2 };
     static constexpr milliseconds maxStaleness{ 1'500 };
-    static constexpr milliseconds promotionDelay{ 300 };
     static constexpr milliseconds leaseDuration{ 3'000 };
     static constexpr const char *service = "books";
 
@@ -67,6 +66,8 @@
     core::time_point leaseUntil{};
     std::uint64_t lastToken = 0;
     std::uint64_t highestOrderedToken = 0;
+    std::string orderedMember; ///< member of the latest promotion order
+    milliseconds promotionDelay{ 300 }; ///< from an order to its effect
     /// @name Results
     /// @{
     std::size_t reads = 0;
@@ -111,10 +112,13 @@
         return std::make_shared<const manifest>(std::move(result));
     }
 
-    std::vector<listed_member> listedMembers() const
+    /// @param missing member without an entry in the store; empty: none
+    std::vector<listed_member> listedMembers(const std::string &missing = {}) const
     {
         std::vector<listed_member> list;
         for (const auto &[id, member] : members) {
+            if (id == missing)
+                continue;
             upstream_entry entry = proxy_fixture::member(id, id == "m1");
             entry.zone = zoneOf(id);
             entry.slots = 4;
@@ -123,6 +127,14 @@
         return list;
     }
 
+    /// Gives all daemons a list of members in which one may be missing.
+    void publishMembers(const std::string &missing)
+    {
+        for (const auto &[name, unused] : daemons) {
+            handle(name, [&](engine &state) { onMemberList(state, listedMembers(missing), now); });
+        }
+    }
+
     // --- connections ---
 
     bool isConnected(const cluster_link &link) const
@@ -386,6 +398,7 @@
             if (each.token < highestOrderedToken)
                 ++outdatedOrders;
             highestOrderedToken = std::max(highestOrderedToken, each.token);
+            orderedMember = each.member;
             after(promotionDelay, [=, this] { promote(each.member); });
             after(milliseconds(5), [=, this] {
                 handle(daemon, [=, this](engine &target) {
