Let the chosen replica receive from the order on, and keep the others paused

Cause: what is acknowledged between the reports and the moment the promotion takes effect was kept away only by the pauses, and nobody looked after them once the order was out. A replica that restarts receives again, so the old primary, back before that moment, got commits acknowledged that the chosen member lacked. The record shows no RESUME by another daemon.

Fix: the chosen replica resumes with the order, so that its log has what is acknowledged until it leads; the others are paused again every 60 ms, so that commits depend on it. This needs no promoter after the order. Before the order, pauses are renewed, and the report of a member that receives, or whose connection was lost, is dropped. An order that may still be carried out late keeps the replicas paused after a rejected repetition. The term of the pauses is not raised by the promotion itself.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -145,6 +145,14 @@
 /// which may receive as well. At a planned replacement one replica goes on, and is asked for its
 /// status.
 void pauseReplicas(engine &state, service_state &service, core::time_point now);
+/// @brief Lets the chosen replica receive until it leads, and pauses the others again, because a
+/// pause does not outlive a restart.
+void keepOthersPaused(engine &state, service_state &service, core::time_point now);
+/// @brief Records whether the chosen replica receives, once its promotion is ordered.
+void trackReceiver(promotion_state &attempt, const std::string &replica,
+                   const member_status &status);
+/// @brief Drops what a member has reported in an attempt, because it may have restarted since.
+void forgetReport(engine &state, const std::string &member);
 /// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
 /// confirm, but only while no other daemon can have started an attempt. A replica that does not
 /// follow the newest known term stays paused if an old primary of its term may go on.
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -6,6 +6,10 @@
 /// of a commit. There are two ways: either the old primary has stepped down and a replica has
 /// caught up with it, or replication is paused on every replica and the one with the longest log is
 /// chosen.
+///
+/// A promotion takes effect some time after its order, and the old primary may be back before that.
+/// From the order on, the chosen replica therefore receives and the others are kept paused, so that
+/// a commit that is acknowledged meanwhile is in the log of the chosen one.
 
 #pragma once
 
@@ -72,13 +76,15 @@
     core::term_number oldTerm = 0; ///< newest term known at the start; 0: none
     std::string chosen;
     std::map<std::string, member_status> reports; ///< received during fencing, by member
-    std::set<std::string> fenced; ///< replicas that were ordered to pause replication
+    /// Replicas that were ordered to pause replication; of the chosen one: it still has to resume.
+    std::set<std::string> fenced;
     std::set<std::string> peersReaching; ///< peers that can reach the old primary
     std::set<std::string> peersNotReaching; ///< peers that can't reach the old primary
     /// Latest time for an answer of a member without an entry in the store, from the first order to
     /// pause in this attempt.
     std::map<std::string, core::time_point> unlistedDeadlines;
     bool orderSent = false; ///< a promotion was ordered and may still take effect
+    bool orderUnanswered = false; ///< an order got no answer; the platform may carry it out later
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -437,6 +437,8 @@
         member->links.erase(id);
         forgetEvidenceQuestion(*member, link);
         const bool unfinished = !link.expected.empty();
+        if (link.control && unfinished)
+            forgetReport(state, link.member);
         const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
         for (const expected_answer &each : link.expected)
             member->outstanding -= (each.role == answer_role::Statement
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -9,6 +9,8 @@
 
 constexpr milliseconds pauseInterval{ 40 };
 constexpr milliseconds resumeInterval{ 150 };
+/// Interval at which the pauses are renewed until an ordered promotion has taken effect.
+constexpr milliseconds renewInterval{ 60 };
 /// A member without an entry in the store may be gone for good: it is asked less often, and the
 /// promotion waits for it no longer than this.
 constexpr milliseconds unlistedPauseInterval{ 200 };
@@ -78,6 +80,36 @@
     pauseOthers(state, service, receiver, now);
 }
 
+void keepOthersPaused(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    attempt.nextProbeAt = now + renewInterval;
+    const bool isPaused = attempt.fenced.contains(attempt.chosen);
+    sendControlCommand(state, attempt.chosen,
+                       isPaused ? command_kind::ResumeReceiving : command_kind::Status, 0, now);
+    if (attempt.cause != promotion_cause::ReplicaPaused)
+        pauseOthers(state, service, attempt.chosen, now);
+}
+
+void trackReceiver(promotion_state &attempt, const std::string &replica,
+                   const member_status &status)
+{
+    if (!attempt.orderSent || replica != attempt.chosen)
+        return;
+    if (status.pausedTerm == 0)
+        attempt.fenced.erase(replica);
+    else
+        attempt.fenced.insert(replica);
+}
+
+void forgetReport(engine &state, const std::string &memberId)
+{
+    const member_state *member = findMember(state, memberId);
+    service_state *service = member ? findService(state, member->entry.service) : nullptr;
+    if (service != nullptr && service->promotion.phase == promotion_phase::Fencing)
+        service->promotion.reports.erase(memberId);
+}
+
 void scheduleResume(const engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds stepDownDelay{ 400 };
 constexpr milliseconds probeInterval{ 40 };
 constexpr milliseconds orderTimeout{ 700 };
-constexpr milliseconds leaderProbeInterval{ 60 };
+constexpr milliseconds refusedOrderDelay{ 120 };
 constexpr milliseconds retryDelay{ 400 };
 /// Retry interval while the operator has switched promotions off.
 constexpr milliseconds switchedOffRetryInterval{ 5'000 };
@@ -186,7 +186,12 @@
     promotion_state &attempt = service.promotion;
     attempt.orderSent = true;
     ++state.counters.promotionsOrdered;
-    attempt.nextProbeAt = core::noDeadline;
+    attempt.replicasToResume.clear();
+    attempt.nextResumeAt = core::noDeadline;
+    const auto report = attempt.reports.find(attempt.chosen);
+    if (report != attempt.reports.end())
+        trackReceiver(attempt, attempt.chosen, report->second);
+    keepOthersPaused(state, service, now);
     enterPhase(attempt, promotion_phase::Ordering, now + orderTimeout);
     logPromotion(state, note_kind::PromotionStep, service, "ordered", now);
     state.out.emplace_back(
@@ -279,13 +284,14 @@
         return;
     case promotion_phase::Ordering:
         if (now >= attempt.phaseDeadline) {
+            attempt.orderUnanswered = true;
             enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 2);
-            attempt.nextProbeAt = now;
         }
+        if (now >= attempt.nextProbeAt)
+            keepOthersPaused(state, service, now);
         return;
     case promotion_phase::AwaitingLeader:
         if (now >= attempt.phaseDeadline) {
-            attempt.nextProbeAt = core::noDeadline;
             if (now >= attempt.leaseUntil) {
                 // Another daemon may hold the token by now; only a new token may order again.
                 abortAttempt(state, service, "lease_expired", now);
@@ -296,10 +302,8 @@
                                                     attempt.leaseUntil });
             return;
         }
-        if (now >= attempt.nextProbeAt) {
-            attempt.nextProbeAt = now + leaderProbeInterval;
-            sendControlCommand(state, attempt.chosen, command_kind::Status, 0, now);
-        }
+        if (now >= attempt.nextProbeAt)
+            keepOthersPaused(state, service, now);
     }
 }
 
@@ -390,18 +394,19 @@
     promotion_state &attempt = service->promotion;
     switch (outcome) {
     case promote_outcome::Ordered:
+        enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        break;
     case promote_outcome::NoAnswer:
+        attempt.orderUnanswered = true;
         enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
-        attempt.nextProbeAt = now + leaderProbeInterval * 3;
         break;
     case promote_outcome::FencedOff:
-        // The order was rejected, so it can't take effect later.
-        attempt.orderSent = false;
+        // This order was rejected, but an earlier one without an answer may take effect later.
+        attempt.orderSent = attempt.orderUnanswered;
         abortAttempt(state, *service, "fenced_off", now);
         break;
     case promote_outcome::Refused:
-        enterPhase(attempt, promotion_phase::AwaitingLeader, now + leaderProbeInterval * 2);
-        attempt.nextProbeAt = core::noDeadline;
+        enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
         break;
     }
 }
@@ -430,8 +435,10 @@
     if (attempt.phase == promotion_phase::None)
         return;
     // A member rejects a pause under a term that is not higher than its own; the order is repeated
-    // with a higher term.
-    attempt.fenceTerm = std::max(attempt.fenceTerm, status.term + 1);
+    // with a higher term, unless that is the term of an ordered promotion that has taken effect.
+    if (!attempt.orderSent)
+        attempt.fenceTerm = std::max(attempt.fenceTerm, status.term + 1);
+    trackReceiver(attempt, memberId, status);
     if (status.leads && assumesNoLeader(attempt)) {
         abortAttempt(state, *service, "primary_leads", now);
         return;
@@ -444,6 +451,8 @@
     }
     if (countsAsReport(attempt, memberId, status))
         attempt.reports[memberId] = status;
+    else if (attempt.phase == promotion_phase::Fencing)
+        attempt.reports.erase(memberId); // it was paused, and has restarted since
     if (attempt.phase == promotion_phase::AwaitingLeader && status.leads
         && memberId == attempt.chosen) {
         const member_state *old = findMember(state, attempt.oldPrimary);
--- a/tests/unit-promotion-guard.cpp
+++ b/tests/unit-promotion-guard.cpp
@@ -3,6 +3,9 @@
 /// change between the reports of the replicas and the moment in which a promotion takes effect.
 
 #include "leader-cluster.hpp"
+#include "proxy-fixture.hpp"
+
+#include <fuchsiagw/detail/engine_steps.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -25,6 +28,17 @@
     }
 };
 
+/// Stops the primary and advances until a promotion is ordered.
+/// @return the replica that was not chosen
+std::string advanceToOrder(leader_cluster &cluster)
+{
+    cluster.members.at("m1").running = false;
+    const auto end = cluster.now + seconds(3);
+    while (cluster.orderedMember.empty() && cluster.now < end)
+        cluster.advance(milliseconds(10));
+    return cluster.orderedMember == "m2" ? "m3" : "m2";
+}
+
 void stopMember(leader_cluster &cluster, const std::string &id, milliseconds duration)
 {
     cluster.members.at(id).running = false;
@@ -67,3 +81,90 @@
         CHECK_EQUAL(0U, cluster.lostCommits);
     }
 }
+
+// Guards against losing acknowledged commits with a replica that restarts after the promotion was
+// ordered: its pause ends with the restart, so the old primary can acknowledge commits with it.
+TEST(promotion_guard, chosenReplicaHasCommitsBesideRestartedOne)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        fenced_cluster cluster(seed);
+        const std::string other = advanceToOrder(cluster);
+        stopMember(cluster, other, milliseconds(300));
+        cluster.advance(milliseconds(200));
+        cluster.restartMember("m1");
+        const std::size_t before = cluster.acknowledged.size();
+        cluster.advance(seconds(3));
+        CHECK_EQUAL_TEXT(0U, cluster.lostCommits, ("seed " + std::to_string(seed)).c_str());
+        CHECK_EQUAL(1U, cluster.promotions);
+        CHECK(cluster.acknowledged.size() > before);
+    }
+}
+
+TEST_GROUP(promotion_attempt)
+{
+    proxy_fixture fixture;
+
+    promotion_state &attempt()
+    {
+        return fixture.state.services.at(proxy_fixture::service).promotion;
+    }
+
+    /// Puts the service into an attempt that replaces m1, with both replicas paused.
+    void startAttempt(promotion_phase phase)
+    {
+        attempt() = {};
+        attempt().phase = phase;
+        attempt().oldPrimary = "m1";
+        attempt().fenceTerm = 2;
+        attempt().fenced = { "m2", "m3" };
+        attempt().leaseUntil = fixture.now + milliseconds(2'700);
+        attempt().phaseDeadline = fixture.now + milliseconds(700);
+    }
+
+    /// Reports the status of a member, as the answer to a command that was sent just now.
+    void report(const std::string &member, const member_status &status)
+    {
+        reply answer = proxy_fixture::success(status.received);
+        answer.status = status;
+        onControlAnswer(fixture.state, member, answer, fixture.now, fixture.now);
+    }
+};
+
+// Guards against a choice by the report of a replica that has restarted since: it receives again,
+// so more commits may have been acknowledged with it than it reported.
+TEST(promotion_attempt, reportOfRestartedReplicaIsDropped)
+{
+    startAttempt(promotion_phase::Fencing);
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    CHECK_EQUAL(1U, attempt().reports.count("m3"));
+    report("m3", { false, 1, { 1, 5 }, 0 });
+    CHECK_EQUAL(0U, attempt().reports.count("m3"));
+    report("m2", { false, 1, { 1, 5 }, 2 });
+    CHECK(attempt().phase == promotion_phase::Fencing);
+}
+
+// Guards against losing commits by an order that the platform carries out late: its answer was
+// lost, and the repeated order was rejected, so replicas that are resumed could acknowledge commits
+// that the chosen one lacks.
+TEST(promotion_attempt, rejectedOrderAfterLostAnswerKeepsReplicasPaused)
+{
+    startAttempt(promotion_phase::Ordering);
+    attempt().chosen = "m2";
+    attempt().orderSent = true;
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    attempt().phase = promotion_phase::Ordering;
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::FencedOff, fixture.now);
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.empty());
+}
+
+// Guards against a late pause of a replica that already follows the new primary: a promotion that
+// has taken effect must not raise the term of the pauses.
+TEST(promotion_attempt, pauseDoesNotOutliveThePromotion)
+{
+    startAttempt(promotion_phase::AwaitingLeader);
+    attempt().chosen = "m2";
+    attempt().orderSent = true;
+    report("m3", { false, 2, { 2, 6 }, 0 });
+    CHECK_EQUAL(2U, attempt().fenceTerm);
+}
