Date every answer by the sending of its own command

Cause: a connection had one time of sending, for silence and for positions alike. A rollback behind a delayed BEGIN renewed it, so the position in the answer to BEGIN counted from the rollback and made replicas look fresh that were not.

Fix: each outstanding answer has the time at which its command was sent, and positions, statuses and times to an answer are dated by it. No later command can move it.

--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -38,6 +38,9 @@
     session_id session = 0;
     std::uint64_t serial =
             0; ///< request::serial; of a control command: member_state::evidenceSerial
+    /// When the command was sent. What the answer proves holds from then on, whatever was sent on
+    /// the link since.
+    core::time_point sentAt{};
 };
 
 /// Invariants: while a transaction is open on the link, only statements of its session are sent.
@@ -57,12 +60,12 @@
     session_id pinnedTo = 0; ///< session whose transaction runs on this link; 0: none
     bool beginProvesLeader = false; ///< latest begin was read-write; only a leader accepts it
     std::optional<core::log_position> beginPosition; ///< from the answer to the latest begin
-    core::time_point beginSentAt{}; ///< when the latest begin was sent
+    core::time_point beginSentAt{}; ///< when the begin of `beginPosition` was sent
     bool beginFailed = false; ///< the begin in the current batch was refused
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     bool refused = false; ///< Startup and the commands sent after it were refused
     bool tainted = false; ///< the connection can't be reused
-    core::time_point lastSent{};
+    core::time_point lastSent{}; ///< start of the silence of the member; proves no position
     core::time_point idleSince{};
     core::time_point openedAt{};
     core::time_point answerDeadline =
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -154,8 +154,8 @@
     return pending.startsOperation && pending.statement.kind != statement_kind::Commit;
 }
 
-void deliverSuccess(engine &state, session &caller, upstream_link &link, reply &&answer,
-                    core::time_point now)
+void deliverSuccess(engine &state, session &caller, upstream_link &link,
+                    const expected_answer &expected, reply &&answer, core::time_point now)
 {
     request &pending = *caller.current;
     const bool commits = pending.statement.kind == statement_kind::Commit;
@@ -176,7 +176,7 @@
         caller.ownPosition = answer.position;
         caller.positionService = pending.effectiveRoute.service;
         learnLeader(state, service, link.member, answer.position->term, *answer.position,
-                    link.lastSent, now);
+                    expected.sentAt, now);
     }
     if (!commits && pending.writes && caller.transaction)
         caller.transaction->wrote = true;
@@ -219,7 +219,7 @@
         answer.state = transaction_state::Idle;
     }
     if (answer.code == reply_code::Success && !answer.digest.empty()) {
-        deliverSuccess(state, *caller, link, std::move(answer), now);
+        deliverSuccess(state, *caller, link, expected, std::move(answer), now);
         return;
     }
     const bool first = pending->startsOperation;
@@ -269,10 +269,11 @@
     }
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
     link.beginPosition = answer.position;
+    link.beginSentAt = expected.sentAt;
     const link_id id = link.id;
     if (service != nullptr && answer.position && link.beginProvesLeader) {
         const auto proven = state.settings.promotionsAreFenced ? answer.position : std::nullopt;
-        learnLeader(state, *service, link.member, answer.position->term, proven, link.lastSent,
+        learnLeader(state, *service, link.member, answer.position->term, proven, expected.sentAt,
                     now);
     }
     // learnLeader() may have placed queued requests, and the session or the link may have ended.
@@ -282,7 +283,7 @@
         return;
     if (pending->needsEvidence)
         holdResult(state, *caller,
-                   { open->member, id, answer.position, open->beginSentAt, std::nullopt }, now);
+                   { open->member, id, answer.position, expected.sentAt, std::nullopt }, now);
     else
         sendFirstStatement(state, *open, *caller, now);
 }
@@ -396,7 +397,7 @@
             if (!meansNotExecuted(answer.code)) {
                 member->busyRefusals = 0;
                 recordResult(*member, answer.code, now);
-                smooth(member->answerUs, now - link->lastSent);
+                smooth(member->answerUs, now - expected.sentAt);
             }
         }
         onStatementAnswer(state, *link, expected, std::move(answer), now);
@@ -404,7 +405,7 @@
     case answer_role::Cleanup:
         break;
     case answer_role::Control:
-        onControlAnswer(state, link->member, answer, link->lastSent, now);
+        onControlAnswer(state, link->member, answer, expected.sentAt, now);
         if (member_state *replica = findMember(state, link->member))
             onEvidenceStatus(state, *replica, expected.serial, answer, now);
         break;
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -49,10 +49,12 @@
     return canExtend(link, caller) ? 1 : 0;
 }
 
-void expectAnswer(upstream_link &link, answer_role role, const session *caller = nullptr)
+void expectAnswer(upstream_link &link, answer_role role, core::time_point now,
+                  const session *caller = nullptr)
 {
     expected_answer next;
     next.role = role;
+    next.sentAt = now;
     if (caller != nullptr) {
         next.session = caller->id;
         next.serial = caller->current->serial;
@@ -71,11 +73,11 @@
 
 /// Adds the commands that give the connection the session's values and prepared statement.
 void addPreparation(upstream_link &link, const session &caller,
-                    std::vector<upstream_command> &batch)
+                    std::vector<upstream_command> &batch, core::time_point now)
 {
     if (!canExtend(link, caller)) {
         batch.push_back(makeCommand(command_kind::Discard));
-        expectAnswer(link, answer_role::Preparation);
+        expectAnswer(link, answer_role::Preparation, now);
         link.values.clear();
         link.prepared.clear();
     }
@@ -84,7 +86,7 @@
         if (known != link.values.end() && known->second == value)
             continue;
         batch.push_back(makeCommand(command_kind::SetValue, name, value));
-        expectAnswer(link, answer_role::Preparation);
+        expectAnswer(link, answer_role::Preparation, now);
         link.values[name] = value;
     }
     const caller_statement &statement = caller.current->statement;
@@ -93,11 +95,12 @@
     upstream_command prepare = makeCommand(command_kind::Prepare, preparedName(statement.prepared));
     prepare.prepared = statement.prepared;
     batch.push_back(std::move(prepare));
-    expectAnswer(link, answer_role::Preparation);
+    expectAnswer(link, answer_role::Preparation, now);
     link.prepared.insert(statement.prepared);
 }
 
-void addBegin(upstream_link &link, const session &caller, std::vector<upstream_command> &batch)
+void addBegin(upstream_link &link, const session &caller, std::vector<upstream_command> &batch,
+              core::time_point now)
 {
     const request &pending = *caller.current;
     // Only a read-write begin proves that the member is the leader.
@@ -109,7 +112,7 @@
     if (!plainBegin)
         begin.after = pending.where.minPosition;
     batch.push_back(std::move(begin));
-    expectAnswer(link, answer_role::Begin, &caller);
+    expectAnswer(link, answer_role::Begin, now, &caller);
 }
 
 upstream_command makeForward(const session &caller)
@@ -127,7 +130,8 @@
     return command;
 }
 
-void addStatement(upstream_link &link, const session &caller, std::vector<upstream_command> &batch)
+void addStatement(upstream_link &link, const session &caller, std::vector<upstream_command> &batch,
+                  core::time_point now)
 {
     const request &pending = *caller.current;
     upstream_command statement = makeForward(caller);
@@ -135,7 +139,7 @@
     if (outsideTransaction && !pending.where.needsPrimary)
         statement.after = pending.where.minPosition;
     batch.push_back(std::move(statement));
-    expectAnswer(link, answer_role::Statement, &caller);
+    expectAnswer(link, answer_role::Statement, now, &caller);
 }
 
 upstream_link *bestIdle(engine &state, const member_state &member, const session &caller)
@@ -261,7 +265,7 @@
     link.openedAt = now;
     link.lastSent = now;
     link.answerDeadline = now + (link.relay.empty() ? connectTimeout : borrowTimeout);
-    expectAnswer(link, answer_role::Startup);
+    expectAnswer(link, answer_role::Startup, now);
     const link_id id = link.id;
     const std::string relay = link.relay;
     state.links.emplace(id, std::move(link));
@@ -278,28 +282,27 @@
 {
     request &pending = *caller.current;
     std::vector<upstream_command> batch;
-    addPreparation(link, caller, batch);
+    addPreparation(link, caller, batch, now);
     const bool opensTransaction =
             pending.startsOperation && caller.state != transaction_state::Idle;
     link.beginFailed = false;
     if (opensTransaction || pending.where.wrapsInTransaction)
-        addBegin(link, caller, batch);
+        addBegin(link, caller, batch, now);
     if (opensTransaction) {
         // The statement is sent only after the member has confirmed the begin. If it were sent
         // together with a begin that is refused, it would run outside of a transaction.
         link.pinnedTo = caller.id;
         caller.transaction->link = link.id;
     } else {
-        addStatement(link, caller, batch);
+        addStatement(link, caller, batch, now);
     }
     if (pending.where.wrapsInTransaction) {
         batch.push_back(makeCommand(command_kind::Rollback));
-        expectAnswer(link, answer_role::Cleanup);
+        expectAnswer(link, answer_role::Cleanup, now);
     }
     if (link.state == link_state::Idle)
         link.state = link_state::Busy;
     link.lastSent = now;
-    link.beginSentAt = now;
     if (link.state == link_state::Busy)
         link.answerDeadline = std::max(pending.deadline, now) + orphanedAnswerTimeout;
     pending.wasSent = true;
@@ -315,7 +318,7 @@
                         core::time_point now)
 {
     std::vector<upstream_command> batch;
-    addStatement(link, caller, batch);
+    addStatement(link, caller, batch, now);
     link.lastSent = now;
     state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
 }
@@ -356,7 +359,7 @@
     // The rollback is sent after commands whose answers are outstanding; the member runs them
     // first.
     state.out.emplace_back(send_to_member{ link.id, { makeCommand(command_kind::Rollback) } });
-    expectAnswer(link, answer_role::Cleanup);
+    expectAnswer(link, answer_role::Cleanup, now);
     link.lastSent = now;
     link.answerDeadline = now + orphanedAnswerTimeout;
 }
--- a/src/proxy/engine_watch.cpp
+++ b/src/proxy/engine_watch.cpp
@@ -52,6 +52,7 @@
     expected_answer expected;
     expected.role = answer_role::Control;
     expected.serial = serial;
+    expected.sentAt = now;
     link->expected.push_back(expected);
     if (link->state == link_state::Idle)
         link->state = link_state::Busy;
