Answer all accepted work before a planned stop ends

Cause: transactions were ended in the second half of the grace period only by a timer that passes over running statements, so a caller without pauses went on to the end of the process; and deadlines of statements did not know of that end.

Fix: in the second half the next statement ends its transaction with a promise (a COMMIT in time is still taken), BEGIN is refused, and every deadline lies 0.7 s before the end of the grace period, also that of statements which run when the signal comes. So whatever was accepted is answered before the process ends.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -18,6 +18,9 @@
 /// Operations are refused this long before the end of the grace period, because they may not finish
 /// in time.
 inline constexpr std::chrono::milliseconds lastOperationMargin{ 2'000 };
+/// Every statement is answered this long before the end of the grace period, at the latest with a
+/// timeout.
+inline constexpr std::chrono::milliseconds lastAnswerMargin{ 700 };
 
 /// The entry of a removed member is kept this long, because its log may hold the only second copy
 /// of a commit.
@@ -70,6 +73,14 @@
 void refuseRequest(engine &state, session &caller, refusal_reason reason, core::time_point now,
                    core::duration retryAfter = {});
 
+/// @brief Ends a transaction without a running statement; its caller learns of it with its next
+/// statement.
+void endTransaction(engine &state, session &caller, refusal_reason reason, core::time_point now);
+/// @return whether a shutdown has reached the time from which open transactions are ended
+[[nodiscard]] bool isPastTransactionDrain(const engine &state, core::time_point now);
+/// @return the deadline of a statement, moved forward if the shutdown leaves less time
+[[nodiscard]] core::time_point limitToShutdown(const engine &state, core::time_point deadline);
+
 /// @brief Adds the current request to the queue of its service unless it is already there.
 /// @param queuedReason refusal that the caller gets if the wait ends without a member
 void enqueueRequest(engine &state, session &caller, refusal_reason queuedReason);
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -112,7 +112,7 @@
         pending.effectiveRoute = caller.transaction->effectiveRoute;
         pending.startsOperation = caller.transaction->link == 0;
     }
-    pending.deadline = now + pending.effectiveRoute.statementTimeout;
+    pending.deadline = limitToShutdown(state, now + pending.effectiveRoute.statementTimeout);
     if (pending.startsOperation)
         decidePlacement(state, caller, pending);
     placeRequest(state, caller, now);
@@ -156,6 +156,40 @@
     finishRequest(state, caller, proxySuccess(caller.state), now);
 }
 
+/// Ends a transaction that is still open in the second half of a shutdown's grace period, unless
+/// its caller commits now and in time. A caller without pauses between its statements never leaves
+/// it idle.
+void endDrainedTransaction(engine &state, session &caller, bool commits, core::time_point now)
+{
+    if (caller.state != transaction_state::Open || caller.transaction->lost
+        || !isPastTransactionDrain(state, now))
+        return;
+    if (!commits || now >= state.stopDeadline - lastOperationMargin)
+        endTransaction(state, caller, refusal_reason::Stopping, now);
+}
+
+/// @return whether a shutdown leaves no time for the operation that the statement starts
+bool startsTooLate(const engine &state, const session &caller, core::time_point now)
+{
+    if (!state.stopping || caller.state != transaction_state::Idle)
+        return false;
+    const statement_kind kind = caller.current->statement.kind;
+    const bool begins = kind == statement_kind::Begin || kind == statement_kind::BeginReadOnly;
+    // A transaction would be ended before its first statement.
+    return (begins && isPastTransactionDrain(state, now))
+           || now >= state.stopDeadline - lastOperationMargin;
+}
+
+/// @return whether the current request was refused
+bool refuseIfTooLate(engine &state, session &caller, core::time_point now)
+{
+    if (!startsTooLate(state, caller, now))
+        return false;
+    caller.closing = true;
+    refuseRequest(state, caller, refusal_reason::Stopping, now);
+    return true;
+}
+
 void dispatch(engine &state, session &caller, core::time_point now)
 {
     const statement_kind kind = caller.current->statement.kind;
@@ -163,9 +197,10 @@
         rollback(state, caller, now);
         return;
     }
+    const bool ends = kind == statement_kind::Commit;
+    endDrainedTransaction(state, caller, ends, now);
     if (reportTransactionLoss(state, caller, now))
         return;
-    const bool ends = kind == statement_kind::Commit;
     if (kind == statement_kind::Malformed || (caller.state == transaction_state::Failed && !ends)) {
         refuseRequest(state, caller, refusal_reason::OutOfPlace, now);
         return;
@@ -200,12 +235,8 @@
     state.active.insert(caller.id);
     if (caller.transaction)
         caller.transaction->idleDeadline = core::noDeadline;
-    if (caller.state == transaction_state::Idle && state.stopping
-        && now >= state.stopDeadline - lastOperationMargin) {
-        caller.closing = true;
-        refuseRequest(state, caller, refusal_reason::Stopping, now);
+    if (refuseIfTooLate(state, caller, now))
         return;
-    }
     if (caller.state == transaction_state::Idle) {
         if (const auto refused = checkAccess(state, caller)) {
             caller.closing = *refused != refusal_reason::NotConfigured;
@@ -248,7 +279,8 @@
 
 void resume(engine &state, session &caller, core::time_point now)
 {
-    dispatch(state, caller, now);
+    if (!refuseIfTooLate(state, caller, now))
+        dispatch(state, caller, now);
 }
 
 void onCallerStatement(engine &state, session_id id, caller_statement statement,
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -16,21 +16,6 @@
 /// Period over which idle sessions are closed at shutdown.
 constexpr milliseconds sessionClosePeriod{ 1'000 };
 constexpr std::size_t minClosedPerInterval = 2; // sessions
-/// Time before the process is killed in which the last answers are sent.
-constexpr milliseconds killMargin{ 700 };
-
-void endTransaction(engine &state, session &caller, refusal_reason reason, core::time_point now)
-{
-    const link_id pinnedLink = caller.transaction->link;
-    caller.transaction->link = 0;
-    caller.transaction->lost = true;
-    caller.transaction->lostReason = reason;
-    caller.transaction->idleDeadline = core::noDeadline;
-    noteRequest(state, note_kind::TransactionEnded, caller, {}, toString(reason));
-    if (upstream_link *link = findLink(state, pinnedLink))
-        rollBack(state, *link, now);
-}
-
 /// Ends the current request after the route's timeout.
 void timeOut(engine &state, session &caller, core::time_point now)
 {
@@ -87,8 +72,7 @@
         return;
     if (!caller->current) {
         if (caller->transaction && !caller->transaction->lost) {
-            const bool pastDrainDeadline = state.stopping && now >= state.transactionDrainDeadline;
-            if (pastDrainDeadline)
+            if (isPastTransactionDrain(state, now))
                 endTransaction(state, *caller, refusal_reason::Stopping, now);
             else if (caller->transaction->idleDeadline <= now)
                 endTransaction(state, *caller, refusal_reason::TransactionIdle, now);
@@ -136,7 +120,8 @@
     std::vector<session_id> idleSessions;
     for (const auto &[id, caller] : state.sessions) {
         if (!caller.current && caller.waiting.empty()
-            && (caller.state == transaction_state::Idle || now >= state.stopDeadline - killMargin))
+            && (caller.state == transaction_state::Idle
+                || now >= state.stopDeadline - lastAnswerMargin))
             idleSessions.push_back(id);
     }
     // All sessions are closed within sessionClosePeriod, regardless of their number.
@@ -151,6 +136,28 @@
 
 } // namespace
 
+void endTransaction(engine &state, session &caller, refusal_reason reason, core::time_point now)
+{
+    const link_id pinnedLink = caller.transaction->link;
+    caller.transaction->link = 0;
+    caller.transaction->lost = true;
+    caller.transaction->lostReason = reason;
+    caller.transaction->idleDeadline = core::noDeadline;
+    noteRequest(state, note_kind::TransactionEnded, caller, {}, toString(reason));
+    if (upstream_link *link = findLink(state, pinnedLink))
+        rollBack(state, *link, now);
+}
+
+bool isPastTransactionDrain(const engine &state, core::time_point now)
+{
+    return state.stopping && now >= state.transactionDrainDeadline;
+}
+
+core::time_point limitToShutdown(const engine &state, core::time_point deadline)
+{
+    return state.stopping ? std::min(deadline, state.stopDeadline - lastAnswerMargin) : deadline;
+}
+
 bool isReady(const engine &state)
 {
     return state.config && state.memberListLoaded && !state.stopping;
@@ -165,6 +172,11 @@
     state.transactionDrainDeadline = now + state.settings.gracePeriod / 2;
     state.nextSessionCloseAt = now + idleSessionCloseDelay;
     state.sessionsAtStop = state.sessions.size();
+    for (const session_id id : state.active) {
+        auto &current = state.sessions.at(id).current;
+        if (current)
+            current->deadline = limitToShutdown(state, current->deadline);
+    }
     decision_note note;
     note.kind = note_kind::StopStarted;
     note.number = static_cast<std::int64_t>(state.sessions.size());
