Pass over the own relay during a shutdown

Cause: the own relay counted as usable at any time, but lends nothing from SIGTERM on, and a refusal sets only other daemons aside.

Fix: during a shutdown the next relay in order is used, or a direct connection, so an accepted statement reaches its member.

--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -246,7 +246,8 @@
         const auto peer = state.peers.find(node);
         const bool isUsable =
                 node == state.settings.node
-                || (peer != state.peers.end() && peer->second.relayAvoidedUntil <= now);
+                        ? !state.stopping
+                        : peer != state.peers.end() && peer->second.relayAvoidedUntil <= now;
         if (isUsable && skipped-- == 0)
             return node;
     }
@@ -259,6 +260,9 @@
     upstream_link link;
     if (!direct)
         link.relay = relayNodeFor(state, member, now);
+    // The own relay lends nothing during a shutdown.
+    if (state.stopping && link.relay == state.settings.node)
+        link.relay.clear();
     link.id = ++state.lastLink;
     link.member = member.entry.id;
     link.workspace = workspace;
--- a/tests/unit-planned-stop.cpp
+++ b/tests/unit-planned-stop.cpp
@@ -155,3 +155,15 @@
     resume(fixture.state, caller, fixture.now);
     STRCMP_EQUAL("aborted", onlyAnswer(id).data());
 }
+
+// Guards against refused statements at a stopping daemon that is the relay of the member: its own
+// relay lends nothing any more, so it connects directly.
+TEST(planned_stop, ownRelayIsNotUsed)
+{
+    const session_id id = fixture.openSession("current");
+    onStop(fixture.state, fixture.now);
+    fixture.sendRead(id);
+    const auto opened = proxy_fixture::actionsOf<open_link>(fixture.takeActions());
+    CHECK_EQUAL(1U, opened.size());
+    STRCMP_EQUAL("", opened.at(0).relay.c_str());
+}
