Return lent connections between two statements before the process ends

What callers would see: a statement of another daemon, on a connection that a stopping daemon has lent, is cut by the end of that process.

Cause: the relay waited for its borrowers to leave by themselves, up to its end.

Fix: from 1 s before the end of the grace period on, a lent connection is closed as soon as no reply is pending, after the last reply has been sent; the borrower's caller gets the promise that nothing is kept.

--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -47,7 +47,8 @@
 
     [[nodiscard]] std::error_code start(const net::endpoint &local);
     /// @brief Refuses new borrowers and closes idle connections.
-    void stop();
+    /// @param lendUntil from then on, a lent connection is closed as soon as no reply is pending
+    void stop(core::time_point lendUntil);
     /// @return whether any borrower is connected
     [[nodiscard]] bool isBusy() const { return !borrowers_.empty(); }
     [[nodiscard]] const relay_counters &counters() const { return counters_; }
@@ -72,6 +73,10 @@
     void refuse(proxy::borrower_id id, proxy::reply_code code);
     void advance(const std::string &memberId);
     void closeIdle(const std::string &memberId);
+    /// @brief Ends the use of a lent connection between two statements, so that none is cut by the
+    /// end of the process. The member rolls back an open transaction.
+    void recall(proxy::pooled_id id);
+    [[nodiscard]] bool isRecallDue(const pooled &connection) const;
     void scheduleTick();
     void tick();
 
@@ -82,6 +87,7 @@
     relay_counters counters_;
     core::time_point nextTickAt_{}; ///< when the scheduled tick is due
     bool isStopping_ = false;
+    core::time_point lendUntil_ = core::noDeadline;
     std::uint64_t lastId_ = 0;
     std::map<proxy::borrower_id, std::unique_ptr<borrower>> borrowers_;
     std::map<proxy::pooled_id, std::unique_ptr<pooled>> pooled_;
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -248,6 +248,8 @@
             message += adapter::lineEnd();
             client->second->connection->send(std::move(message));
         }
+        if (isRecallDue(from))
+            recall(id);
         return;
     }
     if (!state || from.pendingReplies > 0)
@@ -345,9 +347,27 @@
     borrowers_.erase(found);
 }
 
-void relay_server::stop()
+bool relay_server::isRecallDue(const pooled &connection) const
+{
+    return connection.lentTo != 0 && connection.pendingReplies == 0
+           && net::currentBootTime() >= lendUntil_;
+}
+
+void relay_server::recall(proxy::pooled_id id)
+{
+    const auto client = borrowers_.find(pooled_.at(id)->lentTo);
+    if (client != borrowers_.end()) {
+        // The last reply may not have been sent completely yet.
+        client->second->connection->closeGracefully();
+        borrowers_.erase(client);
+    }
+    closePooled(id, true);
+}
+
+void relay_server::stop(core::time_point lendUntil)
 {
     isStopping_ = true;
+    lendUntil_ = lendUntil;
     for (const auto &[member, pool] : pools_)
         closeIdle(member);
 }
@@ -385,6 +405,7 @@
     const core::time_point now = net::currentBootTime();
     std::vector<std::string> members;
     std::vector<proxy::pooled_id> toClose;
+    std::vector<proxy::pooled_id> toRecall;
     for (const auto &[member, pool] : pools_) {
         if (!pool.waiting.empty())
             members.push_back(member);
@@ -397,6 +418,8 @@
                 isStopping_ || known == engine_.members.end() || !known->second.listed
                 || proxy::relayNodeFor(engine_, known->second, now) != engine_.settings.node;
         for (const auto &[id, each] : pool.connections) {
+            if (isRecallDue(*pooled_.at(id)))
+                toRecall.push_back(id);
             const core::duration age = now - each.since;
             const bool isOpenOverdue =
                     each.state == proxy::pooled_state::Opening && age > openTimeout;
@@ -408,6 +431,8 @@
                 toClose.push_back(id);
         }
     }
+    for (const proxy::pooled_id id : toRecall)
+        recall(id);
     for (const proxy::pooled_id id : toClose) {
         const auto found = pooled_.find(id);
         if (found != pooled_.end())
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -33,6 +33,8 @@
 constexpr int storeEventNumber = 930;
 constexpr int socketEventNumber = 931;
 constexpr int droppedEventNumber = 932;
+/// Lent connections are returned this long before the end of the grace period.
+constexpr std::chrono::milliseconds lendMargin{ 1'000 };
 /// Pause after a timer handler that failed, which is then due again at once.
 constexpr std::chrono::milliseconds failedTimerPause{ 50 };
 
@@ -386,8 +388,9 @@
 void session_gateway::stop(std::function<void()> done)
 {
     onStopped_ = std::move(done);
-    relay_.stop();
-    proxy::onStop(engine_, net::currentBootTime());
+    const core::time_point now = net::currentBootTime();
+    relay_.stop(now + values_.gracePeriod - lendMargin);
+    proxy::onStop(engine_, now);
     perform();
 }
 
--- /dev/null
+++ b/tests/unit-relay-server.cpp
@@ -0,0 +1,134 @@
+/// @file
+/// @brief Tests of the relay over real sockets: lent connections during a shutdown.
+
+#include "proxy-fixture.hpp"
+
+#include <fuchsiagw/daemon/relay_server.hpp>
+#include <fuchsiagw/net/clock.hpp>
+
+#include <platform/wire_codec.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace fuchsiagw;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using proxy::proxy_fixture;
+
+namespace {
+
+constexpr const char *beginLine = "QUERY - BEGIN\r\n";
+constexpr const char *readLine = "QUERY s1 READ a\r\n";
+constexpr const char *openAnswer = "COMPLETE -\r\nREADY T 1.1\r\n";
+
+/// One side of a connection, with the lines that it has received.
+struct line_peer
+{
+    std::shared_ptr<net::line_connection> connection;
+    std::vector<std::string> lines;
+    bool isClosed = false;
+
+    void attach(std::shared_ptr<net::line_connection> created)
+    {
+        connection = std::move(created);
+        connection->setHandlers([this](std::string_view line) { lines.emplace_back(line); },
+                                [this] { isClosed = true; });
+    }
+};
+
+/// A relay with one member, which answers when the test says so.
+struct relay_fixture
+{
+    boost::asio::io_context context;
+    proxy_fixture engine;
+    tcp::acceptor acceptor{ context, { boost::asio::ip::address_v4::loopback(), 0 } };
+    daemon::relay_server relay{ context, engine.state };
+    line_peer member;
+    line_peer borrower;
+
+    relay_fixture()
+    {
+        proxy::upstream_entry entry = proxy_fixture::member("m1", true);
+        entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        engine.setMembers({ entry });
+        tcp::acceptor probe(context, { boost::asio::ip::address_v4::loopback(), 0 });
+        const std::uint16_t port = probe.local_endpoint().port();
+        probe.close();
+        CHECK_FALSE(relay.start({ boost::asio::ip::address_v4::loopback(), port }));
+        acceptor.async_accept([this](const auto &error, tcp::socket socket) {
+            if (error)
+                return;
+            member.attach(net::line_connection::create(std::move(socket), 1'024));
+            member.connection->start(net::keepalive_profile::Short);
+        });
+        proxy::upstream_command startup;
+        startup.kind = proxy::command_kind::Startup;
+        startup.name = proxy_fixture::service;
+        startup.argument = "house";
+        startup.id = "m1";
+        borrower.attach(net::line_connection::create(context, 1'024));
+        borrower.connection->send(adapter::encodeCommand(startup));
+        borrower.connection->connect({ boost::asio::ip::address_v4::loopback(), port },
+                                     net::keepalive_profile::Short);
+        CHECK_TRUE(runUntil([this] { return member.lines.size() == 1; }));
+        member.connection->send("READY I 1.1\r\n");
+        CHECK_TRUE(runUntil([this] { return borrower.lines.size() == 1; }));
+    }
+
+    template <typename condition>
+    bool runUntil(const condition &isMet, std::chrono::milliseconds limit = 3s)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!isMet() && std::chrono::steady_clock::now() < end)
+            context.run_for(2ms);
+        return isMet();
+    }
+
+    /// Sends a statement of the borrower and waits until the member has it.
+    void sendToMember(const std::string &line)
+    {
+        const std::size_t before = member.lines.size();
+        borrower.connection->send(std::string(line));
+        CHECK_TRUE(runUntil([&] { return member.lines.size() > before; }));
+    }
+};
+
+} // namespace
+
+TEST_GROUP(relay_server)
+{
+    relay_fixture fixture;
+};
+
+// Guards against statements of other daemons that are cut by the end of a relay: shortly before, it
+// ends transactions that rest, so that their callers learn that nothing is kept.
+TEST(relay_server, restingTransactionIsReturnedBeforeTheEnd)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 3; }));
+    fixture.relay.stop(net::currentBootTime() + 300ms);
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.borrower.isClosed; }, 200ms));
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+    CHECK_TRUE(fixture.runUntil([&] { return !fixture.relay.isBusy(); }));
+}
+
+// Guards against cutting a running statement there: its answer still arrives.
+TEST(relay_server, runningStatementIsAnsweredFirst)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    fixture.sendToMember(readLine);
+    fixture.relay.stop(net::currentBootTime());
+    CHECK_FALSE(fixture.runUntil([&] { return fixture.borrower.isClosed; }, 600ms));
+    fixture.member.connection->send(openAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+    CHECK_EQUAL(5U, fixture.borrower.lines.size());
+}
