Repair paused replicas only beside a primary that has proved its lead

What callers would see: acknowledged commits of a new primary are lost.

Cause: a repair promotes the present primary under a new token. A daemon that had missed a promotion took the replaced one for it. And an order without an answer counted as carried out as soon as the primary answered, which it does anyway; replicas were then resumed while an earlier order could still be carried out.

Fix: the primary is asked first, under the token; the order is sent only if it leads, and the replicas are resumed only after the platform has accepted the order.

--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -84,7 +84,9 @@
     /// pause in this attempt.
     std::map<std::string, core::time_point> unlistedDeadlines;
     bool orderSent = false; ///< a promotion was ordered and may still take effect
+    bool orderAccepted = false; ///< the platform has accepted an order of this attempt
     bool orderUnanswered = false; ///< an order got no answer; the platform may carry it out later
+    core::time_point repairAskedAt{}; ///< a repair needs an answer to a later question
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -218,9 +218,70 @@
     orderPromotion(state, service, now);
 }
 
+/// Makes this attempt responsible for the replicas that were found paused.
+void takePausedReplicas(service_state &service)
+{
+    for (const auto &[id, since] : service.pausedSince)
+        service.promotion.fenced.insert(id);
+    service.pausedSince.clear();
+}
+
+void stepRepair(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (now >= attempt.phaseDeadline) {
+        abortAttempt(state, service, "primary_unproven", now);
+        return;
+    }
+    if (now < attempt.nextProbeAt)
+        return;
+    attempt.nextProbeAt = now + probeInterval;
+    sendControlCommand(state, attempt.chosen, command_kind::Status, 0, now);
+}
+
+/// Starts a repair: promoting the present primary changes nothing, but the new fencing token
+/// invalidates all earlier orders, so that the replicas can safely be resumed.
+void startRepair(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    attempt.chosen = attempt.oldPrimary;
+    if (!state.settings.promotionsAreFenced) {
+        // Without fencing the order would invalidate nothing, and promote a replaced primary.
+        takePausedReplicas(service);
+        abortAttempt(state, service, "replicas_resumed", now);
+        return;
+    }
+    attempt.repairAskedAt = now;
+    enterPhase(attempt, promotion_phase::Fencing,
+               std::min(now + fencingTimeout, attempt.leaseUntil));
+    attempt.nextProbeAt = now;
+    stepRepair(state, service, now);
+}
+
+/// Orders the repair once the primary has shown, under the token, that it leads. The order would
+/// bring back a primary that was replaced, without the commits of its successor.
+void onRepairAnswer(engine &state, service_state &service, const std::string &memberId,
+                    const member_status &status, core::time_point sentAt, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (memberId != attempt.chosen || sentAt < attempt.repairAskedAt)
+        return;
+    if (!status.leads) {
+        abortAttempt(state, service, "primary_replaced", now);
+        loseLeader(state, service, memberId, now);
+        return;
+    }
+    takePausedReplicas(service);
+    orderPromotion(state, service, now);
+}
+
 void stepFencing(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
+    if (attempt.cause == promotion_cause::ReplicaPaused) {
+        stepRepair(state, service, now);
+        return;
+    }
     tryToOrderPromotion(state, service, now);
     if (attempt.phase != promotion_phase::Fencing)
         return;
@@ -347,17 +408,7 @@
     }
     attempt.fenceTerm = service->term + 1;
     if (attempt.cause == promotion_cause::ReplicaPaused) {
-        // Promoting the present primary changes nothing, but the new fencing token invalidates all
-        // earlier orders, so that the replicas can safely be resumed.
-        attempt.chosen = attempt.oldPrimary;
-        for (const auto &[id, since] : service->pausedSince)
-            attempt.fenced.insert(id);
-        service->pausedSince.clear();
-        // Without fencing the order would invalidate nothing, and promote a replaced primary.
-        if (state.settings.promotionsAreFenced)
-            orderPromotion(state, *service, now);
-        else
-            abortAttempt(state, *service, "replicas_resumed", now);
+        startRepair(state, *service, now);
         return;
     }
     enterPhase(attempt, promotion_phase::Fencing,
@@ -394,11 +445,16 @@
     promotion_state &attempt = service->promotion;
     switch (outcome) {
     case promote_outcome::Ordered:
+        attempt.orderAccepted = true;
         enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
         break;
     case promote_outcome::NoAnswer:
         attempt.orderUnanswered = true;
-        enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        // The primary leads already, so only an answer shows that a repair has taken effect.
+        if (attempt.cause == promotion_cause::ReplicaPaused)
+            enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
+        else
+            enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
         break;
     case promote_outcome::FencedOff:
         // This order was rejected, but an earlier one without an answer may take effect later.
@@ -449,12 +505,18 @@
         loseLeader(state, *service, attempt.oldPrimary, now);
         return;
     }
+    const bool isRepair = attempt.cause == promotion_cause::ReplicaPaused;
+    if (attempt.phase == promotion_phase::Fencing && isRepair) {
+        onRepairAnswer(state, *service, memberId, status, sentAt, now);
+        return;
+    }
     if (countsAsReport(attempt, memberId, status))
         attempt.reports[memberId] = status;
     else if (attempt.phase == promotion_phase::Fencing)
         attempt.reports.erase(memberId); // it was paused, and has restarted since
+    const bool showsEffect = !isRepair || attempt.orderAccepted;
     if (attempt.phase == promotion_phase::AwaitingLeader && status.leads
-        && memberId == attempt.chosen) {
+        && memberId == attempt.chosen && showsEffect) {
         const member_state *old = findMember(state, attempt.oldPrimary);
         if (!state.settings.promotionsAreFenced && attempt.oldPrimary != attempt.chosen
             && old != nullptr && old->listed)
--- a/tests/unit-promotion-guard.cpp
+++ b/tests/unit-promotion-guard.cpp
@@ -121,6 +121,21 @@
         attempt().phaseDeadline = fixture.now + milliseconds(700);
     }
 
+    /// Starts a repair of m3, which was found paused beside the primary m1; it gets its token.
+    void startRepair()
+    {
+        startAttempt(promotion_phase::DrawingToken);
+        attempt().cause = promotion_cause::ReplicaPaused;
+        attempt().fenced.clear();
+        fixture.state.services.at(proxy_fixture::service).pausedSince["m3"] = fixture.now;
+        onTokenAcquired(fixture.state, proxy_fixture::service, 9, fixture.now);
+    }
+
+    std::size_t takeOrders()
+    {
+        return proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).size();
+    }
+
     /// Reports the status of a member, as the answer to a command that was sent just now.
     void report(const std::string &member, const member_status &status)
     {
@@ -168,3 +183,32 @@
     report("m3", { false, 2, { 2, 6 }, 0 });
     CHECK_EQUAL(2U, attempt().fenceTerm);
 }
+
+// Guards against losing the commits of a new primary: a daemon that has missed the promotion must
+// not promote the old primary again when it repairs a paused replica.
+TEST(promotion_attempt, repairPromotesNoReplacedPrimary)
+{
+    startRepair();
+    CHECK_EQUAL(0U, takeOrders());
+    report("m1", { false, 2, { 2, 6 }, 0 });
+    CHECK_EQUAL(0U, takeOrders());
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.empty());
+}
+
+// Guards against resuming replicas while an earlier order may still be carried out: only the
+// platform's answer shows that the newer token has invalidated it.
+TEST(promotion_attempt, repairResumesOnlyAfterItsOrderIsAccepted)
+{
+    startRepair();
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_EQUAL(1U, takeOrders());
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_TRUE(attempt().replicasToResume.empty());
+    fixture.advanceTime(milliseconds(200));
+    CHECK_EQUAL(1U, takeOrders());
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::Ordered, fixture.now);
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_EQUAL(1U, attempt().replicasToResume.count("m3"));
+}
