Repair no replica that was promoted since it was found paused

Cause: a daemon that saw the chosen replica paused kept that, since it asks only replicas whether they receive, and took it for a paused replica later.

Fix: the leader is passed over when paused replicas are looked for.

Measured: unit-promotion-guard, promotedMemberNeedsNoRepair, fails on and passes.

--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -139,6 +139,9 @@
         return promotion_cause::PrimaryDraining;
     for (const auto &[id, since] : service.pausedSince) {
         const core::time_point due = since + pausedReplicaTimeout;
+        // A replica that was promoted since receives nothing, as it leads.
+        if (id == service.leader)
+            continue;
         if (now >= due && (state.settings.promotionsAreFenced || othersFollow(state, service, due)))
             return promotion_cause::ReplicaPaused;
     }
--- a/tests/unit-promotion-guard.cpp
+++ b/tests/unit-promotion-guard.cpp
@@ -212,3 +212,13 @@
     report("m1", { true, 1, { 1, 6 }, 0 });
     CHECK_EQUAL(1U, attempt().replicasToResume.count("m3"));
 }
+
+// Guards against needless promotions after each promotion: the new primary was found paused before
+// it was promoted, and needs no repair.
+TEST(promotion_attempt, promotedMemberNeedsNoRepair)
+{
+    fixture.provePrimary({ 1, 7 });
+    service_state &service = fixture.state.services.at(proxy_fixture::service);
+    service.pausedSince[service.leader] = fixture.now - seconds(10);
+    CHECK_FALSE(findPromotionCause(fixture.state, service, fixture.now).has_value());
+}
