Split the source of promotions by job

Behaviour is unchanged: unit-promotion-guard, unit-session-engine, unit-leader-random, unit-leader-cluster, unit-leadership-evidence and unit-promotion-choice pass as before.

--- /dev/null
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// @brief Internal functions and constants that the source files of promotions share.
+
+#pragma once
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace fuchsiagw::proxy {
+
+/// Shorter than the lease, so that no other daemon acts before this one has ended its attempt.
+inline constexpr milliseconds fencingTimeout{ 2'000 };
+inline constexpr milliseconds probeInterval{ 40 };
+inline constexpr milliseconds orderTimeout{ 700 };
+inline constexpr milliseconds refusedOrderDelay{ 120 };
+
+/// @return how long this daemon waits before an attempt, so that one daemon acts first
+[[nodiscard]] core::duration startDelay(engine &state, service_state &service);
+void logPromotion(engine &state, note_kind kind, const service_state &service,
+                  std::string_view reason, core::time_point now);
+void enterPhase(promotion_state &attempt, promotion_phase phase, core::time_point until);
+/// @brief Ends an attempt and resumes the replicas that it paused, unless an ordered promotion may
+/// still take effect.
+void abortAttempt(engine &state, service_state &service, std::string_view reason,
+                  core::time_point now);
+/// @brief Orders the promotion of the chosen member, which receives from then on.
+void orderPromotion(engine &state, service_state &service, core::time_point now);
+/// @brief Orders a promotion if the reports allow a choice.
+void tryToOrderPromotion(engine &state, service_state &service, core::time_point now);
+/// @brief Ends an attempt whose chosen member leads.
+void finishPromotion(engine &state, service_state &service, core::time_point now);
+
+/// @brief Starts a repair: promoting the present primary changes nothing, but the new fencing token
+/// invalidates all earlier orders, so that the replicas can safely be resumed.
+void startRepair(engine &state, service_state &service, core::time_point now);
+/// @brief Asks the primary again, or ends a repair that takes too long.
+void stepRepair(engine &state, service_state &service, core::time_point now);
+/// @brief Orders the repair once the primary has shown, under the token, that it leads. The order
+/// would bring back a primary that was replaced, without the commits of its successor.
+void onRepairAnswer(engine &state, service_state &service, const std::string &member,
+                    const member_status &status, core::time_point sentAt, core::time_point now);
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -0,0 +1,233 @@
+/// @file
+/// @brief Promotion attempts: answers of the store, the platform and the members.
+
+#include <fuchsiagw/detail/promotion_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+/// Retry interval while the operator has switched promotions off.
+constexpr milliseconds switchedOffRetryInterval{ 5'000 };
+
+/// @return whether the attempt has not ordered a promotion yet and assumes that no member leads
+bool assumesNoLeader(const promotion_state &attempt)
+{
+    const bool basedOnSilence = attempt.cause == promotion_cause::PrimarySilent
+                                || attempt.cause == promotion_cause::NoPrimary;
+    const bool beforeOrder = attempt.phase == promotion_phase::QueryingPeers
+                             || attempt.phase == promotion_phase::DrawingToken
+                             || attempt.phase == promotion_phase::Fencing;
+    return basedOnSilence && beforeOrder;
+}
+
+/// @return whether a status shows that another member was promoted since the old primary led. Then
+/// neither the old primary's log nor the replicas' bounds the acknowledged commits.
+bool isOutdated(const promotion_state &attempt, const member_status &status)
+{
+    return attempt.phase == promotion_phase::Fencing && attempt.oldTerm != 0
+           && status.term > attempt.oldTerm;
+}
+
+/// @return whether a status bounds the commits that the members can have acknowledged: the member
+/// is paused for this attempt, or its log can only grow from now on
+bool countsAsReport(const promotion_state &attempt, const std::string &member,
+                    const member_status &status)
+{
+    if (attempt.phase != promotion_phase::Fencing)
+        return false;
+    if (attempt.stepDownSent)
+        return member != attempt.oldPrimary || !status.leads;
+    if (attempt.cause == promotion_cause::PrimaryDraining && member == attempt.chosen)
+        return true;
+    return attempt.fenced.contains(member) && status.pausedTerm >= attempt.fenceTerm;
+}
+
+/// Records what the status shows of the member's role, whatever the state of a promotion.
+void learnRole(engine &state, service_state &service, const std::string &memberId,
+               const member_status &status, core::time_point sentAt, core::time_point now)
+{
+    const bool isFenced = state.settings.promotionsAreFenced;
+    if (status.leads) {
+        const auto proven = isFenced ? std::optional(status.received) : std::nullopt;
+        learnLeader(state, service, memberId, status.term, proven, sentAt, now);
+        return;
+    }
+    recordReplicaReport(state, service, memberId, { sentAt, status.received }, now);
+    // A replaced primary has stepped down, by an order or since it has reached its successor.
+    if (!isFenced && service.promotion.phase == promotion_phase::None && service.leader == memberId
+        && sentAt > service.leaderProvenAt)
+        loseLeader(state, service, memberId, now);
+}
+
+/// Ends an attempt whose reason a status contradicts.
+/// @return whether the attempt has ended
+bool abortIfContradicted(engine &state, service_state &service, const member_status &status,
+                         core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (status.leads && assumesNoLeader(attempt)) {
+        abortAttempt(state, service, "primary_leads", now);
+        return true;
+    }
+    if (!isOutdated(attempt, status))
+        return false;
+    service.term = std::max(service.term, status.term);
+    abortAttempt(state, service, "newer_term", now);
+    loseLeader(state, service, attempt.oldPrimary, now);
+    return true;
+}
+
+void recordReport(promotion_state &attempt, const std::string &memberId,
+                  const member_status &status)
+{
+    if (countsAsReport(attempt, memberId, status))
+        attempt.reports[memberId] = status;
+    else if (attempt.phase == promotion_phase::Fencing)
+        attempt.reports.erase(memberId); // it was paused, and has restarted since
+}
+
+/// @return whether the status shows that the ordered promotion has taken effect
+bool showsPromotion(const promotion_state &attempt, const std::string &memberId,
+                    const member_status &status)
+{
+    // The primary of a repair leads already.
+    const bool isProof = attempt.cause != promotion_cause::ReplicaPaused || attempt.orderAccepted;
+    return attempt.phase == promotion_phase::AwaitingLeader && status.leads
+           && memberId == attempt.chosen && isProof;
+}
+
+/// Orders a replaced primary to step down where it would go on until it learns of its successor.
+void stepDownReplaced(engine &state, const promotion_state &attempt, core::term_number term,
+                      core::time_point now)
+{
+    const member_state *old = findMember(state, attempt.oldPrimary);
+    const bool goesOn = !state.settings.promotionsAreFenced && attempt.oldPrimary != attempt.chosen;
+    if (goesOn && old != nullptr && old->listed)
+        sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown, term, now);
+}
+
+void continueAttempt(engine &state, service_state &service, const std::string &memberId,
+                     const member_status &status, core::time_point sentAt, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    // A member rejects a pause under a term that is not higher than its own; the order is repeated
+    // with a higher term, unless that is the term of an ordered promotion that has taken effect.
+    if (!attempt.orderSent)
+        attempt.fenceTerm = std::max(attempt.fenceTerm, status.term + 1);
+    trackReceiver(attempt, memberId, status);
+    if (abortIfContradicted(state, service, status, now))
+        return;
+    const bool isFencing = attempt.phase == promotion_phase::Fencing;
+    if (isFencing && attempt.cause == promotion_cause::ReplicaPaused) {
+        onRepairAnswer(state, service, memberId, status, sentAt, now);
+        return;
+    }
+    recordReport(attempt, memberId, status);
+    if (showsPromotion(attempt, memberId, status)) {
+        stepDownReplaced(state, attempt, status.term, now);
+        finishPromotion(state, service, now);
+    } else if (isFencing) {
+        tryToOrderPromotion(state, service, now);
+    }
+}
+
+} // namespace
+
+void onTokenAcquired(engine &state, const std::string &serviceName, std::uint64_t token,
+                     core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    promotion_state &attempt = service->promotion;
+    if (token == 0) {
+        abortAttempt(state, *service, "no_token", now);
+        return;
+    }
+    attempt.token = token;
+    // Reports sent before fencing are discarded: a member that was still receiving may since have
+    // received more than it reported.
+    attempt.reports.clear();
+    if (now >= attempt.leaseUntil) {
+        abortAttempt(state, *service, "token_came_late", now);
+        return;
+    }
+    attempt.fenceTerm = service->term + 1;
+    if (attempt.cause == promotion_cause::ReplicaPaused) {
+        startRepair(state, *service, now);
+        return;
+    }
+    enterPhase(attempt, promotion_phase::Fencing,
+               std::min(now + fencingTimeout, attempt.leaseUntil));
+    logPromotion(state, note_kind::PromotionStep, *service, "fencing", now);
+    pauseReplicas(state, *service, now);
+}
+
+void onTokenHeldElsewhere(engine &state, const std::string &serviceName, core::time_point until,
+                          core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    abortAttempt(state, *service, "held_by_other", now);
+    service->promotion.earliestStartAt = until + startDelay(state, *service);
+}
+
+void onPromotionsDisabled(engine &state, const std::string &serviceName, core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
+        return;
+    abortAttempt(state, *service, "switched_off", now);
+    service->promotion.earliestStartAt = now + switchedOffRetryInterval;
+}
+
+void onPromoteAnswer(engine &state, const std::string &serviceName, promote_outcome outcome,
+                     core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::Ordering)
+        return;
+    promotion_state &attempt = service->promotion;
+    switch (outcome) {
+    case promote_outcome::Ordered:
+        attempt.orderAccepted = true;
+        enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        break;
+    case promote_outcome::NoAnswer:
+        attempt.orderUnanswered = true;
+        // The primary leads already, so only an answer shows that a repair has taken effect.
+        if (attempt.cause == promotion_cause::ReplicaPaused)
+            enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
+        else
+            enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        break;
+    case promote_outcome::FencedOff:
+        // This order was rejected, but an earlier one without an answer may take effect later.
+        attempt.orderSent = attempt.orderUnanswered;
+        abortAttempt(state, *service, "fenced_off", now);
+        break;
+    case promote_outcome::Refused:
+        enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
+        break;
+    }
+}
+
+void onControlAnswer(engine &state, const std::string &memberId, const reply &answer,
+                     core::time_point sentAt, core::time_point now)
+{
+    const member_state *member = findMember(state, memberId);
+    service_state *service = member ? findService(state, member->entry.service) : nullptr;
+    if (service == nullptr || !answer.status)
+        return;
+    const member_status &status = *answer.status;
+    learnRole(state, *service, memberId, status, sentAt, now);
+    trackPause(state, *service, memberId, status, now);
+    if (service->promotion.phase != promotion_phase::None)
+        continueAttempt(state, *service, memberId, status, sentAt, now);
+}
+
+} // namespace fuchsiagw::proxy
--- /dev/null
+++ b/src/proxy/promotion_steps.cpp
@@ -0,0 +1,119 @@
+/// @file
+/// @brief Steps of a promotion attempt that several of its events share.
+
+#include <fuchsiagw/detail/promotion_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+constexpr milliseconds retryDelay{ 400 };
+/// Daemons that detect the same failure start one after the other, in an order that differs by
+/// service, so that the first one acts before the others request a token from the store.
+constexpr milliseconds startJitter{ 60 };
+constexpr milliseconds startStagger{ 90 };
+/// Daemons of a higher rank start together with the daemon of this rank.
+constexpr std::size_t maxStartRank = 12;
+
+core::duration randomBelow(engine &state, core::duration bound)
+{
+    return core::duration(static_cast<std::int64_t>(
+            core::drawBelow(state.random, static_cast<std::uint64_t>(bound.count()))));
+}
+
+} // namespace
+
+core::duration startDelay(engine &state, service_state &service)
+{
+    const std::size_t rank = std::min(serviceRank(state, service), maxStartRank);
+    return startStagger * static_cast<int>(rank) + randomBelow(state, startJitter);
+}
+
+void logPromotion(engine &state, note_kind kind, const service_state &service,
+                  std::string_view reason, core::time_point now)
+{
+    const promotion_state &attempt = service.promotion;
+    decision_note note;
+    note.kind = kind;
+    note.service = service.name;
+    note.member = attempt.chosen.empty() ? attempt.oldPrimary : attempt.chosen;
+    note.reason = reason;
+    note.number = static_cast<std::int64_t>(attempt.token);
+    note.age = now - attempt.startedAt;
+    const auto report = attempt.reports.find(attempt.chosen);
+    if (report != attempt.reports.end())
+        note.position = report->second.received;
+    state.out.emplace_back(std::move(note));
+}
+
+void enterPhase(promotion_state &attempt, promotion_phase phase, core::time_point until)
+{
+    attempt.phase = phase;
+    attempt.phaseDeadline = until;
+}
+
+void abortAttempt(engine &state, service_state &service, std::string_view reason,
+                  core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    logPromotion(state, note_kind::PromotionEnded, service, reason, now);
+    if (!attempt.orderSent) {
+        attempt.chosen.clear();
+        scheduleResume(state, service, now);
+    }
+    attempt.phase = promotion_phase::None;
+    attempt.earliestStartAt = now + retryDelay + randomBelow(state, retryDelay);
+    attempt.nextProbeAt = core::noDeadline;
+    attempt.phaseDeadline = core::noDeadline;
+}
+
+void orderPromotion(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    attempt.orderSent = true;
+    ++state.counters.promotionsOrdered;
+    attempt.replicasToResume.clear();
+    attempt.nextResumeAt = core::noDeadline;
+    const auto report = attempt.reports.find(attempt.chosen);
+    if (report != attempt.reports.end())
+        trackReceiver(attempt, attempt.chosen, report->second);
+    keepOthersPaused(state, service, now);
+    enterPhase(attempt, promotion_phase::Ordering, now + orderTimeout);
+    logPromotion(state, note_kind::PromotionStep, service, "ordered", now);
+    state.out.emplace_back(
+            order_promotion{ service.name, attempt.chosen, attempt.token, attempt.leaseUntil });
+}
+
+void tryToOrderPromotion(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (now >= attempt.leaseUntil
+        || (attempt.stepDownSent && !attempt.reports.contains(attempt.oldPrimary)))
+        return;
+    std::set<std::string> electable = electableMembers(state, service);
+    const bool isPlanned =
+            attempt.cause == promotion_cause::PrimaryDraining && !attempt.stepDownSent;
+    if (isPlanned && !attempt.chosen.empty())
+        std::erase_if(electable, [&](const auto &each) { return each != attempt.chosen; });
+    const promotion_choice choice =
+            chooseNewPrimary(attempt, electable, witnessesOf(state, service, now));
+    if (choice.member.empty() || choice.waitsForCatchUp)
+        return;
+    attempt.chosen = choice.member;
+    orderPromotion(state, service, now);
+}
+
+void finishPromotion(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    logPromotion(state, note_kind::PromotionDone, service, "leads", now);
+    scheduleResume(state, service, now);
+    attempt.phase = promotion_phase::None;
+    attempt.nextProbeAt = core::noDeadline;
+    attempt.phaseDeadline = core::noDeadline;
+    attempt.earliestStartAt = now + retryDelay;
+}
+
+} // namespace fuchsiagw::proxy
