Share the waiting of socket tests

unit-relay-server had written again how unit-session-gateway runs its I/O context until a condition holds. Both call one function now.

--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -2,6 +2,7 @@
 /// @brief Tests of the relay over real sockets: lent connections during a shutdown.
 
 #include "proxy-fixture.hpp"
+#include "run-until.hpp"
 
 #include <fuchsiagw/daemon/relay_server.hpp>
 #include <fuchsiagw/net/clock.hpp>
@@ -85,10 +86,7 @@
     template <typename condition>
     bool runUntil(const condition &isMet, std::chrono::milliseconds limit = 3s)
     {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!isMet() && std::chrono::steady_clock::now() < end)
-            context.run_for(2ms);
-        return isMet();
+        return testing::runUntil(context, isMet, limit);
     }
 
     /// Sends a statement of the borrower and waits until the member has it.
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// @brief Tests of a session gateway over real sockets under hostile datagrams and odd rows.
 
+#include "run-until.hpp"
+
 #include <fuchsiagw/daemon/log_sink.hpp>
 #include <fuchsiagw/daemon/session_gateway.hpp>
 #include <fuchsiagw/daemon/session_log.hpp>
@@ -80,10 +82,7 @@
     template <typename condition>
     bool runUntil(const condition &isMet, std::chrono::milliseconds limit = 3s)
     {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!isMet() && std::chrono::steady_clock::now() < end)
-            context.run_for(2ms);
-        return isMet();
+        return testing::runUntil(context, isMet, limit);
     }
 
     /// @return the value of a counter in the gateway's metrics; -1 if it is missing
