Keep the time of the first stop signal for lent connections

What callers would see: after a second SIGTERM, a stopping relay would keep lent connections until its process ends, and cut statements. Found by reading the change that returns them; not seen in a run.

Cause: each signal set the time of the return anew, counted from itself; the end of the process counts from the first one.

Fix: only the first stop of the relay counts.

Measured: unit-relay-server, secondStopDoesNotExtendTheLending, fails without the change and passes with it.

--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -46,7 +46,7 @@
     relay_server &operator=(const relay_server &) = delete;
 
     [[nodiscard]] std::error_code start(const net::endpoint &local);
-    /// @brief Refuses new borrowers and closes idle connections.
+    /// @brief Refuses new borrowers and closes idle connections; a second call has no effect.
     /// @param lendUntil from then on, a lent connection is closed as soon as no reply is pending
     void stop(core::time_point lendUntil);
     /// @return whether any borrower is connected
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -9,6 +9,7 @@
 #include <platform/wire_codec.hpp>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace fuchsiagw::daemon {
@@ -366,7 +367,8 @@
 
 void relay_server::stop(core::time_point lendUntil)
 {
-    isStopping_ = true;
+    if (std::exchange(isStopping_, true))
+        return;
     lendUntil_ = lendUntil;
     for (const auto &[member, pool] : pools_)
         closeIdle(member);
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -130,3 +130,15 @@
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
     CHECK_EQUAL(5U, fixture.borrower.lines.size());
 }
+
+// Guards against a second shutdown signal that keeps connections lent beyond the end of the
+// process.
+TEST(relay_server, secondStopDoesNotExtendTheLending)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 3; }));
+    fixture.relay.stop(net::currentBootTime() + 100ms);
+    fixture.relay.stop(net::currentBootTime() + 10s);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+}
