Issue values and prepared statements again byte for byte

What callers saw: a statement ran in another shape than its caller had prepared or got NOSTMT, and an EXECUTE without an argument reached the member with a blank more (PINNED, UNASKED).

Cause: the proxy named a prepared statement after its shape. A shape is a last field and may hold blanks, which end a name: PREPARE r_q 1 READ q 1 is another statement. SET and EXECUTE were put together from name and argument, which loses whether a blank stood between them.

Why this works: prepared names are numbers of the connection, so they hold no bytes of callers and no two shapes share one; the text behind a name is kept with its blank and written as it was.

--- a/include/fuchsiagw/proxy/caller_statement.hpp
+++ b/include/fuchsiagw/proxy/caller_statement.hpp
@@ -49,7 +49,7 @@
     statement_kind kind = statement_kind::Malformed;
     std::string text; ///< as received; reads, writes and commits are forwarded verbatim
     std::string name; ///< name of the value or prepared statement, if the kind has one
-    std::string argument; ///< text after the name
+    std::string argument; ///< text after the name, with the blank that separates them
     prepared_shape prepared; ///< set for Prepare
 };
 
--- a/include/fuchsiagw/proxy/upstream_command.hpp
+++ b/include/fuchsiagw/proxy/upstream_command.hpp
@@ -33,7 +33,7 @@
     std::string id;
     std::string text; ///< for Forward
     std::string name;
-    std::string argument;
+    std::string argument; ///< for SetValue and executes: with the blank before it
     prepared_shape prepared; ///< for Prepare, and for Forward of an Execute
     bool executes = false; ///< Forward: replaces the caller's prepared name by `name`
     std::optional<core::log_position> after; ///< member refuses if its log lacks it
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -10,8 +10,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace fuchsiagw::proxy {
@@ -56,7 +56,7 @@
     link_state state = link_state::Connecting;
     std::deque<expected_answer> expected;
     session_values values;
-    std::set<prepared_shape> prepared;
+    std::map<prepared_shape, std::string> prepared; ///< names at the member, by shape
     session_id pinnedTo = 0; ///< session whose transaction runs on this link; 0: none
     bool beginProvesLeader = false; ///< latest begin was read-write; only a leader accepts it
     std::optional<core::log_position> beginPosition; ///< from the answer to the latest begin
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -29,11 +29,6 @@
 /// Fraction of a member's connections that all daemons together may keep open while idle.
 constexpr double idleConnectionShare = 0.75;
 
-std::string preparedName(const prepared_shape &shape)
-{
-    return (shape.writes ? "w_" : "r_") + shape.shape;
-}
-
 /// @return whether the link's values can be changed into the session's without a Discard
 bool canExtend(const upstream_link &link, const session &caller)
 {
@@ -92,11 +87,13 @@
     const caller_statement &statement = caller.current->statement;
     if (statement.kind != statement_kind::Execute || link.prepared.contains(statement.prepared))
         return;
-    upstream_command prepare = makeCommand(command_kind::Prepare, preparedName(statement.prepared));
+    // A shape may hold any bytes, blanks among them, so the name is not derived from it.
+    upstream_command prepare =
+            makeCommand(command_kind::Prepare, std::to_string(link.prepared.size()));
     prepare.prepared = statement.prepared;
+    link.prepared.emplace(statement.prepared, prepare.name);
     batch.push_back(std::move(prepare));
     expectAnswer(link, answer_role::Preparation, now);
-    link.prepared.insert(statement.prepared);
 }
 
 void addBegin(upstream_link &link, const session &caller, std::vector<upstream_command> &batch,
@@ -115,7 +112,7 @@
     expectAnswer(link, answer_role::Begin, now, &caller);
 }
 
-upstream_command makeForward(const session &caller)
+upstream_command makeForward(const upstream_link &link, const session &caller)
 {
     const request &pending = *caller.current;
     upstream_command command;
@@ -124,7 +121,7 @@
     command.text = pending.statement.text;
     if (pending.statement.kind == statement_kind::Execute) {
         command.executes = true;
-        command.name = preparedName(pending.statement.prepared);
+        command.name = link.prepared.at(pending.statement.prepared);
         command.argument = pending.statement.argument;
     }
     return command;
@@ -134,7 +131,7 @@
                   core::time_point now)
 {
     const request &pending = *caller.current;
-    upstream_command statement = makeForward(caller);
+    upstream_command statement = makeForward(link, caller);
     const bool outsideTransaction = caller.state == transaction_state::Idle;
     if (outsideTransaction && !pending.where.needsPrimary)
         statement.after = pending.where.minPosition;
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -233,7 +233,7 @@
 TEST(session_engine, reusedConnectionGetsSessionValues)
 {
     const session_id first = fixture.openSession("current");
-    fixture.sendStatement(first, statement_kind::SetValue, "SET a 1", "a", "1");
+    fixture.sendStatement(first, statement_kind::SetValue, "SET a 1", "a", " 1");
     fixture.sendRead(first);
     fixture.acceptLinks();
     const link_id link = fixture.busyLink();
@@ -251,6 +251,32 @@
     CHECK(sent.at(0).kind == command_kind::Discard);
 }
 
+// Guards against a prepared statement that is issued again in another shape (PINNED, UNASKED): a
+// shape may hold blanks, which would end a name that is made of it.
+TEST(session_engine, preparedNameIsNotMadeOfTheShape)
+{
+    const session_id id = fixture.openSession("own");
+    for (const char *shape : { "q 1", "q 2" }) {
+        caller_statement prepare;
+        prepare.id = shape;
+        prepare.kind = statement_kind::Prepare;
+        prepare.name = shape;
+        prepare.prepared = { true, shape };
+        onCallerStatement(fixture.state, id, prepare, fixture.now);
+        fixture.sendStatement(id, statement_kind::Execute, "EXECUTE", shape, " a x");
+        fixture.acceptLinks();
+        const auto sent = proxy_fixture::commandsOf(fixture.takeActions());
+        const upstream_command &issued = sent.at(sent.size() - 2);
+        CHECK(issued.kind == command_kind::Prepare);
+        STRCMP_EQUAL(shape, issued.prepared.shape.c_str());
+        CHECK(issued.name.find(' ') == std::string::npos);
+        STRCMP_EQUAL(issued.name.c_str(), sent.back().name.c_str());
+        const link_id link = fixture.busyLink();
+        fixture.answer(link, proxy_fixture::success({ 1, 1 }));
+        fixture.answer(link, proxy_fixture::success({ 1, 1 }));
+    }
+}
+
 // Guards against giving the answer of a request that has timed out to the session, which may
 // already wait for the answer to a later request.
 TEST(session_engine, lateAnswerIsDropped)
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -106,7 +106,7 @@
     STRCMP_EQUAL("QUERY 5c AFTER 3.7 READ a\r\n", encodeCommand(command).c_str());
     command.executes = true;
     command.name = "r_q1";
-    command.argument = "a x";
+    command.argument = " a x";
     STRCMP_EQUAL("QUERY 5c AFTER 3.7 EXECUTE r_q1 a x\r\n", encodeCommand(command).c_str());
     proxy::upstream_command startup;
     startup.kind = proxy::command_kind::Startup;
@@ -116,6 +116,32 @@
     STRCMP_EQUAL("STARTUP service house i-1\r\n", encodeCommand(startup).c_str());
 }
 
+// Guards against values and arguments that change when the proxy issues them again (MIXED, PINNED):
+// every byte after the name is kept, whatever it is, and so is a missing argument.
+TEST(wire_codec, textBehindNameIsIssuedAgainUnchanged)
+{
+    using namespace std::string_literals;
+    for (const std::string &tail :
+         { " x"s, " "s, "  x "s, " a\nQUERY 2 READ b"s, " a\rb\r"s, " a\0b"s, " \x80\xff"s }) {
+        const auto set = statementOf("QUERY 1 SET v1" + tail);
+        CHECK(set.kind == proxy::statement_kind::SetValue);
+        proxy::upstream_command command;
+        command.kind = proxy::command_kind::SetValue;
+        command.name = set.name;
+        command.argument = set.argument;
+        CHECK("QUERY - SET v1" + tail + "\r\n" == encodeCommand(command));
+        const auto execute = statementOf("QUERY 1 EXECUTE s1" + tail);
+        command = {};
+        command.id = execute.id;
+        command.executes = true;
+        command.name = "0";
+        command.argument = execute.argument;
+        CHECK("QUERY 1 EXECUTE 0" + tail + "\r\n" == encodeCommand(command));
+    }
+    STRCMP_EQUAL("", statementOf("QUERY 1 EXECUTE s1").argument.c_str());
+    CHECK(statementOf("QUERY 1 SET v1").kind == proxy::statement_kind::Malformed);
+}
+
 // Guards against a reply that is delivered before its READY line, and so without its state and
 // position.
 TEST(wire_codec, replyIsCompleteAtItsReadyLine)
