Pair each reply of a member with its command

What callers saw: reads that carried rows of another item or none, and commits that carried rows (MIXED), when a member sent a reply twice, the second time late.

Cause: replies name no command, and the proxy counted them. One reply more shifted all that followed on the connection, and the relay lent that connection on. A success without a digest was delivered for a read, write or commit.

Why this works: both users of a connection to a member, the relay and the direct links, now share member_connection, which passes on complete replies only. reply_pairing compares each with the oldest outstanding command. A digest that was seen before is certainly a second reply; a reply without a digest can't be that to a run, nor one with a digest that to SET, PREPARE, BEGIN or ROLLBACK; BEGIN ends in a transaction, ROLLBACK outside; a line without an outstanding command ends the connection. So a shift by replies that can't be told apart (SET, SET) is noticed at the next run at the latest, before its reply is delivered. A surplus reply is dropped and the own one still awaited, so a write keeps its outcome; the connection then ends. Where a reply may be missing, or an error repeats one that the connection has shown, the connection ends and the outcome is unknown. The relay lends no connection again that has shown an error, since the error may come a second time.

New: log event 924 reply_rejected and metric replies_rejected_total by reason.

Measured: unit-reply-pairing, 4,000 random schedules with replies of every kind repeated between any two others: no run gets another's reply. unit-relay-server has a case for each kind; runningStatementIsAnsweredFirst answered a read without a digest, which no member does, and now sends one, with rows, and expects these as well.

--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -3,9 +3,9 @@
 ///
 /// A borrower is a connection from another daemon. It uses the members' protocol as if this daemon
 /// were the member: its startup command names the member's id and the workspace, and the relay
-/// assigns it a pooled connection for them. Lines are forwarded unchanged in both directions. When
-/// the borrower disconnects, an open transaction is rolled back, the session state is discarded and
-/// the connection returns to the pool.
+/// assigns it a pooled connection for them. Commands and complete replies are forwarded unchanged.
+/// When the borrower disconnects, an open transaction is rolled back, the session state is
+/// discarded and the connection returns to the pool, unless one of its replies may come again.
 
 #pragma once
 
@@ -14,12 +14,14 @@
 #include <fuchsiagw/net/line_connection.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
 #include <fuchsiagw/proxy/relay_pool.hpp>
+#include <fuchsiagw/proxy/reply_pairing.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,7 +42,11 @@
 class relay_server
 {
 public:
-    relay_server(boost::asio::io_context &context, proxy::engine &engine);
+    /// Called with the member whose reply was dropped, or made its connection unusable.
+    using reply_fault_handler = std::function<void(const std::string &, proxy::reply_fault)>;
+
+    relay_server(boost::asio::io_context &context, proxy::engine &engine,
+                 reply_fault_handler onReplyFault);
     ~relay_server();
     relay_server(const relay_server &) = delete;
     relay_server &operator=(const relay_server &) = delete;
@@ -60,28 +66,30 @@
     void accept();
     void onBorrowerLine(proxy::borrower_id id, std::string_view line);
     void onBorrowerDisconnected(proxy::borrower_id id);
-    void onMemberLine(proxy::pooled_id id, std::string_view line);
+    void onMemberReply(proxy::pooled_id id, const proxy::reply &received, std::string_view text);
+    void onOpened(proxy::pooled_id id, bool isAccepted);
     void onMemberDisconnected(proxy::pooled_id id);
     void requestConnection(proxy::borrower_id id, const std::string &memberId,
                            const std::string &workspace);
     void open(const std::string &memberId, const std::string &workspace);
     void lend(proxy::borrower_id borrowerId, proxy::pooled_id pooledId);
     void resetConnection(proxy::pooled_id id);
+    /// @brief Closes a pooled connection and that of its borrower, if any.
     void closePooled(proxy::pooled_id id, bool isGraceful);
     /// @param code ConnectionLimit: no connection is free; Misrouted: the startup command is
     /// invalid, the member or its service is unknown, or the relay is stopping
     void refuse(proxy::borrower_id id, proxy::reply_code code);
     void advance(const std::string &memberId);
     void closeIdle(const std::string &memberId);
-    /// @brief Ends the use of a lent connection between two statements, so that none is cut by the
-    /// end of the process. The member rolls back an open transaction.
-    void recall(proxy::pooled_id id);
+    /// @return whether the use of a lent connection ends now, between two statements, so that none
+    /// is cut by the end of the process; the member rolls back an open transaction
     [[nodiscard]] bool isRecallDue(const pooled &connection) const;
     void scheduleTick();
     void tick();
 
     boost::asio::io_context &context_;
     proxy::engine &engine_;
+    reply_fault_handler onReplyFault_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     relay_counters counters_;
--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -57,7 +57,8 @@
     void startAccepting();
     void accept();
     void onCallerLine(proxy::session_id id, std::string_view line);
-    void onUpstreamLine(proxy::link_id id, std::string_view line);
+    void onUpstreamReply(proxy::link_id id, proxy::reply &&received);
+    void onReplyFault(const std::string &member, proxy::reply_fault fault);
     void onDatagram(std::string_view bytes);
     /// @brief Runs the handler of one event. An unexpected error drops this event alone; it is
     /// counted and logged.
@@ -109,6 +110,7 @@
     latency_histograms latencies_;
     std::uint64_t droppedEvents_ = 0;
     std::uint64_t unreadableDatagrams_ = 0;
+    std::array<std::uint64_t, proxy::replyFaultNames.size()> replyFaults_{}; ///< by reply_fault
     core::time_point nextUnreadableLogAt_{};
 };
 
--- a/include/fuchsiagw/detail/session_connections.hpp
+++ b/include/fuchsiagw/detail/session_connections.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <fuchsiagw/daemon/member_connection.hpp>
 #include <fuchsiagw/daemon/session_gateway.hpp>
 
 #include <platform/wire_codec.hpp>
@@ -21,9 +22,7 @@
 
 struct session_gateway::upstream_connection
 {
-    std::shared_ptr<net::line_connection> connection;
-    adapter::reply_decoder decoder;
-    bool isOpen = false; ///< the reply to the startup command was read
+    std::shared_ptr<member_connection> connection;
 };
 
 } // namespace fuchsiagw::daemon
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -3,6 +3,7 @@
 
 #include <fuchsiagw/daemon/relay_server.hpp>
 
+#include <fuchsiagw/daemon/member_connection.hpp>
 #include <fuchsiagw/detail/engine_steps.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
@@ -37,23 +38,27 @@
     std::shared_ptr<net::line_connection> connection;
     std::string member;
     proxy::pooled_id pooled = 0; ///< assigned member connection; 0: none
-    std::string bufferedLines; ///< received before a connection was assigned
-    std::uint32_t bufferedStatements = 0;
+    /// @name Commands received before a connection was assigned
+    /// @{
+    std::string bufferedLines;
+    std::vector<proxy::reply_shape> bufferedShapes; ///< one for each line
+    /// @}
 };
 
 struct relay_server::pooled
 {
-    std::shared_ptr<net::line_connection> connection;
+    std::shared_ptr<member_connection> connection;
     std::string member;
     proxy::borrower_id lentTo = 0; ///< borrower that uses the connection; 0: none
     bool isOpen = false;
-    std::uint32_t pendingReplies = 0; ///< replies that are not complete yet
     bool isInTransaction = false; ///< as of the last complete reply
 };
 
-relay_server::relay_server(boost::asio::io_context &context, proxy::engine &engine)
+relay_server::relay_server(boost::asio::io_context &context, proxy::engine &engine,
+                           reply_fault_handler onReplyFault)
     : context_(context)
     , engine_(engine)
+    , onReplyFault_(std::move(onReplyFault))
     , acceptor_(context)
     , timer_(context)
 { }
@@ -86,8 +91,8 @@
         if (!error) {
             const proxy::borrower_id id = ++lastId_;
             auto entry = std::make_unique<borrower>();
-            entry->connection =
-                    net::line_connection::create(std::move(socket), adapter::maxMessageBytes);
+            entry->connection = net::line_connection::create(std::move(socket),
+                                                             adapter::maxInternalMessageBytes);
             entry->connection->setHandlers(
                     [this, id](std::string_view line) { onBorrowerLine(id, line); },
                     [this, id] { onBorrowerDisconnected(id); });
@@ -120,16 +125,22 @@
         connection->closeGracefully();
         return;
     }
+    const auto shape = adapter::replyShapeOf(line);
+    if (!shape) {
+        const auto connection = source.connection;
+        onBorrowerDisconnected(id);
+        connection->close();
+        return;
+    }
     std::string message(line);
     message += adapter::lineEnd();
     const auto assigned = pooled_.find(source.pooled);
-    if (assigned == pooled_.end()) {
-        source.bufferedLines += message;
-        ++source.bufferedStatements;
+    if (assigned != pooled_.end()) {
+        assigned->second->connection->send(std::move(message), { *shape });
         return;
     }
-    ++assigned->second->pendingReplies;
-    assigned->second->connection->send(std::move(message));
+    source.bufferedLines += message;
+    source.bufferedShapes.push_back(*shape);
 }
 
 void relay_server::requestConnection(proxy::borrower_id id, const std::string &memberId,
@@ -177,9 +188,13 @@
     const proxy::pooled_id id = ++lastId_;
     auto entry = std::make_unique<pooled>();
     entry->member = memberId;
-    entry->connection = net::line_connection::create(context_, adapter::maxMessageBytes);
-    entry->connection->setHandlers([this, id](std::string_view line) { onMemberLine(id, line); },
-                                   [this, id] { onMemberDisconnected(id); });
+    entry->connection = member_connection::create(
+            net::line_connection::create(context_, adapter::maxInternalMessageBytes),
+            { [this, id](proxy::reply &&received, std::string_view text) {
+                 onMemberReply(id, received, text);
+             },
+              [this, id] { onMemberDisconnected(id); },
+              [this, memberId](proxy::reply_fault fault) { onReplyFault_(memberId, fault); } });
     const auto connection = entry->connection;
     pooled_.emplace(id, std::move(entry));
     proxy::pooled_connection record;
@@ -192,7 +207,7 @@
     startup.name = member->second.entry.service;
     startup.argument = workspace;
     startup.id = memberId;
-    connection->send(adapter::encodeCommand(startup));
+    connection->send(adapter::encodeCommand(startup), { proxy::reply_shape::Startup });
     connection->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
 }
 
@@ -214,46 +229,28 @@
     client->second->connection->send(adapter::encodeReply({}, true));
     if (client->second->bufferedLines.empty())
         return;
-    connection->second->pendingReplies += client->second->bufferedStatements;
-    connection->second->connection->send(std::exchange(client->second->bufferedLines, {}));
+    connection->second->connection->send(std::exchange(client->second->bufferedLines, {}),
+                                         std::exchange(client->second->bufferedShapes, {}));
 }
 
-void relay_server::onMemberLine(proxy::pooled_id id, std::string_view line)
+void relay_server::onMemberReply(proxy::pooled_id id, const proxy::reply &received,
+                                 std::string_view text)
 {
-    const auto found = pooled_.find(id);
-    if (found == pooled_.end())
-        return;
-    pooled &from = *found->second;
-    const auto state = adapter::readyState(line);
+    pooled &from = *pooled_.at(id);
     if (!from.isOpen) {
-        proxy::relay_pool &pool = pools_[from.member];
-        if (!state) {
-            pool.refusedUntil = net::currentBootTime() + refusalBackoff;
-            closePooled(id, false);
-            return;
-        }
-        from.isOpen = true;
-        pool.connections.at(id).state = proxy::pooled_state::Idle;
-        pool.connections.at(id).since = net::currentBootTime();
-        advance(from.member);
+        onOpened(id, received.code == proxy::reply_code::Success);
         return;
     }
-    if (state) {
-        from.pendingReplies -= from.pendingReplies > 0 ? 1 : 0;
-        from.isInTransaction = *state != proxy::transaction_state::Idle;
-    }
+    from.isInTransaction = received.state != proxy::transaction_state::Idle;
     if (from.lentTo != 0) {
         const auto client = borrowers_.find(from.lentTo);
-        if (client != borrowers_.end()) {
-            std::string message(line);
-            message += adapter::lineEnd();
-            client->second->connection->send(std::move(message));
-        }
+        if (client != borrowers_.end())
+            client->second->connection->send(std::string(text));
         if (isRecallDue(from))
-            recall(id);
+            closePooled(id, true);
         return;
     }
-    if (!state || from.pendingReplies > 0)
+    if (from.connection->hasOutstanding())
         return;
     proxy::relay_pool &pool = pools_[from.member];
     proxy::pooled_connection &record = pool.connections.at(id);
@@ -266,23 +263,46 @@
     advance(from.member);
 }
 
+void relay_server::onOpened(proxy::pooled_id id, bool isAccepted)
+{
+    pooled &opened = *pooled_.at(id);
+    proxy::relay_pool &pool = pools_[opened.member];
+    if (!isAccepted) {
+        pool.refusedUntil = net::currentBootTime() + refusalBackoff;
+        closePooled(id, false);
+        return;
+    }
+    opened.isOpen = true;
+    pool.connections.at(id).state = proxy::pooled_state::Idle;
+    pool.connections.at(id).since = net::currentBootTime();
+    advance(opened.member);
+}
+
 void relay_server::resetConnection(proxy::pooled_id id)
 {
-    pooled &from = *pooled_.at(id);
+    const pooled &from = *pooled_.at(id);
+    if (from.connection->hasSeenError()) {
+        // The error may come a second time, and then looks like the next borrower's.
+        const std::string member = from.member;
+        closePooled(id, true);
+        advance(member);
+        return;
+    }
     proxy::pooled_connection &record = pools_.at(from.member).connections.at(id);
     record.state = proxy::pooled_state::Cleaning;
     record.since = net::currentBootTime();
     proxy::upstream_command command;
     std::string message;
+    std::vector<proxy::reply_shape> shapes;
     if (from.isInTransaction) {
         command.kind = proxy::command_kind::Rollback;
         message += adapter::encodeCommand(command);
-        ++from.pendingReplies;
+        shapes.push_back(proxy::reply_shape::Rollback);
     }
     command.kind = proxy::command_kind::Discard;
     message += adapter::encodeCommand(command);
-    ++from.pendingReplies;
-    from.connection->send(std::move(message));
+    shapes.push_back(proxy::reply_shape::Setting);
+    from.connection->send(std::move(message), shapes);
 }
 
 void relay_server::onBorrowerDisconnected(proxy::borrower_id id)
@@ -301,7 +321,7 @@
         return;
     connection->second->lentTo = 0;
     pools_.at(member).connections.at(pooledId).since = net::currentBootTime();
-    if (connection->second->pendingReplies == 0)
+    if (!connection->second->connection->hasOutstanding())
         resetConnection(pooledId);
 }
 
@@ -320,19 +340,20 @@
     const auto connection = found->second->connection;
     pooled_.erase(found);
     pools_[member].connections.erase(id);
-    if (isGraceful) {
-        connection->send(std::string(adapter::terminateMessage()));
-        connection->closeGracefully();
-    } else {
-        connection->close();
-    }
     // The borrower's connection is closed as well, so that the borrower detects the loss of the
-    // member connection.
+    // member connection. The last reply may not have been sent completely yet.
     const auto client = borrowers_.find(borrowerId);
-    if (client == borrowers_.end())
-        return;
-    client->second->connection->close();
-    borrowers_.erase(client);
+    if (client != borrowers_.end()) {
+        if (connection->hasOutstanding())
+            client->second->connection->close();
+        else
+            client->second->connection->closeGracefully();
+        borrowers_.erase(client);
+    }
+    if (isGraceful)
+        connection->closeGracefully();
+    else
+        connection->close();
 }
 
 void relay_server::refuse(proxy::borrower_id id, proxy::reply_code code)
@@ -350,21 +371,10 @@
 
 bool relay_server::isRecallDue(const pooled &connection) const
 {
-    return connection.lentTo != 0 && connection.pendingReplies == 0
+    return connection.lentTo != 0 && !connection.connection->hasOutstanding()
            && net::currentBootTime() >= lendUntil_;
 }
 
-void relay_server::recall(proxy::pooled_id id)
-{
-    const auto client = borrowers_.find(pooled_.at(id)->lentTo);
-    if (client != borrowers_.end()) {
-        // The last reply may not have been sent completely yet.
-        client->second->connection->closeGracefully();
-        borrowers_.erase(client);
-    }
-    closePooled(id, true);
-}
-
 void relay_server::stop(core::time_point lendUntil)
 {
     if (std::exchange(isStopping_, true))
@@ -434,11 +444,11 @@
         }
     }
     for (const proxy::pooled_id id : toRecall)
-        recall(id);
+        closePooled(id, true);
     for (const proxy::pooled_id id : toClose) {
         const auto found = pooled_.find(id);
         if (found != pooled_.end())
-            closePooled(id, found->second->pendingReplies == 0);
+            closePooled(id, !found->second->connection->hasOutstanding());
     }
     for (const std::string &member : members)
         advance(member);
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -100,7 +100,10 @@
                } })
     , datagrams_(context,
                  [this](std::string_view bytes, const net::endpoint &) { onDatagram(bytes); })
-    , relay_(context, engine_)
+    , relay_(context, engine_,
+             [this](const std::string &member, proxy::reply_fault fault) {
+                 onReplyFault(member, fault);
+             })
     , acceptor_(context)
     , timer_(context)
 {
--- a/src/daemon/session_links.cpp
+++ b/src/daemon/session_links.cpp
@@ -19,28 +19,13 @@
 
 } // namespace
 
-void session_gateway::onUpstreamLine(proxy::link_id id, std::string_view line)
+void session_gateway::onUpstreamReply(proxy::link_id id, proxy::reply &&received)
 {
-    const auto found = upstreams_.find(id);
-    if (found == upstreams_.end())
-        return;
-    upstream_connection &link = *found->second;
-    auto answer = link.decoder.feed(line, !link.isOpen);
-    if (link.decoder.failed()) {
-        link.connection->close();
-        upstreams_.erase(found);
-        proxy::onLinkClosed(engine_, id, net::currentBootTime());
-        perform();
-        return;
-    }
-    if (!answer)
-        return;
-    link.isOpen = true;
-    if (answer->rows.size() == 1)
-        answer->status = adapter::decodeStatus(answer->rows.front());
+    if (received.rows.size() == 1)
+        received.status = adapter::decodeStatus(received.rows.front());
     const core::time_point now = net::currentBootTime();
     const bool handled = runGuarded(
-            "answer", [&] { proxy::onMemberAnswer(engine_, id, std::move(*answer), now); });
+            "answer", [&] { proxy::onMemberAnswer(engine_, id, std::move(received), now); });
     if (!handled) {
         perform(proxy::close_link{ id, false });
         proxy::onLinkClosed(engine_, id, now);
@@ -48,24 +33,41 @@
     perform();
 }
 
+void session_gateway::onReplyFault(const std::string &member, proxy::reply_fault fault)
+{
+    ++replyFaults_.at(static_cast<std::size_t>(fault));
+    proxy::decision_note note;
+    note.kind = proxy::note_kind::ReplyRejected;
+    note.member = member;
+    note.reason = toString(fault);
+    log_.write(note, net::currentBootTime());
+}
+
 void session_gateway::perform(const proxy::open_link &action)
 {
     net::endpoint peer;
-    auto entry = std::make_unique<upstream_connection>();
     const auto relay = peerAddresses_.find(action.relay);
     const bool isRelayed = relay != peerAddresses_.end();
-    entry->connection = isRelayed
-                                ? relayConnectionTo(action.relay, relay->second)
-                                : net::line_connection::create(context_, adapter::maxMessageBytes);
-    const auto connection = entry->connection;
     const proxy::link_id id = action.link;
     const auto onClosed = [this, id] {
         upstreams_.erase(id);
         proxy::onLinkClosed(engine_, id, net::currentBootTime());
         perform();
     };
-    connection->setHandlers([this, id](std::string_view line) { onUpstreamLine(id, line); },
-                            onClosed);
+    auto entry = std::make_unique<upstream_connection>();
+    entry->connection = member_connection::create(
+            isRelayed ? relayConnectionTo(action.relay, relay->second)
+                      : net::line_connection::create(context_, adapter::maxInternalMessageBytes),
+            { [this, id](proxy::reply &&received, std::string_view) {
+                 onUpstreamReply(id, std::move(received));
+             },
+              onClosed,
+              [this, id](proxy::reply_fault fault) {
+                  const auto link = engine_.links.find(id);
+                  onReplyFault(link == engine_.links.end() ? std::string() : link->second.member,
+                               fault);
+              } });
+    const auto connection = entry->connection;
     upstreams_.emplace(id, std::move(entry));
     if (isRelayed)
         return;
@@ -82,7 +84,7 @@
     auto &available = spareConnections_[node];
     std::shared_ptr<net::line_connection> connection;
     if (available.empty()) {
-        connection = net::line_connection::create(context_, adapter::maxMessageBytes);
+        connection = net::line_connection::create(context_, adapter::maxInternalMessageBytes);
         connection->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
     } else {
         connection = std::move(available.back());
@@ -95,7 +97,7 @@
 
 void session_gateway::addSpareConnection(const std::string &node, const net::endpoint &peer)
 {
-    const auto spare = net::line_connection::create(context_, adapter::maxMessageBytes);
+    const auto spare = net::line_connection::create(context_, adapter::maxInternalMessageBytes);
     const auto removeSpare = [this, node, raw = spare.get()] {
         std::erase_if(spareConnections_[node],
                       [raw](const auto &each) { return each.get() == raw; });
@@ -110,10 +112,14 @@
     const auto found = upstreams_.find(action.link);
     if (found == upstreams_.end())
         return;
+    const auto connection = found->second->connection;
     std::string text;
-    for (const proxy::upstream_command &each : action.commands)
+    std::vector<proxy::reply_shape> shapes;
+    for (const proxy::upstream_command &each : action.commands) {
         text += adapter::encodeCommand(each);
-    found->second->connection->send(std::move(text));
+        shapes.push_back(proxy::replyShapeOf(each.kind));
+    }
+    connection->send(std::move(text), shapes);
 }
 
 void session_gateway::perform(const proxy::close_link &action)
@@ -122,12 +128,10 @@
     if (found == upstreams_.end())
         return;
     const auto connection = found->second->connection;
-    if (action.graceful) {
-        connection->send(std::string(adapter::terminateMessage()));
+    if (action.graceful)
         connection->closeGracefully();
-    } else {
+    else
         connection->close();
-    }
     upstreams_.erase(found);
 }
 
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -28,6 +28,7 @@
     case proxy::note_kind::MemberAvoided:
     case proxy::note_kind::QuotaLent:
     case proxy::note_kind::QuotaPartChanged:
+    case proxy::note_kind::ReplyRejected:
         return true;
     default:
         return false;
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -21,6 +21,10 @@
             relay_.counters().opened, relay_.counters().refused);
     for (std::size_t i = 0; i < storePurposeNames.size(); ++i)
         text += fmt::format(" store_{}={}", storePurposeNames[i], store_.counters().calls[i]);
+    for (std::size_t i = 1; i < replyFaults_.size(); ++i) {
+        if (replyFaults_[i] != 0)
+            text += fmt::format(" rejected_{}={}", proxy::replyFaultNames[i], replyFaults_[i]);
+    }
     for (std::size_t i = 0; i < counts.refused.size(); ++i) {
         if (counts.refused[i] != 0)
             text += fmt::format(" refused_{}={}", proxy::refusalRows[i].name, counts.refused[i]);
@@ -60,6 +64,10 @@
     for (std::size_t i = 0; i < counts.refused.size(); ++i)
         text += fmt::format("fuchsiagw_refused_total{{reason=\"{}\"}} {}\n",
                             proxy::refusalRows[i].name, counts.refused[i]);
+    text += "# TYPE fuchsiagw_replies_rejected_total counter\n";
+    for (std::size_t i = 1; i < replyFaults_.size(); ++i)
+        text += fmt::format("fuchsiagw_replies_rejected_total{{reason=\"{}\"}} {}\n",
+                            proxy::replyFaultNames[i], replyFaults_[i]);
     text += "# TYPE fuchsiagw_store_calls_total counter\n";
     for (std::size_t i = 0; i < storePurposeNames.size(); ++i)
         text += fmt::format("fuchsiagw_store_calls_total{{purpose=\"{}\"}} {}\n",
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -28,6 +28,9 @@
 constexpr const char *beginLine = "QUERY - BEGIN\r\n";
 constexpr const char *readLine = "QUERY s1 READ a\r\n";
 constexpr const char *openAnswer = "COMPLETE -\r\nREADY T 1.1\r\n";
+constexpr const char *firstRun = "DATAROW x\r\nCOMPLETE 7.1\r\nREADY T 1.1\r\n";
+constexpr const char *secondRun = "DATAROW y\r\nCOMPLETE 7.2\r\nREADY T 1.1\r\n";
+constexpr const char *busyAnswer = "ERROR BUSY -\r\nREADY T 1.1\r\n";
 
 /// One side of a connection, with the lines that it has received.
 struct line_peer
@@ -50,7 +53,11 @@
     boost::asio::io_context context;
     proxy_fixture engine;
     tcp::acceptor acceptor{ context, { boost::asio::ip::address_v4::loopback(), 0 } };
-    daemon::relay_server relay{ context, engine.state };
+    std::vector<proxy::reply_fault> faults;
+    daemon::relay_server relay{ context, engine.state,
+                                [this](const std::string &, proxy::reply_fault fault) {
+                                    faults.push_back(fault);
+                                } };
     line_peer member;
     line_peer borrower;
 
@@ -126,9 +133,9 @@
     fixture.sendToMember(readLine);
     fixture.relay.stop(net::currentBootTime());
     CHECK_FALSE(fixture.runUntil([&] { return fixture.borrower.isClosed; }, 600ms));
-    fixture.member.connection->send(openAnswer);
+    fixture.member.connection->send(firstRun);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
-    CHECK_EQUAL(5U, fixture.borrower.lines.size());
+    CHECK_EQUAL(6U, fixture.borrower.lines.size());
 }
 
 // Guards against a second shutdown signal that keeps connections lent beyond the end of the
@@ -142,3 +149,74 @@
     fixture.relay.stop(net::currentBootTime() + 10s);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
 }
+
+// Guards against a reply that a member sends twice and that is taken for the reply to the next
+// command (MIXED). The next one's own reply still arrives, and then the connection ends.
+TEST(relay_server, repeatedReplyIsDropped)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    fixture.sendToMember(readLine);
+    fixture.member.connection->send(firstRun);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 6; }));
+    fixture.sendToMember("QUERY s2 READ b\r\n");
+    fixture.member.connection->send(std::string(firstRun) + secondRun);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+    CHECK_EQUAL(9U, fixture.borrower.lines.size());
+    STRCMP_EQUAL("DATAROW y", fixture.borrower.lines.at(6).c_str());
+    CHECK(fixture.faults == std::vector{ proxy::reply_fault::RepeatedDigest });
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+}
+
+// Guards against a second reply that arrives while the borrower rests, and that its next command
+// would get.
+TEST(relay_server, replyWithoutCommandEndsTheConnection)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(std::string(openAnswer) + openAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+    CHECK_EQUAL(3U, fixture.borrower.lines.size());
+    CHECK(fixture.faults == std::vector{ proxy::reply_fault::Unsolicited });
+}
+
+// Guards against an error that a member sends twice, and that a later write would get although it
+// ran (REFUSED, TWICE): within a loan its outcome is unknown, and no other borrower gets the
+// connection.
+TEST(relay_server, connectionWithAnErrorIsNotLentAgain)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    fixture.sendToMember(readLine);
+    fixture.member.connection->send(busyAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 5; }));
+    fixture.borrower.connection->close();
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+    STRCMP_EQUAL("TERMINATE", fixture.member.lines.back().c_str());
+}
+
+TEST(relay_server, repeatedErrorEndsTheConnection)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    fixture.sendToMember(readLine);
+    fixture.member.connection->send(busyAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 5; }));
+    fixture.sendToMember(readLine);
+    fixture.member.connection->send(busyAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
+    CHECK_EQUAL(5U, fixture.borrower.lines.size());
+    CHECK(fixture.faults == std::vector{ proxy::reply_fault::RepeatedError });
+}
+
+// Guards against the last reply of a connection's cleaning that is a surplus one: the next borrower
+// would get the outstanding one.
+TEST(relay_server, surplusReplyWhileCleaningEndsTheConnection)
+{
+    fixture.sendToMember(beginLine);
+    fixture.member.connection->send(openAnswer);
+    fixture.borrower.connection->close();
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.lines.size() == 4; }));
+    STRCMP_EQUAL("QUERY - DISCARD", fixture.member.lines.back().c_str());
+    fixture.member.connection->send(openAnswer);
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+}
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -142,6 +142,48 @@
     CHECK(statementOf("QUERY 1 SET v1").kind == proxy::statement_kind::Malformed);
 }
 
+// Guards against a reply that is made of the lines of two: a result line that follows another one,
+// or a READY that ends a reply of another kind.
+TEST(wire_codec, linesOutOfOrderFail)
+{
+    for (const char *second : { "DATAROW a", "COMPLETE 2", "ERROR BUSY -" }) {
+        reply_decoder decoder;
+        CHECK_FALSE(decoder.feed("COMPLETE 1", false));
+        CHECK_FALSE(decoder.feed(second, false));
+        CHECK_TRUE(decoder.failed());
+    }
+    reply_decoder opening;
+    CHECK_FALSE(opening.feed("COMPLETE 1", true));
+    CHECK_FALSE(opening.feed("READY I -", true));
+    CHECK_TRUE(opening.failed());
+}
+
+// Guards against a member that exhausts the memory of the proxy with one reply.
+TEST(wire_codec, endlessReplyFails)
+{
+    reply_decoder decoder;
+    const std::string row = "DATAROW " + std::string(maxMessageBytes / 2, 'x');
+    for (std::size_t bytes = 0; bytes <= maxReplyBytes; bytes += row.size()) {
+        CHECK_FALSE(decoder.failed());
+        CHECK_FALSE(decoder.feed(row, false));
+    }
+    CHECK_TRUE(decoder.failed());
+}
+
+// Guards against a command whose reply the relay can't tell from that of another one.
+TEST(wire_codec, repliesHaveTheShapeOfTheirCommands)
+{
+    using proxy::reply_shape;
+    CHECK(replyShapeOf("QUERY s1 AFTER 3.7 READ a") == reply_shape::Run);
+    CHECK(replyShapeOf("QUERY s1 COMMIT") == reply_shape::Run);
+    CHECK(replyShapeOf("QUERY s1 READ a") == reply_shape::Run);
+    CHECK(replyShapeOf("QUERY - AFTER 3.7 BEGIN READ") == reply_shape::Begin);
+    CHECK(replyShapeOf("QUERY - ROLLBACK") == reply_shape::Rollback);
+    CHECK(replyShapeOf("QUERY - SET a BEGIN") == reply_shape::Setting);
+    CHECK_FALSE(replyShapeOf("READY I -"));
+    CHECK_FALSE(replyShapeOf("QUERY - NONSENSE"));
+}
+
 // Guards against a reply that is delivered before its READY line, and so without its state and
 // position.
 TEST(wire_codec, replyIsCompleteAtItsReadyLine)
