Let a begin prove its position only with the run that follows

What callers could see: stale reads. The reply to an earlier BEGIN, received a second time as that to a later one, dates an old position by the later command; replicas that hold no more than it then look fresh for the route's staleness.

Cause: a BEGIN has no digest, so its reply alone can't be told from an earlier one, but its position was recorded at once.

Evidence: beginProvesItsPositionWithTheFirstRun fails before this commit, as the position is recorded with the reply to BEGIN.

Why this works: the digest of the first run behind the BEGIN shows that no reply is missing or surplus before it; only then the position is recorded, dated by the sending of the BEGIN as before. The leader is still learned at once.

rollbackDoesNotRenewDelayedBegin guards against a delayed BEGIN that is dated by the ROLLBACK behind it. Such a BEGIN, of a caller that left, now proves nothing, which is stricter; the dating by the BEGIN is checked by the new test.

Measured: unit-position-time passes.

--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -271,11 +271,9 @@
     link.beginPosition = answer.position;
     link.beginSentAt = expected.sentAt;
     const link_id id = link.id;
-    if (service != nullptr && answer.position && link.beginProvesLeader) {
-        const auto proven = state.settings.promotionsAreFenced ? answer.position : std::nullopt;
-        learnLeader(state, *service, link.member, answer.position->term, proven, expected.sentAt,
-                    now);
-    }
+    if (service != nullptr && answer.position && link.beginProvesLeader)
+        learnLeader(state, *service, link.member, answer.position->term, std::nullopt,
+                    expected.sentAt, now);
     // learnLeader() may have placed queued requests, and the session or the link may have ended.
     pending = findPendingRequest(state, expected, caller);
     upstream_link *open = findLink(state, id);
@@ -288,6 +286,19 @@
         sendFirstStatement(state, *open, *caller, now);
 }
 
+/// Records the position of the begin whose transaction has run a statement. The reply to the begin
+/// alone proves nothing: it may have been that of an earlier begin, received a second time.
+void recordBeginPosition(engine &state, upstream_link &link, core::time_point now)
+{
+    if (!state.settings.promotionsAreFenced || !link.beginProvesLeader || !link.beginPosition)
+        return;
+    const core::log_position position = *link.beginPosition;
+    link.beginPosition.reset();
+    const member_state *member = findMember(state, link.member);
+    if (service_state *service = member ? findService(state, member->entry.service) : nullptr)
+        learnLeader(state, *service, link.member, position.term, position, link.beginSentAt, now);
+}
+
 void onStartupAnswer(engine &state, upstream_link &link, const reply &answer, core::time_point now)
 {
     member_state *member = findMember(state, link.member);
@@ -400,7 +411,13 @@
                 smooth(member->answerUs, now - expected.sentAt);
             }
         }
-        onStatementAnswer(state, *link, expected, std::move(answer), now);
+        if (answer.code == reply_code::Success) {
+            recordBeginPosition(state, *link, now);
+            // The queued requests that were placed may have ended the link.
+            link = findLink(state, id);
+        }
+        if (link != nullptr)
+            onStatementAnswer(state, *link, expected, std::move(answer), now);
         break;
     case answer_role::Cleanup:
         break;
--- a/tests/unit-position-time.cpp
+++ b/tests/unit-position-time.cpp
@@ -38,13 +38,28 @@
 // rollback that the proxy sends then must not make the position in that answer look newer.
 TEST(position_time, rollbackDoesNotRenewDelayedBegin)
 {
-    const time_point sentAt = fixture.now;
     const session_id id = beginTransaction();
     const link_id link = fixture.busyLink();
     fixture.now += milliseconds(400);
     onCallerDisconnected(fixture.state, id, fixture.now);
     fixture.now += milliseconds(100);
     fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    CHECK(provenSince() == time_point{});
+}
+
+// Guards against the reply to a begin that proves a position although it is the reply to an earlier
+// begin, received a second time (STALE): replicas that lag then look fresh. Only the run that
+// follows shows whose reply it was, and the position counts from the sending of the begin.
+TEST(position_time, beginProvesItsPositionWithTheFirstRun)
+{
+    const time_point sentAt = fixture.now;
+    beginTransaction();
+    const link_id link = fixture.busyLink();
+    fixture.now += milliseconds(400);
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    CHECK(provenSince() == time_point{});
+    fixture.now += milliseconds(100);
+    fixture.answer(link, proxy_fixture::success({ 1, 9 }, transaction_state::Open));
     CHECK(provenSince() == sentAt);
 }
 
