Open a transaction only when a command behind the begin confirms it

What callers could see: a statement that ran outside of its transaction and was committed at once (PINNED), then again in a transaction (TWICE), or although its caller was told that nothing is kept (REFUSED).

Cause: the reply to an earlier BEGIN, received a second time, looks like that to the next BEGIN. If the member refuses that one, the first statement was already sent. And an error that came a second time was taken for that to a later operation on the same link.

Why this works: BEGIN is followed by one more command in the same write, whose reply has to be a success inside a transaction before the first statement goes out. A refused BEGIN's reply falls on it, and the link is closed with nothing run. No round trip is added. A link that has shown an error starts no further operation, as the relay lends none, so the first error is always certain and a genuine one does not make a later write's outcome unknown.

--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -27,6 +27,7 @@
     Startup,
     Preparation, ///< sets values or prepared statements of the session
     Begin,
+    Confirmation, ///< of a begin: command behind it that shows that a transaction is open
     Statement,
     Cleanup, ///< rollback that the proxy sends
     Control, ///< command of the proxy itself: status, pause, resume or step down
@@ -65,6 +66,9 @@
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     bool refused = false; ///< Startup and the commands sent after it were refused
     bool tainted = false; ///< the connection can't be reused
+    /// The member has answered a statement with an error, which may come a second time: no further
+    /// operation starts on the link.
+    bool hasSeenError = false;
     core::time_point lastSent{}; ///< start of the silence of the member; proves no position
     core::time_point idleSince{};
     core::time_point openedAt{};
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -270,20 +270,29 @@
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
     link.beginPosition = answer.position;
     link.beginSentAt = expected.sentAt;
-    const link_id id = link.id;
     if (service != nullptr && answer.position && link.beginProvesLeader)
         learnLeader(state, *service, link.member, answer.position->term, std::nullopt,
                     expected.sentAt, now);
-    // learnLeader() may have placed queued requests, and the session or the link may have ended.
-    pending = findPendingRequest(state, expected, caller);
-    upstream_link *open = findLink(state, id);
-    if (pending == nullptr || !opensTransaction || open == nullptr)
-        return;
+}
+
+/// @return false if the member has opened no transaction: the reply to the begin was that of an
+/// earlier one
+bool onConfirmation(engine &state, upstream_link &link, const expected_answer &expected,
+                    const reply &answer, core::time_point now)
+{
+    session *caller = nullptr;
+    const request *pending = findPendingRequest(state, expected, caller);
+    if (pending == nullptr || link.pinnedTo != caller->id)
+        return true; // the begin was refused, or its caller has left
+    if (answer.code != reply_code::Success || answer.state != transaction_state::Open)
+        return false;
     if (pending->needsEvidence)
         holdResult(state, *caller,
-                   { open->member, id, answer.position, expected.sentAt, std::nullopt }, now);
+                   { link.member, link.id, link.beginPosition, link.beginSentAt, std::nullopt },
+                   now);
     else
-        sendFirstStatement(state, *open, *caller, now);
+        sendFirstStatement(state, link, *caller, now);
+    return true;
 }
 
 /// Records the position of the begin whose transaction has run a statement. The reply to the begin
@@ -392,6 +401,9 @@
     if (member != nullptr && expected.role != answer_role::Startup)
         recordAlive(*member, now);
     const transaction_state memberState = answer.state;
+    const bool runs =
+            expected.role == answer_role::Statement || expected.role == answer_role::Begin;
+    link->hasSeenError = link->hasSeenError || (runs && answer.code != reply_code::Success);
     switch (expected.role) {
     case answer_role::Startup:
         onStartupAnswer(state, *link, answer, now);
@@ -402,6 +414,13 @@
     case answer_role::Begin:
         onBeginAnswer(state, *link, expected, std::move(answer), now);
         break;
+    case answer_role::Confirmation:
+        if (!onConfirmation(state, *link, expected, answer, now)) {
+            link->expected.push_front(expected);
+            closeLink(state, id, false, now);
+            return;
+        }
+        break;
     case answer_role::Statement:
         if (member != nullptr) {
             member->outstanding -= member->outstanding > 0 ? 1 : 0;
@@ -459,9 +478,10 @@
             forgetReport(state, link.member);
         const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
         for (const expected_answer &each : link.expected)
-            member->outstanding -= (each.role == answer_role::Statement
-                                    || (each.role == answer_role::Begin && link.pinnedTo != 0))
-                                   && member->outstanding > 0;
+            member->outstanding -=
+                    (each.role == answer_role::Statement
+                     || (each.role == answer_role::Confirmation && link.pinnedTo != 0))
+                    && member->outstanding > 0;
         if (opening && !link.tainted && link.relay.empty())
             avoidMember(state, *member, "no_connection", now);
         const auto relay = state.peers.find(link.relay);
@@ -477,7 +497,7 @@
         }
     }
     for (const expected_answer &each : link.expected) {
-        const bool beginsTransaction = each.role == answer_role::Begin && link.pinnedTo != 0;
+        const bool beginsTransaction = each.role == answer_role::Confirmation && link.pinnedTo != 0;
         if (each.role == answer_role::Statement || beginsTransaction)
             onAnswerLost(state, link, each, now);
     }
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t maxRankedRelays = 12;
 /// Limit of links to one member that are being opened at a time.
 constexpr std::size_t maxConnecting = 8;
+/// Prepared name and shape of the confirmation of a begin; other names on a link are numbers.
+constexpr const char *confirmationName = "begun";
 /// Fraction of a member's connections that all daemons together may keep open while idle.
 constexpr double idleConnectionShare = 0.75;
 
@@ -112,6 +114,17 @@
     expectAnswer(link, answer_role::Begin, now, &caller);
 }
 
+/// The reply to an earlier begin, received a second time, looks like that to this one. So a command
+/// behind the begin must be answered inside a transaction as well before a statement is sent.
+void addConfirmation(upstream_link &link, const session &caller,
+                     std::vector<upstream_command> &batch, core::time_point now)
+{
+    upstream_command prepare = makeCommand(command_kind::Prepare, confirmationName);
+    prepare.prepared = { false, confirmationName };
+    batch.push_back(std::move(prepare));
+    expectAnswer(link, answer_role::Confirmation, now, &caller);
+}
+
 upstream_command makeForward(const upstream_link &link, const session &caller)
 {
     const request &pending = *caller.current;
@@ -292,6 +305,7 @@
     if (opensTransaction) {
         // The statement is sent only after the member has confirmed the begin. If it were sent
         // together with a begin that is refused, it would run outside of a transaction.
+        addConfirmation(link, caller, batch, now);
         link.pinnedTo = caller.id;
         caller.transaction->link = link.id;
     } else {
@@ -339,7 +353,7 @@
     const std::string member = link.member;
     const link_id id = link.id;
     const auto found = state.members.find(member);
-    if (found == state.members.end() || link.tainted) {
+    if (found == state.members.end() || link.tainted || link.hasSeenError) {
         closeLink(state, id, true, now);
         return;
     }
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -37,6 +37,7 @@
     bool inTransaction = false;
     std::size_t writesInTransaction = 0;
     core::time_point busyUntil{}; ///< commands of one connection run one after the other
+    core::time_point lastAnswerAt{}; ///< replies on one connection do not overtake each other
     std::set<std::uint64_t> logAtBegin; ///< commits in the log when the transaction began
 };
 
@@ -178,7 +179,13 @@
 
     void answer(const std::string &daemon, link_id id, reply result, core::duration delay)
     {
-        after(delay + shortDelay(), [this, daemon, id, result = std::move(result)] {
+        const auto link = links.find({ daemon, id });
+        if (link == links.end())
+            return;
+        const core::time_point arrival =
+                std::max(now + delay + shortDelay(), link->second.lastAnswerAt);
+        link->second.lastAnswerAt = arrival;
+        events.emplace(arrival, [this, daemon, id, result = std::move(result)] {
             const auto open = links.find({ daemon, id });
             if (open == links.end() || open->second.broken)
                 return;
@@ -243,6 +250,7 @@
             addStatus(result, member);
             break;
         default:
+            result.state = link.inTransaction ? transaction_state::Open : transaction_state::Idle;
             break;
         }
         answer(daemon, id, std::move(result), work);
--- a/tests/proxy-fixture.hpp
+++ b/tests/proxy-fixture.hpp
@@ -167,9 +167,26 @@
         return answer;
     }
 
-    void answer(link_id link, reply response)
+    /// Answers the oldest command of a link, and with it the confirmation behind a begin.
+    void answer(link_id link, const reply &response)
     {
-        onMemberAnswer(state, link, std::move(response), now);
+        onMemberAnswer(state, link, response, now);
+        const auto found = state.links.find(link);
+        const bool isConfirmed =
+                found != state.links.end() && !found->second.expected.empty()
+                && found->second.expected.front().role == answer_role::Confirmation;
+        if (isConfirmed)
+            onMemberAnswer(state, link, confirmation(response), now);
+    }
+
+    /// @return the reply to the confirmation behind a begin that was answered so
+    static reply confirmation(const reply &begun)
+    {
+        reply result;
+        result.digest = "-";
+        result.state = begun.state;
+        result.position = begun.position;
+        return result;
     }
 
     /// Answers Startup successfully on every link that is being opened.
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -98,6 +98,24 @@
     CHECK(*sent.back().after == (log_position{ 1, 7 }));
 }
 
+// Guards against a read that no member accepts: with a position it would exceed the longest
+// message, so it goes to the primary, which needs none.
+TEST(session_engine, readWithoutRoomForPositionGoesToPrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    const session_id id = fixture.openSession("bounded");
+    caller_statement statement;
+    statement.id = "s";
+    statement.kind = statement_kind::Read;
+    statement.text = "READ a";
+    statement.leavesRoomForPosition = false;
+    onCallerStatement(fixture.state, id, statement, fixture.now);
+    fixture.acceptLinks();
+    STRCMP_EQUAL("m1", fixture.memberOf(fixture.busyLink()).c_str());
+    for (const upstream_command &each : proxy_fixture::commandsOf(fixture.takeActions()))
+        CHECK_FALSE(each.after.has_value());
+}
+
 // Guards against a stale read from a replica for which only a position older than the bound is
 // known.
 TEST(session_engine, boundedReadWithoutRecentPositionGoesToPrimary)
@@ -159,13 +177,40 @@
     fixture.sendRead(id);
     fixture.acceptLinks();
     auto sent = proxy_fixture::commandsOf(fixture.takeActions());
-    CHECK(sent.back().kind == command_kind::Begin);
-    fixture.answer(fixture.busyLink(), proxy_fixture::success({ 1, 3 }, transaction_state::Open));
+    CHECK(sent.at(sent.size() - 2).kind == command_kind::Begin);
+    CHECK(sent.back().kind == command_kind::Prepare);
+    const reply begun = proxy_fixture::success({ 1, 3 }, transaction_state::Open);
+    onMemberAnswer(fixture.state, fixture.busyLink(), begun, fixture.now);
+    CHECK(proxy_fixture::commandsOf(fixture.takeActions()).empty());
+    onMemberAnswer(fixture.state, fixture.busyLink(), proxy_fixture::confirmation(begun),
+                   fixture.now);
     sent = proxy_fixture::commandsOf(fixture.takeActions());
     CHECK_EQUAL(1U, sent.size());
     CHECK(sent.back().kind == command_kind::Forward);
 }
 
+// Guards against a statement that runs outside of its transaction (PINNED, TWICE): the reply to an
+// earlier begin comes a second time as that to a begin that the member refuses.
+TEST(session_engine, refusedBeginBehindARepeatedReplyGetsNoStatement)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    fixture.sendWrite(id);
+    fixture.acceptLinks();
+    fixture.takeActions();
+    const link_id link = fixture.busyLink();
+    const reply repeated = proxy_fixture::success({ 1, 3 }, transaction_state::Open);
+    onMemberAnswer(fixture.state, link, repeated, fixture.now);
+    onMemberAnswer(fixture.state, link, proxy_fixture::failure(reply_code::Busy), fixture.now);
+    fixture.acceptLinks();
+    for (const auto &each : proxy_fixture::actionsOf<send_to_member>(fixture.takeActions())) {
+        for (const upstream_command &command : each.commands)
+            CHECK(command.kind != command_kind::Forward);
+    }
+    CHECK(findLink(fixture.state, link) == nullptr);
+    CHECK(fixture.busyLink() != 0);
+}
+
 // Guards against running a write twice, by sending it again after the connection ended before the
 // answer. The member may have run it, so the caller must receive an unknown outcome.
 TEST(session_engine, writeWithLostAnswerIsNotRepeated)
@@ -277,6 +322,24 @@
     }
 }
 
+// Guards against an error that a member sends a second time, and that the next operation on the
+// link would get although it ran (REFUSED, TWICE).
+TEST(session_engine, linkWithAnErrorStartsNoFurtherOperation)
+{
+    const session_id first = fixture.openSession("own");
+    fixture.sendWrite(first);
+    fixture.acceptLinks();
+    const link_id link = fixture.busyLink();
+    // Makes the second session wait for the first one's link: the member accepts no more links.
+    fixture.state.members.at("m1").connectionLimitUntil = fixture.now + std::chrono::seconds(1);
+    fixture.sendWrite(fixture.openSession("own"));
+    fixture.takeActions();
+    fixture.answer(link, proxy_fixture::failure(reply_code::Failed));
+    const auto actions = fixture.takeActions();
+    CHECK(proxy_fixture::commandsOf(actions).empty());
+    CHECK_EQUAL(1U, proxy_fixture::actionsOf<close_link>(actions).size());
+}
+
 // Guards against giving the answer of a request that has timed out to the session, which may
 // already wait for the answer to a later request.
 TEST(session_engine, lateAnswerIsDropped)
