Send the longest reads to the primary, which needs no position

What callers saw: a READ of exactly 1 MiB on a route with replicas was refused with BUSY after twelve tries; on a primary route it worked.

Cause: AFTER with a position is put before a read for a replica, and the message is then longer than 1 MiB. The member ends the connection.

Why this works: the codec says whether a statement leaves room for a position; one that does not is placed as if no position were known, at the primary inside a transaction, where nothing is put before it.

--- a/include/fuchsiagw/proxy/caller_statement.hpp
+++ b/include/fuchsiagw/proxy/caller_statement.hpp
@@ -51,6 +51,8 @@
     std::string name; ///< name of the value or prepared statement, if the kind has one
     std::string argument; ///< text after the name, with the blank that separates them
     prepared_shape prepared; ///< set for Prepare
+    /// With a position that the member must have, it is still within the longest message.
+    bool leavesRoomForPosition = true;
 };
 
 } // namespace fuchsiagw::proxy
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -165,6 +165,8 @@
     pending.where.wrapsInTransaction = !inTransaction && !pending.writes;
     if (!mayUseReplica || pending.writes || pending.effectiveRoute.kind == consistency::Primary)
         return;
+    if (!inTransaction && !pending.statement.leavesRoomForPosition)
+        return;
     const service_state *service = findService(state, pending.effectiveRoute.service);
     if (service == nullptr)
         return;
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -158,6 +158,17 @@
     CHECK_TRUE(opening.failed());
 }
 
+// Guards against a read of the longest size that no replica accepts, because the position that is
+// demanded with it makes the message longer.
+TEST(wire_codec, longestStatementsLeaveNoRoomForPosition)
+{
+    const std::string start = "QUERY 1 READ ";
+    const std::string longest = start + std::string(maxMessageBytes - start.size(), 'x');
+    CHECK_FALSE(statementOf(longest).leavesRoomForPosition);
+    CHECK_TRUE(statementOf(longest.substr(0, maxMessageBytes - 48)).leavesRoomForPosition);
+    CHECK_TRUE(statementOf("QUERY 1 READ a").leavesRoomForPosition);
+}
+
 // Guards against a member that exhausts the memory of the proxy with one reply.
 TEST(wire_codec, endlessReplyFails)
 {
