Escape the values in the session log's lines

What operators could see: forged log lines. A statement id, a service, workspace or member name or the key of a row was written as it came; one with a line feed or a blank added lines and fields of its choice, and an id of a megabyte a line of a megabyte. Cause: session_log put texts of others between the fields without escaping; only the events of the product's own interface (log_event) escaped them. Evidence: valuesOfOthersAddNoLineAndNoField and longIdsAreCut fail before this commit (unit-session-log lines 81, "expected <2>, but was <4>" lines, and 105). Why this works: both logs now write values by appendLogValue(), the only place that escapes. Values of plain bytes, so all ids and names of the usual form, stay as they were. The counters of event 943 are fields of the program's own and are written without the field detail in front of them. Measured: unit-session-log and unit-log-event pass.

--- a/include/fuchsiagw/daemon/log_event.hpp
+++ b/include/fuchsiagw/daemon/log_event.hpp
@@ -259,6 +259,12 @@
     { }
 };
 
+/// @brief Appends the value of a field. A value with other bytes than letters, digits and
+/// `._:/,+@[]-` stands in quotes with escapes, so that it can add no field and no line.
+/// @param value of any bytes; written up to 1,024 bytes
+/// @complexity linear in the written bytes
+void appendLogValue(std::string &line, std::string_view value);
+
 /// @brief Formats the line of an event, with the fields in the given order.
 /// @return the line; a field that the event does not permit is omitted and counted in a last field
 /// `unlisted`
--- a/include/fuchsiagw/daemon/session_log.hpp
+++ b/include/fuchsiagw/daemon/session_log.hpp
@@ -22,15 +22,22 @@
 
 /// Events about single statements are limited by a token bucket per kind; the next line of the same
 /// kind reports how many were skipped. Events that change the state of the process are always
-/// written.
+/// written. Values are escaped by appendLogValue(), as many are chosen by callers, members and
+/// other writers of the store.
 class session_log
 {
 public:
     explicit session_log(log_sink &sink);
 
     void write(const proxy::decision_note &note, core::time_point now);
-    /// @brief Writes an event of the process: start, stop, reload, dependencies. Not rate-limited.
+    /// @brief Writes an event of the process: stop, reload, dependencies. Not rate-limited.
     void write(int number, std::string_view name, std::string_view detail);
+    /// @brief Writes the start of the process. Not rate-limited.
+    void writeStart(int number, std::string_view name, std::string_view instance,
+                    std::string_view zone);
+    /// @brief Writes counters of the process. Not rate-limited.
+    /// @param counters fields of the program's own names and numbers, separated by blanks
+    void writeCounters(int number, std::string_view name, std::string_view counters);
 
 private:
     log_sink &sink_;
--- a/src/daemon/log_event.cpp
+++ b/src/daemon/log_event.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cctype>
 #include <charconv>
 #include <cstdio>
 
@@ -161,17 +160,38 @@
     return text.data();
 }
 
-bool isUnquotedCharacter(unsigned char each)
+bool isListed(std::string_view fields, std::string_view name)
+{
+    while (!fields.empty()) {
+        const std::size_t end = std::min(fields.find(' '), fields.size());
+        if (fields.substr(0, end) == name)
+            return true;
+        fields.remove_prefix(std::min(end + 1, fields.size()));
+    }
+    return false;
+}
+
+/// Bytes that a value may hold without quotes.
+constexpr std::array<bool, 256> plainBytes = [] {
+    std::array<bool, 256> result{};
+    for (const unsigned char each : std::string_view("0123456789._:/,+@[]-"
+                                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                                     "abcdefghijklmnopqrstuvwxyz"))
+        result.at(each) = true;
+    return result;
+}();
+
+bool isPlain(char each)
 {
-    return std::isalnum(each) != 0
-           || std::string_view("._:/,+@[]-").find(static_cast<char>(each))
-                      != std::string_view::npos;
+    return plainBytes[static_cast<unsigned char>(each)];
 }
 
-void appendEscaped(std::string &line, std::string_view value)
+} // namespace
+
+void appendLogValue(std::string &line, std::string_view value)
 {
     value = value.substr(0, maxValueBytes);
-    if (!value.empty() && std::all_of(value.begin(), value.end(), isUnquotedCharacter)) {
+    if (!value.empty() && std::all_of(value.begin(), value.end(), isPlain)) {
         line += value;
         return;
     }
@@ -192,19 +212,6 @@
     line += '"';
 }
 
-bool isListed(std::string_view fields, std::string_view name)
-{
-    while (!fields.empty()) {
-        const std::size_t end = std::min(fields.find(' '), fields.size());
-        if (fields.substr(0, end) == name)
-            return true;
-        fields.remove_prefix(std::min(end + 1, fields.size()));
-    }
-    return false;
-}
-
-} // namespace
-
 std::span<const log_event_row> logEvents()
 {
     return rows;
@@ -297,7 +304,7 @@
         line += ' ';
         line += name;
         line += '=';
-        appendEscaped(line, each.value());
+        appendLogValue(line, each.value());
     }
     if (unlisted > 0)
         line += " unlisted=" + std::to_string(unlisted);
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -37,8 +37,12 @@
 
 void appendText(std::string &line, std::string_view name, std::string_view value)
 {
-    if (!value.empty())
-        fmt::format_to(std::back_inserter(line), " {}={}", name, value);
+    if (value.empty())
+        return;
+    line += ' ';
+    line += name;
+    line += '=';
+    appendLogValue(line, value);
 }
 
 void appendNumber(std::string &line, std::string_view name, std::int64_t value)
@@ -95,4 +99,18 @@
     sink_.write(log_level::Info, std::move(line));
 }
 
+void session_log::writeStart(int number, std::string_view name, std::string_view instance,
+                             std::string_view zone)
+{
+    std::string line = fmt::format("event={} name={}", number, name);
+    appendText(line, "detail", instance);
+    appendText(line, "zone", zone);
+    sink_.write(log_level::Info, std::move(line));
+}
+
+void session_log::writeCounters(int number, std::string_view name, std::string_view counters)
+{
+    sink_.write(log_level::Info, fmt::format("event={} name={} {}", number, name, counters));
+}
+
 } // namespace fuchsiagw::daemon
--- a/src/daemon/session_process.cpp
+++ b/src/daemon/session_process.cpp
@@ -9,7 +9,6 @@
 #include <fuchsiagw/net/http_server.hpp>
 
 #include <boost/asio/signal_set.hpp>
-#include <fmt/format.h>
 
 #include <csignal>
 #include <filesystem>
@@ -70,8 +69,7 @@
 
     exit_code run()
     {
-        log_.write(startEvent, "session_daemon_started",
-                   fmt::format("{} zone={}", values_.instance, values_.zone));
+        log_.writeStart(startEvent, "session_daemon_started", values_.instance, values_.zone);
         for (const std::error_code error :
              { gateway_.start(), readinessServer_.start(), metricsServer_.start() }) {
             if (!error)
@@ -116,7 +114,7 @@
             if (settingsModificationTime() != settingsModifiedAt_)
                 reload();
             if (++fileCheckCount_ % checksPerSummary == 0)
-                log_.write(summaryEvent, "summary", gateway_.summary());
+                log_.writeCounters(summaryEvent, "summary", gateway_.summary());
             scheduleFileCheck();
         });
     }
