Take no response that was there before its request

What a caller of http_client could get: a response that no request asked for, as the one to its own request. Cause: the watch on an idle connection reports bytes only when the context runs. A call in the same turn found the connection open and read the waiting response. A new connection had no check at all between connect and the first request. Evidence: unaskedResponseAnswersNoRequest and responseBeforeTheFirstRequestAnswersNone fail before this commit (unit-http-framing lines 93 and 118, "expected <error>, but was <unasked>"). Why this works: the socket itself is asked right before a request is written; bytes or an end that wait there close the connection, and nothing is sent. http_client then takes another connection. A response that arrives only after the next request was written can't be told apart in HTTP/1.1. The other new tests passed before: a doubled response, one after the deadline, doubtful lengths, single bytes, and the server's reading of the same. Measured: unit-http-framing and unit-http pass.

--- a/include/fuchsiagw/net/http_connection.hpp
+++ b/include/fuchsiagw/net/http_connection.hpp
@@ -24,8 +24,9 @@
 };
 
 /// Not thread-safe: calls and callbacks happen on the thread of its context.
-/// Invariant: at most one exchange at a time. Any error closes the connection, so a late response
-/// can never be matched to a later request.
+/// Invariant: at most one exchange at a time. Any error closes the connection, and so do bytes that
+/// no request asked for, so a late or second response that arrives before a request is sent is not
+/// matched to that request.
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
 public:
@@ -41,6 +42,7 @@
     void connect(core::time_point deadline, connect_handler done);
 
     /// @brief Sends a request and waits for the complete response until the deadline.
+    /// Nothing is sent if the peer has closed the connection or sent bytes since the last exchange.
     /// @param request sent with a Host header that names the peer
     void exchange(const http_request &request, core::time_point deadline, exchange_handler done);
 
@@ -49,6 +51,10 @@
 
     void close();
     [[nodiscard]] bool isOpen() const;
+    /// @brief Closes the connection if the peer has closed it, or sent bytes, since the last
+    /// exchange. The idle watch reports that only when the context runs.
+    /// @return whether the connection is open
+    [[nodiscard]] bool isReusable();
 
 private:
     struct implementation;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,7 +21,7 @@
     while (!idleConnections.empty()) {
         const auto connection = idleConnections.back();
         idleConnections.pop_back();
-        if (connection->isOpen()) {
+        if (connection->isReusable()) {
             run(name, connection, request, deadline, std::move(done));
             return;
         }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -13,8 +13,11 @@
 #include <fuchsiagw/net/line_connection.hpp>
 
 #include <cassert>
+#include <cerrno>
 #include <optional>
 
+#include <sys/socket.h>
+
 namespace fuchsiagw::net {
 
 namespace {
@@ -35,6 +38,15 @@
     return std::make_error_code(std::errc::connection_reset);
 }
 
+/// @return whether the peer has sent nothing that was not read, not even its end
+bool isSilent(tcp::socket &socket)
+{
+    char next = 0;
+    const auto received =
+            ::recv(socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 http_response toResponse(http::response<http::string_body> &&from)
 {
     http_response response;
@@ -100,7 +112,7 @@
     assert(!self.done);
     self.done = std::move(done);
     ++self.idleWatchGeneration;
-    if (!self.open) {
+    if (!isReusable()) {
         finish({ std::make_error_code(std::errc::not_connected), false, {} });
         return;
     }
@@ -194,6 +206,14 @@
     self.stream.close();
 }
 
+bool http_connection::isReusable()
+{
+    implementation &self = *implementation_;
+    if (self.open && !isSilent(self.stream.socket()))
+        close();
+    return self.open;
+}
+
 bool http_connection::isOpen() const
 {
     return implementation_->open;
