Use no connection again that its response ends

What a caller of http_client could get: a lost request with an unknown outcome, or the response to the request before. Cause: a connection was kept unless the response said exactly `Connection: close`. `Close`, a list with close, a body that ends with the connection and HTTP/1.0 did not count; and an interim response (100) was taken as the final one, whose bytes then answered the next request. Evidence: announcedCloseEndsTheConnection and interimResponseEndsTheConnection fail before this commit (unit-http-framing lines 151 and 166: no second connection). Why this works: the parser, which also decides where the response ends, says whether the connection goes on; an interim response always ends it. Requests here never ask for one. Measured: unit-http-framing and unit-http pass.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -47,6 +47,13 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// @return whether the connection can carry another exchange; behind an interim response the final
+/// one follows
+bool keepsConnection(const http::response_parser<http::string_body> &parser)
+{
+    return parser.keep_alive() && parser.get().result() >= http::status::ok;
+}
+
 http_response toResponse(http::response<http::string_body> &&from)
 {
     http_response response;
@@ -70,14 +77,24 @@
     exchange_handler done; ///< set exactly while an exchange is in progress
     closed_handler closedWhileIdle;
     bool open = false;
+    bool isKeptOpen = false; ///< by the last response
     std::uint64_t idleWatchGeneration = 0; ///< a handler of an older generation does nothing
 };
 
 std::shared_ptr<http_connection> http_connection::create(boost::asio::io_context &context,
                                                          endpoint peer)
 {
-    auto state = std::unique_ptr<implementation>(new implementation{
-            std::move(peer), boost::beast::tcp_stream(context), {}, {}, {}, {}, {}, false, 0 });
+    auto state =
+            std::unique_ptr<implementation>(new implementation{ std::move(peer),
+                                                                boost::beast::tcp_stream(context),
+                                                                {},
+                                                                {},
+                                                                {},
+                                                                {},
+                                                                {},
+                                                                false,
+                                                                false,
+                                                                0 });
     return std::shared_ptr<http_connection>(new http_connection(std::move(state)));
 }
 
@@ -111,6 +128,7 @@
     implementation &self = *implementation_;
     assert(!self.done);
     self.done = std::move(done);
+    self.isKeptOpen = false;
     ++self.idleWatchGeneration;
     if (!isReusable()) {
         finish({ std::make_error_code(std::errc::not_connected), false, {} });
@@ -147,9 +165,9 @@
                                 keep->finish({ toStd(readError), true, {} });
                                 return;
                             }
-                            keep->finish({ {},
-                                           true,
-                                           toResponse(keep->implementation_->parser->release()) });
+                            implementation &ended = *keep->implementation_;
+                            ended.isKeptOpen = keepsConnection(*ended.parser);
+                            keep->finish({ {}, true, toResponse(ended.parser->release()) });
                         });
             });
 }
@@ -160,9 +178,7 @@
     if (!self.done)
         return;
     const exchange_handler done = std::exchange(self.done, nullptr);
-    const bool keepAlive = !result.error && self.buffer.size() == 0
-                           && findHeader(result.response.headers, "Connection") != "close";
-    if (keepAlive) {
+    if (!result.error && self.isKeptOpen && self.buffer.size() == 0) {
         self.stream.expires_never();
         watchIdle();
     } else {
--- a/tests/unit-http-framing.cpp
+++ b/tests/unit-http-framing.cpp
@@ -146,6 +146,38 @@
     STRCMP_EQUAL("second", awaitBody().c_str());
 }
 
+// Guards against a second request on a connection whose server ends it with the response, in any
+// spelling: the request would be lost with an unknown outcome.
+TEST(http_client_framing, announcedCloseEndsTheConnection)
+{
+    std::size_t served = 0;
+    for (const char *last : { "Connection: close\r\n", "Connection: Close\r\n",
+                              "Connection: foo, close\r\n", "connection: CLOSE\r\n" }) {
+        acceptNext();
+        startCall("/1");
+        answer(served, responseWith("last", last));
+        STRCMP_EQUAL("last", awaitBody().c_str());
+        ++served;
+    }
+}
+
+// Guards against an interim response that frees the connection, so that the final one answers the
+// next request.
+TEST(http_client_framing, interimResponseEndsTheConnection)
+{
+    acceptNext();
+    startCall("/1");
+    answer(0, "HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK_TRUE(testing::runUntil(context, [&] { return outcome.has_value(); }));
+    acceptNext();
+    startCall("/2");
+    boost::system::error_code ignored;
+    context.run_for(5ms);
+    boost::asio::write(connections[0], boost::asio::buffer(responseWith("first")), ignored);
+    answer(1, responseWith("second"));
+    STRCMP_EQUAL("second", awaitBody().c_str());
+}
+
 // Guards against a response whose end is doubtful: two lengths, a length beside chunks, a body that
 // ends before its length.
 TEST(http_client_framing, responseWithoutClearEndIsAnError)
