Send no request whose names add a header or a request

What a server could get: a header or a request that nobody meant to send. The name of the instance stands in a header of each promotion order, and ids of an operator in the paths of fuchsiagwctl; a CR LF in one of them was written as it came, so `n1 CR LF X-Token: 9` gave a second fencing token. Cause: the HTTP library writes methods, targets and headers unchecked. Why this works: the connection, which all clients share, refuses a request whose parts hold bytes that end them, before anything is sent; the call fails as not sent. Keys of the store's rows were percent-encoded already.

--- a/include/fuchsiagw/net/http_connection.hpp
+++ b/include/fuchsiagw/net/http_connection.hpp
@@ -42,7 +42,8 @@
     void connect(core::time_point deadline, connect_handler done);
 
     /// @brief Sends a request and waits for the complete response until the deadline.
-    /// Nothing is sent if the peer has closed the connection or sent bytes since the last exchange.
+    /// Nothing is sent if the peer has closed the connection or sent bytes since the last exchange,
+    /// or if the request is not writable.
     /// @param request sent with a Host header that names the peer
     void exchange(const http_request &request, core::time_point deadline, exchange_handler done);
 
--- a/include/fuchsiagw/net/http_message.hpp
+++ b/include/fuchsiagw/net/http_message.hpp
@@ -27,6 +27,11 @@
     std::string body;
 };
 
+/// @return whether the method, target and headers are read back as they are: no byte in them ends
+/// the part of the message in which it stands
+/// @complexity linear in the size of these parts
+[[nodiscard]] bool isWritable(const http_request &request);
+
 /// @brief Finds a header by its case-insensitive name.
 /// @return the value, empty if there is no such header
 /// @complexity linear in the number of headers
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -134,6 +134,10 @@
         finish({ std::make_error_code(std::errc::not_connected), false, {} });
         return;
     }
+    if (!isWritable(request)) {
+        finish({ std::make_error_code(std::errc::invalid_argument), false, {} });
+        return;
+    }
     boost::system::error_code ignored;
     self.stream.socket().cancel(ignored);
 
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Header lookup.
+/// @brief Header lookup and the check of requests.
 
 #include <fuchsiagw/net/http_message.hpp>
 
@@ -18,8 +18,31 @@
     });
 }
 
+/// A word ends at a blank or a control byte.
+bool isWord(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(), [](char each) {
+        const auto byte = static_cast<unsigned char>(each);
+        return byte <= ' ' || byte == 0x7f;
+    });
+}
+
+bool isHeaderValue(std::string_view text)
+{
+    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
+}
+
 } // namespace
 
+bool isWritable(const http_request &request)
+{
+    return isWord(request.method) && isWord(request.target)
+           && std::all_of(request.headers.begin(), request.headers.end(), [](const auto &header) {
+                  return isWord(header.first) && header.first.find(':') == std::string::npos
+                         && isHeaderValue(header.second);
+              });
+}
+
 std::string_view findHeader(const http_headers &headers, std::string_view name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto &header) {
--- a/tests/unit-http-framing.cpp
+++ b/tests/unit-http-framing.cpp
@@ -212,6 +212,29 @@
     STRCMP_EQUAL("a\r\nb\r\n\r\nc", awaitBody().c_str());
 }
 
+// Guards against a name of the settings or of an operator that adds a header or a request: such a
+// request is not sent.
+TEST(http_client_framing, requestThatCanNotBeWrittenIsNotSent)
+{
+    const std::vector<net::http_request> forged{
+        { "GET", "/1", { { "X-Holder", "n1\r\nX-Token: 9" } }, {} },
+        { "GET", "/1", { { "X-Holder", "n1\nX-Token: 9" } }, {} },
+        { "GET", "/1", { { "X-Holder", std::string("n1\0x", 4) } }, {} },
+        { "GET", "/1", { { "X-Holder: n1\r\nX-Token", "9" } }, {} },
+        { "GET", "/1", { { "", "9" } }, {} },
+        { "GET", "/1 HTTP/1.1\r\nX-Token: 9\r\nX-Rest:", {}, {} },
+        { "GET", "/1 2", {}, {} },
+        { "GET", "", {}, {} },
+        { "GET /2 HTTP/1.1\r\n", "/1", {}, {} },
+    };
+    for (const net::http_request &request : forged) {
+        acceptNext();
+        startCall(request, 200ms);
+        STRCMP_EQUAL("error", awaitBody().c_str());
+        CHECK_FALSE(outcome->wasSent);
+    }
+}
+
 /// A server before a client that sends any bytes.
 TEST_GROUP(http_server_framing)
 {
