Leave out names that no message to a member can carry

What a member could get: another tenant, another expected id, or a statement that nobody sent. The message that opens a connection holds the service, the workspace and the member's id, separated by blanks and ended by CR LF. A service of a row or of the manifest, or a workspace, named `t i-9` or `t CR LF QUERY 1 WRITE x y` was written as it came. Cause: the store's readers took any text as a name. Why this works: a name is checked where it is read. A member's row counts as unreadable and is logged as such; a service or workspace is left out of the manifest with the log line name_unusable, so its callers are refused. Names with single CR, LF or control bytes can be written and are used, and so are blanks in the id, the last field (oddNamesThatMessagesCarryAreUsed).

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -109,6 +109,7 @@
     void readManifest();
     void followManifest();
     void applyManifestRows(const std::vector<adapter::store_row> &rows);
+    void reportUnusableNames(const proxy::manifest &manifest);
     void readMembers();
     void readMembers(const std::string &from, std::map<std::string, proxy::listed_member> &&list);
     void followMembers();
--- a/include/fuchsiagw/proxy/manifest.hpp
+++ b/include/fuchsiagw/proxy/manifest.hpp
@@ -66,6 +66,8 @@
     std::map<std::string, std::size_t, std::less<>>
             workspaceByKey; ///< access key to index in `workspaces`
     core::duration transactionIdleLimit{ 0 }; ///< 0: no limit
+    /// Names of services and workspaces that were left out, as no message can carry them.
+    std::vector<std::string> unusableNames;
 };
 
 } // namespace fuchsiagw::proxy
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds initialBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
+constexpr std::size_t maxReportedNames = 64; // unusable ones of a manifest
 
 } // namespace
 
@@ -126,11 +127,20 @@
             callbacks_.onStoreEvent("manifest_unreadable", row.key);
             continue;
         }
+        if (manifest->version > manifestVersion_)
+            reportUnusableNames(*manifest);
         manifestVersion_ = std::max(manifestVersion_, manifest->version);
         callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)));
     }
 }
 
+void store_client::reportUnusableNames(const proxy::manifest &manifest)
+{
+    const std::size_t count = std::min(manifest.unusableNames.size(), maxReportedNames);
+    for (std::size_t i = 0; i < count; ++i)
+        callbacks_.onStoreEvent("name_unusable", manifest.unusableNames[i]);
+}
+
 void store_client::refreshManifest(std::uint64_t version)
 {
     newestManifestHeard_ = std::max(newestManifestHeard_, version);
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -17,8 +17,14 @@
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <optional>
 #include <string>
+#include <thread>
+
+#include <unistd.h>
 
 using namespace fuchsiagw;
 using namespace std::chrono_literals;
@@ -39,10 +45,13 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
-daemon::log_settings quietLog()
+/// A log in a file of this process.
+daemon::log_settings testLog()
 {
     daemon::log_settings settings;
-    settings.level = daemon::log_level::Error;
+    settings.path = (std::filesystem::temp_directory_path()
+                     / ("fuchsiagw-gateway-" + std::to_string(::getpid())))
+                            .string();
     return settings;
 }
 
@@ -51,7 +60,8 @@
 {
     boost::asio::io_context context;
     testing::table_store store{ context, 1 };
-    daemon::log_sink sink{ quietLog() };
+    daemon::log_settings logTarget = testLog();
+    daemon::log_sink sink{ logTarget };
     daemon::session_log log{ sink };
     daemon::session_settings values;
     std::optional<daemon::session_gateway> gateway;
@@ -79,6 +89,16 @@
         CHECK_TRUE(gateway->isReady());
     }
 
+    ~gateway_fixture() { std::filesystem::remove(logTarget.path); }
+
+    /// @return all log lines so far, once the writer thread has written them
+    std::string logLines() const
+    {
+        std::this_thread::sleep_for(50ms);
+        std::ifstream file(logTarget.path);
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
     template <typename condition>
     bool runUntil(const condition &isMet, std::chrono::milliseconds limit = 3s)
     {
@@ -174,6 +194,8 @@
         "",
         std::string("\0\xff\xfe{", 4),
         "\"" + std::string(40'000, 'x') + "\"",
+        with("\"s\"", R"("s t i-9")"),
+        with("\"s\"", R"("s\r\nQUERY 1 WRITE x y")"),
     };
     for (std::size_t i = 0; i < odd.size(); ++i)
         fixture.store.put("servers", "odd" + std::to_string(i), odd[i]);
@@ -216,6 +238,28 @@
     CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("manifest_version") == 3; }));
 }
 
+// Guards against a workspace or service whose name no message can carry: it is left out with a log
+// line, its callers are refused, and the others are served.
+TEST(session_gateway, unusableNamesInTheManifestAreLeftOut)
+{
+    fixture.store.put("op", "config",
+                      R"({"version":2,"routes":[{"database":"d","service":"s","type":"primary"},
+                      {"database":"d2","service":"s 2","type":"primary"}],
+                      "services":[{"name":"s"},{"name":"s 2"}],
+                      "tenants":[{"name":"t","api-keys":["k"]},
+                      {"name":"t\r\nQUERY 1 WRITE x y","api-keys":["k2"]}]})");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("manifest_version") == 2; }));
+    const auto lines = fixture.logLines();
+    CHECK(lines.find("name=name_unusable detail=\"s 2\"") != std::string::npos);
+    CHECK(lines.find("name=name_unusable detail=\"t\\x0d\\x0aQUERY 1 WRITE x y\"")
+          != std::string::npos);
+    CHECK_TRUE(fixture.servesCallers());
+    STRCMP_CONTAINS("NOAUTH", fixture.answerTo("STARTUP d k2\r\n").c_str());
+    fixture.answerTo("STARTUP d2 k\r\nQUERY 1 READ a\r\n");
+    CHECK_TRUE(fixture.servesCallers());
+    DOUBLES_EQUAL(0, fixture.metric("events_dropped_total"), 0);
+}
+
 // Guards against the end of the process by bytes on the callers' port.
 TEST(session_gateway, hostileCallersAreDisconnected)
 {
--- a/tests/unit-store-codec.cpp
+++ b/tests/unit-store-codec.cpp
@@ -132,6 +132,47 @@
     CHECK_TRUE(body["puts"].empty());
 }
 
+// Guards against a name that adds a field or a line to the message that opens a connection: the
+// member would serve another service or tenant, or run a statement that nobody sent.
+TEST(store_codec, namesThatNoMessageCanCarryAreUnusable)
+{
+    const char *const odd[] = { "a b", " a", "a ", "a\r\nQUERY 1 WRITE x y", "\r\n", "" };
+    for (const char *name : odd) {
+        auto member = nlohmann::json::parse(validMember);
+        member["service"] = name;
+        CHECK_FALSE_TEXT(decodeMember(rowWith(member.dump())).has_value(), name);
+        const nlohmann::json value = { { "version", 1 },
+                                       { "services",
+                                         { { { "name", name } }, { { "name", "s" } } } },
+                                       { "tenants",
+                                         { { { "name", name }, { "api-keys", { "k1" } } },
+                                           { { "name", "t" }, { "api-keys", { "k2" } } } } } };
+        const auto manifest = decodeManifest(value.dump());
+        CHECK_TRUE(manifest.has_value());
+        LONGS_EQUAL_TEXT(1, manifest->services.size(), name);
+        LONGS_EQUAL_TEXT(1, manifest->workspaces.size(), name);
+        CHECK_FALSE(manifest->workspaceByKey.contains("k1"));
+        STRCMP_EQUAL("t", manifest->workspaces.at(manifest->workspaceByKey.at("k2")).name.c_str());
+    }
+    store_row row = rowWith(validMember);
+    row.key = "i-1\r\nQUERY 1 WRITE x y";
+    CHECK_FALSE(decodeMember(row).has_value());
+}
+
+// Guards against names that are refused although a message can carry them: line feeds alone, and
+// blanks in the last field, which the member's id is.
+TEST(store_codec, oddNamesThatMessagesCarryAreUsed)
+{
+    auto member = nlohmann::json::parse(validMember);
+    member["service"] = "a\nb\r\tc=\"\x01";
+    store_row row = rowWith(member.dump());
+    row.key = " i 1\n\r";
+    const auto entry = decodeMember(row);
+    CHECK_TRUE(entry.has_value());
+    STRCMP_EQUAL("a\nb\r\tc=\"\x01", entry->service.c_str());
+    STRCMP_EQUAL(" i 1\n\r", entry->id.c_str());
+}
+
 // Guards against a crash on a malformed response body of the store.
 TEST(store_codec, randomBodiesDoNotCrash)
 {
