Read each page of the store from the last key of the one before

What operators could see: a member that no daemon uses, or a list of members that is never read, so that every caller waits. Cause: the next page was asked from the last key with `!` behind it. Keys that follow with a byte below `!`, such as a blank, were skipped, and behind a key of 200 bytes the text is longer than the store allows. Evidence: pagesOfTheStoreAreReadWithoutGaps fails before this commit (unit-session-gateway line 261, "expected <503>, but was <501>"). Why this works: the next page begins with the last row of the one before, which is read twice with the same result. A page that leads no further counts as a failed read instead of an endless one. Measured: unit-session-gateway passes.

--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -35,6 +35,14 @@
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
 constexpr std::size_t maxReportedNames = 64; // unusable ones of a manifest
 
+/// @return whether a page of rows is the last one or names the key from which the next one is read.
+/// That page then begins with the same row: no key that follows it is known to be within the
+/// store's limit.
+bool leadsOn(const adapter::store_rows &page, const std::string &from)
+{
+    return !page.hasMore || (!page.rows.empty() && page.rows.back().key > from);
+}
+
 } // namespace
 
 store_client::store_client(boost::asio::io_context &context, const session_settings &values,
@@ -226,12 +234,12 @@
                                std::map<std::string, proxy::listed_member> &&list)
 {
     call(store_purpose::Members, adapter::readRows(adapter::memberTable(), from), callTimeout,
-         [this, generation = memberGeneration_,
+         [this, from, generation = memberGeneration_,
           list = std::move(list)](int status, const std::string &body) mutable {
              if (generation != memberGeneration_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows) {
+             if (!rows || !leadsOn(*rows, from)) {
                  runAfter(backoff(memberFailures_++), [this, generation] {
                      if (generation == memberGeneration_)
                          readMembers();
@@ -242,8 +250,8 @@
                  if (const auto entry = decodeMember(row))
                      list[row.key] = *entry;
              }
-             if (rows->hasMore && !rows->rows.empty()) {
-                 readMembers(rows->rows.back().key + '!', std::move(list));
+             if (rows->hasMore) {
+                 readMembers(rows->rows.back().key, std::move(list));
                  return;
              }
              memberFailures_ = 0;
@@ -333,12 +341,12 @@
                                  std::map<std::string, listed_instance> &&list)
 {
     call(store_purpose::Instances, adapter::readRows(wire::instanceTable, from), callTimeout,
-         [this, generation = instanceGeneration_,
+         [this, from, generation = instanceGeneration_,
           list = std::move(list)](int status, const std::string &body) mutable {
              if (generation != instanceGeneration_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows) {
+             if (!rows || !leadsOn(*rows, from)) {
                  runAfter(backoff(instanceFailures_++), [this, generation] {
                      if (generation == instanceGeneration_)
                          readInstances();
@@ -349,8 +357,8 @@
                  if (const auto each = decodeInstance(row))
                      list[row.key] = *each;
              }
-             if (rows->hasMore && !rows->rows.empty()) {
-                 readInstances(rows->rows.back().key + '!', std::move(list));
+             if (rows->hasMore) {
+                 readInstances(rows->rows.back().key, std::move(list));
                  return;
              }
              instanceFailures_ = 0;
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -19,10 +19,12 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <unistd.h>
 
@@ -66,9 +68,12 @@
     daemon::session_settings values;
     std::optional<daemon::session_gateway> gateway;
 
-    gateway_fixture()
+    /// @param prepare fills the store before the gateway reads it
+    explicit gateway_fixture(const std::function<void(testing::table_store &)> &prepare = {})
     {
         CHECK_FALSE(store.start());
+        if (prepare)
+            prepare(store);
         values.instance = "n1";
         values.zone = "north";
         values.address = "127.0.0.1";
@@ -238,6 +243,25 @@
     CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("manifest_version") == 3; }));
 }
 
+// Guards against rows that are skipped, or a list that is never read to its end, where a page of
+// the store ends: behind a key that begins the next one, and behind one of the greatest length.
+TEST(session_gateway, pagesOfTheStoreAreReadWithoutGaps)
+{
+    // The first key of each list ends a page.
+    const std::vector<std::vector<std::string>> keys{ { "l", "l\x01", "l x", "m" },
+                                                      { "l" + std::string(199, 'x'), "m", "n" } };
+    for (const std::vector<std::string> &last : keys) {
+        gateway_fixture paged([&](testing::table_store &store) {
+            for (int i = 0; i < 499; ++i)
+                store.put("servers", "a" + std::to_string(1'000 + i), validMember);
+            for (const std::string &key : last)
+                store.put("servers", key, validMember);
+        });
+        CHECK_TRUE(paged.runUntil([&] { return paged.metric("members") > 0; }));
+        DOUBLES_EQUAL(499 + static_cast<double>(last.size()), paged.metric("members"), 0);
+    }
+}
+
 // Guards against a workspace or service whose name no message can carry: it is left out with a log
 // line, its callers are refused, and the others are served.
 TEST(session_gateway, unusableNamesInTheManifestAreLeftOut)
