Follow the store from the first page of a list

What operators could see: a member that left, or that changed its state, and is used as before until the list is read again, on installations with more than 500 rows. Cause: the feed went on from the version of the last page. A row of an earlier page that changed while the pages were read is older than that. Evidence: changeBetweenTwoPagesIsNotLost fails before this commit (unit-session-gateway line 278: the removed member stays listed). Why this works: the feed goes on from the version of the first page and repeats what changed since. Measured: unit-session-gateway passes.

--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -250,12 +250,14 @@
                  if (const auto entry = decodeMember(row))
                      list[row.key] = *entry;
              }
+             // The feed then repeats what changed while the pages were read.
+             if (from.empty())
+                 memberFeedVersion_ = rows->version;
              if (rows->hasMore) {
                  readMembers(rows->rows.back().key, std::move(list));
                  return;
              }
              memberFailures_ = 0;
-             memberFeedVersion_ = rows->version;
              members_ = std::move(list);
              reportMembers();
              followMembers();
@@ -357,12 +359,14 @@
                  if (const auto each = decodeInstance(row))
                      list[row.key] = *each;
              }
+             // The feed then repeats what changed while the pages were read.
+             if (from.empty())
+                 instanceFeedVersion_ = rows->version;
              if (rows->hasMore) {
                  readInstances(rows->rows.back().key, std::move(list));
                  return;
              }
              instanceFailures_ = 0;
-             instanceFeedVersion_ = rows->version;
              instances_ = std::move(list);
              reportInstances();
              runAfter(pacing().instancePollPause,
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -69,11 +70,11 @@
     std::optional<daemon::session_gateway> gateway;
 
     /// @param prepare fills the store before the gateway reads it
-    explicit gateway_fixture(const std::function<void(testing::table_store &)> &prepare = {})
+    explicit gateway_fixture(const std::function<void(gateway_fixture &)> &prepare = {})
     {
         CHECK_FALSE(store.start());
         if (prepare)
-            prepare(store);
+            prepare(*this);
         values.instance = "n1";
         values.zone = "north";
         values.address = "127.0.0.1";
@@ -251,17 +252,32 @@
     const std::vector<std::vector<std::string>> keys{ { "l", "l\x01", "l x", "m" },
                                                       { "l" + std::string(199, 'x'), "m", "n" } };
     for (const std::vector<std::string> &last : keys) {
-        gateway_fixture paged([&](testing::table_store &store) {
+        gateway_fixture paged([&](gateway_fixture &fresh) {
             for (int i = 0; i < 499; ++i)
-                store.put("servers", "a" + std::to_string(1'000 + i), validMember);
+                fresh.store.put("servers", "a" + std::to_string(1'000 + i), validMember);
             for (const std::string &key : last)
-                store.put("servers", key, validMember);
+                fresh.store.put("servers", key, validMember);
         });
         CHECK_TRUE(paged.runUntil([&] { return paged.metric("members") > 0; }));
         DOUBLES_EQUAL(499 + static_cast<double>(last.size()), paged.metric("members"), 0);
     }
 }
 
+// Guards against a change that is lost because it came between two pages of a list: the feed has to
+// go on from the moment of the first one.
+TEST(session_gateway, changeBetweenTwoPagesIsNotLost)
+{
+    std::optional<boost::asio::steady_timer> removal;
+    gateway_fixture paged([&](gateway_fixture &fresh) {
+        for (int i = 0; i < 501; ++i)
+            fresh.store.put("servers", "a" + std::to_string(1'000 + i), validMember);
+        fresh.store.faults.delay = 200ms; // pages after 200 and 400 ms
+        removal.emplace(fresh.context, 300ms);
+        removal->async_wait([&](const auto &) { fresh.store.remove("servers", "a1000"); });
+    });
+    CHECK_TRUE(paged.runUntil([&] { return paged.metric("members") == 500; }));
+}
+
 // Guards against a workspace or service whose name no message can carry: it is left out with a log
 // line, its callers are refused, and the others are served.
 TEST(session_gateway, unusableNamesInTheManifestAreLeftOut)
