Credit a datagram between daemons once

What members could see: more operations of a workspace than its limit allows (QUOTA), if the network delivers a datagram with tokens twice. Cause: datagrams had no number. A grant between zones and a return of tokens were credited as often as they arrived, a grant within the zone for 400 ms. Evidence: repeatedDatagramIsCreditedOnce fails before this commit (unit-session-gateway line 224, "expected <2>, but was <6>" operations from a return of two tokens that arrives three times). Not seen on real processes. Why this works: each process numbers its datagrams, and the receiver keeps the window of numbers that the product's own interface has had (replay_window), by the incarnation of the sender. The metric datagrams_repeated_total counts what it dropped. Leases, reports and answers to questions are matched by the time of the question and were credited once before. A datagram is longer by the number, so daemons of both versions don't read each other's datagrams; they count them as unreadable. Measured: unit-session-gateway and unit-session-datagram pass.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -11,6 +11,7 @@
 #include <fuchsiagw/net/line_connection.hpp>
 #include <fuchsiagw/net/udp_link.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
+#include <fuchsiagw/wire/replay_window.hpp>
 
 #include <platform/wire_codec.hpp>
 
@@ -110,6 +111,9 @@
     latency_histograms latencies_;
     std::uint64_t droppedEvents_ = 0;
     std::uint64_t unreadableDatagrams_ = 0;
+    std::uint64_t repeatedDatagrams_ = 0;
+    std::uint64_t lastDatagram_ = 0; ///< sequence number
+    wire::replay_window receivedDatagrams_;
     std::array<std::uint64_t, proxy::replyFaultNames.size()> replyFaults_{}; ///< by reply_fault
     core::time_point nextUnreadableLogAt_{};
 };
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -52,6 +52,7 @@
     peer_message_kind kind = peer_message_kind::Exchange;
     std::string from; ///< node name
     std::uint64_t incarnation = 0; ///< incarnation of the sender's process
+    std::uint64_t sequence = 0; ///< number among the datagrams of that process, from 1
     std::int64_t askedAtUs = 0; ///< clock of the requester; copied unchanged to the answer
     std::uint64_t manifestVersion = 0;
     std::vector<leader_report> leaders;
@@ -67,7 +68,7 @@
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member,
+        ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
            betweenHomes, amount, workspaces, parts, recall);
     }
 };
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -238,6 +238,11 @@
         }
         return;
     }
+    // The network may deliver a datagram twice, which would credit its tokens twice.
+    if (!receivedDatagrams_.accept(message->incarnation, message->sequence, now)) {
+        ++repeatedDatagrams_;
+        return;
+    }
     runGuarded("datagram", [&] { proxy::onPeerMessage(engine_, *message, now); });
     perform();
 }
@@ -356,7 +361,9 @@
     const auto found = peerAddresses_.find(action.peer);
     if (found == peerAddresses_.end())
         return;
-    datagrams_.send(found->second, encodeDatagram(action.message));
+    proxy::peer_message message = action.message;
+    message.sequence = ++lastDatagram_;
+    datagrams_.send(found->second, encodeDatagram(message));
 }
 
 void session_gateway::perform(const proxy::claim_part &action)
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -49,6 +49,7 @@
     add("links_reused_total", "counter", counts.linksReused);
     add("promotions_ordered_total", "counter", counts.promotionsOrdered);
     add("datagrams_unreadable_total", "counter", unreadableDatagrams_);
+    add("datagrams_repeated_total", "counter", repeatedDatagrams_);
     add("events_dropped_total", "counter", droppedEvents_);
     add("store_rows_unreadable_total", "counter", store_.counters().unreadableRows);
     add("store_failures_total", "counter", store_.counters().failures);
--- a/tests/unit-session-datagram.cpp
+++ b/tests/unit-session-datagram.cpp
@@ -27,6 +27,7 @@
     message.kind = peer_message_kind::EvidenceAnswer;
     message.from = "node-1";
     message.incarnation = 77;
+    message.sequence = 5'000;
     message.askedAtUs = 123'456;
     message.manifestVersion = 9;
     message.subject = "books";
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -4,6 +4,7 @@
 #include "run-until.hpp"
 
 #include <fuchsiagw/daemon/log_sink.hpp>
+#include <fuchsiagw/daemon/session_datagram.hpp>
 #include <fuchsiagw/daemon/session_gateway.hpp>
 #include <fuchsiagw/daemon/session_log.hpp>
 
@@ -12,6 +13,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -142,6 +144,24 @@
         return line;
     }
 
+    /// @return whether a caller may begin a transaction, which takes a token of its workspace
+    bool admitsOperation()
+    {
+        tcp::socket socket(context);
+        socket.connect({ values.callerAddress.address, values.callerAddress.port });
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string("STARTUP d k\r\nQUERY 1 BEGIN\r\n")));
+        std::string received;
+        const auto isAnswered = [&] {
+            std::string next(socket.available(), '\0');
+            boost::asio::read(socket, boost::asio::buffer(next));
+            received += next;
+            return received.find("READY", received.find('\n')) != std::string::npos;
+        };
+        CHECK_TRUE(runUntil(isAnswered));
+        return received.find("COMPLETE") != std::string::npos;
+    }
+
     bool servesCallers() { return answerTo("STARTUP d k\r\n").starts_with("READY I"); }
 };
 
@@ -171,6 +191,41 @@
     DOUBLES_EQUAL(0, fixture.metric("events_dropped_total"), 0);
 }
 
+// Guards against tokens that are credited twice (QUOTA) because the network delivers a datagram
+// twice: at once, or late.
+TEST(session_gateway, repeatedDatagramIsCreditedOnce)
+{
+    fixture.store.put("op", "config",
+                      R"({"version":2,"routes":[{"database":"d","service":"s","type":"primary",
+                      "timeout-ms":500,"target-latency-ms":100}],"services":[{"name":"s"}],
+                      "tenants":[{"name":"t","api-keys":["k"],"rate-per-s":0.001,
+                      "burst-size":20}]})");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("limit_part_millionths") > 0; }, 12s));
+    while (fixture.admitsOperation()) { }
+    for (const auto kind :
+         { proxy::peer_message_kind::LoanReturn, proxy::peer_message_kind::LoanGrant }) {
+        proxy::peer_message message;
+        message.kind = kind;
+        message.from = "n2";
+        message.incarnation = 7;
+        message.sequence = 10 + static_cast<std::uint64_t>(kind);
+        message.subject = "t";
+        message.betweenHomes = true;
+        message.amount = 2 * core::oneToken;
+        const std::string bytes = daemon::encodeDatagram(message);
+        fixture.sendDatagram(bytes);
+        fixture.sendDatagram(bytes);
+        fixture.context.run_for(20ms);
+        fixture.sendDatagram(bytes);
+        fixture.context.run_for(20ms);
+        int admitted = 0;
+        while (fixture.admitsOperation())
+            ++admitted;
+        LONGS_EQUAL(2, admitted);
+    }
+    DOUBLES_EQUAL(4, fixture.metric("datagrams_repeated_total"), 0);
+}
+
 // Guards against a daemon that ends, or that stops to follow the list, because another writer left
 // one odd row among the members: the other rows are used, also those that come later.
 TEST(session_gateway, oddMemberRowCostsThatRowAlone)
