Bound the lists in a datagram by their bytes

What callers could see: refusals inside their workspace's rate, and daemons that don't learn of a new primary from each other. Cause: a request for parts held up to 40 names and an answer up to 12 reports, whatever their length, while a datagram takes 1,200 bytes. A longer one was dropped by its sender without a trace in the log. Names of 40 bytes were enough. Evidence: listsOfLongNamesFitIntoDatagrams fails before this commit (unit-session-datagram line 96). Why this works: both lists end where the next entry could exceed the room beside the longest other fields; requests go on in another datagram, reports are a random sample as before. A grant holds no more entries than the request that it answers. Measured: unit-session-datagram passes.

--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -7,8 +7,10 @@
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/proxy/limit_part.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsiagw::proxy {
@@ -73,4 +75,22 @@
     }
 };
 
+/// Size of the entries of one message's list, in bytes, at which it still fits into a datagram
+/// beside its other fields.
+inline constexpr std::size_t maxListBytes = 900;
+
+/// @return the most bytes that a workspace takes in a PartRequest, or its part in a PartGrant
+[[nodiscard]] inline std::size_t listedBytes(std::string_view workspace)
+{
+    constexpr std::size_t numberBytes = 22; // length, part and tokens
+    return workspace.size() + numberBytes;
+}
+
+/// @return the most bytes that a report takes in a message
+[[nodiscard]] inline std::size_t listedBytes(const leader_report &report)
+{
+    constexpr std::size_t numberBytes = 54; // two lengths, two terms, index and age
+    return report.service.size() + report.member.size() + numberBytes;
+}
+
 } // namespace fuchsiagw::proxy
--- a/src/proxy/engine_parts.cpp
+++ b/src/proxy/engine_parts.cpp
@@ -16,7 +16,6 @@
 constexpr milliseconds recallRetryInterval{ 40 };
 /// Parts of a workspace that has had no operations for this long are no longer borrowed.
 constexpr std::chrono::seconds partUseTimeout{ 3 };
-constexpr std::size_t maxWorkspacesPerMessage = 40;
 /// A home sends a datagram at least once per partRenewInterval, so it counts as reachable if
 /// this daemon received a datagram from it within this time.
 constexpr milliseconds homeHeardTimeout{ 600 };
@@ -116,12 +115,15 @@
             std::any_of(state.quota.workspaces.begin(), state.quota.workspaces.end(),
                         [now](const auto &each) { return now < each.second.inUseUntil; });
     state.nextPartRequest = inUse ? now + partRenewInterval : core::noDeadline;
-    for (std::size_t first = 0; first < homeWorkspaces.size(); first += maxWorkspacesPerMessage) {
+    auto next = homeWorkspaces.begin();
+    while (next != homeWorkspaces.end()) {
         peer_message message = makeMessage(state, peer_message_kind::PartRequest);
         message.askedAtUs = now.time_since_epoch().count();
-        const std::size_t last = std::min(homeWorkspaces.size(), first + maxWorkspacesPerMessage);
-        message.workspaces.assign(homeWorkspaces.begin() + static_cast<std::ptrdiff_t>(first),
-                                  homeWorkspaces.begin() + static_cast<std::ptrdiff_t>(last));
+        std::size_t bytes = 0;
+        do {
+            bytes += listedBytes(*next);
+            message.workspaces.push_back(*next++);
+        } while (next != homeWorkspaces.end() && bytes + listedBytes(*next) <= maxListBytes);
         sendToZone(state, message);
     }
 }
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -72,9 +72,15 @@
         all.push_back(std::move(each));
     }
     // Select a random sample if not all reports fit into one datagram.
-    for (std::size_t i = 0; all.size() > reportsPerMessage && i < reportsPerMessage; ++i)
-        std::swap(all[i], all[i + core::drawBelow(state.random, all.size() - i)]);
-    all.resize(std::min(all.size(), reportsPerMessage));
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (; count < std::min(all.size(), reportsPerMessage); ++count) {
+        std::swap(all[count], all[count + core::drawBelow(state.random, all.size() - count)]);
+        bytes += listedBytes(all[count]);
+        if (bytes > maxListBytes)
+            break;
+    }
+    all.resize(count);
     return all;
 }
 
--- a/tests/unit-session-datagram.cpp
+++ b/tests/unit-session-datagram.cpp
@@ -4,6 +4,8 @@
 #include "allocation-recorder.hpp"
 
 #include <fuchsiagw/daemon/session_datagram.hpp>
+#include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/wire/peer_codec.hpp>
 
 #include <CppUTest/PlatformSpecificFunctions_c.h>
 #include <CppUTest/TestHarness.h>
@@ -12,6 +14,7 @@
 #include <array>
 #include <limits>
 #include <random>
+#include <set>
 
 using namespace fuchsiagw;
 using proxy::peer_message;
@@ -41,6 +44,63 @@
     return message;
 }
 
+/// A daemon of 60 workspaces and 60 services with names of a given size, beside another one.
+struct named_engine
+{
+    static constexpr std::size_t count = 60;
+    static constexpr core::time_point now{ std::chrono::hours(1) };
+    proxy::engine state;
+
+    static std::string nameOf(std::size_t number, std::size_t size)
+    {
+        std::string name = std::to_string(number);
+        name.resize(size, 'x');
+        return name;
+    }
+
+    explicit named_engine(std::size_t size)
+    {
+        state.settings.node = nameOf(0, 200);
+        state.settings.zone = "z";
+        state.incarnation = std::numeric_limits<std::uint64_t>::max();
+        proxy::manifest config;
+        config.version = std::numeric_limits<std::int64_t>::max();
+        for (std::size_t i = 0; i < count; ++i) {
+            proxy::workspace_entry workspace;
+            workspace.name = nameOf(i, size);
+            workspace.ratePerSecond = 1e9;
+            workspace.burst = 1e6;
+            config.workspaces.push_back(workspace);
+            proxy::service_entry service;
+            service.name = nameOf(i, size);
+            config.services.emplace(service.name, service);
+        }
+        onManifest(state, std::make_shared<const proxy::manifest>(std::move(config)), now);
+        proxy::peer_state peer;
+        peer.node = "n2";
+        peer.zone = "z";
+        onInstances(state, { peer }, now);
+        state.out.clear();
+    }
+
+    /// @return the messages that the daemon has sent; each fits into a datagram
+    std::vector<peer_message> sent()
+    {
+        std::vector<peer_message> result;
+        for (const proxy::action &each : state.out) {
+            const auto *order = std::get_if<proxy::send_to_peer>(&each);
+            if (order == nullptr)
+                continue;
+            peer_message message = order->message;
+            message.sequence = std::numeric_limits<std::uint64_t>::max();
+            CHECK(daemon::encodeDatagram(message).size() <= wire::maxDatagramBytes);
+            result.push_back(message);
+        }
+        state.out.clear();
+        return result;
+    }
+};
+
 /// Overwrites one byte, inserts a long number, cuts off the end or repeats a part.
 std::string change(std::string bytes, std::mt19937_64 &random)
 {
@@ -163,3 +223,42 @@
     CHECK(outcomes[0] > changedInputs / 10);
     CHECK(outcomes[1] > changedInputs / 100);
 }
+
+// Guards against messages that are never sent because they are longer than a datagram: the parts of
+// the limits would not be lent, and leaders not be reported.
+TEST(session_datagram, listsOfLongNamesFitIntoDatagrams)
+{
+    for (const std::size_t size : { 4U, 40U, 100U, 200U }) {
+        named_engine daemon(size);
+        for (auto &[name, quota] : daemon.state.quota.workspaces) {
+            quota.inUseUntil = named_engine::now + std::chrono::seconds(1);
+            quota.actsAsHomeUntil = quota.inUseUntil;
+        }
+        daemon.state.nextPartRequest = named_engine::now;
+        requestParts(daemon.state, named_engine::now);
+        std::set<std::string> asked;
+        std::size_t granted = 0;
+        for (peer_message &request : daemon.sent()) {
+            asked.insert(request.workspaces.begin(), request.workspaces.end());
+            peer_message grant = request;
+            grant.kind = peer_message_kind::PartGrant;
+            for (const std::string &workspace : grant.workspaces)
+                grant.parts.push_back({ workspace, proxy::wholeLimit, 1'000'000 * core::oneToken });
+            grant.workspaces.clear();
+            CHECK(daemon::encodeDatagram(grant).size() <= wire::maxDatagramBytes);
+            granted += grant.parts.size();
+        }
+        LONGS_EQUAL(named_engine::count, asked.size());
+        LONGS_EQUAL(named_engine::count, granted);
+        for (auto &[name, service] : daemon.state.services) {
+            service.leader = named_engine::nameOf(1, size);
+            service.term = std::numeric_limits<std::int64_t>::max();
+        }
+        peer_message question;
+        question.from = "n2";
+        onPeerMessage(daemon.state, question, named_engine::now);
+        const auto answers = daemon.sent();
+        LONGS_EQUAL(1, answers.size());
+        CHECK(!answers[0].leaders.empty());
+    }
+}
