--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/daemon/session_log.hpp>
 
 #include <platform/standin/table_store.hpp>
+#include <platform/wire_codec.hpp>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -144,6 +147,47 @@
         return line;
     }
 
+    /// @param atOnce bytes of each write
+    /// @param endsHere the caller sends nothing more and reads what comes
+    /// @return all that a caller gets for these bytes, until it is closed ("closed" is appended) or
+    /// the gateway is silent
+    std::string transcriptOf(const std::string &bytes, std::size_t atOnce = std::string::npos,
+                             bool endsHere = false)
+    {
+        tcp::socket socket(context);
+        socket.connect({ values.callerAddress.address, values.callerAddress.port });
+        std::string received;
+        std::array<char, 4'096> buffer{};
+        bool isClosed = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(boost::asio::buffer(buffer),
+                                   [&](const boost::system::error_code &error, std::size_t size) {
+                                       received.append(buffer.data(), size);
+                                       isClosed = static_cast<bool>(error);
+                                       if (!isClosed)
+                                           read();
+                                   });
+        };
+        read();
+        for (std::size_t at = 0; at < bytes.size() && !isClosed;) {
+            const std::size_t size = std::min(atOnce, bytes.size() - at);
+            boost::system::error_code ignored; // the gateway may have closed the connection
+            boost::asio::write(socket, boost::asio::buffer(bytes.data() + at, size), ignored);
+            at += size;
+            context.run_for(1ms);
+        }
+        if (endsHere)
+            socket.shutdown(tcp::socket::shutdown_send);
+        for (std::size_t before = 1; before != received.size() && !isClosed;) {
+            before = received.size();
+            context.run_for(60ms);
+        }
+        received += isClosed ? "closed" : "";
+        socket.close();
+        context.run_for(5ms);
+        return received;
+    }
+
     /// @return whether a caller may begin a transaction, which takes a token of its workspace
     bool admitsOperation()
     {
@@ -364,3 +408,60 @@
         fixture.answerTo(bytes);
     CHECK_TRUE(fixture.servesCallers());
 }
+
+// Guards against statements in one write, or divided at any byte, that are joined, lost or answered
+// out of order, and against a line feed that ends one.
+TEST(session_gateway, pipelinedStatementsAreAnsweredInOrder)
+{
+    const std::string sent = "STARTUP d k\r\nQUERY 1 BEGIN\r\nQUERY 2 SET a x\nQUERY 3 ROLLBACK\r\n"
+                             "QUERY 4 SET b \r\r\nQUERY 5 ROLLBACK\r\n";
+    const std::string expected =
+            "READY I -\r\nCOMPLETE -\r\nREADY T -\r\nCOMPLETE -\r\nREADY T -\r\n"
+            "COMPLETE -\r\nREADY T -\r\nCOMPLETE -\r\nREADY I -\r\n";
+    for (const std::size_t atOnce : { std::string::npos, std::size_t{ 1 }, std::size_t{ 7 } })
+        STRCMP_EQUAL(expected.c_str(), fixture.transcriptOf(sent, atOnce).c_str());
+}
+
+// Guards against a message at the limit that is refused, and against one beyond it that is read.
+TEST(session_gateway, messagesAreReadUpToTheLimit)
+{
+    const std::string start = "STARTUP d k\r\n";
+    const std::string set = "QUERY 1 SET a ";
+    const std::string longest = set + std::string(adapter::maxMessageBytes - set.size(), 'x');
+    STRCMP_EQUAL("READY I -\r\nCOMPLETE -\r\nREADY I -\r\n",
+                 fixture.transcriptOf(start + longest + "\r\n").c_str());
+    STRCMP_EQUAL("READY I -\r\nclosed", fixture.transcriptOf(start + longest + "x\r\n").c_str());
+    STRCMP_EQUAL("READY I -\r\nclosed", fixture.transcriptOf(start + longest + longest).c_str());
+    CHECK_TRUE(fixture.servesCallers());
+}
+
+// Guards against the start of a message that is run because its caller leaves, or that keeps its
+// session.
+TEST(session_gateway, partOfMessageIsNotRun)
+{
+    for (const char *part :
+         { "QUERY 1 BEGIN", "QUERY 1 BEGIN\r", "QUERY 1 BEGIN\n", "QUERY", "\r" })
+        STRCMP_EQUAL(
+                "READY I -\r\nclosed",
+                fixture.transcriptOf(std::string("STARTUP d k\r\n") + part, std::string::npos, true)
+                        .c_str());
+    STRCMP_EQUAL("closed", fixture.transcriptOf("STARTUP d k", std::string::npos, true).c_str());
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("sessions") == 0; }));
+}
+
+// Guards against odd bytes in a database or key that are cut off or ignored, so that another route
+// or workspace is found, and against the log lines that such a caller could write.
+TEST(session_gateway, oddDatabasesAndKeysAreRefused)
+{
+    for (const std::string &database :
+         { std::string("d\n"), std::string("d\r"), std::string("d\0", 2), std::string("\nd"),
+           std::string("d\nevent=919 name=promotion_done") })
+        STRCMP_CONTAINS("ERROR NODB",
+                        fixture.transcriptOf("STARTUP " + database + " k\r\n").c_str());
+    for (const std::string &key :
+         { std::string("k\n"), std::string("k\r"), std::string("k\0", 2), std::string(" k"),
+           std::string("k "), std::string("k k"), std::string("k\nevent=919 name=promotion_done") })
+        STRCMP_CONTAINS("ERROR NOAUTH", fixture.transcriptOf("STARTUP d " + key + "\r\n").c_str());
+    fixture.transcriptOf("STARTUP d k\r\nQUERY 1\nevent=919\tname=promotion_done READ a\r\n");
+    CHECK(fixture.logLines().find("\nevent=919") == std::string::npos);
+}
