Count only answers to the question of this promotion attempt

What operators could see: a promotion that is started or given up because of what a peer could reach during an earlier attempt about the same primary. Cause: answers whether a peer reaches the old primary named the primary, but not the question. The question also told the manifest version 0, which the asked daemons recorded as this daemon's. Evidence: lateReachabilityAnswerIsNotCounted fails before this commit (unit-session-engine line 672, "expected <0>, but was <1>"). Not seen on real processes. Why this works: the question carries its time, as all other questions between daemons do, the answer repeats it, and only answers with the start of the present attempt count. Measured: unit-session-engine passes.

--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -128,6 +128,7 @@
 {
     constexpr milliseconds maxContactAge{ 600 };
     peer_message answer = makeMessage(state, peer_message_kind::ReachabilityAnswer);
+    answer.askedAtUs = message.askedAtUs;
     answer.subject = message.subject;
     answer.member = message.member;
     answer.amount = -1;
@@ -143,7 +144,9 @@
 void onReachabilityAnswer(engine &state, const peer_message &message)
 {
     service_state *service = findService(state, message.subject);
-    if (service == nullptr || service->promotion.oldPrimary != message.member)
+    const core::time_point asked{ core::duration(message.askedAtUs) };
+    if (service == nullptr || service->promotion.oldPrimary != message.member
+        || service->promotion.startedAt != asked)
         return;
     if (message.amount == 1)
         service->promotion.peersReaching.insert(message.from);
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -50,10 +50,8 @@
         return;
     }
     enterPhase(attempt, promotion_phase::QueryingPeers, now + peerQueryTimeout);
-    peer_message query;
-    query.kind = peer_message_kind::ReachabilityRequest;
-    query.from = state.settings.node;
-    query.incarnation = state.incarnation;
+    peer_message query = makeMessage(state, peer_message_kind::ReachabilityRequest);
+    query.askedAtUs = now.time_since_epoch().count();
     query.subject = service.name;
     query.member = attempt.oldPrimary;
     std::size_t peersAsked = 0;
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -644,6 +644,41 @@
     }
 }
 
+// Guards against an answer about an earlier attempt, delayed on its way, that decides a later one:
+// it tells what a peer could reach then.
+TEST(session_engine, lateReachabilityAnswerIsNotCounted)
+{
+    onInstances(fixture.state, { peerIn("node-2", "north") }, fixture.now);
+    fixture.setMembers({ proxy_fixture::member("m1", false), proxy_fixture::member("m2", false),
+                         proxy_fixture::member("m3", false) });
+    service_state &service = fixture.state.services.at(proxy_fixture::service);
+    service.leader.clear();
+    std::vector<peer_message> questions;
+    for (int i = 0; i < 1'000 && questions.empty(); ++i) {
+        fixture.advanceTime(milliseconds(10));
+        for (const auto &each : proxy_fixture::actionsOf<send_to_peer>(fixture.takeActions())) {
+            if (each.message.kind == peer_message_kind::ReachabilityRequest)
+                questions.push_back(each.message);
+        }
+    }
+    CHECK_EQUAL(1U, questions.size());
+    peer_message answer = questions[0];
+    answer.kind = peer_message_kind::ReachabilityAnswer;
+    answer.from = "node-2";
+    answer.amount = 1;
+    peer_message late = answer;
+    late.askedAtUs -= 2'000'000;
+    onPeerMessage(fixture.state, late, fixture.now);
+    CHECK_EQUAL(0U, service.promotion.peersReaching.size());
+    onPeerMessage(fixture.state, answer, fixture.now);
+    CHECK_EQUAL(1U, service.promotion.peersReaching.size());
+    peer_message asked = questions[0];
+    asked.from = "node-2";
+    onPeerMessage(fixture.state, asked, fixture.now);
+    const auto sent = proxy_fixture::actionsOf<send_to_peer>(fixture.takeActions());
+    LONGS_EQUAL(asked.askedAtUs, sent.at(sent.size() - 1).message.askedAtUs);
+}
+
 // Guards against calls to the store that can't succeed. Many daemons detect the loss of a primary
 // at the same time, and while one of them holds the fencing token no other can acquire one.
 TEST(session_engine, tokenHeldElsewhereDelaysNextAttempt)
