Compare the transaction state of every reply, and return no link in doubt

What callers saw: a single write ran inside a transaction of another caller that was then rolled back; its caller was told success (PINNED, LOST).

Cause: the reply to an earlier SET, DISCARD or ROLLBACK, received a second time, was taken for that to the confirmation of a BEGIN. The daemon saw that no transaction was confirmed and closed its link, but for the relay every command was answered outside of a transaction, and it lent the connection on.

Why this works: the state belongs to what a reply has to look like. BEGIN opens a transaction, COMMIT and ROLLBACK end it, every other command keeps the state, so the earlier reply is noticed where it arrives. A borrower that finds a reply wrong closes its connection without TERMINATE, and the relay then lends the member's connection to nobody.

What can't be told: two second replies at the same moment, one to a begin and one inside a transaction, before a begin that is refused.

--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -65,7 +65,8 @@
 
     void accept();
     void onBorrowerLine(proxy::borrower_id id, std::string_view line);
-    void onBorrowerDisconnected(proxy::borrower_id id);
+    /// @param isInOrder whether the borrower said that it returns the connection
+    void onBorrowerDisconnected(proxy::borrower_id id, bool isInOrder);
     void onMemberReply(proxy::pooled_id id, const proxy::reply &received, std::string_view text);
     void onOpened(proxy::pooled_id id, bool isAccepted);
     void onMemberDisconnected(proxy::pooled_id id);
--- a/include/fuchsiagw/proxy/reply_pairing.hpp
+++ b/include/fuchsiagw/proxy/reply_pairing.hpp
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <fuchsiagw/proxy/reply.hpp>
-#include <fuchsiagw/proxy/upstream_command.hpp>
 
 #include <array>
 #include <cstddef>
@@ -22,15 +21,14 @@
 /// What a successful reply to a command looks like.
 enum class reply_shape : std::uint8_t {
     Startup, ///< neither rows nor a digest
-    Run, ///< digest of the run: reads, writes and commits
+    Run, ///< digest of the run: reads and writes
+    Commit, ///< as Run, outside of a transaction
     Setting, ///< no rows, no digest: values, prepared statements, discard
     Begin, ///< as Setting, in a transaction
     Rollback, ///< as Setting, outside of a transaction
     Status, ///< no digest: status, pause, resume, step down
 };
 
-[[nodiscard]] reply_shape replyShapeOf(command_kind kind);
-
 /// Why a reply does not belong to the command, or may not.
 enum class reply_fault : std::uint8_t {
     None,
@@ -70,6 +68,7 @@
     std::deque<reply_shape> expected; ///< replies to the outstanding commands, oldest first
     std::deque<std::size_t> digests; ///< hashes of received digests, newest last
     std::deque<std::size_t> errors; ///< hashes of received codes and texts, newest last
+    transaction_state state = transaction_state::Idle; ///< of the newest reply that was delivered
     bool hasSurplus = false; ///< a reply was dropped: no further command may be sent
 };
 
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -52,6 +52,7 @@
     proxy::borrower_id lentTo = 0; ///< borrower that uses the connection; 0: none
     bool isOpen = false;
     bool isInTransaction = false; ///< as of the last complete reply
+    bool isReusable = true; ///< the last borrower returned the connection in order
 };
 
 relay_server::relay_server(boost::asio::io_context &context, proxy::engine &engine,
@@ -95,7 +96,7 @@
                                                              adapter::maxInternalMessageBytes);
             entry->connection->setHandlers(
                     [this, id](std::string_view line) { onBorrowerLine(id, line); },
-                    [this, id] { onBorrowerDisconnected(id); });
+                    [this, id] { onBorrowerDisconnected(id, false); });
             const auto connection = entry->connection;
             borrowers_.emplace(id, std::move(entry));
             connection->start(net::keepalive_profile::Short);
@@ -121,14 +122,14 @@
     }
     if (line == adapter::terminateKeyword()) {
         const auto connection = source.connection;
-        onBorrowerDisconnected(id);
+        onBorrowerDisconnected(id, true);
         connection->closeGracefully();
         return;
     }
     const auto shape = adapter::replyShapeOf(line);
     if (!shape) {
         const auto connection = source.connection;
-        onBorrowerDisconnected(id);
+        onBorrowerDisconnected(id, false);
         connection->close();
         return;
     }
@@ -281,8 +282,9 @@
 void relay_server::resetConnection(proxy::pooled_id id)
 {
     const pooled &from = *pooled_.at(id);
-    if (from.connection->hasSeenError()) {
-        // The error may come a second time, and then looks like the next borrower's.
+    // An error may come a second time, and then looks like the next borrower's. A borrower that
+    // found a reply wrong has closed its connection without a word.
+    if (from.connection->hasSeenError() || !from.isReusable) {
         const std::string member = from.member;
         closePooled(id, true);
         advance(member);
@@ -305,7 +307,7 @@
     from.connection->send(std::move(message), shapes);
 }
 
-void relay_server::onBorrowerDisconnected(proxy::borrower_id id)
+void relay_server::onBorrowerDisconnected(proxy::borrower_id id, bool isInOrder)
 {
     const auto found = borrowers_.find(id);
     if (found == borrowers_.end())
@@ -320,6 +322,7 @@
     if (connection == pooled_.end())
         return;
     connection->second->lentTo = 0;
+    connection->second->isReusable = isInOrder;
     pools_.at(member).connections.at(pooledId).since = net::currentBootTime();
     if (!connection->second->connection->hasOutstanding())
         resetConnection(pooledId);
--- a/src/daemon/session_links.cpp
+++ b/src/daemon/session_links.cpp
@@ -116,8 +116,10 @@
     std::string text;
     std::vector<proxy::reply_shape> shapes;
     for (const proxy::upstream_command &each : action.commands) {
-        text += adapter::encodeCommand(each);
-        shapes.push_back(proxy::replyShapeOf(each.kind));
+        const std::string message = adapter::encodeCommand(each);
+        const std::string_view line(message.data(), message.size() - adapter::lineEnd().size());
+        shapes.push_back(adapter::replyShapeOf(line).value());
+        text += message;
     }
     connection->send(std::move(text), shapes);
 }
--- a/src/proxy/reply_pairing.cpp
+++ b/src/proxy/reply_pairing.cpp
@@ -32,23 +32,30 @@
     return !received.digest.empty() && received.digest != noDigest;
 }
 
-bool hasShape(reply_shape expected, const reply &received)
+bool isRun(reply_shape shape)
 {
-    const bool isEmpty = !hasDigest(received) && received.rows.empty();
-    switch (expected) {
-    case reply_shape::Startup:
-    case reply_shape::Setting:
-        return isEmpty;
-    case reply_shape::Run:
+    return shape == reply_shape::Run || shape == reply_shape::Commit;
+}
+
+bool hasContent(reply_shape expected, const reply &received)
+{
+    if (isRun(expected))
         return hasDigest(received);
+    return !hasDigest(received) && (expected == reply_shape::Status || received.rows.empty());
+}
+
+/// @param before state of the connection before the command
+bool hasState(reply_shape expected, transaction_state before, const reply &received)
+{
+    switch (expected) {
     case reply_shape::Begin:
-        return isEmpty && received.state == transaction_state::Open;
+        return received.state == transaction_state::Open;
+    case reply_shape::Commit:
     case reply_shape::Rollback:
-        return isEmpty && received.state == transaction_state::Idle;
-    case reply_shape::Status:
-        break;
+        return received.state == transaction_state::Idle;
+    default:
+        return received.state == before;
     }
-    return !hasDigest(received);
 }
 
 /// Only errors to runs and begins are decided upon at once. For the other commands the reply to
@@ -57,7 +64,7 @@
 {
     const std::size_t hash = std::hash<std::string>{}(
             std::string(toString(received.code)).append(" ").append(received.message));
-    const bool isDecisive = expected == reply_shape::Run || expected == reply_shape::Begin;
+    const bool isDecisive = isRun(expected) || expected == reply_shape::Begin;
     if (isDecisive && contains(pairing.errors, hash))
         return reply_fault::RepeatedError;
     remember(pairing.errors, hash);
@@ -72,7 +79,7 @@
     const std::size_t hash = std::hash<std::string>{}(received.digest);
     if (hasDigest(received) && contains(pairing.digests, hash))
         return reply_fault::RepeatedDigest;
-    if (!hasShape(expected, received))
+    if (!hasContent(expected, received) || !hasState(expected, pairing.state, received))
         return reply_fault::OtherShape;
     if (hasDigest(received))
         remember(pairing.digests, hash);
@@ -93,31 +100,6 @@
 
 } // namespace
 
-reply_shape replyShapeOf(command_kind kind)
-{
-    switch (kind) {
-    case command_kind::Startup:
-        return reply_shape::Startup;
-    case command_kind::Forward:
-        return reply_shape::Run;
-    case command_kind::Begin:
-    case command_kind::BeginReadOnly:
-        return reply_shape::Begin;
-    case command_kind::Rollback:
-        return reply_shape::Rollback;
-    case command_kind::SetValue:
-    case command_kind::Prepare:
-    case command_kind::Discard:
-        return reply_shape::Setting;
-    case command_kind::Status:
-    case command_kind::PauseReceiving:
-    case command_kind::ResumeReceiving:
-    case command_kind::StepDown:
-        break;
-    }
-    return reply_shape::Status;
-}
-
 paired_reply pairReply(reply_pairing &pairing, const reply &received)
 {
     if (pairing.expected.empty())
@@ -127,9 +109,10 @@
     if (fault != reply_fault::None)
         return rejectReply(pairing, fault);
     // Only the digest of a run shows that the reply is not a surplus one.
-    if (pairing.hasSurplus && shape != reply_shape::Run)
+    if (pairing.hasSurplus && !isRun(shape))
         return { reply_action::Close, reply_fault::None };
     pairing.expected.pop_front();
+    pairing.state = received.state;
     const bool ends = pairing.hasSurplus && pairing.expected.empty();
     return { ends ? reply_action::DeliverAndClose : reply_action::Deliver, reply_fault::None };
 }
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -189,6 +189,14 @@
     fixture.sendToMember(readLine);
     fixture.member.connection->send(busyAnswer);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.lines.size() == 5; }));
+    fixture.borrower.connection->send(std::string(adapter::terminateMessage()));
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+    STRCMP_EQUAL("TERMINATE", fixture.member.lines.back().c_str());
+}
+
+// Guards against a connection that is lent on although its borrower found a reply wrong (PINNED).
+TEST(relay_server, connectionOfALostBorrowerIsNotLentAgain)
+{
     fixture.borrower.connection->close();
     CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
     STRCMP_EQUAL("TERMINATE", fixture.member.lines.back().c_str());
@@ -214,7 +222,7 @@
 {
     fixture.sendToMember(beginLine);
     fixture.member.connection->send(openAnswer);
-    fixture.borrower.connection->close();
+    fixture.borrower.connection->send(std::string(adapter::terminateMessage()));
     CHECK_TRUE(fixture.runUntil([&] { return fixture.member.lines.size() == 4; }));
     STRCMP_EQUAL("QUERY - DISCARD", fixture.member.lines.back().c_str());
     fixture.member.connection->send(openAnswer);
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -186,7 +186,8 @@
 {
     using proxy::reply_shape;
     CHECK(replyShapeOf("QUERY s1 AFTER 3.7 READ a") == reply_shape::Run);
-    CHECK(replyShapeOf("QUERY s1 COMMIT") == reply_shape::Run);
+    CHECK(replyShapeOf("QUERY s1 COMMIT") == reply_shape::Commit);
+    CHECK(replyShapeOf("STARTUP books house m1") == reply_shape::Startup);
     CHECK(replyShapeOf("QUERY s1 READ a") == reply_shape::Run);
     CHECK(replyShapeOf("QUERY - AFTER 3.7 BEGIN READ") == reply_shape::Begin);
     CHECK(replyShapeOf("QUERY - ROLLBACK") == reply_shape::Rollback);
