Take no reply to a begin that shows an older position

What callers could see: a statement outside of its transaction (PINNED), when two replies to an earlier begin came a second time before a begin that the member refused: one was taken for the begin's reply, one for its confirmation's.

Why this works: a member's log grows, so an earlier reply shows an older position as soon as anything was committed since. Nothing has run behind a begin that is not confirmed, so it is sent again elsewhere; the same holds after a promotion that cuts the log, which looks alike. On a group without a commit in between the two can't be told apart; that remains.

--- a/include/fuchsiagw/proxy/reply_pairing.hpp
+++ b/include/fuchsiagw/proxy/reply_pairing.hpp
@@ -8,12 +8,14 @@
 
 #pragma once
 
+#include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/proxy/reply.hpp>
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 
 namespace fuchsiagw::proxy {
@@ -69,6 +71,7 @@
     std::deque<std::size_t> digests; ///< hashes of received digests, newest last
     std::deque<std::size_t> errors; ///< hashes of received codes and texts, newest last
     transaction_state state = transaction_state::Idle; ///< of the newest reply that was delivered
+    std::optional<core::log_position> position; ///< newest one in a reply that was delivered
     bool hasSurplus = false; ///< a reply was dropped: no further command may be sent
 };
 
--- a/src/proxy/reply_pairing.cpp
+++ b/src/proxy/reply_pairing.cpp
@@ -58,6 +58,16 @@
     }
 }
 
+/// A member's log grows, except when a promotion cuts it. So a begin or a confirmation whose reply
+/// shows an older position may be an earlier one; it has run nothing and can be sent elsewhere.
+bool isBehind(const reply_pairing &pairing, reply_shape expected, const reply &received)
+{
+    const bool opens =
+            expected == reply_shape::Begin
+            || (expected == reply_shape::Setting && received.state == transaction_state::Open);
+    return opens && received.position && received.position < pairing.position;
+}
+
 /// Only errors to runs and begins are decided upon at once. For the other commands the reply to
 /// the next run shows whether replies are missing or surplus.
 reply_fault checkError(reply_pairing &pairing, reply_shape expected, const reply &received)
@@ -79,7 +89,8 @@
     const std::size_t hash = std::hash<std::string>{}(received.digest);
     if (hasDigest(received) && contains(pairing.digests, hash))
         return reply_fault::RepeatedDigest;
-    if (!hasContent(expected, received) || !hasState(expected, pairing.state, received))
+    if (!hasContent(expected, received) || !hasState(expected, pairing.state, received)
+        || isBehind(pairing, expected, received))
         return reply_fault::OtherShape;
     if (hasDigest(received))
         remember(pairing.digests, hash);
@@ -113,6 +124,7 @@
         return { reply_action::Close, reply_fault::None };
     pairing.expected.pop_front();
     pairing.state = received.state;
+    pairing.position = std::max(pairing.position, received.position);
     const bool ends = pairing.hasSurplus && pairing.expected.empty();
     return { ends ? reply_action::DeliverAndClose : reply_action::Deliver, reply_fault::None };
 }
--- a/tests/unit-reply-pairing.cpp
+++ b/tests/unit-reply-pairing.cpp
@@ -245,6 +245,20 @@
     CHECK(pairReply(pairing, own).action == reply_action::Close);
 }
 
+// Guards against a begin that is taken for accepted (PINNED): two replies to an earlier one come a
+// second time at once. They show the log as it was then.
+TEST(reply_pairing, replyToBeginShowsNoOlderPosition)
+{
+    reply_pairing pairing;
+    pairing.expected = { reply_shape::Run, reply_shape::Begin };
+    reply run = makeReply(reply_shape::Run, "d1");
+    run.position = core::log_position{ 1, 9 };
+    CHECK(pairReply(pairing, run).action == reply_action::Deliver);
+    reply earlier = makeReply(reply_shape::Begin, {});
+    earlier.position = core::log_position{ 1, 8 };
+    CHECK(pairReply(pairing, earlier).action == reply_action::Drop);
+}
+
 // Guards against a missing reply: the next command's must not be taken for it.
 TEST(reply_pairing, missingReplyEndsTheConnection)
 {
