Act on the proxy's own questions only behind a confirmation

What callers could see: stale reads, and an attempt to promote that rests on an old report. Also statements that run on a connection that was not cleaned.

Cause: the row of an earlier STATUS or PAUSE, received a second time, was dated by the next question. The position of a begin could still be that of an earlier begin if a surplus reply was dropped between its confirmation and the first run. The relay lent a connection on whatever the reply to its cleaning said.

Why this works: each command of the proxy itself is followed by a confirmation as well, and its row counts only when that is answered; the own row then falls on the confirmation, which has none, and ends the link. A begin's position is the newer one of its reply and its confirmation's, one of which is its own; a change of term between them ends the link. A connection counts as clean only after a success outside of a transaction.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -111,6 +111,10 @@
 /// @brief Sends the first statement of a transaction after the member has confirmed its begin.
 void sendFirstStatement(engine &state, upstream_link &link, const session &caller,
                         core::time_point now);
+/// @return a command to send behind one whose reply has no digest and is decided upon. That reply
+/// may be the one to an earlier command, received a second time; the own one then takes the place
+/// of the reply to the confirmation, and looks otherwise.
+[[nodiscard]] upstream_command makeConfirmation();
 void closeLink(engine &state, link_id id, bool graceful, core::time_point now);
 /// @brief Makes a link without outstanding answers available to other requests.
 void releaseLink(engine &state, upstream_link &link, core::time_point now);
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/reply.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_command.hpp>
 
@@ -27,7 +28,7 @@
     Startup,
     Preparation, ///< sets values or prepared statements of the session
     Begin,
-    Confirmation, ///< of a begin: command behind it that shows that a transaction is open
+    Confirmation, ///< command behind a begin or a command of the proxy itself
     Statement,
     Cleanup, ///< rollback that the proxy sends
     Control, ///< command of the proxy itself: status, pause, resume or step down
@@ -60,8 +61,11 @@
     std::map<prepared_shape, std::string> prepared; ///< names at the member, by shape
     session_id pinnedTo = 0; ///< session whose transaction runs on this link; 0: none
     bool beginProvesLeader = false; ///< latest begin was read-write; only a leader accepts it
-    std::optional<core::log_position> beginPosition; ///< from the answer to the latest begin
+    /// From the answers to the latest begin and its confirmation.
+    std::optional<core::log_position> beginPosition;
     core::time_point beginSentAt{}; ///< when the begin of `beginPosition` was sent
+    /// Answer to a command of the proxy itself, until its confirmation is answered.
+    std::optional<reply> controlAnswer;
     bool beginFailed = false; ///< the begin in the current batch was refused
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     bool refused = false; ///< Startup and the commands sent after it were refused
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -259,6 +259,10 @@
         resetConnection(id);
         return;
     }
+    if (received.code != proxy::reply_code::Success || from.isInTransaction) {
+        closePooled(id, false);
+        return;
+    }
     record.state = proxy::pooled_state::Idle;
     record.since = net::currentBootTime();
     advance(from.member);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -275,16 +275,30 @@
                     expected.sentAt, now);
 }
 
+/// Adds the position that the confirmation of a begin shows. One of the two answers may have been
+/// an earlier one, with an older position.
+/// @return false if the member has changed its term in between, or not begun
+bool addConfirmedPosition(upstream_link &link, const reply &answer)
+{
+    if (answer.code != reply_code::Success || answer.state != transaction_state::Open)
+        return false;
+    if (!answer.position || !link.beginPosition)
+        return true;
+    const bool isSameTerm = answer.position->term == link.beginPosition->term;
+    link.beginPosition = std::max(link.beginPosition, answer.position);
+    return isSameTerm;
+}
+
 /// @return false if the member has opened no transaction: the reply to the begin was that of an
 /// earlier one
-bool onConfirmation(engine &state, upstream_link &link, const expected_answer &expected,
-                    const reply &answer, core::time_point now)
+bool onBeginConfirmed(engine &state, upstream_link &link, const expected_answer &expected,
+                      const reply &answer, core::time_point now)
 {
     session *caller = nullptr;
     const request *pending = findPendingRequest(state, expected, caller);
     if (pending == nullptr || link.pinnedTo != caller->id)
         return true; // the begin was refused, or its caller has left
-    if (answer.code != reply_code::Success || answer.state != transaction_state::Open)
+    if (!addConfirmedPosition(link, answer))
         return false;
     if (pending->needsEvidence)
         holdResult(state, *caller,
@@ -295,6 +309,19 @@
     return true;
 }
 
+void onControlConfirmed(engine &state, upstream_link &link, const expected_answer &expected,
+                        core::time_point now)
+{
+    if (!link.controlAnswer)
+        return;
+    const reply answer = std::move(*link.controlAnswer);
+    link.controlAnswer.reset();
+    const std::string id = link.member;
+    onControlAnswer(state, id, answer, expected.sentAt, now);
+    if (member_state *replica = findMember(state, id))
+        onEvidenceStatus(state, *replica, expected.serial, answer, now);
+}
+
 /// Records the position of the begin whose transaction has run a statement. The reply to the begin
 /// alone proves nothing: it may have been that of an earlier begin, received a second time.
 void recordBeginPosition(engine &state, upstream_link &link, core::time_point now)
@@ -415,7 +442,14 @@
         onBeginAnswer(state, *link, expected, std::move(answer), now);
         break;
     case answer_role::Confirmation:
-        if (!onConfirmation(state, *link, expected, answer, now)) {
+        if (link->control) {
+            onControlConfirmed(state, *link, expected, now);
+            break;
+        }
+        // The caller has left during its begin, so no statement follows.
+        if (member != nullptr && link->pinnedTo == 0 && !link->beginFailed)
+            member->outstanding -= member->outstanding > 0 ? 1 : 0;
+        if (!onBeginConfirmed(state, *link, expected, answer, now)) {
             link->expected.push_front(expected);
             closeLink(state, id, false, now);
             return;
@@ -441,9 +475,7 @@
     case answer_role::Cleanup:
         break;
     case answer_role::Control:
-        onControlAnswer(state, link->member, answer, expected.sentAt, now);
-        if (member_state *replica = findMember(state, link->member))
-            onEvidenceStatus(state, *replica, expected.serial, answer, now);
+        link->controlAnswer = std::move(answer);
         break;
     }
     link = findLink(state, id);
--- a/src/proxy/engine_evidence.cpp
+++ b/src/proxy/engine_evidence.cpp
@@ -315,8 +315,7 @@
 {
     const bool wasAsked =
             std::any_of(link.expected.begin(), link.expected.end(), [&](const auto &each) {
-                return each.role == answer_role::Control && each.serial != 0
-                       && each.serial == replica.evidenceSerial;
+                return link.control && each.serial != 0 && each.serial == replica.evidenceSerial;
             });
     if (wasAsked)
         replica.evidenceAsked.clear(); // the daemons that wait ask again
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -26,11 +26,24 @@
 constexpr std::size_t maxRankedRelays = 12;
 /// Limit of links to one member that are being opened at a time.
 constexpr std::size_t maxConnecting = 8;
-/// Prepared name and shape of the confirmation of a begin; other names on a link are numbers.
+/// Prepared name and shape of a confirmation; the other names on a link
+/// are numbers, which are shorter.
 constexpr const char *confirmationName = "begun";
 /// Fraction of a member's connections that all daemons together may keep open while idle.
 constexpr double idleConnectionShare = 0.75;
 
+/// @return a name that no other number has; the first ones have one character, so that an EXECUTE
+/// does not become longer than the caller's
+std::string preparedName(std::size_t number)
+{
+    constexpr std::string_view digits =
+            "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+    std::string name(1, digits[number % digits.size()]);
+    while ((number /= digits.size()) > 0)
+        name += digits[number % digits.size()];
+    return name;
+}
+
 /// @return whether the link's values can be changed into the session's without a Discard
 bool canExtend(const upstream_link &link, const session &caller)
 {
@@ -91,7 +104,7 @@
         return;
     // A shape may hold any bytes, blanks among them, so the name is not derived from it.
     upstream_command prepare =
-            makeCommand(command_kind::Prepare, std::to_string(link.prepared.size()));
+            makeCommand(command_kind::Prepare, preparedName(link.prepared.size()));
     prepare.prepared = statement.prepared;
     link.prepared.emplace(statement.prepared, prepare.name);
     batch.push_back(std::move(prepare));
@@ -114,17 +127,6 @@
     expectAnswer(link, answer_role::Begin, now, &caller);
 }
 
-/// The reply to an earlier begin, received a second time, looks like that to this one. So a command
-/// behind the begin must be answered inside a transaction as well before a statement is sent.
-void addConfirmation(upstream_link &link, const session &caller,
-                     std::vector<upstream_command> &batch, core::time_point now)
-{
-    upstream_command prepare = makeCommand(command_kind::Prepare, confirmationName);
-    prepare.prepared = { false, confirmationName };
-    batch.push_back(std::move(prepare));
-    expectAnswer(link, answer_role::Confirmation, now, &caller);
-}
-
 upstream_command makeForward(const upstream_link &link, const session &caller)
 {
     const request &pending = *caller.current;
@@ -186,6 +188,13 @@
 
 } // namespace
 
+upstream_command makeConfirmation()
+{
+    upstream_command command = makeCommand(command_kind::Prepare, confirmationName);
+    command.prepared = { false, confirmationName };
+    return command;
+}
+
 std::uint32_t maxIdleLinks(const engine &state, const member_state &member)
 {
     const double share = connectionLimit(state, member) * idleConnectionShare
@@ -305,7 +314,8 @@
     if (opensTransaction) {
         // The statement is sent only after the member has confirmed the begin. If it were sent
         // together with a begin that is refused, it would run outside of a transaction.
-        addConfirmation(link, caller, batch, now);
+        batch.push_back(makeConfirmation());
+        expectAnswer(link, answer_role::Confirmation, now, &caller);
         link.pinnedTo = caller.id;
         caller.transaction->link = link.id;
     } else {
--- a/src/proxy/engine_watch.cpp
+++ b/src/proxy/engine_watch.cpp
@@ -54,9 +54,11 @@
     expected.serial = serial;
     expected.sentAt = now;
     link->expected.push_back(expected);
+    expected.role = answer_role::Confirmation;
+    link->expected.push_back(expected);
     if (link->state == link_state::Idle)
         link->state = link_state::Busy;
-    state.out.emplace_back(send_to_member{ link->id, { std::move(command) } });
+    state.out.emplace_back(send_to_member{ link->id, { std::move(command), makeConfirmation() } });
 }
 
 std::size_t serviceRank(const engine &state, service_state &service)
--- a/src/proxy/reply_pairing.cpp
+++ b/src/proxy/reply_pairing.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Number of digests and of errors that are remembered for a connection.
-constexpr std::size_t maxRemembered = 256;
+constexpr std::size_t maxRemembered = 1'024;
 constexpr std::string_view noDigest = "-";
 
 bool contains(const std::deque<std::size_t> &hashes, std::size_t hash)
