Draw a sample of reports only where not all fit

Measured: unit-leader-random, unit-leader-cluster, unit-quota-cluster, unit-session-engine and unit-session-datagram pass.

--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/detail/engine_steps.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace fuchsiagw::proxy {
 
@@ -54,6 +55,20 @@
     return sameZone;
 }
 
+/// Keeps as many reports as fit into one datagram.
+void keepRandomSample(engine &state, std::vector<leader_report> &all)
+{
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (; count < std::min(all.size(), reportsPerMessage); ++count) {
+        std::swap(all[count], all[count + core::drawBelow(state.random, all.size() - count)]);
+        bytes += listedBytes(all[count]);
+        if (bytes > maxListBytes)
+            break;
+    }
+    all.resize(count);
+}
+
 std::vector<leader_report> reportsOf(engine &state, core::time_point now)
 {
     std::vector<leader_report> all;
@@ -71,16 +86,11 @@
         }
         all.push_back(std::move(each));
     }
-    // Select a random sample if not all reports fit into one datagram.
-    std::size_t bytes = 0;
-    std::size_t count = 0;
-    for (; count < std::min(all.size(), reportsPerMessage); ++count) {
-        std::swap(all[count], all[count + core::drawBelow(state.random, all.size() - count)]);
-        bytes += listedBytes(all[count]);
-        if (bytes > maxListBytes)
-            break;
-    }
-    all.resize(count);
+    const std::size_t bytes = std::accumulate(
+            all.begin(), all.end(), std::size_t{ 0 },
+            [](std::size_t sum, const leader_report &each) { return sum + listedBytes(each); });
+    if (all.size() > reportsPerMessage || bytes > maxListBytes)
+        keepRandomSample(state, all);
     return all;
 }
 
