--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -158,6 +158,17 @@
     CHECK_TRUE(opening.failed());
 }
 
+// Guards against a read of the longest size that no replica accepts, because the position that is
+// demanded with it makes the message longer.
+TEST(wire_codec, longestStatementsLeaveNoRoomForPosition)
+{
+    const std::string start = "QUERY 1 READ ";
+    const std::string longest = start + std::string(maxMessageBytes - start.size(), 'x');
+    CHECK_FALSE(statementOf(longest).leavesRoomForPosition);
+    CHECK_TRUE(statementOf(longest.substr(0, maxMessageBytes - 48)).leavesRoomForPosition);
+    CHECK_TRUE(statementOf("QUERY 1 READ a").leavesRoomForPosition);
+}
+
 // Guards against a member that exhausts the memory of the proxy with one reply.
 TEST(wire_codec, endlessReplyFails)
 {
@@ -175,7 +186,8 @@
 {
     using proxy::reply_shape;
     CHECK(replyShapeOf("QUERY s1 AFTER 3.7 READ a") == reply_shape::Run);
-    CHECK(replyShapeOf("QUERY s1 COMMIT") == reply_shape::Run);
+    CHECK(replyShapeOf("QUERY s1 COMMIT") == reply_shape::Commit);
+    CHECK(replyShapeOf("STARTUP books house m1") == reply_shape::Startup);
     CHECK(replyShapeOf("QUERY s1 READ a") == reply_shape::Run);
     CHECK(replyShapeOf("QUERY - AFTER 3.7 BEGIN READ") == reply_shape::Begin);
     CHECK(replyShapeOf("QUERY - ROLLBACK") == reply_shape::Rollback);
