--- a/tests/unit-leadership-evidence.cpp
+++ b/tests/unit-leadership-evidence.cpp
@@ -4,6 +4,7 @@
 #include "proxy-fixture.hpp"
 
 #include <fuchsiagw/proxy/leadership_evidence.hpp>
+#include <fuchsiagw/proxy/reply_pairing.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -361,3 +362,62 @@
                         })
           >= 8);
 }
+
+// Guards against the position of an earlier begin, received a second time, that is recorded with the
+// replicas' evidence (STALE): only the first run shows whose reply it was.
+TEST(unproven_leader, beginProvesNoPositionBeforeItsFirstRun)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    fixture.sendRead(id);
+    fixture.acceptLinks();
+    fixture.answer(fixture.busyLink(),
+                   proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    fixture.reportReplica("m2", { 1, 7 });
+    CHECK(fixture.state.services.at(proxy_fixture::service).positions.samples.empty());
+}
+
+// Guards against a status row that is received a second time and taken for the reply to the next
+// question (STALE): it says nothing of what the replica has received since the first one.
+TEST(unproven_leader, secondStatusRowAnswersNoLaterQuestion)
+{
+    reply_pairing pairing;
+    reply row = proxy_fixture::success({ 1, 7 });
+    row.digest = "-";
+    row.rows = { "replica 1 1.7 0 0 0 1" };
+    row.status = member_status{ false, 1, { 1, 7 }, 0 };
+    const auto ask = [&] {
+        peer_message question;
+        question.kind = peer_message_kind::EvidenceRequest;
+        question.from = "node-2";
+        question.subject = proxy_fixture::service;
+        question.member = "m2";
+        question.askedAtUs = fixture.now.time_since_epoch().count();
+        onPeerMessage(fixture.state, question, fixture.now);
+        fixture.acceptLinks();
+        pairing.expected.push_back(reply_shape::Status);
+    };
+    const auto receive = [&] {
+        if (pairReply(pairing, row).action != reply_action::Deliver)
+            return;
+        for (const auto &[id, link] : fixture.state.links) {
+            if (!link.control || link.expected.empty())
+                continue;
+            onMemberAnswer(fixture.state, id, row, fixture.now);
+            return;
+        }
+    };
+    const auto reported = [&] {
+        const auto sent = proxy_fixture::actionsOf<send_to_peer>(fixture.takeActions());
+        return std::count_if(sent.begin(), sent.end(), [](const send_to_peer &each) {
+            return each.message.kind == peer_message_kind::EvidenceAnswer;
+        });
+    };
+    ask();
+    receive();
+    LONGS_EQUAL(1, reported());
+    fixture.now += milliseconds(20);
+    ask();
+    receive(); // the first one's reply a second time
+    LONGS_EQUAL(0, reported());
+}
--- a/tests/unit-position-time.cpp
+++ b/tests/unit-position-time.cpp
@@ -4,6 +4,7 @@
 #include "proxy-fixture.hpp"
 
 #include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/proxy/reply_pairing.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -138,3 +139,95 @@
     onPeerMessage(fixture.state, answer, fixture.now);
     CHECK(provenSince() == askedAt - milliseconds(300));
 }
+
+namespace {
+
+/// Compares a reply as the connection's owner does, and gives it to the engine if it is passed on.
+void receive(proxy_fixture &fixture, reply_pairing &pairing, link_id link, const reply &received)
+{
+    const reply_action action = pairReply(pairing, received).action;
+    if (action == reply_action::Deliver || action == reply_action::DeliverAndClose)
+        onMemberAnswer(fixture.state, link, received, fixture.now);
+}
+
+reply withDigest(reply answer, const std::string &digest)
+{
+    answer.digest = digest;
+    return answer;
+}
+
+link_id controlLink(const engine &state)
+{
+    for (const auto &[id, link] : state.links) {
+        if (link.control)
+            return id;
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against a status row that is received a second time and taken for the reply to the next
+// STATUS (STALE): the old position then counts from the later command's sending.
+TEST(position_time, secondStatusRowIsNotDatedByTheNextCommand)
+{
+    reply_pairing pairing;
+    const time_point sentAt = fixture.now;
+    sendControlCommand(fixture.state, "m1", command_kind::Status, 0, fixture.now);
+    fixture.acceptLinks();
+    reply row = withDigest(proxy_fixture::success({ 1, 7 }), "-");
+    row.rows = { "primary 1 1.7 0 0 0 1" };
+    row.status = member_status{ true, 1, { 1, 7 }, 0 };
+    pairing.expected.push_back(reply_shape::Status);
+    receive(fixture, pairing, controlLink(fixture.state), row);
+    CHECK(provenSince() == sentAt);
+    fixture.now += milliseconds(100);
+    sendControlCommand(fixture.state, "m1", command_kind::Status, 0, fixture.now);
+    pairing.expected.push_back(reply_shape::Status);
+    receive(fixture, pairing, controlLink(fixture.state), row);
+    CHECK(provenSince() == sentAt);
+}
+
+// Guards against the position of an earlier begin, received a second time, that is recorded as that
+// of the begin before a run (STALE). The surplus reply was dropped while the run was outstanding.
+TEST(position_time, positionOfAnEarlierBeginIsNotRecordedBehindADroppedReply)
+{
+    const reply earlierBegin =
+            withDigest(proxy_fixture::success({ 1, 7 }, transaction_state::Open), "-");
+    const reply ownBegin =
+            withDigest(proxy_fixture::success({ 1, 9 }, transaction_state::Open), "-");
+    // An earlier borrower's transaction on the same connection of the relay.
+    reply_pairing pairing;
+    pairing.expected = { reply_shape::Begin, reply_shape::Setting, reply_shape::Run,
+                         reply_shape::Commit, reply_shape::Setting };
+    CHECK(pairReply(pairing, earlierBegin).action == reply_action::Deliver);
+    CHECK(pairReply(pairing, earlierBegin).action == reply_action::Deliver);
+    CHECK(pairReply(pairing, withDigest(earlierBegin, "d1")).action == reply_action::Deliver);
+    CHECK(pairReply(pairing, withDigest(proxy_fixture::success({ 1, 8 }), "d2")).action
+          == reply_action::Deliver);
+    CHECK(pairReply(pairing, withDigest(proxy_fixture::success({ 1, 8 }), "-")).action
+          == reply_action::Deliver);
+    const time_point sentAt = fixture.now;
+    beginTransaction();
+    const link_id link = fixture.busyLink();
+    pairing.expected = { reply_shape::Begin, reply_shape::Setting };
+    receive(fixture, pairing, link, earlierBegin); // a second time
+    receive(fixture, pairing, link, ownBegin);
+    pairing.expected.push_back(reply_shape::Run); // the first statement is sent now
+    receive(fixture, pairing, link, ownBegin); // reply to the confirmation
+    receive(fixture, pairing, link, withDigest(ownBegin, "d3"));
+    const auto lowest =
+            positionSince(fixture.state.services.at(proxy_fixture::service).positions, sentAt);
+    CHECK(!lowest || *lowest != (fuchsiagw::core::log_position{ 1, 7 }));
+}
+
+// Guards against a member that looks busier with every caller that leaves during its begin.
+TEST(position_time, callerThatLeavesDuringItsBeginLeavesNoOutstandingStatement)
+{
+    const session_id id = beginTransaction();
+    const link_id link = fixture.busyLink();
+    onCallerDisconnected(fixture.state, id, fixture.now);
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }));
+    CHECK_EQUAL(0U, fixture.state.members.at("m1").outstanding);
+}
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -228,3 +228,16 @@
     fixture.member.connection->send(openAnswer);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
 }
+
+// Guards against a connection that is lent on with another session's values, names or transaction
+// (PINNED): the member refused to discard them.
+TEST(relay_server, connectionWhoseCleaningFailedIsNotLentAgain)
+{
+    fixture.sendToMember("QUERY - SET v 1\r\n");
+    fixture.member.connection->send("COMPLETE -\r\nREADY I 1.1\r\n");
+    fixture.borrower.connection->send(std::string(adapter::terminateMessage()));
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.lines.size() == 3; }));
+    STRCMP_EQUAL("QUERY - DISCARD", fixture.member.lines.back().c_str());
+    fixture.member.connection->send("ERROR FAILED -\r\nREADY I 1.1\r\n");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+}
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -5,6 +5,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <platform/wire_codec.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiagw::proxy;
@@ -955,3 +957,41 @@
     }
     CHECK_EQUAL(static_cast<std::size_t>(sessions), closed);
 }
+
+// Guards against an EXECUTE of the longest size that no member accepts, because the proxy's own name
+// of the prepared statement is longer than the caller's.
+TEST(session_engine, preparedNameLeavesTheLongestStatementWithinALongestMessage)
+{
+    const session_id id = fixture.openSession("own");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    const std::string longest = "QUERY s1 EXECUTE p a ";
+    const std::string argument =
+            " a " + std::string(fuchsiagw::adapter::maxMessageBytes - longest.size(), 'x');
+    std::string message;
+    for (int i = 0; i < 11; ++i) {
+        caller_statement prepare;
+        prepare.id = "p";
+        prepare.kind = statement_kind::Prepare;
+        prepare.name = "p";
+        prepare.prepared = { true, "q" + std::to_string(i) };
+        onCallerStatement(fixture.state, id, prepare, fixture.now);
+        caller_statement execute;
+        execute.id = "s1";
+        execute.kind = statement_kind::Execute;
+        execute.name = "p";
+        execute.argument = argument;
+        execute.text = "EXECUTE p" + argument;
+        onCallerStatement(fixture.state, id, execute, fixture.now);
+        fixture.acceptLinks();
+        const link_id link = fixture.busyLink();
+        for (int reply = 0; reply < 3; ++reply) {
+            for (const auto &each : proxy_fixture::commandsOf(fixture.takeActions())) {
+                if (each.kind == command_kind::Forward)
+                    message = fuchsiagw::adapter::encodeCommand(each);
+            }
+            fixture.answer(link, proxy_fixture::success({ 1, 1 }, transaction_state::Open));
+        }
+    }
+    CHECK(message.find("EXECUTE 10 ") != std::string::npos);
+    CHECK(message.size() <= fuchsiagw::adapter::maxMessageBytes + 2);
+}
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -270,3 +270,17 @@
         static_cast<void>(decodeStatus(line));
     }
 }
+
+// Guards against a read that is never served because its rows are many: a reply may have any number
+// of them.
+TEST(wire_codec, replyMayHaveAnyNumberOfRows)
+{
+    reply_decoder decoder;
+    const std::string row = "DATAROW " + std::string(maxMessageBytes - 8, 'x');
+    for (int i = 0; i < 5; ++i)
+        CHECK_FALSE(decoder.feed(row, false).has_value());
+    CHECK_FALSE(decoder.feed("COMPLETE 7.1", false).has_value());
+    const auto received = decoder.feed("READY I 1.1", false);
+    CHECK_FALSE(decoder.failed());
+    CHECK_TRUE(received.has_value());
+}
