--- a/tests/unit-position-time.cpp
+++ b/tests/unit-position-time.cpp
@@ -229,3 +229,31 @@
     fixture.answer(link, proxy_fixture::success({ 1, 7 }));
     CHECK_EQUAL(0U, fixture.state.members.at("m1").outstanding);
 }
+
+// Guards against a lost commit (LOST): an old position that counts from a later command makes the
+// log of a removed member, the only one with a commit, look covered by those of the others.
+TEST(position_time, secondStatusRowCoversNoRemovedMember)
+{
+    reply_pairing pairing;
+    sendControlCommand(fixture.state, "m1", command_kind::Status, 0, fixture.now);
+    fixture.acceptLinks();
+    reply row = withDigest(proxy_fixture::success({ 1, 7 }), "-");
+    row.rows = { "primary 1 1.7 0 0 0 1" };
+    row.status = member_status{ true, 1, { 1, 7 }, 0 };
+    pairing.expected.push_back(reply_shape::Status);
+    receive(fixture, pairing, controlLink(fixture.state), row);
+    // Now m2 receives 1.8, which is acknowledged, and is removed; m3 has 1.7.
+    fixture.now += milliseconds(50);
+    member_state &removed = fixture.state.members.at("m2");
+    removed.listed = false;
+    removed.removedAt = fixture.now;
+    removed.unresponsiveSince = fixture.now;
+    fixture.now += milliseconds(50);
+    sendControlCommand(fixture.state, "m1", command_kind::Status, 0, fixture.now);
+    pairing.expected.push_back(reply_shape::Status);
+    receive(fixture, pairing, controlLink(fixture.state), row);
+    service_state &service = fixture.state.services.at(proxy_fixture::service);
+    service.promotion.oldPrimary = "m1";
+    service.promotion.reports["m3"] = { false, 1, { 1, 7 }, 2 };
+    CHECK_TRUE(witnessesOf(fixture.state, service, fixture.now).contains("m2"));
+}
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -4,6 +4,7 @@
 #include "proxy-fixture.hpp"
 
 #include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/proxy/reply_pairing.hpp>
 
 #include <platform/wire_codec.hpp>
 
@@ -995,3 +996,31 @@
     CHECK(message.find("EXECUTE 10 ") != std::string::npos);
     CHECK(message.size() <= fuchsiagw::adapter::maxMessageBytes + 2);
 }
+
+// Guards against a write whose outcome is reported as unknown although it was never sent: its
+// connection was about to end because of a surplus reply, and took no more commands.
+TEST(session_engine, waitingWriteIsNotPlacedOnALinkWithASurplusReply)
+{
+    const session_id first = fixture.openSession("own");
+    fixture.sendWrite(first);
+    fixture.acceptLinks();
+    const link_id link = fixture.busyLink();
+    // Makes the second session wait for the first one's link: the member accepts no more links.
+    fixture.state.members.at("m1").connectionLimitUntil = fixture.now + std::chrono::seconds(1);
+    const session_id second = fixture.openSession("own");
+    fixture.sendWrite(second);
+    fixture.takeActions();
+    reply_pairing pairing;
+    reply earlier = proxy_fixture::success({ 1, 1 });
+    earlier.digest = "earlier";
+    pairing.expected = { reply_shape::Run };
+    CHECK(pairReply(pairing, earlier).action == reply_action::Deliver);
+    pairing.expected = { reply_shape::Run };
+    CHECK(pairReply(pairing, earlier).action == reply_action::Drop);
+    const reply own = proxy_fixture::success({ 1, 2 });
+    CHECK(pairReply(pairing, own).action == reply_action::DeliverAndClose);
+    onMemberAnswer(fixture.state, link, own, fixture.now); // as member_connection::onReply()
+    onLinkClosed(fixture.state, link, fixture.now);
+    for (const reply &each : proxy_fixture::answersTo(second, fixture.takeActions()))
+        CHECK(each.code != reply_code::OutcomeUnknown);
+}
