--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -4,6 +4,9 @@
 #include "proxy-fixture.hpp"
 
 #include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/proxy/reply_pairing.hpp>
+
+#include <platform/wire_codec.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -955,3 +958,69 @@
     }
     CHECK_EQUAL(static_cast<std::size_t>(sessions), closed);
 }
+
+// Guards against an EXECUTE of the longest size that no member accepts, because the proxy's own name
+// of the prepared statement is longer than the caller's.
+TEST(session_engine, preparedNameLeavesTheLongestStatementWithinALongestMessage)
+{
+    const session_id id = fixture.openSession("own");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    const std::string longest = "QUERY s1 EXECUTE p a ";
+    const std::string argument =
+            " a " + std::string(fuchsiagw::adapter::maxMessageBytes - longest.size(), 'x');
+    std::string message;
+    for (int i = 0; i < 11; ++i) {
+        caller_statement prepare;
+        prepare.id = "p";
+        prepare.kind = statement_kind::Prepare;
+        prepare.name = "p";
+        prepare.prepared = { true, "q" + std::to_string(i) };
+        onCallerStatement(fixture.state, id, prepare, fixture.now);
+        caller_statement execute;
+        execute.id = "s1";
+        execute.kind = statement_kind::Execute;
+        execute.name = "p";
+        execute.argument = argument;
+        execute.text = "EXECUTE p" + argument;
+        onCallerStatement(fixture.state, id, execute, fixture.now);
+        fixture.acceptLinks();
+        const link_id link = fixture.busyLink();
+        for (int reply = 0; reply < 3; ++reply) {
+            for (const auto &each : proxy_fixture::commandsOf(fixture.takeActions())) {
+                if (each.kind == command_kind::Forward)
+                    message = fuchsiagw::adapter::encodeCommand(each);
+            }
+            fixture.answer(link, proxy_fixture::success({ 1, 1 }, transaction_state::Open));
+        }
+    }
+    CHECK(message.find("EXECUTE 10 ") != std::string::npos);
+    CHECK(message.size() <= fuchsiagw::adapter::maxMessageBytes + 2);
+}
+
+// Guards against a write whose outcome is reported as unknown although it was never sent: its
+// connection was about to end because of a surplus reply, and took no more commands.
+TEST(session_engine, waitingWriteIsNotPlacedOnALinkWithASurplusReply)
+{
+    const session_id first = fixture.openSession("own");
+    fixture.sendWrite(first);
+    fixture.acceptLinks();
+    const link_id link = fixture.busyLink();
+    // Makes the second session wait for the first one's link: the member accepts no more links.
+    fixture.state.members.at("m1").connectionLimitUntil = fixture.now + std::chrono::seconds(1);
+    const session_id second = fixture.openSession("own");
+    fixture.sendWrite(second);
+    fixture.takeActions();
+    reply_pairing pairing;
+    reply earlier = proxy_fixture::success({ 1, 1 });
+    earlier.digest = "earlier";
+    pairing.expected = { reply_shape::Run };
+    CHECK(pairReply(pairing, earlier).action == reply_action::Deliver);
+    pairing.expected = { reply_shape::Run };
+    CHECK(pairReply(pairing, earlier).action == reply_action::Drop);
+    const reply own = proxy_fixture::success({ 1, 2 });
+    CHECK(pairReply(pairing, own).action == reply_action::DeliverAndClose);
+    onMemberAnswer(fixture.state, link, own, fixture.now); // as member_connection::onReply()
+    onLinkClosed(fixture.state, link, fixture.now);
+    for (const reply &each : proxy_fixture::answersTo(second, fixture.takeActions()))
+        CHECK(each.code != reply_code::OutcomeUnknown);
+}
