Let replicas of the simulated group follow a successor at once

Cause: the model, not the proxy.

Change: the model lets replicas follow before each delivery of a log entry. A replica that reaches only the replaced primary receives from it as before.

--- a/tests/simulated-group.hpp
+++ b/tests/simulated-group.hpp
@@ -136,6 +136,8 @@
                  const std::function<void(core::log_position)> &done)
     {
         after(milliseconds(2 + below(10)), [=, this] {
+            // Only a replaced primary goes on beside its successor, a replica does not.
+            followLeader();
             group_member &source = members.at(from);
             group_member &target = members.at(to);
             if (!source.leads || source.term != position.term)
--- a/tests/unit-leader-cluster.cpp
+++ b/tests/unit-leader-cluster.cpp
@@ -51,6 +51,29 @@
     }
 }
 
+// Guards against a restarted replica that reaches both primaries and receives from the replaced
+// one: the commits that are acknowledged with it are missing at the new one.
+TEST(leader_cluster, restartedReplicaFollowsNewPrimary)
+{
+    constexpr milliseconds cutDuration{ 1'500 };
+    constexpr milliseconds restartAfterHeal{ 200 }; // the replaced primary still goes on
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        leader_cluster cluster(seed);
+        cluster.advance(seconds(1));
+        const auto healsAt = cluster.now + cutDuration;
+        cluster.isolate("m1", { "n1", "n2" }, cutDuration);
+        while (cluster.orderedMember.empty() && cluster.now < healsAt)
+            cluster.advance(leader_cluster::tick);
+        const std::string restarted = cluster.orderedMember == "m2" ? "m3" : "m2";
+        cluster.members.at(restarted).running = false;
+        cluster.after(healsAt + restartAfterHeal - cluster.now,
+                      [&] { cluster.restartMember(restarted); });
+        cluster.advance(seconds(4));
+        CHECK_EQUAL(1U, cluster.promotions);
+        checkResults(cluster);
+    }
+}
+
 // The check must find stale reads if the engines trust a primary that accepts a transaction, as
 // they may only where promotions are fenced.
 TEST(leader_cluster, checkFindsStaleReadsOfTrustingEngines)
