Place nothing on a link that a surplus reply ends

What callers saw: UNKNOWN for a write that was never sent: it was placed on a link whose last reply had just been delivered behind a surplus one.

Cause: the engine learned of the end only after it had reused the link.

Why this works: the reply says that its connection ends, and the engine closes the link instead of releasing it.

--- a/include/fuchsiagw/proxy/reply.hpp
+++ b/include/fuchsiagw/proxy/reply.hpp
@@ -77,6 +77,7 @@
     transaction_state state = transaction_state::Idle;
     std::optional<core::log_position> position;
     std::optional<member_status> status; ///< only in answers to commands of the proxy itself
+    bool endsConnection = false; ///< no further command can be sent on its connection
 };
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/reply_pairing.hpp
+++ b/include/fuchsiagw/proxy/reply_pairing.hpp
@@ -61,7 +61,7 @@
 struct paired_reply
 {
     reply_action action = reply_action::Deliver;
-    reply_fault fault = reply_fault::None;
+    reply_fault fault = reply_fault::None; ///< also None at a Close behind a reply that was dropped
 };
 
 /// Outstanding commands of one connection, and the replies that could be received a second time.
--- a/src/daemon/member_connection.cpp
+++ b/src/daemon/member_connection.cpp
@@ -89,6 +89,7 @@
     const std::string text = std::exchange(text_, {});
     if (paired.fault != proxy::reply_fault::None)
         handlers_.onFault(paired.fault);
+    received.endsConnection = paired.action == proxy::reply_action::DeliverAndClose;
     if (paired.action == proxy::reply_action::Deliver
         || paired.action == proxy::reply_action::DeliverAndClose)
         handlers_.onReply(std::move(received), text);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -428,6 +428,7 @@
     if (member != nullptr && expected.role != answer_role::Startup)
         recordAlive(*member, now);
     const transaction_state memberState = answer.state;
+    link->tainted = link->tainted || answer.endsConnection;
     const bool runs =
             expected.role == answer_role::Statement || expected.role == answer_role::Begin;
     link->hasSeenError = link->hasSeenError || (runs && answer.code != reply_code::Success);
--- a/src/proxy/reply_pairing.cpp
+++ b/src/proxy/reply_pairing.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Number of digests and of errors that are remembered for a connection.
+/// Digests and errors that are remembered for a connection: the runs of a few seconds.
 constexpr std::size_t maxRemembered = 1'024;
 constexpr std::string_view noDigest = "-";
 
