Confirm the proxy's own questions by a success, and count begins once

What callers could see: stale reads, or a promotion that takes an old report for a new one: the row of an earlier STATUS stood for one that the member refused with BUSY, and the refusal passed as the confirmation. Also a member that looks busier for ever after a caller has left during its begin.

Cause: a confirmation of the proxy's own command was taken whatever it said. The count of a member's outstanding statements was kept in three places that did not agree on who lowers it for a begin without a statement.

Why this works: only a success outside of a transaction confirms; otherwise the link ends and its report is forgotten. A link knows whether it has counted a statement that waits for its begin, and gives it up once.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -118,6 +118,9 @@
 void closeLink(engine &state, link_id id, bool graceful, core::time_point now);
 /// @brief Makes a link without outstanding answers available to other requests.
 void releaseLink(engine &state, upstream_link &link, core::time_point now);
+/// @brief Counts the first statement of a link's transaction no longer as outstanding, because it
+/// will not be sent there.
+void giveUpBegin(engine &state, upstream_link &link);
 /// @brief Rolls back the transaction on a link whose session has abandoned it.
 void rollBack(engine &state, upstream_link &link, core::time_point now);
 /// @brief Closes links whose idle timeout has passed; surplus links have a shorter timeout.
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -66,6 +66,7 @@
     core::time_point beginSentAt{}; ///< when the begin of `beginPosition` was sent
     /// Answer to a command of the proxy itself, until its confirmation is answered.
     std::optional<reply> controlAnswer;
+    bool awaitsBegin = false; ///< its transaction's first statement counts as outstanding, unsent
     bool beginFailed = false; ///< the begin in the current batch was refused
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     bool refused = false; ///< Startup and the commands sent after it were refused
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -262,8 +262,7 @@
         // to the read completes the request.
         if (pending == nullptr || !opensTransaction)
             return;
-        if (member != nullptr)
-            member->outstanding -= member->outstanding > 0 ? 1 : 0;
+        giveUpBegin(state, link);
         onStatementAnswer(state, link, expected, std::move(answer), now);
         return;
     }
@@ -309,17 +308,29 @@
     return true;
 }
 
-void onControlConfirmed(engine &state, upstream_link &link, const expected_answer &expected,
-                        core::time_point now)
+/// @return false if the answer to the command may have been that to an earlier one
+bool onControlConfirmed(engine &state, upstream_link &link, const expected_answer &expected,
+                        const reply &confirmation, core::time_point now)
 {
-    if (!link.controlAnswer)
-        return;
+    if (confirmation.code != reply_code::Success || confirmation.state != transaction_state::Idle
+        || !link.controlAnswer)
+        return false;
     const reply answer = std::move(*link.controlAnswer);
     link.controlAnswer.reset();
     const std::string id = link.member;
     onControlAnswer(state, id, answer, expected.sentAt, now);
     if (member_state *replica = findMember(state, id))
         onEvidenceStatus(state, *replica, expected.serial, answer, now);
+    return true;
+}
+
+/// @return false if the command before the confirmation has no answer that counts
+bool onConfirmation(engine &state, upstream_link &link, const expected_answer &expected,
+                    const reply &answer, core::time_point now)
+{
+    if (link.control)
+        return onControlConfirmed(state, link, expected, answer, now);
+    return onBeginConfirmed(state, link, expected, answer, now);
 }
 
 /// Records the position of the begin whose transaction has run a statement. The reply to the begin
@@ -443,14 +454,7 @@
         onBeginAnswer(state, *link, expected, std::move(answer), now);
         break;
     case answer_role::Confirmation:
-        if (link->control) {
-            onControlConfirmed(state, *link, expected, now);
-            break;
-        }
-        // The caller has left during its begin, so no statement follows.
-        if (member != nullptr && link->pinnedTo == 0 && !link->beginFailed)
-            member->outstanding -= member->outstanding > 0 ? 1 : 0;
-        if (!onBeginConfirmed(state, *link, expected, answer, now)) {
+        if (!onConfirmation(state, *link, expected, answer, now)) {
             link->expected.push_front(expected);
             closeLink(state, id, false, now);
             return;
@@ -510,11 +514,12 @@
         if (link.control && unfinished)
             forgetReport(state, link.member);
         const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
-        for (const expected_answer &each : link.expected)
-            member->outstanding -=
-                    (each.role == answer_role::Statement
-                     || (each.role == answer_role::Confirmation && link.pinnedTo != 0))
-                    && member->outstanding > 0;
+        const auto statements = static_cast<std::uint32_t>(
+                std::count_if(link.expected.begin(), link.expected.end(), [](const auto &each) {
+                    return each.role == answer_role::Statement;
+                }));
+        member->outstanding -=
+                std::min(member->outstanding, statements + (link.awaitsBegin ? 1 : 0));
         if (opening && !link.tainted && link.relay.empty())
             avoidMember(state, *member, "no_connection", now);
         const auto relay = state.peers.find(link.relay);
--- a/src/proxy/engine_evidence.cpp
+++ b/src/proxy/engine_evidence.cpp
@@ -106,8 +106,6 @@
     std::erase(caller.current->outstandingLinks, held.link);
     if (caller.transaction)
         caller.transaction->link = 0;
-    if (member_state *member = findMember(state, held.member))
-        member->outstanding -= member->outstanding > 0 ? 1 : 0;
     if (upstream_link *link = findLink(state, held.link))
         rollBack(state, *link, now);
 }
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -6,6 +6,7 @@
 #include <fuchsiagw/core/rendezvous.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace fuchsiagw::proxy {
 
@@ -317,6 +318,7 @@
         batch.push_back(makeConfirmation());
         expectAnswer(link, answer_role::Confirmation, now, &caller);
         link.pinnedTo = caller.id;
+        link.awaitsBegin = true;
         caller.transaction->link = link.id;
     } else {
         addStatement(link, caller, batch, now);
@@ -344,6 +346,7 @@
 {
     std::vector<upstream_command> batch;
     addStatement(link, caller, batch, now);
+    link.awaitsBegin = false;
     link.lastSent = now;
     state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
 }
@@ -378,8 +381,17 @@
         closeLink(state, id, true, now);
 }
 
+void giveUpBegin(engine &state, upstream_link &link)
+{
+    if (!std::exchange(link.awaitsBegin, false))
+        return;
+    if (member_state *member = findMember(state, link.member))
+        member->outstanding -= member->outstanding > 0 ? 1 : 0;
+}
+
 void rollBack(engine &state, upstream_link &link, core::time_point now)
 {
+    giveUpBegin(state, link);
     link.pinnedTo = 0;
     // The rollback is sent after commands whose answers are outstanding; the member runs them
     // first.
