Soak: compare answers, texts and values byte for byte

Missing: members returned at most one row, so rows that were divided, lost or empty could not be told apart; a statement that ran twice gave the same digest twice; a SET that carried rows, a reply out of order and an unknown prepared name were no findings; values counted as set when they were drawn, not when they were acknowledged; a member that received no statement at all closed in silence.

An answer is now the digest and all rows, compared with the very run. Findings print bytes escaped and say from which byte texts differ.

--- a/include/fuchsiagw/testing/soak_history.hpp
+++ b/include/fuchsiagw/testing/soak_history.hpp
@@ -80,6 +80,7 @@
     std::uint64_t unit = 0; ///< number of the transaction or single statement that it belongs to
     bool inTransaction = false;
     bool writes = false;
+    bool reachesMember = true; ///< false: the proxy may answer without a member
     std::string shape; ///< access and shape of a prepared statement; empty: not prepared
     caller_values values;
     proxy::consistency kind = proxy::consistency::Primary;
@@ -90,6 +91,15 @@
     core::time_point keyEndsAt = core::noDeadline; ///< statements sent later must be refused
 };
 
+/// A member's answer to one execution of a statement. Every execution has a digest of its own.
+struct member_answer
+{
+    std::string digest;
+    std::vector<std::string> rows;
+
+    friend bool operator==(const member_answer &, const member_answer &) = default;
+};
+
 /// A statement as a member executed it.
 struct member_execution
 {
@@ -102,8 +112,7 @@
     std::uint64_t transaction = 0; ///< the member's number of the transaction; 0: none
     caller_values values;
     core::log_index applied = 0; ///< newest log entry that the member has applied
-    std::string digest; ///< of the member's answer
-    std::string row;
+    member_answer answer;
     core::time_point executedAt{};
 };
 
@@ -133,8 +142,8 @@
     std::map<std::string, std::deque<core::time_point>> unitStarts; ///< by workspace
     std::set<std::uint64_t> rateCountedUnits;
     std::map<std::string, sent_statement> sentStatements; ///< by statement id
-    std::map<std::string, std::vector<std::pair<std::string, std::string>>>
-            answers; ///< digest and row of each execution, by statement id
+    std::map<std::string, std::vector<member_answer>>
+            answers; ///< of each execution, by statement id
     std::map<std::string, int> effects; ///< number of commits of each write, by statement id
     std::set<std::uint64_t> notAppliedUnits;
     std::map<std::uint64_t, std::set<std::string>> writesByUnit; ///< statement ids
@@ -148,6 +157,10 @@
     std::vector<soak_finding> findings;
 };
 
+/// @return the bytes with all but printable ASCII escaped; of long texts the beginning and the
+/// length
+[[nodiscard]] std::string printable(std::string_view bytes);
+
 /// @brief Adds a finding, unless the limit on findings is reached.
 void report(soak_history &history, soak_guarantee guarantee, std::string text);
 
@@ -164,10 +177,12 @@
 void onRolledBack(soak_history &history, const std::vector<std::string> &writes);
 
 /// @brief Records a successful answer to a statement.
-/// @param digest digest of the member's answer; "-": the proxy answered by itself
-void onSuccess(soak_history &history, const std::string &id, const std::string &digest,
-               const std::string &row, std::optional<core::log_position> commit,
-               core::time_point now);
+/// @param answer as the caller received it; digest "-": the proxy answered by itself
+void onSuccess(soak_history &history, const std::string &id, const member_answer &answer,
+               std::optional<core::log_position> commit, core::time_point now);
+/// @brief Records an error that a caller received.
+/// @param code first word of the error
+void onError(soak_history &history, const std::string &id, std::string_view code);
 /// @brief Records that the proxy reported a unit as not applied to its caller, which does not retry
 /// the unit.
 void onReportedNotApplied(soak_history &history, std::uint64_t unit);
--- a/testing/soak_history.cpp
+++ b/testing/soak_history.cpp
@@ -15,6 +15,7 @@
 using proxy::consistency;
 
 constexpr std::size_t maxFindings = 50;
+constexpr std::size_t maxPrintedBytes = 120;
 constexpr std::chrono::seconds rateWindow{ 5 };
 constexpr double rateLimitFactor = 1.1;
 constexpr double rateToleranceOperations = 20;
@@ -40,17 +41,36 @@
 {
     std::string text;
     for (const auto &[name, value] : values)
-        text += fmt::format(" {}={}", name, value);
+        text += fmt::format(" {}={}", printable(name), printable(value));
     return text;
 }
 
+std::string textOf(const member_answer &answer)
+{
+    std::string text =
+            fmt::format("digest {} and {} rows", printable(answer.digest), answer.rows.size());
+    for (const std::string &row : answer.rows)
+        text += fmt::format(" '{}'", printable(row));
+    return text;
+}
+
+std::size_t firstDifference(std::string_view left, std::string_view right)
+{
+    return static_cast<std::size_t>(
+            std::mismatch(left.begin(), left.end(), right.begin(), right.end()).first
+            - left.begin());
+}
+
 void checkText(soak_history &history, const member_execution &execution, const sent_statement &sent)
 {
     if (execution.text != sent.text || execution.shape != sent.shape)
         report(history, soak_guarantee::OnlyAsked,
-               fmt::format("{}: member {} executed '{}' [{}], the caller sent '{}' [{}]",
-                           execution.id, execution.member, execution.text, execution.shape,
-                           sent.text, sent.shape));
+               fmt::format("{}: member {} executed '{}' [{}], the caller sent '{}' [{}]; the texts "
+                           "differ from byte {}, the shapes from byte {}",
+                           execution.id, execution.member, printable(execution.text),
+                           printable(execution.shape), printable(sent.text), printable(sent.shape),
+                           firstDifference(execution.text, sent.text),
+                           firstDifference(execution.shape, sent.shape)));
     if (execution.workspace != sent.workspace || execution.service != sent.service)
         report(history, soak_guarantee::OnlyAsked,
                fmt::format("{}: executed for workspace {} at {}, sent for workspace {} at {}",
@@ -124,6 +144,25 @@
 
 } // namespace
 
+std::string printable(std::string_view bytes)
+{
+    std::string text;
+    for (const char each : bytes.substr(0, maxPrintedBytes)) {
+        const bool isPlain = each >= ' ' && each <= '~' && each != '\\';
+        if (each == '\n')
+            text += "\\n";
+        else if (each == '\r')
+            text += "\\r";
+        else if (isPlain)
+            text += each;
+        else
+            text += fmt::format("\\x{:02x}", static_cast<unsigned char>(each));
+    }
+    if (bytes.size() > maxPrintedBytes)
+        text += fmt::format("... ({} bytes)", bytes.size());
+    return text;
+}
+
 void report(soak_history &history, soak_guarantee guarantee, std::string text)
 {
     if (history.findings.size() < maxFindings)
@@ -143,14 +182,14 @@
     if (found == history.sentStatements.end()) {
         report(history, soak_guarantee::OnlyAsked,
                fmt::format("{}: member {} executed '{}', which no caller sent", execution.id,
-                           execution.member, execution.text));
+                           execution.member, printable(execution.text)));
         return;
     }
     const sent_statement &sent = found->second;
     checkText(history, execution, sent);
     checkTransaction(history, execution, sent);
     checkRate(history, execution, sent);
-    history.answers[execution.id].emplace_back(execution.digest, execution.row);
+    history.answers[execution.id].push_back(execution.answer);
     const core::log_index required = sent.writes ? 0 : requiredIndex(history, sent);
     if (execution.applied < required)
         report(history, soak_guarantee::Fresh,
@@ -180,19 +219,38 @@
         --history.effects[id];
 }
 
-void onSuccess(soak_history &history, const std::string &id, const std::string &digest,
-               const std::string &row, std::optional<core::log_position> commit,
-               core::time_point now)
+void onSuccess(soak_history &history, const std::string &id, const member_answer &answer,
+               std::optional<core::log_position> commit, core::time_point now)
 {
-    if (digest == "-")
-        return;
+    const sent_statement &sent = history.sentStatements.at(id);
+    const member_answer ownAnswer{ "-", {} };
     const auto &answers = history.answers[id];
-    if (std::find(answers.begin(), answers.end(), std::pair(digest, row)) == answers.end())
+    if (!sent.reachesMember && answer != ownAnswer)
+        report(history, soak_guarantee::OwnAnswer,
+               fmt::format("{}: answered with {}, although no member answers it", id,
+                           textOf(answer)));
+    if (!sent.reachesMember)
+        return;
+    if (answer.digest == ownAnswer.digest)
+        report(history, soak_guarantee::OwnAnswer,
+               fmt::format("{}: no member answered '{}'", id, printable(sent.text)));
+    else if (std::find(answers.begin(), answers.end(), answer) == answers.end())
         report(history, soak_guarantee::OwnAnswer,
-               fmt::format("{}: answered with digest {} and row '{}', which no member returned", id,
-                           digest, row));
+               fmt::format("{}: answered with {}, which no member returned; members returned {}",
+                           id, textOf(answer),
+                           answers.empty() ? std::string("nothing") : textOf(answers.back())));
     if (commit)
-        history.acknowledged[history.sentStatements.at(id).service].push_back({ now, *commit });
+        history.acknowledged[sent.service].push_back({ now, *commit });
+}
+
+void onError(soak_history &history, const std::string &id, std::string_view code)
+{
+    // Callers execute only names whose preparing was acknowledged to them.
+    if (code == "NOSTMT")
+        report(history, soak_guarantee::OneTransaction,
+               fmt::format(
+                       "{}: the name of '{}' is unknown, although its preparing was acknowledged",
+                       id, printable(history.sentStatements.at(id).text)));
 }
 
 void onReportedNotApplied(soak_history &history, std::uint64_t unit)
--- a/tests/unit-soak-history.cpp
+++ b/tests/unit-soak-history.cpp
@@ -46,7 +46,7 @@
         execution.service = "books";
         execution.member = "m1";
         execution.applied = applied;
-        execution.digest = "digest " + id;
+        execution.answer.digest = "digest " + id;
         execution.executedAt = start + seconds(10);
         return execution;
     }
@@ -76,11 +76,11 @@
     fixture.send("a", 1, true);
     onStatementExecuted(fixture.history, fixture.executionOf("a"));
     onCommitted(fixture.history, { "a" });
-    onSuccess(fixture.history, "a", "digest a", {}, core::log_position{ 1, 1 },
+    onSuccess(fixture.history, "a", { "digest a", {} }, core::log_position{ 1, 1 },
               start + seconds(11));
     fixture.send("b", 2, false);
     onStatementExecuted(fixture.history, fixture.executionOf("b", 1));
-    onSuccess(fixture.history, "b", "digest b", {}, std::nullopt, start + seconds(12));
+    onSuccess(fixture.history, "b", { "digest b", {} }, std::nullopt, start + seconds(12));
     CHECK(fixture.history.findings.empty());
 }
 
@@ -88,10 +88,140 @@
 {
     fixture.send("a", 1, false);
     onStatementExecuted(fixture.history, fixture.executionOf("a"));
-    onSuccess(fixture.history, "a", "digest of another", {}, std::nullopt, start);
+    onSuccess(fixture.history, "a", { "digest of another", {} }, std::nullopt, start);
     fixture.expectOnly(soak_guarantee::OwnAnswer);
 }
 
+// Guards against an answer that holds the digest of one execution and the rows of another one.
+TEST(soak_history, rowsOfAnotherExecutionAreReported)
+{
+    fixture.send("a", 1, false);
+    member_execution execution = fixture.executionOf("a");
+    execution.answer = { "digest 1", { "old" } };
+    onStatementExecuted(fixture.history, execution);
+    execution.answer = { "digest 2", { "new" } };
+    onStatementExecuted(fixture.history, execution);
+    onSuccess(fixture.history, "a", { "digest 2", { "new" } }, std::nullopt, start);
+    CHECK(fixture.history.findings.empty());
+    onSuccess(fixture.history, "a", { "digest 2", { "old" } }, std::nullopt, start);
+    fixture.expectOnly(soak_guarantee::OwnAnswer);
+}
+
+// Guards against rows that are lost, added, divided or changed in one byte.
+TEST(soak_history, rowsThatDifferInAByteAreReported)
+{
+    using namespace std::string_literals;
+    fixture.send("a", 1, false);
+    member_execution execution = fixture.executionOf("a");
+    execution.answer.rows = { "x\ny"s, ""s, "z\0z"s };
+    onStatementExecuted(fixture.history, execution);
+    onSuccess(fixture.history, "a", execution.answer, std::nullopt, start);
+    CHECK(fixture.history.findings.empty());
+    const std::vector<std::vector<std::string>> changed{
+        { "x"s, "y"s, ""s, "z\0z"s }, { "x\ny"s, "z\0z"s },           { "x\ny"s, ""s, "z"s },
+        { "x\r\ny"s, ""s, "z\0z"s },  { "x\ny"s, ""s, "z\0z"s, ""s }, {},
+    };
+    for (const auto &rows : changed) {
+        onSuccess(fixture.history, "a", { "digest a", rows }, std::nullopt, start);
+        fixture.expectOnly(soak_guarantee::OwnAnswer);
+        fixture.history.findings.clear();
+    }
+}
+
+// Guards against a read, write or commit that the proxy answers by itself.
+TEST(soak_history, successWithoutDigestIsReported)
+{
+    fixture.send("a", 1, true);
+    onStatementExecuted(fixture.history, fixture.executionOf("a"));
+    onSuccess(fixture.history, "a", { "-", {} }, std::nullopt, start);
+    fixture.expectOnly(soak_guarantee::OwnAnswer);
+}
+
+// Guards against the reply of a read that is passed on as the reply of a COMMIT.
+TEST(soak_history, commitWithRowsIsReported)
+{
+    fixture.send("a", 1, false);
+    fixture.history.sentStatements.at("a").text = "COMMIT";
+    member_execution execution = fixture.executionOf("a");
+    execution.text = "COMMIT";
+    onStatementExecuted(fixture.history, execution);
+    onSuccess(fixture.history, "a", { "digest a", { "row" } }, std::nullopt, start);
+    fixture.expectOnly(soak_guarantee::OwnAnswer);
+}
+
+// Guards against a member's reply that is passed on as the reply of a SET, PREPARE or BEGIN.
+TEST(soak_history, digestOrRowsWithoutAMembersAnswerAreReported)
+{
+    fixture.send("a", 1, false);
+    fixture.history.sentStatements.at("a").reachesMember = false;
+    onSuccess(fixture.history, "a", { "-", {} }, std::nullopt, start);
+    CHECK(fixture.history.findings.empty());
+    onSuccess(fixture.history, "a", { "-", { "row" } }, std::nullopt, start);
+    fixture.expectOnly(soak_guarantee::OwnAnswer);
+    fixture.history.findings.clear();
+    onSuccess(fixture.history, "a", { "digest b", {} }, std::nullopt, start);
+    fixture.expectOnly(soak_guarantee::OwnAnswer);
+}
+
+// Guards against a prepared statement that was acknowledged and is unknown later.
+TEST(soak_history, acknowledgedNameThatIsUnknownIsReported)
+{
+    fixture.send("a", 1, false);
+    onError(fixture.history, "a", "BUSY");
+    CHECK(fixture.history.findings.empty());
+    onError(fixture.history, "a", "NOSTMT");
+    fixture.expectOnly(soak_guarantee::OneTransaction);
+}
+
+// Guards against a statement that ends at a line feed or a NUL, or loses blanks, on its way.
+TEST(soak_history, textThatDiffersInAByteIsReported)
+{
+    using namespace std::string_literals;
+    const std::string sent = "WRITE i x\ny\0 z  "s;
+    for (const std::string &run : { "WRITE i x"s, "WRITE i x\ny"s, "WRITE i x\ny\0 z"s,
+                                    "WRITE i x\r\ny\0 z  "s, "WRITE i x\ny\0 z   "s }) {
+        fixture.history = {};
+        fixture.send("a", 1, true);
+        fixture.history.sentStatements.at("a").text = sent;
+        member_execution execution = fixture.executionOf("a");
+        execution.text = run;
+        onStatementExecuted(fixture.history, execution);
+        fixture.expectOnly(soak_guarantee::OnlyAsked);
+    }
+}
+
+// Guards against a prepared statement that runs another shape than its caller prepared.
+TEST(soak_history, shapeThatDiffersInAByteIsReported)
+{
+    fixture.send("a", 1, false);
+    fixture.history.sentStatements.at("a").shape = "READ q  1";
+    member_execution execution = fixture.executionOf("a");
+    execution.shape = "READ q 1";
+    onStatementExecuted(fixture.history, execution);
+    fixture.expectOnly(soak_guarantee::OnlyAsked);
+}
+
+// Guards against a value that is cut at a byte, although its SET was acknowledged in full.
+TEST(soak_history, sessionValueThatDiffersInAByteIsReported)
+{
+    fixture.send("a", 1, false);
+    fixture.history.sentStatements.at("a").values["v1"] = "rr\nQUERY b READ c";
+    member_execution execution = fixture.executionOf("a");
+    execution.values["v1"] = "rr";
+    onStatementExecuted(fixture.history, execution);
+    fixture.expectOnly(soak_guarantee::OneTransaction);
+}
+
+// Guards against findings that can't be read because the bytes of their texts are printed raw.
+TEST(soak_history, findingsPrintBytesEscaped)
+{
+    using namespace std::string_literals;
+    STRCMP_EQUAL("a\\n\\r\\x00\\x80 \\x5c", printable("a\n\r\0\x80 \\"s).c_str());
+    const std::string text = printable(std::string(70'000, 'x'));
+    CHECK(text.size() < 200);
+    CHECK(text.ends_with("(70000 bytes)"));
+}
+
 TEST(soak_history, statementThatNoCallerSentIsReported)
 {
     onStatementExecuted(fixture.history, fixture.executionOf("a"));
--- a/tests/unit-standin-stream.cpp
+++ b/tests/unit-standin-stream.cpp
@@ -1,15 +1,23 @@
 /// @file
-/// @brief Tests of the stand-ins' framing.
+/// @brief Tests of the stand-ins' framing and of members' answers.
 
+#include <platform/standin/line_group.hpp>
 #include <platform/standin/message_splitter.hpp>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
+using namespace fuchsiagw;
 using namespace fuchsiagw::testing;
+using namespace std::chrono_literals;
 using namespace std::string_literals;
+using boost::asio::ip::tcp;
 
 namespace {
 
@@ -27,6 +35,38 @@
     return messages;
 }
 
+/// A group of two members, and a connection to its primary.
+struct member_fixture
+{
+    boost::asio::io_context context;
+    soak_history history;
+    table_store store{ context, 1 };
+    std::unique_ptr<line_group> group;
+    tcp::socket socket{ context };
+
+    member_fixture()
+    {
+        line_group_options options;
+        options.service = "books";
+        options.zones = { "north", "south" };
+        group = std::make_unique<line_group>(context, store, history, options, 1);
+        socket.connect({ boost::asio::ip::address_v4::loopback(), group->portOf(0) });
+    }
+
+    /// @return the messages that arrive within half a second after @p text was sent
+    std::vector<std::string> exchange(const std::string &text)
+    {
+        boost::asio::write(socket, boost::asio::buffer(text));
+        context.restart();
+        context.run_for(500ms);
+        std::string received;
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+        return messagesOf(received, 1'000);
+    }
+};
+
 } // namespace
 
 TEST_GROUP(standin_stream){};
@@ -58,3 +98,14 @@
     CHECK_FALSE(endless.next().has_value());
     CHECK(endless.isTooLong());
 }
+
+// Guards against two executions of a statement that can't be told apart by their digests.
+TEST(standin_stream, everyExecutionHasADigestOfItsOwn)
+{
+    member_fixture fixture;
+    fixture.exchange("STARTUP books house\r\n");
+    const auto first = fixture.exchange("QUERY a READ i1\r\n");
+    const auto second = fixture.exchange("QUERY a READ i1\r\n");
+    CHECK(first.size() == 2 && second.size() == 2);
+    CHECK(first.front().starts_with("COMPLETE ") && first.front() != second.front());
+}
