Soak: send all bytes that the protocol allows

Missing: callers sent letters, digits and hyphens, one value name and one prepared name, and set values only between units. No text could end a message early, hold a blank or look like another message, so neither the line splitter nor the way in which statements are issued again was tested.

Data, items, names, values and shapes now hold LF, CR, NUL, bytes from 0x80, blanks in series, nothing at all, and texts that look like messages; some are 70,000 bytes long, and a few messages of a WRITE have the longest length. Sessions hold several values and prepared names, which collide between callers, are set again, dropped, and changed inside transactions.

--- a/include/fuchsiagw/testing/soak_history.hpp
+++ b/include/fuchsiagw/testing/soak_history.hpp
@@ -154,6 +154,7 @@
     std::map<std::pair<std::string, std::uint64_t>, std::string>
             tokenHolders; ///< by service and fencing token
     std::map<std::string, std::uint64_t> outcomes; ///< number of each, for the report
+    std::map<std::string, std::uint64_t> inputs; ///< number of unusual inputs, for the report
     std::vector<soak_finding> findings;
 };
 
--- a/testing/session-soak-main.cpp
+++ b/testing/session-soak-main.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::uint32_t, groups, 2, "number of database groups, each of three members");
 ABSL_FLAG(std::uint32_t, callers, 16, "number of callers, each with a session");
 ABSL_FLAG(std::string, profile, "everything", "fault profile: calm, planned or everything");
+ABSL_FLAG(bool, plain_texts, false, "callers send letters and digits only");
 ABSL_FLAG(std::string, daemon, "", "path of the daemon program; default: the one of this build");
 ABSL_FLAG(bool, keep_logs, false, "keep settings and logs of runs without findings as well");
 ABSL_FLAG(std::string, folder, "", "directory for settings and logs; default: a directory in /tmp");
@@ -33,6 +34,7 @@
     options.groups = absl::GetFlag(FLAGS_groups);
     options.daemonProgram = absl::GetFlag(FLAGS_daemon);
     options.callers = absl::GetFlag(FLAGS_callers);
+    options.texts = absl::GetFlag(FLAGS_plain_texts) ? text_profile::Plain : text_profile::AllBytes;
     const std::string profile = absl::GetFlag(FLAGS_profile);
     std::size_t profileIndex = 0;
     while (profileIndex < soakProfileNames.size() && soakProfileNames.at(profileIndex) != profile)
@@ -62,6 +64,9 @@
                     static_cast<unsigned long long>(result.promotions));
         for (const auto &[name, count] : result.outcomes)
             std::printf("; %s %llu", name.c_str(), static_cast<unsigned long long>(count));
+        std::printf("\n  inputs:");
+        for (const auto &[name, count] : result.inputs)
+            std::printf(" %s %llu;", name.c_str(), static_cast<unsigned long long>(count));
         std::printf("\n  faults:");
         for (const auto &[name, count] : result.faults)
             std::printf(" %s %llu", name.c_str(), static_cast<unsigned long long>(count));
--- a/tests/unit-standin-stream.cpp
+++ b/tests/unit-standin-stream.cpp
@@ -1,6 +1,7 @@
 /// @file
-/// @brief Tests of the stand-ins' framing and of members' answers.
+/// @brief Tests of the stand-ins' framing, of the drawn texts and of members' answers.
 
+#include <platform/standin/drawn_text.hpp>
 #include <platform/standin/line_group.hpp>
 #include <platform/standin/message_splitter.hpp>
 
@@ -99,6 +100,28 @@
     CHECK(endless.isTooLong());
 }
 
+// Guards against drawn texts that end their message, and against bytes that are never drawn.
+TEST(standin_stream, drawnTextsHoldAllBytesButNoMessageEnd)
+{
+    core::random_engine random(1);
+    std::string all;
+    std::size_t empty = 0;
+    for (int i = 0; i < 2'000; ++i) {
+        const std::string text = drawText(random, text_profile::AllBytes);
+        const std::string name = drawName(random, text_profile::AllBytes, 'v', 16);
+        CHECK(text.find("\r\n") == std::string::npos);
+        CHECK(name.find("\r\n") == std::string::npos && name.find(' ') == std::string::npos);
+        all += text;
+        empty += text.empty() ? 1 : 0;
+    }
+    CHECK(empty > 10);
+    for (int byte = 0; byte < 256; ++byte)
+        CHECK(all.find(static_cast<char>(byte)) != std::string::npos);
+    const std::string longest = drawLongestText(random, 64);
+    CHECK(longest.size() > maxStandinMessageBytes - 4'000);
+    CHECK(longest.size() + 64 <= maxStandinMessageBytes);
+}
+
 // Guards against two executions of a statement that can't be told apart by their digests.
 TEST(standin_stream, everyExecutionHasADigestOfItsOwn)
 {
