Soak: members that send replies a second time

Missing: every reply arrived once or not at all. Replies name no command, and the proxy counted them, so one reply more shifted all that followed on the connection; no stand-in could show it. Nor did members answer FAILED, or BUSY unless all their slots were taken.

--- a/tests/unit-standin-stream.cpp
+++ b/tests/unit-standin-stream.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Tests of the stand-ins' framing, of the drawn texts and of members' answers.
+/// @brief Tests of the stand-ins' framing, of the drawn texts and of members that repeat replies.
 
 #include <platform/standin/drawn_text.hpp>
 #include <platform/standin/line_group.hpp>
@@ -10,6 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -122,6 +123,41 @@
     CHECK(longest.size() + 64 <= maxStandinMessageBytes);
 }
 
+// Guards against a soak whose members no longer repeat replies, or repeat only some kinds.
+TEST(standin_stream, memberRepeatsRepliesOfEveryKind)
+{
+    member_fixture fixture;
+    fixture.exchange("STARTUP books house\r\n");
+    fixture.group->repeatReplies(0, 100, 0);
+    for (const std::string &text :
+         { "- SET v1 x"s, "- PREPARE s1 READ q"s, "- BEGIN"s, "- ROLLBACK"s, "- DISCARD"s,
+           "- STATUS"s, "a READ i1"s, "b WRITE i1 x"s, "c EXECUTE unknown i1"s,
+           "d AFTER 9.9 READ i1"s }) {
+        const auto replies = fixture.exchange("QUERY " + text + "\r\n");
+        CHECK(replies.size() >= 4);
+        const std::size_t half = replies.size() / 2;
+        CHECK(std::equal(replies.begin(), replies.begin() + static_cast<std::ptrdiff_t>(half),
+                         replies.begin() + static_cast<std::ptrdiff_t>(half), replies.end()));
+    }
+}
+
+// Guards against members that always end a second reply, or never part way.
+TEST(standin_stream, connectionEndsWithinACutSecondReply)
+{
+    member_fixture fixture;
+    fixture.exchange("STARTUP books house\r\n");
+    fixture.group->failStatements(0, 100);
+    fixture.group->repeatReplies(0, 100, 100);
+    const auto replies = fixture.exchange("QUERY a READ i1\r\n");
+    CHECK(replies.size() == 2 || replies.size() == 3);
+    STRCMP_EQUAL("ERROR BUSY -", replies.front().c_str());
+    CHECK_EQUAL(1U, fixture.history.inputs["second replies, cut"]);
+    char byte = 0;
+    boost::system::error_code error;
+    fixture.socket.read_some(boost::asio::buffer(&byte, 1), error);
+    CHECK(error == boost::asio::error::eof);
+}
+
 // Guards against two executions of a statement that can't be told apart by their digests.
 TEST(standin_stream, everyExecutionHasADigestOfItsOwn)
 {
