--- a/tests/unit-session-soak.cpp
+++ b/tests/unit-session-soak.cpp
@@ -17,9 +17,12 @@
 
 namespace {
 
-soak_result runWith(std::uint64_t seed, soak_profile profile, seconds duration)
+soak_result runWith(std::uint64_t seed, soak_profile profile, seconds duration,
+                    text_profile texts = text_profile::AllBytes, unsigned stutterPercent = 0)
 {
     soak_options options;
+    options.texts = texts;
+    options.stutterPercent = stutterPercent;
     options.seed = seed;
     options.profile = profile;
     options.duration = duration;
@@ -32,6 +35,8 @@
                 std::string(soakProfileNames.at(static_cast<std::size_t>(profile))).c_str(),
                 static_cast<unsigned long long>(result.served),
                 static_cast<unsigned long long>(result.failed), result.findings.size());
+    for (const auto &[name, count] : result.inputs)
+        std::printf("%s: %llu\n", name.c_str(), static_cast<unsigned long long>(count));
     for (const soak_finding &each : result.findings)
         std::printf("%s: %s\n", std::string(toString(each.guarantee)).c_str(), each.text.c_str());
     // The logs of a failed run are kept for diagnosis.
@@ -50,12 +55,33 @@
 // store, lent connections, limits and replies are used together, without faults.
 TEST(session_soak, calmDeploymentServesEverything)
 {
-    const soak_result result = runWith(1, soak_profile::Calm, seconds(4));
+    const soak_result result = runWith(1, soak_profile::Calm, seconds(4), text_profile::Plain);
     UNSIGNED_LONGS_EQUAL(0, result.findings.size());
     CHECK(result.served > 500);
     CHECK(result.promotions == 0);
 }
 
+// Guards against statements, values and rows that end at or are changed by a byte of theirs: line
+// feeds, NUL, blanks, and texts that look like messages.
+TEST(session_soak, textsOfAllBytesPassUnchanged)
+{
+    const soak_result result = runWith(11, soak_profile::Calm, seconds(4));
+    UNSIGNED_LONGS_EQUAL(0, result.findings.size());
+    CHECK(result.served > 500);
+    CHECK(result.inputs.at("texts with LF") > 100);
+    CHECK(result.inputs.at("texts over 64 KiB") > 0);
+}
+
+// Guards against a reply that a member sends a second time and that is passed on as the reply to
+// another statement.
+TEST(session_soak, repeatedRepliesAnswerNoOtherStatement)
+{
+    const soak_result result = runWith(12, soak_profile::Calm, seconds(6), text_profile::Plain, 20);
+    UNSIGNED_LONGS_EQUAL(0, result.findings.size());
+    CHECK(result.served > 300);
+    CHECK(result.inputs.at("second replies") > 100);
+}
+
 // Guards against planned operations that cut or lose statements: stops and reloads of daemons,
 // draining members and withdrawn keys.
 TEST(session_soak, plannedWorkBreaksNoPromise)
