Soak: a rollback ends a failed transaction

Members of the stand-in kept the mark of a failed transaction after ROLLBACK and answered MALFORMED to single statements that followed on the connection.

--- a/tests/unit-standin-stream.cpp
+++ b/tests/unit-standin-stream.cpp
@@ -158,6 +158,19 @@
     CHECK(error == boost::asio::error::eof);
 }
 
+// Guards against members that refuse what follows the rollback of a failed transaction.
+TEST(standin_stream, rollbackEndsAFailedTransaction)
+{
+    member_fixture fixture;
+    fixture.exchange("STARTUP books house\r\n");
+    fixture.exchange("QUERY - BEGIN\r\nQUERY a EXECUTE unknown i1\r\n");
+    const auto failed = fixture.exchange("QUERY b READ i1\r\n");
+    STRCMP_EQUAL("ERROR MALFORMED -", failed.front().c_str());
+    fixture.exchange("QUERY - ROLLBACK\r\n");
+    const auto read = fixture.exchange("QUERY c READ i1\r\n");
+    CHECK(read.front().starts_with("COMPLETE "));
+}
+
 // Guards against two executions of a statement that can't be told apart by their digests.
 TEST(standin_stream, everyExecutionHasADigestOfItsOwn)
 {
