Test second replies at the worst moment

A second reply that waits for the next command with the same look comes between that command and its reply. A begin that is refused behind the second reply to an earlier begin must not count as accepted.

--- a/tests/unit-session-framing.cpp
+++ b/tests/unit-session-framing.cpp
@@ -48,6 +48,8 @@
     PlainTwice,
     ErrorsTwice,
     AllTwice,
+    BeginsRefused,
+    AllAtCommands,
 };
 
 std::uint64_t seed()
@@ -84,14 +86,22 @@
         groupWith("calm", {}),
         groupWith("once", {}, errors),
         groupWith("digest", { raw_reply_kind::Digest }),
-        groupWith("plain", { raw_reply_kind::Plain }),
+        groupWith("plain", { raw_reply_kind::Plain, raw_reply_kind::Begin }),
         groupWith("errors", { raw_reply_kind::Error }, errors),
         groupWith("all",
-                  { raw_reply_kind::Digest, raw_reply_kind::Plain, raw_reply_kind::Error,
-                    raw_reply_kind::Status },
+                  { raw_reply_kind::Digest, raw_reply_kind::Plain, raw_reply_kind::Begin,
+                    raw_reply_kind::Error, raw_reply_kind::Status },
+                  errors),
+        groupWith("begins", { raw_reply_kind::Begin }),
+        groupWith("worst",
+                  { raw_reply_kind::Digest, raw_reply_kind::Plain, raw_reply_kind::Begin,
+                    raw_reply_kind::Error, raw_reply_kind::Status },
                   errors),
     };
     groups[Splits].splitsReplies = true;
+    groups[BeginsRefused].twiceAtCommands = true;
+    groups[BeginsRefused].refusesBeginsBehindSecondReplies = true;
+    groups[AllAtCommands].twiceAtCommands = true;
     for (const group_number each : { ErrorsOnce, ErrorsTwice, AllTwice })
         groups[each].leadInterval = leadInterval;
     return groups;
@@ -259,10 +269,12 @@
         for (const auto &[code, count] : each->tally().codes)
             sum.codes[code] += count;
     }
-    std::printf("\n%s: %llu of %llu operations served, %llu replies sent twice;", name,
-                static_cast<unsigned long long>(sum.served),
+    const raw_group_counts counts = sharedDeployment().counts(group);
+    std::printf("\n%s: %llu of %llu operations served, %llu replies sent twice, %llu connections;",
+                name, static_cast<unsigned long long>(sum.served),
                 static_cast<unsigned long long>(sum.started),
-                static_cast<unsigned long long>(sharedDeployment().repliesSentTwice(group)));
+                static_cast<unsigned long long>(counts.repliesSentTwice),
+                static_cast<unsigned long long>(counts.acceptedConnections));
     for (const auto &[code, count] : sum.codes)
         std::printf(" %s %llu", code.c_str(), static_cast<unsigned long long>(count));
     std::printf("\n");
@@ -273,7 +285,7 @@
 {
     const raw_tally tally = runWorkload(name, group);
     const auto counts = report(name, sharedDeployment().record(group));
-    CHECK(sharedDeployment().repliesSentTwice(group) > 0);
+    CHECK(sharedDeployment().counts(group).repliesSentTwice > 0);
     CHECK(tally.served > 0);
     UNSIGNED_LONGS_EQUAL(0, counts.size());
     UNSIGNED_LONGS_EQUAL(0, sharedDeployment().endedDaemons());
@@ -504,3 +516,18 @@
     start(AllTwice);
     checkSecondReplies("all twice", AllTwice);
 }
+
+// Guards against a begin that counts as accepted because of an earlier begin's second reply,
+// although the member refuses it: the transaction's statements then run outside of it.
+TEST(session_framing, refusedBeginsStayRefused)
+{
+    start(BeginsRefused);
+    checkSecondReplies("begins refused", BeginsRefused);
+}
+
+// Guards against second replies that come at the worst moment, between a command and its reply.
+TEST(session_framing, secondRepliesBeforeTheNextReplyReachNobody)
+{
+    start(AllAtCommands);
+    checkSecondReplies("all before the next reply", AllAtCommands);
+}
