Test statements of the longest size on replicas

Members end a connection on a message of more than 1 MiB. On a route that reads from replicas, a READ of the longest size fails with BUSY: AFTER makes it too long for its member. The test fails for this reason.

--- a/tests/unit-session-framing.cpp
+++ b/tests/unit-session-framing.cpp
@@ -29,6 +29,7 @@
 constexpr milliseconds textsTimeout{ 9'000 };
 constexpr std::size_t messageLimit = std::size_t{ 1 } << 20;
 constexpr std::size_t longTextBytes = 70'000;
+constexpr std::size_t shownFailures = 3;
 constexpr std::size_t shownFindings = 2; // of each rule
 constexpr unsigned twicePercent = 33;
 constexpr milliseconds leadInterval{ 600 };
@@ -41,6 +42,7 @@
     Shapes,
     ErrorTexts,
     Limit,
+    LimitOnReplicas,
     Splits,
     Calm,
     ErrorsOnce,
@@ -82,6 +84,7 @@
         groupWith("shapes", {}),
         groupWith("errortexts", {}),
         groupWith("limit", {}),
+        groupWith("replicas", {}),
         groupWith("splits", {}),
         groupWith("calm", {}),
         groupWith("once", {}, errors),
@@ -205,9 +208,18 @@
         }
         ++asked_;
         const raw_reply reply = session_.askInParts(text, fromEnd);
-        failed_ += reply.isSuccess() ? 0 : 1;
+        if (!reply.isSuccess())
+            onFailure(text, reply);
         return reply.isSuccess();
     }
+    void onFailure(const std::string &text, const raw_reply &reply)
+    {
+        ++failed_;
+        if (failed_ <= shownFailures)
+            std::printf("\nno success: '%s' got %s %s", escapeBytes(text).c_str(),
+                        reply.arrived ? reply.code.c_str() : "no whole answer",
+                        escapeBytes(reply.message).c_str());
+    }
     void reopen() { session_.close(); }
     [[nodiscard]] raw_line_session &session() { return session_; }
     [[nodiscard]] std::size_t asked() const { return asked_; }
@@ -448,6 +460,25 @@
     checkTexts("limit", Limit, { &sender });
 }
 
+// Guards against a statement of the longest size that a prefix or a longer prepared name of the
+// proxy's own makes too long for its member, which ends the connection.
+TEST(session_framing, longestStatementsReachReplicas)
+{
+    start(LimitOnReplicas);
+    text_sender sender(LimitOnReplicas, "limit on replicas", "own");
+    const auto fill = [](const std::string &head) {
+        const std::string before = "QUERY 0123456789abcdef " + head;
+        return head + std::string(messageLimit - before.size(), 'i');
+    };
+    sender.ask("WRITE limit-item x");
+    sender.ask("READ limit-item");
+    sender.ask(fill("READ "));
+    sender.ask("PREPARE s WRITE q");
+    sender.ask(fill("EXECUTE s limit-item "));
+    sender.ask("READ limit-item");
+    checkTexts("limit on replicas", LimitOnReplicas, { &sender });
+}
+
 // Guards against a line end that is missed or seen too early because TCP divides the bytes near it.
 TEST(session_framing, messagesInPartsComeThrough)
 {
