--- a/tests/unit-session-framing.cpp
+++ b/tests/unit-session-framing.cpp
@@ -6,6 +6,8 @@
 
 #include <platform/standin/raw_line_session.hpp>
 
+#include <fmt/format.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include <cstdio>
@@ -338,12 +340,12 @@
     std::size_t number = 0;
     for (const std::string &text : oddLastFields()) {
         const std::string item = "data-" + std::to_string(number++);
-        current.ask("WRITE " + item + " " + text);
+        current.ask(fmt::format("WRITE {} {}", item, text));
         const bool isOpen = current.session().isOpen() || current.session().open(number, "current");
         const raw_reply reply = isOpen ? current.session().ask("READ " + item) : raw_reply{};
         otherRows += reply.rows == std::vector<std::string>{ text } ? 0 : 1;
         bounded.ask("READ " + item);
-        bounded.ask("WRITE b" + item + " " + text);
+        bounded.ask(fmt::format("WRITE b{} {}", item, text));
     }
     std::printf("\ndata: %zu of %zu reads without the written text\n", otherRows, number);
     checkTexts("data", Data, { &current, &bounded });
