--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -7,8 +7,10 @@
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/proxy/limit_part.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsiagw::proxy {
@@ -52,6 +54,7 @@
     peer_message_kind kind = peer_message_kind::Exchange;
     std::string from; ///< node name
     std::uint64_t incarnation = 0; ///< incarnation of the sender's process
+    std::uint64_t sequence = 0; ///< number among the datagrams of that process, from 1
     std::int64_t askedAtUs = 0; ///< clock of the requester; copied unchanged to the answer
     std::uint64_t manifestVersion = 0;
     std::vector<leader_report> leaders;
@@ -67,9 +70,27 @@
     template <typename archive>
     void serialize(archive &ar)
     {
-        ar(kind, from, incarnation, askedAtUs, manifestVersion, leaders, subject, member,
+        ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
            betweenHomes, amount, workspaces, parts, recall);
     }
 };
 
+/// Size of the entries of one message's list, in bytes, at which it still fits into a datagram
+/// beside its other fields.
+inline constexpr std::size_t maxListBytes = 900;
+
+/// @return the most bytes that a workspace takes in a PartRequest, or its part in a PartGrant
+[[nodiscard]] inline std::size_t listedBytes(std::string_view workspace)
+{
+    constexpr std::size_t numberBytes = 22; // length, part and tokens
+    return workspace.size() + numberBytes;
+}
+
+/// @return the most bytes that a report takes in a message
+[[nodiscard]] inline std::size_t listedBytes(const leader_report &report)
+{
+    constexpr std::size_t numberBytes = 54; // two lengths, two terms, index and age
+    return report.service.size() + report.member.size() + numberBytes;
+}
+
 } // namespace fuchsiagw::proxy
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -33,6 +33,15 @@
 constexpr milliseconds initialBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
+constexpr std::size_t maxReportedNames = 64; // unusable ones of a manifest
+
+/// @return whether a page of rows is the last one or names the key from which the next one is read.
+/// That page then begins with the same row: no key that follows it is known to be within the
+/// store's limit.
+bool leadsOn(const adapter::store_rows &page, const std::string &from)
+{
+    return !page.hasMore || (!page.rows.empty() && page.rows.back().key > from);
+}
 
 } // namespace
 
@@ -126,11 +135,20 @@
             callbacks_.onStoreEvent("manifest_unreadable", row.key);
             continue;
         }
+        if (manifest->version > manifestVersion_)
+            reportUnusableNames(*manifest);
         manifestVersion_ = std::max(manifestVersion_, manifest->version);
         callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)));
     }
 }
 
+void store_client::reportUnusableNames(const proxy::manifest &manifest)
+{
+    const std::size_t count = std::min(manifest.unusableNames.size(), maxReportedNames);
+    for (std::size_t i = 0; i < count; ++i)
+        callbacks_.onStoreEvent("name_unusable", manifest.unusableNames[i]);
+}
+
 void store_client::refreshManifest(std::uint64_t version)
 {
     newestManifestHeard_ = std::max(newestManifestHeard_, version);
@@ -216,12 +234,12 @@
                                std::map<std::string, proxy::listed_member> &&list)
 {
     call(store_purpose::Members, adapter::readRows(adapter::memberTable(), from), callTimeout,
-         [this, generation = memberGeneration_,
+         [this, from, generation = memberGeneration_,
           list = std::move(list)](int status, const std::string &body) mutable {
              if (generation != memberGeneration_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows) {
+             if (!rows || !leadsOn(*rows, from)) {
                  runAfter(backoff(memberFailures_++), [this, generation] {
                      if (generation == memberGeneration_)
                          readMembers();
@@ -232,12 +250,14 @@
                  if (const auto entry = decodeMember(row))
                      list[row.key] = *entry;
              }
-             if (rows->hasMore && !rows->rows.empty()) {
-                 readMembers(rows->rows.back().key + '!', std::move(list));
+             // The feed then repeats what changed while the pages were read.
+             if (from.empty())
+                 memberFeedVersion_ = rows->version;
+             if (rows->hasMore) {
+                 readMembers(rows->rows.back().key, std::move(list));
                  return;
              }
              memberFailures_ = 0;
-             memberFeedVersion_ = rows->version;
              members_ = std::move(list);
              reportMembers();
              followMembers();
@@ -323,12 +343,12 @@
                                  std::map<std::string, listed_instance> &&list)
 {
     call(store_purpose::Instances, adapter::readRows(wire::instanceTable, from), callTimeout,
-         [this, generation = instanceGeneration_,
+         [this, from, generation = instanceGeneration_,
           list = std::move(list)](int status, const std::string &body) mutable {
              if (generation != instanceGeneration_)
                  return;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows) {
+             if (!rows || !leadsOn(*rows, from)) {
                  runAfter(backoff(instanceFailures_++), [this, generation] {
                      if (generation == instanceGeneration_)
                          readInstances();
@@ -339,12 +359,14 @@
                  if (const auto each = decodeInstance(row))
                      list[row.key] = *each;
              }
-             if (rows->hasMore && !rows->rows.empty()) {
-                 readInstances(rows->rows.back().key + '!', std::move(list));
+             // The feed then repeats what changed while the pages were read.
+             if (from.empty())
+                 instanceFeedVersion_ = rows->version;
+             if (rows->hasMore) {
+                 readInstances(rows->rows.back().key, std::move(list));
                  return;
              }
              instanceFailures_ = 0;
-             instanceFeedVersion_ = rows->version;
              instances_ = std::move(list);
              reportInstances();
              runAfter(pacing().instancePollPause,
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -72,9 +72,15 @@
         all.push_back(std::move(each));
     }
     // Select a random sample if not all reports fit into one datagram.
-    for (std::size_t i = 0; all.size() > reportsPerMessage && i < reportsPerMessage; ++i)
-        std::swap(all[i], all[i + core::drawBelow(state.random, all.size() - i)]);
-    all.resize(std::min(all.size(), reportsPerMessage));
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (; count < std::min(all.size(), reportsPerMessage); ++count) {
+        std::swap(all[count], all[count + core::drawBelow(state.random, all.size() - count)]);
+        bytes += listedBytes(all[count]);
+        if (bytes > maxListBytes)
+            break;
+    }
+    all.resize(count);
     return all;
 }
 
@@ -122,6 +128,7 @@
 {
     constexpr milliseconds maxContactAge{ 600 };
     peer_message answer = makeMessage(state, peer_message_kind::ReachabilityAnswer);
+    answer.askedAtUs = message.askedAtUs;
     answer.subject = message.subject;
     answer.member = message.member;
     answer.amount = -1;
@@ -137,7 +144,9 @@
 void onReachabilityAnswer(engine &state, const peer_message &message)
 {
     service_state *service = findService(state, message.subject);
-    if (service == nullptr || service->promotion.oldPrimary != message.member)
+    const core::time_point asked{ core::duration(message.askedAtUs) };
+    if (service == nullptr || service->promotion.oldPrimary != message.member
+        || service->promotion.startedAt != asked)
         return;
     if (message.amount == 1)
         service->promotion.peersReaching.insert(message.from);
