Session framing test: print a long wait for the first answers

One of seven runs of the whole program took 34.8 s instead of 21 to 23 s. Its workloads were of the usual size, so it waited before one of them; twelve further starts took under 0.6 s.

--- a/tests/unit-session-framing.cpp
+++ b/tests/unit-session-framing.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t daemonCount = 3;
 constexpr std::size_t callerCount = 12;
 constexpr milliseconds startTimeout{ 15'000 };
+constexpr milliseconds longStart{ 1'500 }; // a longer one is printed
 constexpr milliseconds workloadDuration{ 2'000 };
 constexpr milliseconds textsTimeout{ 9'000 };
 constexpr std::size_t messageLimit = std::size_t{ 1 } << 20;
@@ -305,14 +306,22 @@
     UNSIGNED_LONGS_EQUAL(0, sharedDeployment().endedDaemons());
 }
 
+/// Waits until the group is served, and then starts its trouble.
+void start(std::size_t group)
+{
+    const auto from = steady_clock::now();
+    const bool isServing = sharedDeployment().waitUntilServing(group, startTimeout);
+    const auto waited = std::chrono::duration_cast<milliseconds>(steady_clock::now() - from);
+    if (waited > longStart)
+        std::printf("\n%s: served after %lld ms\n", sharedDeployment().service(group).c_str(),
+                    static_cast<long long>(waited.count()));
+    CHECK(isServing);
+    sharedDeployment().startTrouble(group);
+}
+
 } // namespace
 
-TEST_GROUP(session_framing){
-    void start(std::size_t group){ CHECK(sharedDeployment().waitUntilServing(group, startTimeout));
-sharedDeployment().startTrouble(group);
-}
-}
-;
+TEST_GROUP(session_framing){};
 
 // Guards against a message that ends elsewhere than at CR LF in the stand-ins themselves.
 TEST(session_framing, standinsSplitAtCrLfOnly)
