--- a/src/daemon/member_connection.cpp
+++ b/src/daemon/member_connection.cpp
@@ -10,7 +10,7 @@
 std::shared_ptr<member_connection>
 member_connection::create(std::shared_ptr<net::line_connection> connection, event_handlers handlers)
 {
-    const std::shared_ptr<member_connection> created(
+    std::shared_ptr<member_connection> created(
             new member_connection(std::move(connection), std::move(handlers)));
     created->connection_->setHandlers(
             [weak = created->weak_from_this()](std::string_view line) {
