Relay: copy the name of a member whose connections it changes

Cause: advance() took the member's name by reference from a connection. When that connection is itself closed to make room for another workspace, the name is gone, and a connection for it is opened next.

Evidence: connectionMakesRoomForAnotherWorkspaceWhenItOpens, under the address sanitizer: heap-use-after-free in open() called by advance() before the change.

Why this works: advance() has a name of its own.

Measured: unit-relay-server passes, also under the sanitizers.

--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -164,7 +164,7 @@
     scheduleTick();
 }
 
-void relay_server::advance(const std::string &memberId)
+void relay_server::advance(std::string memberId)
 {
     const auto pool = pools_.find(memberId);
     if (pool == pools_.end())
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -58,6 +58,7 @@
                                 [this](const std::string &, proxy::reply_fault fault) {
                                     faults.push_back(fault);
                                 } };
+    std::uint16_t port = 0; ///< of the relay
     line_peer member;
     line_peer borrower;
 
@@ -67,27 +68,39 @@
         entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         engine.setMembers({ entry });
         tcp::acceptor probe(context, { boost::asio::ip::address_v4::loopback(), 0 });
-        const std::uint16_t port = probe.local_endpoint().port();
+        port = probe.local_endpoint().port();
         probe.close();
         CHECK_FALSE(relay.start({ boost::asio::ip::address_v4::loopback(), port }));
-        acceptor.async_accept([this](const auto &error, tcp::socket socket) {
+        acceptMember(member);
+        borrow(borrower, "house");
+        CHECK_TRUE(runUntil([this] { return member.lines.size() == 1; }));
+        member.connection->send("READY I 1.1\r\n");
+        CHECK_TRUE(runUntil([this] { return borrower.lines.size() == 1; }));
+    }
+
+    /// Accepts the next connection that the relay opens to the member.
+    void acceptMember(line_peer &opened)
+    {
+        acceptor.async_accept([&opened](const auto &error, tcp::socket socket) {
             if (error)
                 return;
-            member.attach(net::line_connection::create(std::move(socket), 1'024));
-            member.connection->start(net::keepalive_profile::Short);
+            opened.attach(net::line_connection::create(std::move(socket), 1'024));
+            opened.connection->start(net::keepalive_profile::Short);
         });
+    }
+
+    /// Asks the relay for a connection for a workspace.
+    void borrow(line_peer &client, const std::string &workspace)
+    {
         proxy::upstream_command startup;
         startup.kind = proxy::command_kind::Startup;
         startup.name = proxy_fixture::service;
-        startup.argument = "house";
+        startup.argument = workspace;
         startup.id = "m1";
-        borrower.attach(net::line_connection::create(context, 1'024));
-        borrower.connection->send(adapter::encodeCommand(startup));
-        borrower.connection->connect({ boost::asio::ip::address_v4::loopback(), port },
-                                     net::keepalive_profile::Short);
-        CHECK_TRUE(runUntil([this] { return member.lines.size() == 1; }));
-        member.connection->send("READY I 1.1\r\n");
-        CHECK_TRUE(runUntil([this] { return borrower.lines.size() == 1; }));
+        client.attach(net::line_connection::create(context, 1'024));
+        client.connection->send(adapter::encodeCommand(startup));
+        client.connection->connect({ boost::asio::ip::address_v4::loopback(), port },
+                                   net::keepalive_profile::Short);
     }
 
     template <typename condition>
@@ -241,3 +254,28 @@
     fixture.member.connection->send("ERROR FAILED -\r\nREADY I 1.1\r\n");
     CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
 }
+
+// Guards against a relay that reads the name of a member from a connection that it has just closed:
+// an opened connection makes room at once for one of another workspace.
+TEST(relay_server, connectionMakesRoomForAnotherWorkspaceWhenItOpens)
+{
+    proxy::manifest next = proxy_fixture::makeManifest(2);
+    next.services.at(proxy_fixture::service).maxConnections = 1;
+    fixture.engine.applyManifest(next);
+    fixture.borrower.connection->close();
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
+    line_peer opening;
+    fixture.acceptMember(opening);
+    line_peer first;
+    fixture.borrow(first, "house");
+    CHECK_TRUE(fixture.runUntil([&] { return opening.lines.size() == 1; }));
+    line_peer second;
+    fixture.borrow(second, "office");
+    first.connection->close();
+    CHECK_FALSE(fixture.runUntil([&] { return second.isClosed; }, 20ms));
+    line_peer replacing;
+    fixture.acceptMember(replacing);
+    opening.connection->send("READY I 1.1\r\n");
+    CHECK_TRUE(fixture.runUntil([&] { return replacing.lines.size() == 1; }));
+    STRCMP_EQUAL("STARTUP books office m1", replacing.lines.front().c_str());
+}
