--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -80,8 +80,7 @@
     /// @param code ConnectionLimit: no connection is free; Misrouted: the startup command is
     /// invalid, the member or its service is unknown, or the relay is stopping
     void refuse(proxy::borrower_id id, proxy::reply_code code);
-    /// @param memberId a copy, because a connection that is closed meanwhile may hold the name
-    void advance(std::string memberId);
+    void advance(std::string_view member);
     void closeIdle(const std::string &memberId);
     /// @return whether the use of a lent connection ends now, between two statements, so that none
     /// is cut by the end of the process; the member rolls back an open transaction
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -164,8 +164,10 @@
     scheduleTick();
 }
 
-void relay_server::advance(std::string memberId)
+void relay_server::advance(std::string_view member)
 {
+    // A connection that is closed here may hold the name.
+    const std::string memberId(member);
     const auto pool = pools_.find(memberId);
     if (pool == pools_.end())
         return;
