Session gateway test: outlive no handler, and end hostile lines at CR LF

unit-session-gateway failed under the address sanitizer on: a read whose answer did not come in time wrote to a variable that was gone, and a timer outlived its context. Both are faults of the test, not of the product. The lines of hostileCallersAreDisconnected ended at LF, which ends no line any more, so they got no answer; they end at CR LF now, and each must be answered by the end of the connection, which was not checked before.

--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -144,7 +144,11 @@
             line = error ? "closed" : std::string(buffer.data(), n);
         });
         runUntil([&] { return !line.empty(); });
-        return line;
+        const std::string answer = line;
+        // The handler of a read without an answer must not outlive what it writes to.
+        socket.close();
+        context.run_for(2ms);
+        return answer;
     }
 
     /// @param atOnce bytes of each write
@@ -375,6 +379,7 @@
         removal->async_wait([&](const auto &) { fresh.store.remove("servers", "a1000"); });
     });
     CHECK_TRUE(paged.runUntil([&] { return paged.metric("members") == 500; }));
+    removal.reset(); // before the context that it uses
 }
 
 // Guards against a workspace or service whose name no message can carry: it is left out with a log
@@ -403,9 +408,10 @@
 TEST(session_gateway, hostileCallersAreDisconnected)
 {
     for (const std::string &bytes :
-         { std::string("\0\0\0\0\n", 5), std::string("QUERY\n"), std::string("STARTUP\n"),
-           std::string("STARTUP d k\r\nSTARTUP d k\r\n"), std::string(300, '\xff') + "\n" })
-        fixture.answerTo(bytes);
+         { std::string("\0\0\0\0\r\n", 6), std::string("QUERY\r\n"), std::string("STARTUP\r\n"),
+           std::string(300, '\xff') + "\r\n" })
+        STRCMP_EQUAL("closed", fixture.answerTo(bytes).c_str());
+    fixture.answerTo("STARTUP d k\r\nSTARTUP d k\r\n");
     CHECK_TRUE(fixture.servesCallers());
 }
 
