--- a/include/fuchsiagw/daemon/session_settings.hpp
+++ b/include/fuchsiagw/daemon/session_settings.hpp
@@ -31,6 +31,16 @@
     std::chrono::milliseconds drainLimit{ 0 };
     std::chrono::milliseconds configurationLimit{ 0 };
     bool promotionsAreFenced = false; ///< see proxy::engine_settings
+    /// @name Optional entries
+    /// @{
+    std::chrono::milliseconds evacuationLimit{ 5'000 }; ///< see proxy::engine_settings
+    std::uint32_t coldTolerance = 5; ///< operations beyond the rate of a cold member, per second
+    double coldOverage = 1.5; ///< factor by which a cold member's rate may be exceeded
+    double cpuShare = 0; ///< processor cores of this instance; 0: unknown
+    double bandwidthMbps = 0; ///< of this instance's network link; 0: unknown
+    bool priorityAdmission = false; ///< see proxy::engine_settings
+    bool memberLimits = false; ///< see proxy::engine_settings
+    /// @}
 };
 
 /// @brief Reads and validates a settings file. Unknown entries are ignored.
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -42,6 +42,11 @@
     /// in which another member is promoted. Otherwise it may go on until it learns of its
     /// successor.
     bool promotionsAreFenced = false;
+    /// Time, from the operator's request, within which the members of an evacuated zone stop
+    /// getting work.
+    core::duration evacuationLimit{ std::chrono::seconds(5) };
+    bool priorityAdmission = false; ///< queues serve by priority, deadline and fair share
+    bool memberLimits = false; ///< the number of operations at a member is limited adaptively
 };
 
 /// What this daemon knows of another daemon of the deployment.
--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -31,6 +31,9 @@
     AnswerLost, ///< sent, but the connection was lost before the answer
     TooManySessions,
     LeaderUnproven, ///< the primary may have been replaced; nothing was delivered
+    ZoneEvacuated, ///< only members in evacuated zones could run the statement
+    MemberCold, ///< the only member that can run the statement has started recently
+    Overloaded, ///< the queue drains too slowly for the statement's latency objective
 };
 
 /// Maps a reason to its name and reply code.
@@ -41,7 +44,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 17> refusalRows{ {
+inline constexpr std::array<refusal_row, 20> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -59,6 +62,9 @@
         { refusal_reason::AnswerLost, "answer_lost", reply_code::OutcomeUnknown },
         { refusal_reason::TooManySessions, "too_many_sessions", reply_code::Busy },
         { refusal_reason::LeaderUnproven, "leader_unproven", reply_code::Busy },
+        { refusal_reason::ZoneEvacuated, "zone_evacuated", reply_code::Busy },
+        { refusal_reason::MemberCold, "member_cold", reply_code::Busy },
+        { refusal_reason::Overloaded, "overloaded", reply_code::Busy },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -58,6 +58,9 @@
     result.drainLimit = values.drainLimit;
     result.gracePeriod = values.gracePeriod;
     result.promotionsAreFenced = values.promotionsAreFenced;
+    result.evacuationLimit = values.evacuationLimit;
+    result.priorityAdmission = values.priorityAdmission;
+    result.memberLimits = values.memberLimits;
     return result;
 }
 
--- a/src/daemon/session_settings.cpp
+++ b/src/daemon/session_settings.cpp
@@ -3,6 +3,7 @@
 
 #include <fuchsiagw/daemon/session_settings.hpp>
 
+#include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
@@ -35,6 +36,26 @@
         return entry.Scalar();
     }
 
+    /// @return whether an optional entry has a value
+    [[nodiscard]] bool hasValue(const std::string &name) const
+    {
+        const YAML::Node entry = root[name];
+        return entry.IsDefined() && !entry.IsNull()
+               && !(entry.IsScalar() && entry.Scalar().empty());
+    }
+
+    double number(const std::string &name, double minValue, double maxValue)
+    {
+        const std::string value = scalar(name);
+        double result = 0;
+        const char *end = value.data() + value.size();
+        const auto parsed = std::from_chars(value.data(), end, result);
+        const bool isNumber = parsed.ec == std::errc{} && parsed.ptr == end;
+        if (!value.empty() && (!isNumber || !(result >= minValue) || !(result <= maxValue)))
+            addProblem(name, fmt::format("must be a number from {} to {}", minValue, maxValue));
+        return result;
+    }
+
     net::endpoint address(const std::string &name)
     {
         net::endpoint result;
@@ -71,6 +92,29 @@
 constexpr std::uint32_t maxMemoryMegabytes = 10'000'000;
 constexpr std::uint32_t maxGracePeriodSeconds = 3'600;
 constexpr std::uint32_t maxTimeoutMilliseconds = 3'600'000;
+constexpr std::uint32_t maxColdTolerance = 1'000'000;
+constexpr double maxColdOverage = 1'000;
+constexpr double maxCpuShare = 10'000;
+constexpr double maxBandwidthMbps = 10'000'000;
+
+void readOptionalEntries(settings_reader &reader, session_settings &result)
+{
+    if (reader.hasValue("evacuation_limit_ms"))
+        result.evacuationLimit = std::chrono::milliseconds(
+                reader.count("evacuation_limit_ms", 1, maxTimeoutMilliseconds));
+    if (reader.hasValue("cold_tolerance"))
+        result.coldTolerance = reader.count("cold_tolerance", 0, maxColdTolerance);
+    if (reader.hasValue("cold_overage"))
+        result.coldOverage = reader.number("cold_overage", 1, maxColdOverage);
+    if (reader.hasValue("cpu_share"))
+        result.cpuShare = reader.number("cpu_share", 0, maxCpuShare);
+    if (reader.hasValue("bandwidth_mbps"))
+        result.bandwidthMbps = reader.number("bandwidth_mbps", 0, maxBandwidthMbps);
+    if (reader.hasValue("priority_admission"))
+        result.priorityAdmission = reader.flag("priority_admission");
+    if (reader.hasValue("member_limits"))
+        result.memberLimits = reader.flag("member_limits");
+}
 
 } // namespace
 
@@ -103,6 +147,7 @@
     result.configurationLimit = std::chrono::milliseconds(
             reader.count("configuration_limit_ms", 1, maxTimeoutMilliseconds));
     result.promotionsAreFenced = reader.flag("fenced_promotions");
+    readOptionalEntries(reader, result);
     return reader.problems;
 }
 
--- a/tests/unit-session-settings.cpp
+++ b/tests/unit-session-settings.cpp
@@ -76,6 +76,34 @@
     CHECK_EQUAL(1U, read(replaced("fenced_promotions: true\n", ""), values).size());
 }
 
+// Guards against a daemon that does not start, or takes a zero, where a deployment does not have an
+// optional entry.
+TEST(session_settings, optionalEntryWithoutValueHasItsDefault)
+{
+    session_settings values;
+    const std::string empty = std::string(validSettings) + "evacuation_limit_ms: \ncpu_share:\n";
+    CHECK_EQUAL(0U, read(empty, values).size());
+    CHECK_EQUAL(5'000, values.evacuationLimit.count());
+    CHECK_FALSE(values.memberLimits);
+    const std::string given = std::string(validSettings)
+                              + "evacuation_limit_ms: 3000\ncpu_share: 0.12\n"
+                                "cold_overage: 2\npriority_admission: true\n";
+    CHECK_EQUAL(0U, read(given, values).size());
+    CHECK_EQUAL(3'000, values.evacuationLimit.count());
+    DOUBLES_EQUAL(0.12, values.cpuShare, 1e-9);
+    DOUBLES_EQUAL(2.0, values.coldOverage, 1e-9);
+    CHECK_TRUE(values.priorityAdmission);
+}
+
+// Guards against a misspelt optional entry that silently switches a feature off.
+TEST(session_settings, wrongOptionalEntryIsReported)
+{
+    session_settings values;
+    for (const char *line : { "member_limits: on\n", "cpu_share: half\n", "cold_overage: 0.5\n",
+                              "evacuation_limit_ms: 0\n" })
+        CHECK_EQUAL(1U, read(std::string(validSettings) + line, values).size());
+}
+
 // Guards against a template that lacks a setting without which no daemon starts.
 TEST(session_settings, templateHasEverySetting)
 {
