Evacuate a zone on the operator's request

Change: the feed of the manifest's table carries the set of evacuated zones, peers pass it on. Reads leave at once, primaries are replaced as planned by members outside, one group after the other; the last statement is sent 1 s before the bound; open transactions end then; what cannot be served is refused at once. A restored zone fills up over 5 s.

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,8 @@
 struct store_callbacks
 {
     std::function<void(std::shared_ptr<const proxy::manifest>)> onManifest;
+    /// Called with the evacuated zones and the store's version as of which the set is complete.
+    std::function<void(const std::set<std::string> &, std::uint64_t)> onEvacuations;
     std::function<void(const std::vector<proxy::listed_member> &)> onMembers;
     std::function<void(const std::vector<listed_instance> &)> onInstances;
     std::function<void(const std::string &service, std::uint64_t token)> onTokenAcquired;
@@ -109,6 +112,7 @@
     void readManifest();
     void followManifest();
     void applyManifestRows(const std::vector<adapter::store_row> &rows);
+    void applyEvacuationRows(const std::vector<adapter::store_row> &rows);
     void reportUnusableNames(const proxy::manifest &manifest);
     void readMembers();
     void readMembers(const std::string &from, std::map<std::string, proxy::listed_member> &&list);
@@ -133,6 +137,7 @@
     store_counters counters_;
     std::uint64_t manifestFeedVersion_ = 0; ///< store version up to which changes were read
     std::uint64_t manifestVersion_ = 0; ///< newest manifest that was read
+    std::set<std::string> evacuatedZones_; ///< as of manifestFeedVersion_
     std::uint64_t newestManifestHeard_ = 0; ///< newest manifest that another daemon has
     bool isManifestCheckDue_ = false; ///< refreshManifest() will compare the two versions
     std::uint64_t manifestGeneration_ = 0; ///< callbacks of older generations are ignored
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -60,7 +60,22 @@
 void expireMissingMembers(engine &state, core::time_point now);
 
 /// @return whether a member may get a statement that is not part of a running transaction
-[[nodiscard]] bool acceptsNewWork(const member_state &member, core::time_point now);
+[[nodiscard]] bool acceptsNewWork(const engine &state, const member_state &member,
+                                  core::time_point now);
+/// @return whether a primary may get a statement that only it can run, as its zone is not evacuated
+/// or is still within the time for that
+[[nodiscard]] bool acceptsWorkAsLeader(const engine &state, const member_state &member,
+                                       core::time_point now);
+
+/// @return whether a group has to replace its primary now, because its zone is evacuated
+[[nodiscard]] bool isReplacementDue(const engine &state, const service_state &service,
+                                    core::time_point now);
+/// @brief Counts a statement that is sent to a member, if its zone is evacuated.
+void recordEvacuatedWork(engine &state, const member_state &member, core::time_point now);
+/// @return whether a session's transaction runs at a member that gets no statements any more,
+/// because its zone is evacuated
+[[nodiscard]] bool isTransactionEvacuated(const engine &state, const session &caller,
+                                          core::time_point now);
 
 /// @brief Logs a decision about a session's current request.
 void noteRequest(engine &state, note_kind kind, const session &caller, const std::string &member,
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -72,6 +72,7 @@
     std::string workspace;
     std::string service;
     std::string member;
+    std::string zone;
     std::string reason;
     core::log_position position; ///< required by a statement, or reported by a member
     core::duration age{ 0 }; ///< age of the deciding input
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -19,6 +19,7 @@
 #include <fuchsiagw/proxy/service_state.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_link.hpp>
+#include <fuchsiagw/proxy/zone_evacuation.hpp>
 
 #include <array>
 #include <cstdint>
@@ -27,6 +28,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsiagw::proxy {
@@ -130,6 +132,7 @@
     core::time_point nextPartRequest =
             core::noDeadline; ///< next request for parts of the zone's daemons
     part_recall recall;
+    evacuation_state evacuation;
     std::uint64_t incarnation = 0;
     engine_counters counters;
     std::vector<action> out;
@@ -138,6 +141,12 @@
 /// @brief Applies a manifest; a version that is not newer than the current one is ignored.
 void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now);
 
+/// @brief Applies the set of evacuated zones; a version that is not newer is ignored.
+/// @param version of the store, as of which the set is complete
+/// @param source of the set, for the log
+void onEvacuations(engine &state, const std::set<std::string> &zones, std::uint64_t version,
+                   std::string_view source, core::time_point now);
+
 /// One row of the list of members in the store.
 struct listed_member
 {
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -66,12 +66,15 @@
     std::vector<std::string> workspaces; ///< workspaces whose parts a PartRequest asks for
     std::vector<part_grant> parts; ///< parts that a PartGrant lends
     std::uint64_t recall = 0; ///< incarnation that recalls its parts; copied to the answer
+    /// Version of the store as of which `evacuatedZones` is complete; 0: the message has no zones.
+    std::uint64_t evacuationVersion = 0;
+    std::vector<std::string> evacuatedZones;
 
     template <typename archive>
     void serialize(archive &ar)
     {
         ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
-           betweenHomes, amount, workspaces, parts, recall);
+           betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones);
     }
 };
 
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -52,10 +52,12 @@
     PrimaryDraining,
     NoPrimary,
     ReplicaPaused, ///< a replica is still paused by an earlier attempt
+    ZoneEvacuated, ///< the primary's zone is evacuated
 };
 
-inline constexpr std::array<std::string_view, 5> promotionCauseNames{
-    "primary_silent", "primary_gone", "primary_draining", "no_primary", "replica_paused",
+inline constexpr std::array<std::string_view, 6> promotionCauseNames{
+    "primary_silent", "primary_gone",   "primary_draining",
+    "no_primary",     "replica_paused", "zone_evacuated",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_cause cause)
@@ -63,6 +65,12 @@
     return promotionCauseNames.at(static_cast<std::size_t>(cause));
 }
 
+/// @return whether the primary serves until it is replaced
+[[nodiscard]] constexpr bool isPlanned(promotion_cause cause)
+{
+    return cause == promotion_cause::PrimaryDraining || cause == promotion_cause::ZoneEvacuated;
+}
+
 struct promotion_state
 {
     promotion_phase phase = promotion_phase::None;
@@ -87,6 +95,9 @@
     bool orderAccepted = false; ///< the platform has accepted an order of this attempt
     bool orderUnanswered = false; ///< an order got no answer; the platform may carry it out later
     core::time_point repairAskedAt{}; ///< a repair needs an answer to a later question
+    /// A replica in an evacuated zone has commits that no other replica can get, so it may be
+    /// chosen.
+    bool mayElectEvacuated = false;
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
--- a/src/daemon/metrics_text.cpp
+++ b/src/daemon/metrics_text.cpp
@@ -44,17 +44,8 @@
 
     void writeLabelledSample(const metric_row &row, std::string_view label, std::uint64_t value)
     {
-        fmt::format_to(out(), "{}{{{}=\"", row.name, row.labels);
-        for (const char each : label) {
-            if (each == '\n') {
-                text += "\\n";
-                continue;
-            }
-            if (each == '"' || each == '\\')
-                text += '\\';
-            text += each;
-        }
-        fmt::format_to(out(), "\"}} {}\n", value);
+        fmt::format_to(out(), "{}{{{}=\"{}\"}} {}\n", row.name, row.labels, escapeLabel(label),
+                       value);
     }
 
     void writeHistogram(const metric_row &row, const delay_histogram &delays)
@@ -98,6 +89,21 @@
 
 } // namespace
 
+std::string escapeLabel(std::string_view value)
+{
+    std::string result;
+    for (const char each : value) {
+        if (each == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (each == '"' || each == '\\')
+            result += '\\';
+        result += each;
+    }
+    return result;
+}
+
 std::string metricsText(const metrics &all)
 {
     text_writer writer;
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -437,7 +437,8 @@
         const auto known = engine_.members.find(member);
         const bool isUnwanted =
                 isStopping_ || known == engine_.members.end() || !known->second.listed
-                || proxy::relayNodeFor(engine_, known->second, now) != engine_.settings.node;
+                || proxy::relayNodeFor(engine_, known->second, now) != engine_.settings.node
+                || proxy::isEvacuated(engine_.evacuation, known->second.entry.zone);
         for (const auto &[id, each] : pool.connections) {
             if (isRecallDue(*pooled_.at(id)))
                 toRecall.push_back(id);
--- a/src/daemon/session_datagram.cpp
+++ b/src/daemon/session_datagram.cpp
@@ -48,6 +48,7 @@
            && message.askedAtUs <= maxClockUs && message.amount >= -maxAmount
            && message.amount <= maxAmount
            && std::all_of(message.workspaces.begin(), message.workspaces.end(), isName)
+           && std::all_of(message.evacuatedZones.begin(), message.evacuatedZones.end(), isName)
            && std::all_of(message.leaders.begin(), message.leaders.end(), valid)
            && std::all_of(message.parts.begin(), message.parts.end(), valid);
 }
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -76,6 +76,10 @@
                   proxy::onManifest(engine_, std::move(next), net::currentBootTime());
                   perform();
               },
+               [this](const std::set<std::string> &zones, std::uint64_t version) {
+                   proxy::onEvacuations(engine_, zones, version, "store", net::currentBootTime());
+                   perform();
+               },
                [this](const std::vector<proxy::listed_member> &list) {
                    proxy::onMemberList(engine_, list, net::currentBootTime());
                    perform();
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -81,6 +81,7 @@
     appendText(line, "workspace", note.workspace);
     appendText(line, "service", note.service);
     appendText(line, "member", note.member);
+    appendText(line, "zone", note.zone);
     appendText(line, "reason", note.reason);
     if (note.position != core::log_position{})
         fmt::format_to(std::back_inserter(line), " position={}.{}", note.position.term,
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -3,12 +3,39 @@
 
 #include <fuchsiagw/daemon/session_gateway.hpp>
 
+#include <fuchsiagw/daemon/metrics_text.hpp>
+#include <fuchsiagw/net/clock.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
 
 namespace fuchsiagw::daemon {
 
+namespace {
+
+std::string evacuationMetrics(const proxy::evacuation_state &state, core::time_point now)
+{
+    if (state.zones.empty())
+        return {};
+    std::string text = "# TYPE fuchsiagw_evacuated_zone_statements_total counter\n";
+    for (const auto &[zone, each] : state.zones)
+        text += fmt::format("fuchsiagw_evacuated_zone_statements_total{{zone=\"{}\"}} {}\n",
+                            escapeLabel(zone), each.statements);
+    text += "# TYPE fuchsiagw_evacuated_zone_last_statement_seconds gauge\n";
+    for (const auto &[zone, each] : state.zones) {
+        if (each.statements == 0)
+            continue;
+        const std::chrono::duration<double> age = now - each.lastStatementAt;
+        text += fmt::format(
+                "fuchsiagw_evacuated_zone_last_statement_seconds{{zone=\"{}\"}} {:.3f}\n",
+                escapeLabel(zone), age.count());
+    }
+    return text;
+}
+
+} // namespace
+
 std::string session_gateway::summary() const
 {
     const proxy::engine_counters &counts = engine_.counters;
@@ -59,6 +86,11 @@
     const auto listed = std::count_if(engine_.members.begin(), engine_.members.end(),
                                       [](const auto &each) { return each.second.listed; });
     add("members", "gauge", listed);
+    const auto zoneRefusals =
+            counts.refused.at(static_cast<std::size_t>(proxy::refusal_reason::ZoneEvacuated));
+    add("zones_evacuated", "gauge", engine_.evacuation.zones.size());
+    add("zone_refusals_total", "counter", zoneRefusals);
+    text += evacuationMetrics(engine_.evacuation, net::currentBootTime());
     add("limit_part_millionths", "gauge", engine_.claim.granted);
     add("manifest_version", "gauge", engine_.config ? engine_.config->version : 0);
     text += "# TYPE fuchsiagw_refused_total counter\n";
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -142,6 +142,18 @@
     }
 }
 
+void store_client::applyEvacuationRows(const std::vector<adapter::store_row> &rows)
+{
+    for (const adapter::store_row &row : rows) {
+        const auto zone = adapter::evacuatedZoneOf(row);
+        if (zone && row.deleted)
+            evacuatedZones_.erase(*zone);
+        else if (zone)
+            evacuatedZones_.insert(*zone);
+    }
+    callbacks_.onEvacuations(evacuatedZones_, manifestFeedVersion_);
+}
+
 void store_client::reportUnusableNames(const proxy::manifest &manifest)
 {
     const std::size_t count = std::min(manifest.unusableNames.size(), maxReportedNames);
@@ -181,6 +193,8 @@
              }
              manifestFailures_ = 0;
              manifestFeedVersion_ = rows->version;
+             evacuatedZones_.clear();
+             applyEvacuationRows(rows->rows);
              applyManifestRows(rows->rows);
              followManifest();
          });
@@ -199,6 +213,7 @@
              if (rows) {
                  manifestFailures_ = 0;
                  manifestFeedVersion_ = std::max(manifestFeedVersion_, rows->version);
+                 applyEvacuationRows(rows->rows);
                  applyManifestRows(rows->rows);
                  followManifest();
                  return;
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -168,6 +168,14 @@
         endTransaction(state, caller, refusal_reason::Stopping, now);
 }
 
+/// Ends a transaction at a member that gets no statements any more, a commit included.
+void endEvacuatedTransaction(engine &state, session &caller, core::time_point now)
+{
+    if (caller.state == transaction_state::Open && !caller.transaction->lost
+        && isTransactionEvacuated(state, caller, now))
+        endTransaction(state, caller, refusal_reason::ZoneEvacuated, now);
+}
+
 /// @return whether a shutdown leaves no time for the operation that the statement starts
 bool startsTooLate(const engine &state, const session &caller, core::time_point now)
 {
@@ -199,6 +207,7 @@
     }
     const bool ends = kind == statement_kind::Commit;
     endDrainedTransaction(state, caller, ends, now);
+    endEvacuatedTransaction(state, caller, now);
     if (reportTransactionLoss(state, caller, now))
         return;
     if (kind == statement_kind::Malformed || (caller.state == transaction_state::Failed && !ends)) {
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -336,8 +336,10 @@
     ++pending.tries;
     pending.outstandingLinks.push_back(link.id);
     beginEvidence(state, link, caller, now);
-    if (member_state *member = findMember(state, link.member))
+    if (member_state *member = findMember(state, link.member)) {
         ++member->outstanding;
+        recordEvacuatedWork(state, *member, now);
+    }
     state.out.emplace_back(send_to_member{ link.id, std::move(batch) });
 }
 
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -71,10 +71,9 @@
 {
     promotion_state &attempt = service.promotion;
     attempt.nextProbeAt = now + pauseInterval;
-    const bool isPlanned = attempt.cause == promotion_cause::PrimaryDraining;
-    if (isPlanned && attempt.chosen.empty())
+    if (isPlanned(attempt.cause) && attempt.chosen.empty())
         attempt.chosen = chooseReceiver(state, service);
-    const std::string receiver = isPlanned ? attempt.chosen : std::string();
+    const std::string receiver = isPlanned(attempt.cause) ? attempt.chosen : std::string();
     if (!receiver.empty())
         sendControlCommand(state, receiver, command_kind::Status, 0, now);
     pauseOthers(state, service, receiver, now);
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t announcementPeers = 16;
 /// Answers to older requests are ignored, because their reports would be too old to be useful.
 constexpr std::chrono::seconds maxAnswerAge{ 5 };
+/// Bytes of evacuated zones in one datagram, so that they fit beside the reports.
+constexpr std::size_t maxEvacuationBytes = 200;
 /// Limit of leader reports in one datagram.
 constexpr std::size_t reportsPerMessage = 12;
 
@@ -176,6 +178,26 @@
     return message;
 }
 
+namespace {
+
+/// Adds the evacuated zones once a zone has been evacuated, so that a daemon that does not reach
+/// the store learns of the request and of its end.
+void addEvacuations(const engine &state, peer_message &message)
+{
+    if (!state.evacuation.wasUsed)
+        return;
+    std::size_t bytes = 0;
+    for (const auto &[zone, each] : state.evacuation.zones)
+        bytes += listedBytes(zone);
+    if (bytes > maxEvacuationBytes)
+        return;
+    message.evacuationVersion = state.evacuation.version;
+    for (const auto &[zone, each] : state.evacuation.zones)
+        message.evacuatedZones.push_back(zone);
+}
+
+} // namespace
+
 void exchangeWithPeers(engine &state, core::time_point now)
 {
     if (now < state.nextExchangeAt)
@@ -183,6 +205,7 @@
     state.nextExchangeAt = now + exchangeInterval;
     peer_message message = makeMessage(state, peer_message_kind::Exchange);
     message.askedAtUs = now.time_since_epoch().count();
+    addEvacuations(state, message);
     // Exchanges only pull: the answer contains the peer's reports, and this daemon's reports are
     // sent when other daemons ask for them.
     for (const std::string &peer : sampleExchangePeers(state))
@@ -210,11 +233,15 @@
     }
     if (state.config && message.manifestVersion > state.config->version)
         state.out.emplace_back(refresh_manifest{ message.manifestVersion });
+    if (message.evacuationVersion > state.evacuation.version)
+        onEvacuations(state, { message.evacuatedZones.begin(), message.evacuatedZones.end() },
+                      message.evacuationVersion, "peer", now);
     switch (message.kind) {
     case peer_message_kind::Exchange: {
         peer_message answer = makeMessage(state, peer_message_kind::ExchangeAnswer);
         answer.askedAtUs = message.askedAtUs;
         answer.leaders = reportsOf(state, now);
+        addEvacuations(state, answer);
         state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
         break;
     }
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -26,11 +26,20 @@
 /// A read is hedged after this multiple of the member's average time to an answer.
 constexpr double hedgeAnswerFactor = 4;
 constexpr milliseconds minHedgeDelay{ 80 };
+/// High enough that a member of a zone that fills up again is chosen only as last resort.
+constexpr double returningPenaltyUs = 1'000'000;
 /// Cost of a failed statement, which the proxy or the caller has to retry.
 constexpr double failurePenaltyUs = 400'000;
 /// Half-life of a member's failure rate without new failures, so that the member is tried again.
 constexpr double failureHalfLifeSeconds = 1.5;
 constexpr int maxTries = 12; // per statement
+/// A primary outside of the evacuated zone leads within about this time.
+constexpr milliseconds evacuationRetryDelay{ 400 };
+
+bool isAvailable(const member_state &member, core::time_point now)
+{
+    return member.listed && !member.entry.draining && member.avoidUntil <= now;
+}
 
 bool isExcluded(const request &pending, const std::string &member)
 {
@@ -87,9 +96,12 @@
         member_state &member = state.members.at(id);
         // A primary with a full queue is reserved for statements that only it can serve.
         const bool reservedPrimary = id == service.leader && member.busyUntil > now;
-        if (!acceptsNewWork(member, now) || isExcluded(*caller.current, id) || reservedPrimary)
+        if (!acceptsNewWork(state, member, now) || isExcluded(*caller.current, id)
+            || reservedPrimary)
             continue;
-        const double cost = costOf(state, member, service, caller, now);
+        double cost = costOf(state, member, service, caller, now);
+        if (!admitsReturningWork(state.evacuation, member.entry.zone, state.random, now))
+            cost += returningPenaltyUs;
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
@@ -101,7 +113,7 @@
 member_state *leaderOf(engine &state, const service_state &service, core::time_point now)
 {
     member_state *member = findMember(state, service.leader);
-    if (member == nullptr || !acceptsNewWork(*member, now))
+    if (member == nullptr || !acceptsWorkAsLeader(state, *member, now))
         return nullptr;
     return member;
 }
@@ -122,6 +134,23 @@
     return best;
 }
 
+/// @return whether members that could run the request get no work only because their zones are
+/// evacuated
+bool isEvacuationCause(const engine &state, const service_state &service, const request &pending,
+                       core::time_point now)
+{
+    if (state.evacuation.zones.empty())
+        return false;
+    const auto isHeldBack = [&](const std::string &id) {
+        const auto found = state.members.find(id);
+        return found != state.members.end() && isAvailable(found->second, now)
+               && isEvacuated(state.evacuation, found->second.entry.zone);
+    };
+    if (pending.where.needsPrimary)
+        return isHeldBack(service.leader);
+    return std::any_of(service.members.begin(), service.members.end(), isHeldBack);
+}
+
 core::duration queueTimeout(const request &pending, refusal_reason reason)
 {
     const core::duration objective = pending.effectiveRoute.latencyObjective;
@@ -151,9 +180,14 @@
 
 } // namespace
 
-bool acceptsNewWork(const member_state &member, core::time_point now)
+bool acceptsNewWork(const engine &state, const member_state &member, core::time_point now)
 {
-    return member.listed && !member.entry.draining && member.avoidUntil <= now;
+    return isAvailable(member, now) && !isEvacuated(state.evacuation, member.entry.zone);
+}
+
+bool acceptsWorkAsLeader(const engine &state, const member_state &member, core::time_point now)
+{
+    return isAvailable(member, now) && acceptsPrimaryWork(state.evacuation, member.entry.zone, now);
 }
 
 void decidePlacement(engine &state, const session &caller, request &pending)
@@ -225,6 +259,10 @@
         return;
     }
     member_state *member = chooseMember(state, *service, caller, now);
+    if (member == nullptr && isEvacuationCause(state, *service, pending, now)) {
+        refuseRequest(state, caller, refusal_reason::ZoneEvacuated, now, evacuationRetryDelay);
+        return;
+    }
     if (member == nullptr) {
         enqueueRequest(state, caller,
                        pending.where.needsPrimary ? refusal_reason::NoPrimary
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -43,8 +43,7 @@
     attempt.oldTerm = service.term;
     attempt.earliestStartAt = now;
     logPromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
-    const bool primaryServes =
-            cause == promotion_cause::PrimaryDraining || cause == promotion_cause::ReplicaPaused;
+    const bool primaryServes = isPlanned(cause) || cause == promotion_cause::ReplicaPaused;
     if (primaryServes || state.peers.empty()) {
         drawToken(state, service, now);
         return;
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -40,7 +40,7 @@
         return false;
     if (attempt.stepDownSent)
         return member != attempt.oldPrimary || !status.leads;
-    if (attempt.cause == promotion_cause::PrimaryDraining && member == attempt.chosen)
+    if (isPlanned(attempt.cause) && member == attempt.chosen)
         return true;
     return attempt.fenced.contains(member) && status.pausedTerm >= attempt.fenceTerm;
 }
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -74,6 +74,8 @@
         if (caller->transaction && !caller->transaction->lost) {
             if (isPastTransactionDrain(state, now))
                 endTransaction(state, *caller, refusal_reason::Stopping, now);
+            else if (isTransactionEvacuated(state, *caller, now))
+                endTransaction(state, *caller, refusal_reason::ZoneEvacuated, now);
             else if (caller->transaction->idleDeadline <= now)
                 endTransaction(state, *caller, refusal_reason::TransactionIdle, now);
         }
@@ -141,7 +143,9 @@
     const link_id pinnedLink = caller.transaction->link;
     caller.transaction->link = 0;
     caller.transaction->lost = true;
-    caller.transaction->lostReason = reason;
+    // Only these reasons promise that nothing of the transaction is kept.
+    const bool isPromise = rowOf(reason).code == reply_code::Aborted;
+    caller.transaction->lostReason = isPromise ? reason : refusal_reason::TransactionLost;
     caller.transaction->idleDeadline = core::noDeadline;
     noteRequest(state, note_kind::TransactionEnded, caller, {}, toString(reason));
     if (upstream_link *link = findLink(state, pinnedLink))
--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -93,13 +93,20 @@
 
 std::set<std::string> electableMembers(const engine &state, const service_state &service)
 {
-    std::set<std::string> result;
+    std::set<std::string> all;
+    std::set<std::string> outside;
     for (const std::string &id : service.members) {
         const member_state &member = state.members.at(id);
-        if (member.listed && !member.entry.draining && id != service.promotion.oldPrimary)
-            result.insert(id);
+        if (!member.listed || member.entry.draining || id == service.promotion.oldPrimary)
+            continue;
+        all.insert(id);
+        if (!isEvacuated(state.evacuation, member.entry.zone))
+            outside.insert(id);
     }
-    return result;
+    // A group without a primary gets one in an evacuated zone rather than none: its log may be the
+    // only one with all commits, and a planned replacement can follow.
+    const bool needsAny = outside.empty() || service.promotion.mayElectEvacuated;
+    return needsAny && service.promotion.cause != promotion_cause::ZoneEvacuated ? all : outside;
 }
 
 std::set<std::string> witnessesOf(const engine &state, const service_state &service,
@@ -137,6 +144,8 @@
         return promotion_cause::PrimarySilent;
     if (leader->entry.draining)
         return promotion_cause::PrimaryDraining;
+    if (isReplacementDue(state, service, now))
+        return promotion_cause::ZoneEvacuated;
     for (const auto &[id, since] : service.pausedSince) {
         const core::time_point due = since + pausedReplicaTimeout;
         // A replica that was promoted since receives nothing, as it leads.
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -93,12 +93,17 @@
         || (attempt.stepDownSent && !attempt.reports.contains(attempt.oldPrimary)))
         return;
     std::set<std::string> electable = electableMembers(state, service);
-    const bool isPlanned =
-            attempt.cause == promotion_cause::PrimaryDraining && !attempt.stepDownSent;
-    if (isPlanned && !attempt.chosen.empty())
+    const bool hasReceiver = isPlanned(attempt.cause) && !attempt.stepDownSent;
+    if (hasReceiver && !attempt.chosen.empty())
         std::erase_if(electable, [&](const auto &each) { return each != attempt.chosen; });
-    const promotion_choice choice =
-            chooseNewPrimary(attempt, electable, witnessesOf(state, service, now));
+    const std::set<std::string> witnesses = witnessesOf(state, service, now);
+    promotion_choice choice = chooseNewPrimary(attempt, electable, witnesses);
+    const bool isFinal = !isPlanned(attempt.cause) && !attempt.stepDownSent;
+    if (choice.waitsForCatchUp && isFinal && !state.evacuation.zones.empty()) {
+        // The replicas are paused and the primary is lost, so none of them will catch up.
+        attempt.mayElectEvacuated = true;
+        choice = chooseNewPrimary(attempt, electableMembers(state, service), witnesses);
+    }
     if (choice.member.empty() || choice.waitsForCatchUp)
         return;
     attempt.chosen = choice.member;
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -75,6 +75,7 @@
     std::size_t staleReads = 0;
     std::size_t outdatedOrders = 0;
     std::size_t refused = 0;
+    std::map<std::string, core::time_point> lastWorkAt; ///< newest statement, by member
     /// @}
 
     explicit leader_cluster(std::uint64_t seed, bool enginesAssumeFencing = false)
@@ -267,6 +268,7 @@
     {
         cluster_link &link = links.at({ daemon, id });
         group_member &member = members.at(link.member);
+        lastWorkAt[link.member] = now;
         reply result;
         result.digest = "digest";
         result.position = member.head();
--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -347,6 +347,22 @@
     CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("manifest_version") == 3; }));
 }
 
+// Guards against a request to evacuate a zone that is missed, or that stays in force
+// after its row was removed while the feed had lost its history.
+TEST(session_gateway, evacuationsInTheStoreAreFollowed)
+{
+    fixture.store.put("op", "evacuate/north", "{}");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("zones_evacuated") == 1; }));
+    fixture.store.put("op", "evacuate/south", "{}");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("zones_evacuated") == 2; }));
+    fixture.store.remove("op", "evacuate/north");
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("zones_evacuated") == 1; }));
+    fixture.store.remove("op", "evacuate/south");
+    fixture.store.dropHistory();
+    CHECK_TRUE(fixture.runUntil([&] { return fixture.metric("zones_evacuated") == 0; }));
+    STRCMP_CONTAINS("name=zone_restored zone=south reason=store", fixture.logLines().c_str());
+}
+
 // Guards against rows that are skipped, or a list that is never read to its end, where a page of
 // the store ends: behind a key that begins the next one, and behind one of the greatest length.
 TEST(session_gateway, pagesOfTheStoreAreReadWithoutGaps)
--- a/tests/unit-store-codec.cpp
+++ b/tests/unit-store-codec.cpp
@@ -86,6 +86,17 @@
 }
 
 // Guards against a manifest that can't be ordered against others because it has no valid version.
+TEST(store_codec, evacuatedZoneIsDecoded)
+{
+    store_row row;
+    row.key = "evacuate/north-1";
+    STRCMP_EQUAL("north-1", evacuatedZoneOf(row).value_or("").c_str());
+    for (const char *key : { "config", "evacuate", "evacuate/", "evacuated/north" }) {
+        row.key = key;
+        CHECK_FALSE(evacuatedZoneOf(row).has_value());
+    }
+}
+
 TEST(store_codec, manifestWithoutVersionIsRejected)
 {
     CHECK_FALSE(decodeManifest("{}").has_value());
