Order waiting statements by priority and deadline inside fair shares

Cause: the queue of the product knew workspaces and sessions, but no priority; a route's priority was used by no decision. Change: fair_queue serves open transactions first, then in rounds by priority and deadline inside each workspace's share, with a bound of 16 grants for each priority that waits; statements that can't run now keep their places.

--- a/include/fuchsiagw/core/early_refusal.hpp
+++ b/include/fuchsiagw/core/early_refusal.hpp
@@ -29,7 +29,8 @@
 /// @complexity linear in the queue's flows
 [[nodiscard]] duration expectedWait(const service_time_average &average, const fair_queue &queue,
                                     const workspace_id &workspace, std::uint32_t weight,
-                                    std::uint32_t connections, std::uint32_t idleConnections);
+                                    std::uint32_t connections, std::uint32_t idleConnections,
+                                    int priority = 0);
 
 /// @brief Tells whether the statement must be rejected with error_kind::DeadlineUnreachable,
 /// because its deadline has passed or the expected wait exceeds the remaining time.
--- a/include/fuchsiagw/core/fair_queue.hpp
+++ b/include/fuchsiagw/core/fair_queue.hpp
@@ -1,6 +1,12 @@
 /// @file
-/// @brief Bounded fair queue of the statements of a group: deficit round robin between workspaces,
-/// round robin between the sessions of a workspace.
+/// @brief Bounded queue of statements that wait for a connection: fair between workspaces, ordered
+/// by priority and deadline inside their shares.
+///
+/// Statements of open transactions are served first, because they hold locks at the upstream. The
+/// others are served in rounds. In each round a workspace has a share of `quantum` statements for
+/// each unit of its weight; among the workspaces that have some of their share left, the statement
+/// with the highest priority goes first, then the one with the earliest deadline. A priority that
+/// has been passed over often enough is served once, so that none is starved.
 
 #pragma once
 
@@ -26,6 +32,7 @@
     std::uint64_t session = 0; ///< identifies the session within its workspace
     bool inTransaction = false;
     time_point deadline = noDeadline;
+    int priority = 0; ///< 0 is the highest
 };
 
 /// The queued statements of one workspace.
@@ -35,7 +42,9 @@
     std::map<std::uint64_t, std::deque<queued_statement>> sessions;
     std::deque<std::uint64_t> sessionOrder; ///< round robin order of the sessions with statements
     std::uint32_t weight = 1;
-    std::uint32_t deficit = 0; ///< statements that may still be served in this round
+    std::uint32_t deficit = 0; ///< statements that may still be served in `round`
+    std::uint64_t round = 0; ///< fair_queue::round for which `deficit` was set
+    std::map<int, std::size_t> lengthByPriority; ///< of the statements in `sessions`
     std::size_t length = 0;
 };
 
@@ -61,8 +70,11 @@
 {
     std::size_t capacity = 1024; ///< maximum number of statements
     std::size_t length = 0;
+    std::uint32_t quantum = 1; ///< statements of a round for each unit of weight
+    std::uint64_t round = 1;
     std::map<workspace_id, workspace_flow> flows;
-    std::deque<workspace_id> rotation; ///< round robin order; the flow being served is the first
+    std::deque<workspace_id> rotation; ///< round robin order among statements of equal rank
+    std::map<int, std::uint32_t> passedOver; ///< grants to other priorities since the last own one
     std::set<flow_rank> ranks; ///< the longest flow relative to its weight is the last
 };
 
@@ -81,19 +93,28 @@
 /// the flows and in the sessions of the longest flow
 enqueue_result enqueue(fair_queue &queue, queued_statement statement, std::uint32_t weight);
 
+/// Decides whether a statement can be served now, for example because its workspace has a
+/// connection.
+using statement_filter = std::function<bool(const queued_statement &)>;
+
+/// Of this many consecutive grants, at least one goes to each priority that waits.
+inline constexpr std::uint32_t grantsPerPriority = 16;
+
 /// @brief Removes and returns the next statement to serve.
-/// @complexity logarithmic in the flows and in the workspace's sessions
-[[nodiscard]] std::optional<queued_statement> dequeue(fair_queue &queue);
+/// @param isEligible statements that it rejects are passed over and keep their places; none: all
+/// are eligible
+/// @complexity linear in the flows and their sessions
+[[nodiscard]] std::optional<queued_statement> dequeue(fair_queue &queue,
+                                                      const statement_filter &isEligible = {});
 
 /// @brief Removes and returns all statements for which @p isUnwanted returns true, for example
 /// because the caller has disconnected.
 /// @complexity linear in the queue
-std::vector<queued_statement>
-removeIf(fair_queue &queue, const std::function<bool(const queued_statement &)> &isUnwanted);
+std::vector<queued_statement> removeIf(fair_queue &queue, const statement_filter &isUnwanted);
 
 /// @brief Counts the statements that would be served before a new statement of @p workspace.
 /// @complexity linear in the flows
 [[nodiscard]] std::size_t statementsAhead(const fair_queue &queue, const workspace_id &workspace,
-                                          std::uint32_t weight);
+                                          std::uint32_t weight, int priority = 0);
 
 } // namespace fuchsiagw::core
--- a/src/core/early_refusal.cpp
+++ b/src/core/early_refusal.cpp
@@ -24,13 +24,14 @@
 
 duration expectedWait(const service_time_average &average, const fair_queue &queue,
                       const workspace_id &workspace, std::uint32_t weight,
-                      std::uint32_t connections, std::uint32_t idleConnections)
+                      std::uint32_t connections, std::uint32_t idleConnections, int priority)
 {
     if (average.samples == 0 || (idleConnections > 0 && queue.length == 0))
         return duration::zero();
     if (connections == 0)
         return duration::max();
-    const auto ahead = static_cast<std::int64_t>(statementsAhead(queue, workspace, weight));
+    const auto ahead =
+            static_cast<std::int64_t>(statementsAhead(queue, workspace, weight, priority));
     return duration((ahead + 1) * average.meanNanos / connections / 1000);
 }
 
@@ -42,7 +43,8 @@
         return false;
     if (now >= statement.deadline)
         return true;
-    return expectedWait(average, queue, statement.workspace, weight, connections, idleConnections)
+    return expectedWait(average, queue, statement.workspace, weight, connections, idleConnections,
+                        statement.priority)
            >= statement.deadline - now;
 }
 
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Deficit round robin over workspaces and round robin over the sessions of each.
+/// @brief Rounds over workspaces; priority, deadline and round robin over sessions inside a round.
 
 #include <fuchsiagw/core/fair_queue.hpp>
 
@@ -48,26 +48,151 @@
     std::erase(flow.sessionOrder, session);
 }
 
-queued_statement popNext(workspace_flow &flow)
+void countRemoved(workspace_flow &flow, int priority)
 {
-    queued_statement next;
-    if (!flow.transactions.empty()) {
-        next = std::move(flow.transactions.front());
-        flow.transactions.pop_front();
-        return next;
+    const auto entry = flow.lengthByPriority.find(priority);
+    if (--entry->second == 0)
+        flow.lengthByPriority.erase(entry);
+}
+
+bool goesBefore(const queued_statement &left, const queued_statement &right)
+{
+    if (left.priority != right.priority)
+        return left.priority < right.priority;
+    return left.deadline < right.deadline;
+}
+
+/// A statement that can be served next.
+struct candidate
+{
+    flow_map::iterator flow;
+    std::uint64_t session = 0;
+    const queued_statement *statement = nullptr;
+};
+
+/// Finds the best eligible statement of a flow, outside of open transactions; sessions that were
+/// served longest ago go first among equals.
+/// @param priority only statements of this priority count; none: all
+candidate findBest(flow_map::iterator entry, const statement_filter &isEligible,
+                   std::optional<int> priority)
+{
+    candidate best{ entry };
+    for (const std::uint64_t session : entry->second.sessionOrder) {
+        const queued_statement &head = entry->second.sessions.at(session).front();
+        if ((priority && head.priority != *priority) || (isEligible && !isEligible(head)))
+            continue;
+        if (best.statement == nullptr || goesBefore(head, *best.statement)) {
+            best.session = session;
+            best.statement = &head;
+        }
+    }
+    return best;
+}
+
+/// @param onlyWithinShare leaves out flows that have used their share of the round
+candidate findBest(fair_queue &queue, const statement_filter &isEligible,
+                   std::optional<int> priority, bool onlyWithinShare)
+{
+    candidate best{ queue.flows.end() };
+    for (const workspace_id &workspace : queue.rotation) {
+        const auto entry = queue.flows.find(workspace);
+        workspace_flow &flow = entry->second;
+        if (flow.round != queue.round) {
+            flow.round = queue.round;
+            flow.deficit = flow.weight * queue.quantum;
+        }
+        if (onlyWithinShare && flow.deficit == 0)
+            continue;
+        const candidate next = findBest(entry, isEligible, priority);
+        if (next.statement == nullptr)
+            continue;
+        if (best.statement == nullptr || goesBefore(*next.statement, *best.statement))
+            best = next;
     }
-    const std::uint64_t session = flow.sessionOrder.front();
-    flow.sessionOrder.pop_front();
+    return best;
+}
+
+/// Finds a priority that was passed over for a whole period, the lowest one first.
+std::optional<int> findStarved(const fair_queue &queue)
+{
+    for (auto each = queue.passedOver.rbegin(); each != queue.passedOver.rend(); ++each) {
+        if (each->second + 1 >= grantsPerPriority)
+            return each->first;
+    }
+    return std::nullopt;
+}
+
+/// Updates the counts of the priorities that wait after a grant to one of them.
+void countGrant(fair_queue &queue, int granted)
+{
+    std::map<int, std::uint32_t> waiting;
+    for (const auto &[workspace, flow] : queue.flows) {
+        for (const auto &[priority, length] : flow.lengthByPriority)
+            waiting[priority] = 0;
+    }
+    for (auto &[priority, count] : waiting) {
+        const auto known = queue.passedOver.find(priority);
+        if (priority != granted)
+            count = (known == queue.passedOver.end() ? 0 : known->second) + 1;
+    }
+    queue.passedOver = std::move(waiting);
+}
+
+/// Removes a statement from its session, which goes to the end of the session order.
+queued_statement popSession(workspace_flow &flow, std::uint64_t session)
+{
     const auto entry = flow.sessions.find(session);
-    next = std::move(entry->second.front());
+    queued_statement next = std::move(entry->second.front());
     entry->second.pop_front();
+    std::erase(flow.sessionOrder, session);
     if (entry->second.empty())
         flow.sessions.erase(entry);
     else
         flow.sessionOrder.push_back(session);
+    countRemoved(flow, next.priority);
     return next;
 }
 
+/// Removes the first eligible statement of an open transaction.
+std::optional<queued_statement> takeTransaction(fair_queue &queue,
+                                                const statement_filter &isEligible)
+{
+    for (const workspace_id &workspace : queue.rotation) {
+        const auto entry = queue.flows.find(workspace);
+        auto &statements = entry->second.transactions;
+        const auto found =
+                std::find_if(statements.begin(), statements.end(),
+                             [&](const auto &each) { return !isEligible || isEligible(each); });
+        if (found == statements.end())
+            continue;
+        queued_statement next = std::move(*found);
+        statements.erase(found);
+        changeLength(queue, entry, entry->second.length - 1);
+        dropIfEmpty(queue, entry);
+        return next;
+    }
+    return std::nullopt;
+}
+
+/// Chooses the next statement that starts an operation; starts a new round if no flow with an
+/// eligible statement has some of its share left.
+candidate chooseNext(fair_queue &queue, const statement_filter &isEligible)
+{
+    if (const auto starved = findStarved(queue)) {
+        const candidate next = findBest(queue, isEligible, starved, false);
+        if (next.statement != nullptr)
+            return next;
+    }
+    candidate next = findBest(queue, isEligible, std::nullopt, true);
+    if (next.statement != nullptr)
+        return next;
+    next = findBest(queue, isEligible, std::nullopt, false);
+    if (next.statement == nullptr)
+        return next;
+    ++queue.round;
+    return findBest(queue, isEligible, std::nullopt, true);
+}
+
 /// Removes the newest statement of the session with the most statements. Statements of open
 /// transactions are removed only if there are no others, because their transactions hold locks at
 /// the upstream.
@@ -86,6 +211,7 @@
     const std::uint64_t session = longest->first;
     newest = std::move(longest->second.back());
     longest->second.pop_back();
+    countRemoved(flow, newest.priority);
     dropSessionIfEmpty(flow, session);
     return newest;
 }
@@ -131,6 +257,7 @@
         auto &session = flow.sessions[statement.session];
         if (session.empty())
             flow.sessionOrder.push_back(statement.session);
+        ++flow.lengthByPriority[statement.priority];
         session.push_back(std::move(statement));
     }
     result.accepted = true;
@@ -138,30 +265,30 @@
     return result;
 }
 
-std::optional<queued_statement> dequeue(fair_queue &queue)
+std::optional<queued_statement> dequeue(fair_queue &queue, const statement_filter &isEligible)
 {
     if (queue.length == 0)
         return std::nullopt;
-    const auto entry = queue.flows.find(queue.rotation.front());
-    workspace_flow &flow = entry->second;
-    if (flow.deficit == 0)
-        flow.deficit = flow.weight;
-    --flow.deficit;
-    queued_statement next = popNext(flow);
-    changeLength(queue, entry, flow.length - 1);
-    if (flow.length == 0) {
-        queue.rotation.pop_front();
-        queue.flows.erase(entry);
-    } else if (flow.deficit == 0) {
-        queue.rotation.push_back(std::move(queue.rotation.front()));
-        queue.rotation.pop_front();
+    if (auto next = takeTransaction(queue, isEligible))
+        return next;
+    const candidate chosen = chooseNext(queue, isEligible);
+    if (chosen.statement == nullptr)
+        return std::nullopt;
+    workspace_flow &flow = chosen.flow->second;
+    queued_statement next = popSession(flow, chosen.session);
+    flow.deficit -= flow.deficit > 0 ? 1 : 0;
+    changeLength(queue, chosen.flow, flow.length - 1);
+    if (flow.length > 0 && flow.deficit == 0) {
+        std::erase(queue.rotation, chosen.flow->first);
+        queue.rotation.push_back(chosen.flow->first);
     }
+    dropIfEmpty(queue, chosen.flow);
+    countGrant(queue, next.priority);
     checkInvariant(queue);
     return next;
 }
 
-std::vector<queued_statement>
-removeIf(fair_queue &queue, const std::function<bool(const queued_statement &)> &isUnwanted)
+std::vector<queued_statement> removeIf(fair_queue &queue, const statement_filter &isUnwanted)
 {
     std::vector<queued_statement> removed;
     const auto extractUnwanted = [&](std::deque<queued_statement> &statements) {
@@ -178,7 +305,10 @@
         std::size_t length = extractUnwanted(flow.transactions);
         for (auto session = flow.sessions.begin(); session != flow.sessions.end();) {
             const std::uint64_t name = session->first;
+            const std::size_t before = removed.size();
             length += extractUnwanted((session++)->second);
+            for (std::size_t i = before; i < removed.size(); ++i)
+                countRemoved(flow, removed[i].priority);
             dropSessionIfEmpty(flow, name);
         }
         changeLength(queue, current, length);
@@ -189,16 +319,22 @@
 }
 
 std::size_t statementsAhead(const fair_queue &queue, const workspace_id &workspace,
-                            std::uint32_t weight)
+                            std::uint32_t weight, int priority)
 {
+    const auto lengthAhead = [priority](const workspace_flow &flow) {
+        std::size_t ahead = flow.transactions.size();
+        for (const auto &[each, length] : flow.lengthByPriority)
+            ahead += each <= priority ? length : 0;
+        return ahead;
+    };
     const auto own = queue.flows.find(workspace);
-    const std::size_t ownLength = own == queue.flows.end() ? 0 : own->second.length;
-    // In each round until the new statement is served, every other flow is served up to its weight.
-    const std::size_t rounds = ownLength / weight + 1;
+    const std::size_t ownLength = own == queue.flows.end() ? 0 : lengthAhead(own->second);
+    // In each round until the new statement is served, every other flow is served up to its share.
+    const std::size_t rounds = ownLength / (weight * queue.quantum) + 1;
     std::size_t ahead = ownLength;
     for (const auto &[name, flow] : queue.flows)
         if (name != workspace)
-            ahead += std::min(flow.length, rounds * flow.weight);
+            ahead += std::min(lengthAhead(flow), rounds * flow.weight * queue.quantum);
     return ahead;
 }
 
