Give scarce tokens of a workspace's rate to higher priorities first

Change: operations and daemons wait for tokens by priority (fair_queue, one of 16 grants to the oldest); while tokens are scarce a daemon asks only for those that wait at the highest priority, at once for each of them, and a home's own operations give way. The time to return after a refusal is spread at the daemon's part of the rate.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -230,6 +230,8 @@
 /// @brief Takes a rate-limit token for the operation, waits for one, or refuses the statement.
 /// @return whether the statement may proceed now
 bool admitOperation(engine &state, session &caller, core::time_point now);
+/// @brief Refuses an operation whose wait for a token is over.
+void refuseForRate(engine &state, session &caller, core::time_point now);
 /// @brief Continues a statement that waited for a rate-limit token.
 void resume(engine &state, session &caller, core::time_point now);
 /// @return the home of a workspace's quota: the daemon of the zone that collects the workspace's
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -69,12 +69,14 @@
     /// Version of the store as of which `evacuatedZones` is complete; 0: the message has no zones.
     std::uint64_t evacuationVersion = 0;
     std::vector<std::string> evacuatedZones;
+    std::int32_t priority = 0; ///< of the operations that a loan is for; copied to the answer
 
     template <typename archive>
     void serialize(archive &ar)
     {
         ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
-           betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones);
+           betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones,
+           priority);
     }
 };
 
--- a/include/fuchsiagw/proxy/quota.hpp
+++ b/include/fuchsiagw/proxy/quota.hpp
@@ -20,6 +20,8 @@
 
 #pragma once
 
+#include <fuchsiagw/core/fair_queue.hpp>
+#include <fuchsiagw/core/return_schedule.hpp>
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/core/token_bucket.hpp>
 #include <fuchsiagw/proxy/limit_part.hpp>
@@ -27,6 +29,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,6 +44,7 @@
     core::token_amount amount = 0;
     std::int64_t askedAtUs = 0; ///< by the clock of the requesting daemon
     core::time_point deadline{}; ///< the request is then answered without tokens
+    int priority = 0; ///< best one of the operations that wait at that daemon; 0 is the highest
 };
 
 /// @brief Rate limit of one workspace, as seen by this daemon.
@@ -78,8 +82,20 @@
     core::time_point loanRequestedAt = core::noDeadline; ///< oldest unanswered request to the home
     core::time_point nextRequestAt{}; ///< earliest time of the next loan request
     core::time_point homeEmptyUntil{}; ///< the home reported that it has no tokens
-    std::deque<std::uint64_t> waitingSessions; ///< sessions with an operation that needs a token
-    std::deque<waiting_loan_request> waitingLoanRequests; ///< waiting for tokens from other zones
+    int homeEmptyPriority = 0; ///< for requests of this priority and lower ones
+    /// While tokens are scarce, a request asks only for the operations that wait at its priority,
+    /// so that tokens do not go to lower priorities at one daemon while higher ones wait at
+    /// another.
+    core::time_point scarceUntil{};
+    int requestedPriority = 0; ///< of the latest request to the home
+    core::token_amount requestedFor = 0; ///< tokens that the latest request was to cover
+    int lowestPriority = 0; ///< of all routes
+    core::fair_queue waitingOperations; ///< handle and session: the session whose operation waits
+    std::deque<waiting_loan_request> waitingLoanRequests; ///< best priority first
+    int lowestGranted = 0; ///< lowest priority that got a token lately
+    core::time_point lowestGrantedAt{};
+    std::uint32_t loansPassedOver = 0; ///< grants since the oldest waiting request was served
+    core::return_schedule returns; ///< retries of refused operations
 };
 
 struct quota_table
@@ -140,10 +156,33 @@
 /// @return when refilling alone yields the next whole token; noDeadline if it never does
 [[nodiscard]] core::time_point nextTokenAt(const workspace_quota &quota);
 
+/// @return the best priority of the operations and of the daemons of the zone that wait for tokens;
+/// noPriority if none waits
+[[nodiscard]] int bestWaitingPriority(const workspace_quota &quota);
+inline constexpr int noPriority = std::numeric_limits<int>::max();
+
+/// @return whether tokens have lately been too few for all operations
+[[nodiscard]] bool isScarce(const workspace_quota &quota, core::time_point now);
+/// @brief Records that a token was given to an operation of this priority.
+void recordGrant(workspace_quota &quota, int priority, core::time_point now);
+/// @return the best of the priorities that a daemon need not ask for now, if a request of this
+/// priority found no token: the next lower one if tokens have lately reached a lower one
+[[nodiscard]] int refusedPriority(const workspace_quota &quota, int priority, core::time_point now);
+/// @brief Records that a request for tokens could not be served.
+void recordScarcity(workspace_quota &quota, core::time_point now);
+
+/// @brief Adds a request of another daemon; among equal priorities, the oldest one is served first.
+void addLoanRequest(workspace_quota &quota, waiting_loan_request request);
+/// @return the request to serve next; of sixteen grants, at least one goes to the oldest request
+/// @pre a request waits
+[[nodiscard]] std::deque<waiting_loan_request>::iterator nextLoanRequest(workspace_quota &quota);
+
 /// @brief Computes how many tokens to request from the home or from other zones.
+/// @param priority best one of the operations that wait for tokens; a request for a higher priority
+/// than that of the latest request is not too recent
 /// @return none if enough tokens are available or the last request is too recent
 [[nodiscard]] std::optional<core::token_amount> tokensToRequest(workspace_quota &quota,
-                                                                core::time_point now);
+                                                                int priority, core::time_point now);
 
 /// @brief Takes tokens that this home grants to a daemon of its zone.
 /// @return the granted amount; 0 if less than one token, or less than @p amount if that is smaller,
--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -37,20 +37,24 @@
 }
 
 void sendLoanRequest(engine &state, const std::string &peer, const std::string &workspace,
-                     core::token_amount amount, bool betweenHomes, core::time_point now)
+                     core::token_amount amount, int priority, bool betweenHomes,
+                     core::time_point now)
 {
     peer_message message =
             loanMessage(state, peer_message_kind::LoanRequest, workspace, amount, betweenHomes);
     message.askedAtUs = now.time_since_epoch().count();
+    message.priority = priority;
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
 void sendLoanGrant(engine &state, const std::string &peer, const std::string &workspace,
-                   core::token_amount amount, bool betweenHomes, std::int64_t askedAtUs)
+                   core::token_amount amount, int priority, bool betweenHomes,
+                   std::int64_t askedAtUs)
 {
     peer_message message =
             loanMessage(state, peer_message_kind::LoanGrant, workspace, amount, betweenHomes);
     message.askedAtUs = askedAtUs;
+    message.priority = priority;
     state.out.emplace_back(send_to_peer{ peer, std::move(message) });
 }
 
@@ -73,19 +77,19 @@
 }
 
 void requestFromOtherHomes(engine &state, workspace_quota &quota, const std::string &workspace,
-                           core::token_amount amount, core::time_point now)
+                           core::token_amount amount, int priority, core::time_point now)
 {
     std::vector<std::string> others = quota.otherHomes;
     for (std::size_t i = 0; i < others.size() && i < maxOtherHomesAsked; ++i) {
         std::swap(others[i], others[i + core::drawBelow(state.random, others.size() - i)]);
-        sendLoanRequest(state, others[i], workspace, amount, true, now);
+        sendLoanRequest(state, others[i], workspace, amount, priority, true, now);
     }
 }
 
 /// @brief Requests tokens from the home, or from other zones if this daemon is the home, if it
 /// holds fewer than it needs.
 void requestTokensIfNeeded(engine &state, workspace_quota &quota, const std::string &workspace,
-                           core::time_point now)
+                           int priority, core::time_point now)
 {
     if (quota.loanRequestedAt != core::noDeadline
         && now - quota.loanRequestedAt > homeReplyTimeout) {
@@ -95,17 +99,25 @@
         quota.loanRequestedAt = core::noDeadline;
     }
     const std::string home = homeOf(state, quota, now);
-    const auto amount = tokensToRequest(quota, now);
+    const auto amount = tokensToRequest(quota, priority, now);
     if (!amount)
         return;
     markPartsInUse(state, quota, now);
     if (home == state.settings.node) {
-        requestFromOtherHomes(state, quota, workspace, *amount, now);
+        requestFromOtherHomes(state, quota, workspace, *amount, priority, now);
         return;
     }
     if (quota.loanRequestedAt == core::noDeadline)
         quota.loanRequestedAt = now;
-    sendLoanRequest(state, home, workspace, *amount, false, now);
+    sendLoanRequest(state, home, workspace, *amount, priority, false, now);
+}
+
+/// @return the priority of a session's operations, 0 if queues serve by arrival
+int priorityOf(const engine &state, const session &who)
+{
+    return state.settings.priorityAdmission
+                   ? state.config->routes.find(who.database)->second.priority
+                   : 0;
 }
 
 core::duration timeUntilToken(const workspace_quota &quota, core::time_point now)
@@ -116,20 +128,62 @@
     return std::max<core::duration>(milliseconds(1), due - now);
 }
 
+/// @return when a refused operation may return: the retries at this daemon are spread at its part
+/// of the workspace's rate
+core::duration tokenRetryDelay(const engine &state, workspace_quota &quota, core::time_point now)
+{
+    if (!state.settings.priorityAdmission || quota.ratePerSecond <= 0)
+        return timeUntilToken(quota, now);
+    const std::chrono::duration<double> interval(state.instances / quota.ratePerSecond);
+    return core::scheduleReturn(quota.returns, std::chrono::duration_cast<core::duration>(interval),
+                                now + emptyHomeBackoff, now);
+}
+
+/// @return whether an operation must leave the tokens to a higher priority that waits
+bool givesWay(const workspace_quota &quota, int priority, core::time_point now)
+{
+    return isScarce(quota, now) && bestWaitingPriority(quota) < priority;
+}
+
+} // namespace
+
+namespace {
+
+/// Answers the requests whose time is over without tokens.
+void answerOverdueLoans(engine &state, workspace_quota &quota, const std::string &workspace,
+                        core::time_point now)
+{
+    std::erase_if(quota.waitingLoanRequests, [&](const waiting_loan_request &each) {
+        if (now < each.deadline)
+            return false;
+        sendLoanGrant(state, each.node, workspace, 0, refusedPriority(quota, each.priority, now),
+                      false, each.askedAtUs);
+        --state.waitingLoans;
+        return true;
+    });
+}
+
 } // namespace
 
 void serveWaitingLoans(engine &state, workspace_quota &quota, const std::string &workspace,
                        core::time_point now)
 {
     while (!quota.waitingLoanRequests.empty()) {
-        const waiting_loan_request &next = quota.waitingLoanRequests.front();
-        const core::token_amount given = takeForZonePeer(quota, next.amount, now);
-        if (given == 0 && now < next.deadline)
+        const auto next = nextLoanRequest(quota);
+        const core::token_amount given = takeForZonePeer(quota, next->amount, now);
+        if (given == 0) {
+            recordScarcity(quota, now);
+            answerOverdueLoans(state, quota, workspace, now);
             return;
-        if (given > 0)
-            logLoan(state, workspace, "to_own_zone", given);
-        sendLoanGrant(state, next.node, workspace, given, false, next.askedAtUs);
-        quota.waitingLoanRequests.pop_front();
+        }
+        logLoan(state, workspace, "to_own_zone", given);
+        recordGrant(quota, next->priority, now);
+        const bool isOldest =
+                std::all_of(quota.waitingLoanRequests.begin(), quota.waitingLoanRequests.end(),
+                            [&](const auto &each) { return each.deadline >= next->deadline; });
+        quota.loansPassedOver = isOldest ? 0 : quota.loansPassedOver + 1;
+        sendLoanGrant(state, next->node, workspace, given, next->priority, false, next->askedAtUs);
+        quota.waitingLoanRequests.erase(next);
         --state.waitingLoans;
     }
 }
@@ -146,36 +200,70 @@
         return true;
     }
     countDemand(*quota, 1, now);
-    requestTokensIfNeeded(state, *quota, who.workspace, now);
-    if (quota->waitingSessions.empty() && admit(*quota, now)) {
+    const int priority = priorityOf(state, who);
+    requestTokensIfNeeded(state, *quota, who.workspace,
+                          std::min(priority, bestWaitingPriority(*quota)), now);
+    const bool goesFirst = quota->waitingOperations.length == 0 && !givesWay(*quota, priority, now);
+    if (goesFirst && admit(*quota, now)) {
+        recordGrant(*quota, priority, now);
         what.admitted = true;
         return true;
     }
-    if (now < quota->homeEmptyUntil) {
-        refuseRequest(state, who, refusal_reason::RateExceeded, now, timeUntilToken(*quota, now));
+    if (now < quota->homeEmptyUntil && priority >= quota->homeEmptyPriority) {
+        refuseRequest(state, who, refusal_reason::RateExceeded, now,
+                      tokenRetryDelay(state, *quota, now));
         return false;
     }
     const auto routeEntry = state.config->routes.find(who.database);
     what.awaitsToken = true;
     what.waitUntil = now + routeEntry->second.latencyObjective / tokenWaitDivisor;
-    quota->waitingSessions.push_back(who.id);
+    core::queued_statement waiting;
+    waiting.handle = who.id;
+    waiting.session = who.id;
+    waiting.priority = priority;
+    static_cast<void>(core::enqueue(quota->waitingOperations, waiting, 1));
     return false;
 }
 
+void refuseForRate(engine &state, session &caller, core::time_point now)
+{
+    workspace_quota *quota = findLimitedQuota(state.quota, caller.workspace);
+    const core::duration retryAfter = quota != nullptr && state.settings.priorityAdmission
+                                              ? tokenRetryDelay(state, *quota, now)
+                                              : core::duration(milliseconds(100));
+    refuseRequest(state, caller, refusal_reason::RateExceeded, now, retryAfter);
+}
+
+namespace {
+
+/// @return whether a daemon of the zone waits with a higher priority than every operation here
+bool leavesTokensToLoans(const workspace_quota &quota, core::time_point now)
+{
+    const auto &flows = quota.waitingOperations.flows;
+    return isScarce(quota, now) && !quota.waitingLoanRequests.empty() && !flows.empty()
+           && quota.waitingLoanRequests.front().priority
+                      < flows.begin()->second.lengthByPriority.begin()->first;
+}
+
+} // namespace
+
 void admitWaitingOperations(engine &state, const std::string &workspace, core::time_point now)
 {
     workspace_quota *quota = findLimitedQuota(state.quota, workspace);
-    while (quota != nullptr && !quota->waitingSessions.empty()) {
-        session *who = findSession(state, quota->waitingSessions.front());
-        const bool isWaiting = who != nullptr && who->current && who->current->awaitsToken;
-        if (isWaiting && !admit(*quota, now))
-            return;
-        quota->waitingSessions.pop_front();
-        if (!isWaiting)
-            continue;
-        who->current->awaitsToken = false;
-        who->current->admitted = true;
-        resume(state, *who, now);
+    if (quota == nullptr || quota->waitingOperations.length == 0)
+        return;
+    static_cast<void>(core::removeIf(quota->waitingOperations, [&](const auto &each) {
+        const session *who = findSession(state, each.session);
+        return who == nullptr || !who->current || !who->current->awaitsToken;
+    }));
+    while (quota != nullptr && quota->waitingOperations.length > 0
+           && !leavesTokensToLoans(*quota, now) && admit(*quota, now)) {
+        const auto next = core::dequeue(quota->waitingOperations);
+        recordGrant(*quota, next->priority, now);
+        session &who = state.sessions.at(next->session);
+        who.current->awaitsToken = false;
+        who.current->admitted = true;
+        resume(state, who, now);
         quota = findLimitedQuota(state.quota, workspace);
     }
 }
@@ -183,9 +271,9 @@
 void stepQuotas(engine &state, core::time_point now)
 {
     for (auto &[name, quota] : state.quota.workspaces) {
-        if (quota.waitingSessions.empty() && quota.waitingLoanRequests.empty())
+        if (quota.waitingOperations.length == 0 && quota.waitingLoanRequests.empty())
             continue;
-        requestTokensIfNeeded(state, quota, name, now);
+        requestTokensIfNeeded(state, quota, name, bestWaitingPriority(quota), now);
         admitWaitingOperations(state, name, now);
         serveWaitingLoans(state, quota, name, now);
     }
@@ -230,18 +318,19 @@
         if (given == 0)
             return;
         logLoan(state, message.subject, "to_other_zone", given);
-        sendLoanGrant(state, message.from, message.subject, given, true, message.askedAtUs);
+        sendLoanGrant(state, message.from, message.subject, given, message.priority, true,
+                      message.askedAtUs);
         return;
     }
     countDemand(*quota, static_cast<double>(message.amount) / core::oneToken, now);
     // The request waits because the homes of other zones may have tokens to spare.
     if (quota->waitingLoanRequests.size() < maxWaitingLoans) {
-        quota->waitingLoanRequests.push_back(
-                { message.from, message.amount, message.askedAtUs, now + loanRequestTimeout });
+        addLoanRequest(*quota, { message.from, message.amount, message.askedAtUs,
+                                 now + loanRequestTimeout, message.priority });
         ++state.waitingLoans;
     }
     serveWaitingLoans(state, *quota, message.subject, now);
-    requestTokensIfNeeded(state, *quota, message.subject, now);
+    requestTokensIfNeeded(state, *quota, message.subject, bestWaitingPriority(*quota), now);
 }
 
 namespace {
@@ -273,8 +362,12 @@
         return;
     }
     quota->loanRequestedAt = core::noDeadline;
-    if (message.amount <= 0)
+    quota->requestedFor = 0;
+    if (message.amount <= 0) {
         quota->homeEmptyUntil = now + emptyHomeBackoff;
+        quota->homeEmptyPriority = message.priority;
+        recordScarcity(*quota, now);
+    }
     const core::time_point asked{ core::duration(message.askedAtUs) };
     if (now - asked <= grantMaxAge)
         addTokensWithOverflow(*quota, message.amount, now);
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -84,7 +84,7 @@
     request &pending = *caller->current;
     if (pending.awaitsToken) {
         if (pending.waitUntil <= now)
-            refuseRequest(state, *caller, refusal_reason::RateExceeded, now, milliseconds(100));
+            refuseForRate(state, *caller, now);
         return;
     }
     if (pending.deadline <= now) {
--- a/src/proxy/quota.cpp
+++ b/src/proxy/quota.cpp
@@ -32,6 +32,9 @@
 /// must stay below a tenth of what the limit allows in 5 s, the shortest window in which limits are
 /// checked.
 constexpr milliseconds returnInterval{ 200 };
+/// Tokens count as scarce for this long after a request that could not be served.
+constexpr milliseconds scarceDuration{ 300 };
+constexpr std::size_t maxWaitingOperations = 65'536; // of one workspace
 
 token_amount toTokenAmount(double operations)
 {
@@ -127,15 +130,20 @@
     std::set<std::string> zones;
     for (const quota_node &each : nodes)
         zones.insert(each.zone);
+    int lowestPriority = 0;
+    for (const auto &[database, each] : from.routes)
+        lowestPriority = std::max(lowestPriority, each.priority);
     std::map<std::string, workspace_quota, std::less<>> next;
     for (const workspace_entry &each : from.workspaces) {
         workspace_quota quota;
+        quota.waitingOperations.capacity = maxWaitingOperations;
         quota.ownPartUsableFrom = ownPartUsableFrom;
         const auto known = table.workspaces.find(each.name);
         if (known != table.workspaces.end())
             quota = known->second;
         advanceQuota(quota, now);
         quota.limited = each.ratePerSecond.has_value();
+        quota.lowestPriority = lowestPriority;
         quota.ratePerSecond = each.ratePerSecond.value_or(0);
         quota.burst = each.burst;
         quota.ownPart = ownPart;
@@ -249,9 +257,88 @@
     return availableAt(quota.bucket, std::max<token_amount>(0, oneToken - quota.overflowTokens));
 }
 
-std::optional<token_amount> tokensToRequest(workspace_quota &quota, core::time_point now)
+int bestWaitingPriority(const workspace_quota &quota)
 {
-    if (now < quota.nextRequestAt)
+    int best = noPriority;
+    for (const auto &[workspace, flow] : quota.waitingOperations.flows) {
+        if (!flow.lengthByPriority.empty())
+            best = std::min(best, flow.lengthByPriority.begin()->first);
+    }
+    if (!quota.waitingLoanRequests.empty())
+        best = std::min(best, quota.waitingLoanRequests.front().priority);
+    return best;
+}
+
+bool isScarce(const workspace_quota &quota, core::time_point now)
+{
+    return now < quota.scarceUntil;
+}
+
+void recordGrant(workspace_quota &quota, int priority, core::time_point now)
+{
+    if (priority < quota.lowestGranted && now < quota.lowestGrantedAt + scarceDuration)
+        return;
+    quota.lowestGranted = priority;
+    quota.lowestGrantedAt = now;
+}
+
+int refusedPriority(const workspace_quota &quota, int priority, core::time_point now)
+{
+    const bool reachesLower =
+            quota.lowestGranted > priority && now < quota.lowestGrantedAt + scarceDuration;
+    return reachesLower ? priority + 1 : priority;
+}
+
+void recordScarcity(workspace_quota &quota, core::time_point now)
+{
+    quota.scarceUntil = now + scarceDuration;
+}
+
+void addLoanRequest(workspace_quota &quota, waiting_loan_request request)
+{
+    auto &waiting = quota.waitingLoanRequests;
+    const auto place = std::find_if(waiting.begin(), waiting.end(), [&](const auto &each) {
+        return each.priority > request.priority;
+    });
+    waiting.insert(place, std::move(request));
+}
+
+std::deque<waiting_loan_request>::iterator nextLoanRequest(workspace_quota &quota)
+{
+    auto &waiting = quota.waitingLoanRequests;
+    const auto oldest = std::min_element(
+            waiting.begin(), waiting.end(),
+            [](const auto &left, const auto &right) { return left.deadline < right.deadline; });
+    const bool isOldestDue = quota.loansPassedOver + 1 >= core::grantsPerPriority;
+    return isOldestDue ? oldest : waiting.begin();
+}
+
+namespace {
+
+/// @return the number of operations and daemons that wait at a priority or a higher one
+token_amount countWaiting(const workspace_quota &quota, int priority)
+{
+    std::size_t count = 0;
+    for (const auto &[workspace, flow] : quota.waitingOperations.flows) {
+        for (const auto &[each, length] : flow.lengthByPriority)
+            count += each <= priority ? length : 0;
+    }
+    for (const waiting_loan_request &each : quota.waitingLoanRequests)
+        count += each.priority <= priority ? 1 : 0;
+    return static_cast<token_amount>(count);
+}
+
+} // namespace
+
+std::optional<token_amount> tokensToRequest(workspace_quota &quota, int priority,
+                                            core::time_point now)
+{
+    const token_amount uncovered = countWaiting(quota, priority) * oneToken;
+    // Each operation of a higher priority may ask at once while tokens are scarce: it would wait in
+    // vain for a request that covered only those before it.
+    const bool isUncovered = isScarce(quota, now) && priority < quota.lowestPriority
+                             && uncovered > quota.requestedFor;
+    if (now < quota.nextRequestAt && priority >= quota.requestedPriority && !isUncovered)
         return std::nullopt;
     advanceQuota(quota, now);
     const token_amount reserve = reserveOf(quota);
@@ -259,8 +346,11 @@
     if (level >= std::max(reserve, oneToken))
         return std::nullopt;
     quota.nextRequestAt = now + minRequestInterval;
-    const auto waiting = static_cast<token_amount>(quota.waitingSessions.size()
-                                                   + quota.waitingLoanRequests.size());
+    quota.requestedPriority = priority;
+    quota.requestedFor = uncovered;
+    if (isScarce(quota, now) && priority != noPriority)
+        return std::max({ minLoan, uncovered - level, oneToken - level });
+    const token_amount waiting = countWaiting(quota, noPriority);
     const token_amount room = std::max(quota.bucket.capacity, overflowCapacity(quota));
     const token_amount requested = std::min(std::max(2 * reserve, oneToken), room);
     return std::max(minLoan, std::max({ requested, oneToken, waiting * oneToken }) - level);
@@ -281,7 +371,7 @@
 token_amount takeForOtherZone(workspace_quota &quota, token_amount amount, core::time_point now)
 {
     advanceQuota(quota, now);
-    if (!quota.waitingSessions.empty() || !quota.waitingLoanRequests.empty())
+    if (quota.waitingOperations.length > 0 || !quota.waitingLoanRequests.empty())
         return 0;
     const token_amount reserve = reserveOf(quota) / oneToken * oneToken;
     const token_amount spare = quota.bucket.level - reserve;
--- a/tests/quota-cluster.hpp
+++ b/tests/quota-cluster.hpp
@@ -86,6 +86,10 @@
     double offeredPerSecond = 600; ///< operations requested from all daemons together
     std::vector<core::time_point> admitted;
     std::uint64_t submitted = 0;
+    double urgentShare = 0; ///< of the operations, on a route of priority 0; the others have 2
+    std::size_t urgentSubmitted = 0;
+    std::size_t urgentAdmitted = 0;
+    bool priorityAdmission = false; ///< of daemons that start
     session_id lastSession = 0;
 
     explicit quota_cluster(std::uint64_t seed, int zones = 3, int daemonsPerZone = 3)
@@ -116,6 +120,10 @@
         routeEntry.statementTimeout = milliseconds(800);
         routeEntry.latencyObjective = milliseconds(200);
         routeEntry.maxStaleness = milliseconds(1'500);
+        routeEntry.priority = 2;
+        next.routes.emplace(routeEntry.database, routeEntry);
+        routeEntry.database = "urgent";
+        routeEntry.priority = 0;
         next.routes.emplace(routeEntry.database, routeEntry);
         service_entry service;
         service.name = "books";
@@ -147,6 +155,7 @@
         state.settings.zone = daemon.zone;
         state.settings.maxSessions = 100'000;
         state.settings.gracePeriod = std::chrono::seconds(6);
+        state.settings.priorityAdmission = priorityAdmission;
         state.random.seed(random());
         state.incarnation = random();
         daemon.ownVersion = 0;
@@ -205,8 +214,10 @@
             success.position = { 1, 1 };
             if (each.kind == command_kind::Begin || each.kind == command_kind::BeginReadOnly)
                 success.state = transaction_state::Open;
-            if (each.kind == command_kind::Forward)
+            if (each.kind == command_kind::Forward) {
                 admitted.push_back(now);
+                urgentAdmitted += each.text == "WRITE a urgent" ? 1 : 0;
+            }
             onMemberAnswer(state, order.link, std::move(success), now);
         }
     }
@@ -298,14 +309,16 @@
         ++submitted;
         engine &state = *daemon.state;
         const session_id id = ++lastSession;
-        if (!onSessionOpened(state, id, "own", "key", now)) {
+        const bool isUrgent = urgentShare > 0 && withProbability(urgentShare);
+        urgentSubmitted += isUrgent ? 1 : 0;
+        if (!onSessionOpened(state, id, isUrgent ? "urgent" : "own", "key", now)) {
             onCallerDisconnected(state, id, now);
             return;
         }
         caller_statement statement;
         statement.id = "s" + std::to_string(id);
         statement.kind = statement_kind::Write;
-        statement.text = "WRITE a x";
+        statement.text = isUrgent ? "WRITE a urgent" : "WRITE a x";
         statement.name = "a";
         statement.argument = "x";
         onCallerStatement(state, id, std::move(statement), now);
--- a/tests/unit-quota-cluster.cpp
+++ b/tests/unit-quota-cluster.cpp
@@ -203,3 +203,33 @@
     const auto admitted = static_cast<double>(cluster.admittedBetween(from, cluster.now));
     CHECK_TRUE(admitted >= 0.97 * 10 * quota_cluster::ratePerSecond);
 }
+
+// Load: a workspace sends three and a half times its rate, a seventh of it on the route of the
+// highest priority. Guards against tokens that go to whoever asks first, so that six of seven
+// urgent operations are refused; and against a limit that is exceeded, or left unused, because of
+// it.
+TEST(quota_cluster, urgentOperationsGetTheTokensOfAFloodingWorkspace)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        quota_cluster cluster(seed);
+        cluster.priorityAdmission = true;
+        cluster.urgentShare = 0.14;
+        cluster.advance(warmUp);
+        cluster.offeredPerSecond = 3.5 * quota_cluster::ratePerSecond;
+        cluster.advance(milliseconds(4'000));
+        cluster.urgentSubmitted = 0;
+        cluster.urgentAdmitted = 0;
+        const core::time_point from = cluster.now;
+        cluster.advance(milliseconds(6'000));
+        const double share = static_cast<double>(cluster.urgentAdmitted)
+                             / static_cast<double>(cluster.urgentSubmitted);
+        const double used = static_cast<double>(cluster.admittedBetween(from, cluster.now))
+                            / (6 * quota_cluster::ratePerSecond);
+        const std::string text = StringFromFormat("seed %d: %f of the urgent ones, %f of the rate",
+                                                  static_cast<int>(seed), share, used)
+                                         .asCharString();
+        CHECK_TEXT(share >= 0.9, text.c_str());
+        CHECK_TEXT(used >= 0.9, text.c_str());
+        checkLimit(cluster, seed);
+    }
+}
