Decide at the relay who goes first, how much a member gets, and who is refused

Cause: the relay lent up to 59 connections to a member with 4 slots in order of arrival, so operations waited inside the member, where nothing can be ordered; each daemon guessed a member's load from an answer in two seconds; relays and homes were chosen by hash alone, also on instances with an eighth of a core. Change: borrowers name priority, wait and whether only this member can run the operation (BORROW); the relay lends by the common queue, up to the member's learnt limit, keeps the last slot for exclusive operations, and refuses with a time to return what could not start. It tells all daemons of full and slow members. Relays and homes are ranked by weighted rendezvous hashing with the processor share. Result: four new tests of the pool in virtual time, each named after its load; the pool's earlier tests pass.

--- a/include/fuchsiagw/core/rendezvous.hpp
+++ b/include/fuchsiagw/core/rendezvous.hpp
@@ -17,6 +17,13 @@
 /// @complexity linear in the length of @p text
 [[nodiscard]] std::uint64_t stableHash(std::string_view text);
 
+/// @brief Computes the rank of a candidate in weighted rendezvous hashing: candidates win keys in
+/// proportion to their weights, and equal weights rank as their hashes do.
+/// @param hash stableHash() of the candidate and the key
+/// @param weight greater than 0
+/// @return score; the highest one wins
+[[nodiscard]] double weightedScore(std::uint64_t hash, double weight);
+
 /// @brief Ranks instances for a key. If an instance is removed, the order of the others stays.
 /// @param key key to assign, see ownerKey()
 /// @param instances instances in any order; duplicates count once
--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -12,10 +12,15 @@
 #include <fuchsiagw/daemon/session_log.hpp>
 #include <fuchsiagw/net/endpoint.hpp>
 #include <fuchsiagw/net/line_connection.hpp>
+#include <fuchsiagw/proxy/concurrency_limit.hpp>
+#include <fuchsiagw/proxy/decision_note.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
+#include <fuchsiagw/proxy/member_load.hpp>
 #include <fuchsiagw/proxy/relay_pool.hpp>
 #include <fuchsiagw/proxy/reply_pairing.hpp>
 
+#include <platform/wire_codec.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,6 +40,16 @@
     std::uint64_t lent = 0;
     std::uint64_t opened = 0;
     std::uint64_t refused = 0;
+    std::uint64_t refusedEarly = 0; ///< their operations could not have started in time
+};
+
+/// What a relay knows of the load of one of its members.
+struct relayed_member
+{
+    proxy::concurrency_limit limit;
+    proxy::load_announcement announcement;
+    std::uint64_t refusedEarly = 0; ///< of the pool, when it was last looked at
+    bool isRefusing = false; ///< operations were refused early since the last look
 };
 
 /// Not thread-safe; runs on the thread of its I/O context. Reads members and limits from the engine
@@ -45,12 +60,17 @@
     /// Called with the member whose reply was dropped, or made its connection unusable.
     using reply_fault_handler = std::function<void(const std::string &, proxy::reply_fault)>;
 
+    using note_handler = std::function<void(const proxy::decision_note &)>;
+    using load_handler = std::function<void(const std::string &member, const proxy::member_load &)>;
+
     relay_server(boost::asio::io_context &context, proxy::engine &engine,
                  reply_fault_handler onReplyFault);
     ~relay_server();
     relay_server(const relay_server &) = delete;
     relay_server &operator=(const relay_server &) = delete;
 
+    /// @brief Sets the handlers of decisions to log, and of loads that the other daemons must know.
+    void setLoadHandlers(note_handler onNote, load_handler onLoad);
     [[nodiscard]] std::error_code start(const net::endpoint &local);
     /// @brief Refuses new borrowers and closes idle connections; a second call has no effect.
     /// @param lendUntil from then on, a lent connection is closed as soon as no reply is pending
@@ -58,6 +78,8 @@
     /// @return whether any borrower is connected
     [[nodiscard]] bool isBusy() const { return !borrowers_.empty(); }
     [[nodiscard]] const relay_counters &counters() const { return counters_; }
+    /// @return metrics of the members whose relay this is
+    [[nodiscard]] std::string metricsText() const;
 
 private:
     struct borrower;
@@ -70,8 +92,7 @@
     void onMemberReply(proxy::pooled_id id, const proxy::reply &received, std::string_view text);
     void onOpened(proxy::pooled_id id, bool isAccepted);
     void onMemberDisconnected(proxy::pooled_id id);
-    void requestConnection(proxy::borrower_id id, const std::string &memberId,
-                           const std::string &workspace);
+    void requestConnection(proxy::borrower_id id, const adapter::member_startup &opening);
     void open(const std::string &memberId, const std::string &workspace);
     void lend(proxy::borrower_id borrowerId, proxy::pooled_id pooledId);
     void resetConnection(proxy::pooled_id id);
@@ -79,7 +100,16 @@
     void closePooled(proxy::pooled_id id, bool isGraceful);
     /// @param code ConnectionLimit: no connection is free; Misrouted: the startup command is
     /// invalid, the member or its service is unknown, or the relay is stopping
-    void refuse(proxy::borrower_id id, proxy::reply_code code);
+    void refuse(proxy::borrower_id id, proxy::reply_code code, core::duration retryAfter = {});
+    /// @brief Sends commands on a pooled connection and records them for the member's limit.
+    void sendCommands(proxy::pooled_id id, std::string &&text,
+                      const std::vector<proxy::reply_shape> &shapes);
+    void recordReply(proxy::pooled_id id, const proxy::reply &received);
+    [[nodiscard]] bool limitsMembers() const { return engine_.settings.memberLimits; }
+    void logLimit(const std::string &member, const proxy::concurrency_limit &limit, double before,
+                  proxy::limit_cause cause) const;
+    /// @brief Announces changes of the members' loads, and logs when refusals start and end.
+    void checkLoads(core::time_point now);
     void advance(std::string_view member);
     void closeIdle(const std::string &memberId);
     /// @return whether the use of a lent connection ends now, between two statements, so that none
@@ -101,6 +131,10 @@
     std::map<proxy::borrower_id, std::unique_ptr<borrower>> borrowers_;
     std::map<proxy::pooled_id, std::unique_ptr<pooled>> pooled_;
     std::map<std::string, proxy::relay_pool> pools_; ///< by member
+    std::map<std::string, relayed_member> members_; ///< by member; only with limits on members
+    note_handler onNote_;
+    load_handler onLoad_;
+    core::time_point nextLoadCheckAt_{};
 };
 
 } // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -104,6 +104,9 @@
 void placeRequest(engine &state, session &caller, core::time_point now);
 /// @brief Tries to place the queued requests of a service.
 void serveQueue(engine &state, service_state &service, core::time_point now);
+/// @return whether a member that has not been tried yet may get the current request, a read
+[[nodiscard]] bool hasUntriedMember(const engine &state, const session &caller,
+                                    core::time_point now);
 /// @brief Decides where the first statement of an operation must run.
 void decidePlacement(engine &state, const session &caller, request &pending);
 
@@ -114,13 +117,17 @@
                            link_id &opening, core::time_point now);
 /// @brief Opens a link to a member.
 /// @param direct connects to the member itself instead of its relay
+/// @param caller session whose current request the link is opened for; none: a command of the proxy
 link_id openLink(engine &state, member_state &member, const std::string &workspace, bool direct,
-                 core::time_point now);
+                 core::time_point now, const session *caller = nullptr);
 /// @return the relay of a member, which is the daemon that pools the member's connections for all
 /// daemons; may be this daemon
 /// @param skipped number of usable relays to pass over
 [[nodiscard]] std::string relayNodeFor(const engine &state, member_state &member,
                                        core::time_point now, std::size_t skipped = 0);
+/// @brief Records the load of a member as its relay has told it.
+void applyLoad(engine &state, const std::string &member, const member_load &load,
+               core::time_point now);
 /// @brief Sends the current request on a link, together with its preparation.
 void sendRequest(engine &state, upstream_link &link, session &caller, core::time_point now);
 /// @brief Sends the first statement of a transaction after the member has confirmed its begin.
--- a/include/fuchsiagw/detail/session_connections.hpp
+++ b/include/fuchsiagw/detail/session_connections.hpp
@@ -23,6 +23,7 @@
 struct session_gateway::upstream_connection
 {
     std::shared_ptr<member_connection> connection;
+    bool isRelayed = false; ///< its connection leads to the relay of another daemon, or the own one
 };
 
 } // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -48,6 +48,7 @@
     /// getting work.
     core::duration evacuationLimit{ std::chrono::seconds(5) };
     bool priorityAdmission = false; ///< queues serve by priority, deadline and fair share
+    double capacity = 0; ///< processor cores of this instance; 0: unknown
     bool memberLimits = false; ///< the number of operations at a member is limited adaptively
 };
 
@@ -69,6 +70,7 @@
     /// @{
     std::uint64_t incarnation = 0; ///< incarnation of the process that wrote the row
     limit_part claimed = 0; ///< claimed part of every limit
+    double capacity = 0; ///< processor cores of its instance; 0: unknown
     /// @}
 };
 
@@ -200,6 +202,10 @@
 void onPromoteAnswer(engine &state, const std::string &service, promote_outcome outcome,
                      core::time_point now);
 
+/// @brief Tells the other daemons the load of a member whose relay this daemon is.
+void announceLoad(engine &state, const std::string &member, const member_load &load,
+                  core::time_point now);
+
 /// @brief Starts the graceful shutdown.
 void onStop(engine &state, core::time_point now);
 
--- a/include/fuchsiagw/proxy/member_state.hpp
+++ b/include/fuchsiagw/proxy/member_state.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/member_load.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_entry.hpp>
 
@@ -46,6 +47,8 @@
     core::time_point nextProbeAt{}; ///< next probe while it is unresponsive
     core::time_point lastAnswerAt{}; ///< when its latest answer arrived
     int consecutiveFailures = 0; ///< failed attempts to connect since its last answer
+    member_load load; ///< as its relay has told
+    core::time_point loadUntil{}; ///< `load` counts until then
     double failureRate = 0; ///< moving average of the share of its statements that failed
     core::time_point lastFailureAt{}; ///< latest failure of a statement
     /// @name Questions for other daemons, if this daemon is the member's relay
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -6,6 +6,7 @@
 #include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/proxy/limit_part.hpp>
+#include <fuchsiagw/proxy/member_load.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -30,6 +31,7 @@
     PartRecallAnswer,
     EvidenceRequest, ///< asks the relay of a replica for the replica's status
     EvidenceAnswer, ///< the replica's position and term, as the only leader report
+    MemberLoad, ///< load of a member whose relay the sender is
 };
 
 /// What one daemon knows of a service's primary.
@@ -69,6 +71,7 @@
     /// Version of the store as of which `evacuatedZones` is complete; 0: the message has no zones.
     std::uint64_t evacuationVersion = 0;
     std::vector<std::string> evacuatedZones;
+    member_load load; ///< of `member`
     std::int32_t priority = 0; ///< of the operations that a loan is for; copied to the answer
 
     template <typename archive>
@@ -76,7 +79,7 @@
     {
         ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
            betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones,
-           priority);
+           load, priority);
     }
 };
 
--- a/include/fuchsiagw/proxy/quota.hpp
+++ b/include/fuchsiagw/proxy/quota.hpp
@@ -108,6 +108,7 @@
 {
     std::string node;
     std::string zone;
+    double capacity = 0; ///< processor cores of its instance; 0: unknown
 };
 
 /// @brief Updates all quotas to a manifest, the list of daemons and this daemon's part of each
--- a/include/fuchsiagw/proxy/reply.hpp
+++ b/include/fuchsiagw/proxy/reply.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/time.hpp>
 
 #include <array>
 #include <cstdint>
@@ -77,6 +78,9 @@
     transaction_state state = transaction_state::Idle;
     std::optional<core::log_position> position;
     std::optional<member_status> status; ///< only in answers to commands of the proxy itself
+    core::duration retryAfter{
+        0
+    }; ///< of a relay's refusal: when another try may succeed; 0: unknown
     bool endsConnection = false; ///< no further command can be sent on its connection
 };
 
--- a/include/fuchsiagw/proxy/upstream_command.hpp
+++ b/include/fuchsiagw/proxy/upstream_command.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <fuchsiagw/core/log_position.hpp>
+#include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/proxy/caller_statement.hpp>
 
 #include <cstdint>
@@ -27,6 +28,14 @@
     StepDown, ///< uses `term`
 };
 
+/// What a relay needs to know of the operation for which a connection is borrowed.
+struct borrow_terms
+{
+    int priority = 0; ///< of the route; 0 is the highest
+    core::duration wait{ 0 }; ///< time in which the operation may still start
+    bool isExclusive = false; ///< only this member can run it
+};
+
 struct upstream_command
 {
     command_kind kind = command_kind::Forward;
@@ -38,6 +47,7 @@
     bool executes = false; ///< Forward: replaces the caller's prepared name by `name`
     std::optional<core::log_position> after; ///< member refuses if its log lacks it
     core::term_number term = 0;
+    std::optional<borrow_terms> borrow; ///< for Startup; sent to a relay only
 };
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -69,6 +69,7 @@
     bool awaitsBegin = false; ///< its transaction's first statement counts as outstanding, unsent
     bool beginFailed = false; ///< the begin in the current batch was refused
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
+    core::duration retryAfter{ 0 }; ///< from a relay that refused; 0: unknown
     bool refused = false; ///< Startup and the commands sent after it were refused
     bool tainted = false; ///< the connection can't be reused
     /// The member has answered a statement with an error, which may come a second time: no further
--- a/include/fuchsiagw/wire/instance_row.hpp
+++ b/include/fuchsiagw/wire/instance_row.hpp
@@ -19,6 +19,7 @@
     std::string zone;
     std::uint64_t incarnation = 0; ///< of the process that wrote the row
     std::int64_t part = 0; ///< the instance's fraction of every limit, in millionths
+    double capacity = 0; ///< processor cores of the instance; 0: unknown
 };
 
 [[nodiscard]] std::string toJson(const instance_row &row);
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/core/rendezvous.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fuchsiagw::core {
@@ -28,6 +29,14 @@
     return hash ^ (hash >> 31);
 }
 
+double weightedScore(std::uint64_t hash, double weight)
+{
+    constexpr unsigned mantissaBits = 53;
+    const double unit = (static_cast<double>(hash >> (64U - mantissaBits)) + 0.5)
+                        / static_cast<double>(std::uint64_t{ 1 } << mantissaBits);
+    return -weight / std::log(unit);
+}
+
 std::vector<instance_id> rankInstances(std::string_view key,
                                        const std::vector<instance_id> &instances)
 {
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -3,8 +3,8 @@
 
 #include <fuchsiagw/daemon/relay_server.hpp>
 
-#include <fuchsiagw/daemon/member_connection.hpp>
 #include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/detail/relay_connections.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
 #include <platform/wire_codec.hpp>
@@ -22,7 +22,13 @@
 /// Part of a member's connection limit that its relay uses. The remainder is reserved for the
 /// daemons' control commands and for daemons that can't reach the relay.
 constexpr double relayConnectionShare = 0.85;
-constexpr std::chrono::milliseconds maxBorrowerWait{ 150 };
+/// Wait of borrowers that send no terms.
+constexpr std::chrono::milliseconds defaultBorrowerWait{ 150 };
+constexpr int defaultPriority = 1'000; // of borrowers that send no terms
+/// Statements of a workspace in each round of the queue: enough for priorities to count in it.
+constexpr std::uint32_t queueQuantum = 4;
+/// If a timer is later than this, the process was slow and its measurements show that.
+constexpr std::chrono::milliseconds maxTimerDelay{ 20 };
 constexpr std::chrono::milliseconds tickInterval{ 20 }; // while a borrower waits
 constexpr std::chrono::milliseconds idleTickInterval{ 250 };
 constexpr std::chrono::milliseconds openTimeout{ 1'000 };
@@ -33,28 +39,6 @@
 
 } // namespace
 
-struct relay_server::borrower
-{
-    std::shared_ptr<net::line_connection> connection;
-    std::string member;
-    proxy::pooled_id pooled = 0; ///< assigned member connection; 0: none
-    /// @name Commands received before a connection was assigned
-    /// @{
-    std::string bufferedLines;
-    std::vector<proxy::reply_shape> bufferedShapes; ///< one for each line
-    /// @}
-};
-
-struct relay_server::pooled
-{
-    std::shared_ptr<member_connection> connection;
-    std::string member;
-    proxy::borrower_id lentTo = 0; ///< borrower that uses the connection; 0: none
-    bool isOpen = false;
-    bool isInTransaction = false; ///< as of the last complete reply
-    bool isReusable = true; ///< the last borrower returned the connection in order
-};
-
 relay_server::relay_server(boost::asio::io_context &context, proxy::engine &engine,
                            reply_fault_handler onReplyFault)
     : context_(context)
@@ -117,7 +101,7 @@
             refuse(id, proxy::reply_code::Misrouted);
             return;
         }
-        requestConnection(id, opening->member, opening->workspace);
+        requestConnection(id, *opening);
         return;
     }
     if (line == adapter::terminateKeyword()) {
@@ -137,16 +121,16 @@
     message += adapter::lineEnd();
     const auto assigned = pooled_.find(source.pooled);
     if (assigned != pooled_.end()) {
-        assigned->second->connection->send(std::move(message), { *shape });
+        sendCommands(source.pooled, std::move(message), { *shape });
         return;
     }
     source.bufferedLines += message;
     source.bufferedShapes.push_back(*shape);
 }
 
-void relay_server::requestConnection(proxy::borrower_id id, const std::string &memberId,
-                                     const std::string &workspace)
+void relay_server::requestConnection(proxy::borrower_id id, const adapter::member_startup &opening)
 {
+    const std::string &memberId = opening.member;
     const auto member = engine_.members.find(memberId);
     const bool isUsable = member != engine_.members.end() && engine_.config;
     const auto service = isUsable ? engine_.config->services.find(member->second.entry.service)
@@ -155,11 +139,26 @@
         refuse(id, proxy::reply_code::Misrouted);
         return;
     }
+    const core::time_point now = net::currentBootTime();
     borrowers_.at(id)->member = memberId;
     proxy::relay_pool &pool = pools_[memberId];
+    pool.queue.quantum = queueQuantum;
     pool.limit = std::max<std::size_t>(
             1, static_cast<std::size_t>(service->second.maxConnections * relayConnectionShare));
-    pool.waiting.push_back({ id, workspace, net::currentBootTime() + maxBorrowerWait });
+    if (limitsMembers())
+        proxy::startLimit(members_[memberId].limit, member->second.entry.slots,
+                          member->second.entry.startedAtMs, now);
+    proxy::waiting_borrower waiting{ id, opening.workspace, now + defaultBorrowerWait,
+                                     defaultPriority };
+    if (opening.borrow) {
+        waiting.waitUntil = now + opening.borrow->wait;
+        waiting.priority = opening.borrow->priority;
+        waiting.isExclusive = opening.borrow->isExclusive;
+    }
+    if (const auto retryAfter = proxy::addBorrower(pool, waiting, now)) {
+        refuse(id, proxy::reply_code::ConnectionLimit, *retryAfter);
+        return;
+    }
     advance(memberId);
     scheduleTick();
 }
@@ -171,15 +170,20 @@
     const auto pool = pools_.find(memberId);
     if (pool == pools_.end())
         return;
-    const proxy::relay_step step = proxy::advance(pool->second, net::currentBootTime());
+    const core::time_point now = net::currentBootTime();
+    const auto limited = members_.find(memberId);
+    pool->second.maxBusy = limitsMembers() && limited != members_.end()
+                                   ? proxy::currentLimit(limited->second.limit, now)
+                                   : 0;
+    const proxy::relay_step step = proxy::advance(pool->second, now);
     for (const auto &each : step.lend)
         lend(each.borrower, each.connection);
     for (const proxy::pooled_id each : step.close)
         closePooled(each, true);
     for (const std::string &workspace : step.open)
         open(memberId, workspace);
-    for (const proxy::borrower_id each : step.refuse)
-        refuse(each, proxy::reply_code::ConnectionLimit);
+    for (const auto &each : step.refuse)
+        refuse(each.borrower, proxy::reply_code::ConnectionLimit, each.retryAfter);
 }
 
 void relay_server::open(const std::string &memberId, const std::string &workspace)
@@ -232,8 +236,8 @@
     client->second->connection->send(adapter::encodeReply({}, true));
     if (client->second->bufferedLines.empty())
         return;
-    connection->second->connection->send(std::exchange(client->second->bufferedLines, {}),
-                                         std::exchange(client->second->bufferedShapes, {}));
+    sendCommands(pooledId, std::exchange(client->second->bufferedLines, {}),
+                 std::exchange(client->second->bufferedShapes, {}));
 }
 
 void relay_server::onMemberReply(proxy::pooled_id id, const proxy::reply &received,
@@ -244,13 +248,18 @@
         onOpened(id, received.code == proxy::reply_code::Success);
         return;
     }
+    recordReply(id, received);
     from.isInTransaction = received.state != proxy::transaction_state::Idle;
     if (from.lentTo != 0) {
+        const std::string member = from.member;
         const auto client = borrowers_.find(from.lentTo);
         if (client != borrowers_.end())
             client->second->connection->send(std::string(text));
+        const bool makesRoom = !from.connection->hasOutstanding();
         if (isRecallDue(from))
             closePooled(id, true);
+        if (makesRoom && limitsMembers())
+            advance(member);
         return;
     }
     if (from.connection->hasOutstanding())
@@ -310,7 +319,7 @@
     command.kind = proxy::command_kind::Discard;
     message += adapter::encodeCommand(command);
     shapes.push_back(proxy::reply_shape::Setting);
-    from.connection->send(std::move(message), shapes);
+    sendCommands(id, std::move(message), shapes);
 }
 
 void relay_server::onBorrowerDisconnected(proxy::borrower_id id, bool isInOrder)
@@ -323,7 +332,7 @@
     borrowers_.erase(found);
     const auto pool = pools_.find(member);
     if (pool != pools_.end())
-        std::erase_if(pool->second.waiting, [id](const auto &each) { return each.id == id; });
+        proxy::removeBorrower(pool->second, id);
     const auto connection = pooled_.find(pooledId);
     if (connection == pooled_.end())
         return;
@@ -365,7 +374,7 @@
         connection->close();
 }
 
-void relay_server::refuse(proxy::borrower_id id, proxy::reply_code code)
+void relay_server::refuse(proxy::borrower_id id, proxy::reply_code code, core::duration retryAfter)
 {
     const auto found = borrowers_.find(id);
     if (found == borrowers_.end())
@@ -373,6 +382,7 @@
     ++counters_.refused;
     proxy::reply answer;
     answer.code = code;
+    answer.retryAfter = retryAfter;
     found->second->connection->send(adapter::encodeReply(answer, true));
     found->second->connection->closeGracefully();
     borrowers_.erase(found);
@@ -424,6 +434,10 @@
 void relay_server::tick()
 {
     const core::time_point now = net::currentBootTime();
+    if (now - nextTickAt_ > maxTimerDelay) {
+        for (auto &[name, member] : members_)
+            proxy::discardSamples(member.limit, now);
+    }
     std::vector<std::string> members;
     std::vector<proxy::pooled_id> toClose;
     std::vector<proxy::pooled_id> toRecall;
@@ -465,6 +479,7 @@
     std::erase_if(pools_, [](const auto &each) {
         return each.second.connections.empty() && each.second.waiting.empty();
     });
+    checkLoads(now);
     nextTickAt_ = {};
     scheduleTick();
 }
--- a/src/daemon/session_datagram.cpp
+++ b/src/daemon/session_datagram.cpp
@@ -40,15 +40,22 @@
            && grant.tokens >= -maxAmount && grant.tokens <= maxAmount;
 }
 
+bool isValid(const member_load &load)
+{
+    return load.state <= load_state::Slow && load.waitUs >= 0 && load.waitUs <= maxClockUs
+           && load.answerUs >= 0 && load.answerUs <= maxClockUs;
+}
+
 bool isValid(const peer_message &message)
 {
     const auto valid = [](const auto &each) { return isValid(each); };
-    return message.kind <= peer_message_kind::EvidenceAnswer && isName(message.from)
+    return message.kind <= peer_message_kind::MemberLoad && isName(message.from)
            && isName(message.subject) && isName(message.member) && message.askedAtUs >= 0
            && message.askedAtUs <= maxClockUs && message.amount >= -maxAmount
            && message.amount <= maxAmount
            && std::all_of(message.workspaces.begin(), message.workspaces.end(), isName)
            && std::all_of(message.evacuatedZones.begin(), message.evacuatedZones.end(), isName)
+           && isValid(message.load)
            && std::all_of(message.leaders.begin(), message.leaders.end(), valid)
            && std::all_of(message.parts.begin(), message.parts.end(), valid);
 }
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -61,6 +61,7 @@
     result.evacuationLimit = values.evacuationLimit;
     result.priorityAdmission = values.priorityAdmission;
     result.memberLimits = values.memberLimits;
+    result.capacity = values.cpuShare;
     return result;
 }
 
@@ -114,6 +115,12 @@
     , acceptor_(context)
     , timer_(context)
 {
+    relay_.setLoadHandlers(
+            [this](const proxy::decision_note &note) { log_.write(note, net::currentBootTime()); },
+            [this](const std::string &member, const proxy::member_load &load) {
+                proxy::announceLoad(engine_, member, load, net::currentBootTime());
+                perform();
+            });
     engine_.settings = engineSettings(values);
     engine_.random.seed(std::random_device{}());
     engine_.incarnation = engine_.random();
@@ -282,6 +289,7 @@
         peer.zone = each.row.zone;
         peer.incarnation = each.row.incarnation;
         peer.claimed = each.row.part;
+        peer.capacity = each.row.capacity;
         peers.push_back(std::move(peer));
     }
     proxy::onInstances(engine_, peers, net::currentBootTime());
--- a/src/daemon/session_links.cpp
+++ b/src/daemon/session_links.cpp
@@ -17,6 +17,12 @@
 /// Spare connections are opened in advance, which saves a round trip when a session needs one.
 constexpr std::size_t maxSparesPerRelay = 2;
 
+proxy::upstream_command withoutTerms(proxy::upstream_command command)
+{
+    command.borrow.reset();
+    return command;
+}
+
 } // namespace
 
 void session_gateway::onUpstreamReply(proxy::link_id id, proxy::reply &&received)
@@ -68,6 +74,7 @@
                                fault);
               } });
     const auto connection = entry->connection;
+    entry->isRelayed = isRelayed;
     upstreams_.emplace(id, std::move(entry));
     if (isRelayed)
         return;
@@ -116,7 +123,9 @@
     std::string text;
     std::vector<proxy::reply_shape> shapes;
     for (const proxy::upstream_command &each : action.commands) {
-        const std::string message = adapter::encodeCommand(each);
+        // A member knows no terms; the relay's address may have been unknown.
+        const bool isForRelay = !each.borrow || found->second->isRelayed;
+        const std::string message = adapter::encodeCommand(isForRelay ? each : withoutTerms(each));
         const std::string_view line(message.data(), message.size() - adapter::lineEnd().size());
         shapes.push_back(adapter::replyShapeOf(line).value());
         text += message;
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -80,6 +80,7 @@
     add("events_dropped_total", "counter", droppedEvents_);
     add("store_rows_unreadable_total", "counter", store_.counters().unreadableRows);
     add("store_failures_total", "counter", store_.counters().failures);
+    add("early_refusals_total", "counter", relay_.counters().refusedEarly);
     add("sessions", "gauge", engine_.sessions.size());
     add("links", "gauge", engine_.links.size());
     add("instances", "gauge", engine_.instances);
@@ -105,7 +106,7 @@
     for (std::size_t i = 0; i < storePurposeNames.size(); ++i)
         text += fmt::format("fuchsiagw_store_calls_total{{purpose=\"{}\"}} {}\n",
                             storePurposeNames[i], store_.counters().calls[i]);
-    return text + latencies_.text();
+    return text + relay_.metricsText() + latencies_.text();
 }
 
 } // namespace fuchsiagw::daemon
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -333,7 +333,8 @@
         return;
     const auto ownRow = instances_.find(values_.instance);
     const std::uint64_t version = ownRow == instances_.end() ? 0 : ownRow->second.version;
-    const std::string value = wire::toJson({ values_.address, values_.zone, incarnation, part });
+    const std::string value =
+            wire::toJson({ values_.address, values_.zone, incarnation, part, values_.cpuShare });
     // The expected version keeps a delayed request from overwriting a newer row.
     call(store_purpose::Instances,
          adapter::changeRows({ { wire::instanceTable, values_.instance, version, value } }),
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -364,6 +364,7 @@
     }
     link.tainted = true;
     link.refused = true;
+    link.retryAfter = answer.retryAfter;
     const auto relay = state.peers.find(link.relay);
     if (answer.code != reply_code::ConnectionLimit && !link.relay.empty()) {
         // The relay is stopping or does not know the member yet; use the next one in order.
@@ -386,6 +387,26 @@
     avoidMember(state, *member, toString(answer.code), now);
 }
 
+/// Handles a relay that can't lend a connection in time: a read goes to another member, if there is
+/// one; everything else is refused at once, with the time that the relay has named.
+void retryElsewhere(engine &state, session &caller, const upstream_link &link, core::time_point now)
+{
+    request &pending = *caller.current;
+    pending.excludedMembers.push_back(link.member);
+    const bool hasOther = !pending.where.needsPrimary && hasUntriedMember(state, caller, now);
+    if (hasOther) {
+        retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
+        return;
+    }
+    const core::time_point useful = pending.arrived + pending.effectiveRoute.latencyObjective;
+    if (now + link.retryAfter < std::min(useful, pending.deadline)) {
+        pending.retryAt = now + link.retryAfter;
+        retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
+        return;
+    }
+    refuseRequest(state, caller, refusal_reason::Overloaded, now, link.retryAfter);
+}
+
 /// Handles an answer that is lost because its link was closed.
 void onAnswerLost(engine &state, const upstream_link &link, const expected_answer &expected,
                   core::time_point now)
@@ -400,7 +421,10 @@
     if (link.refused) {
         unpinTransaction(*caller, nullptr);
         pending->wasSent = pending->tries > 1;
-        retryRequest(state, *caller, link.member, reply_code::ConnectionLimit, now);
+        if (link.retryAfter > core::duration::zero())
+            retryElsewhere(state, *caller, link, now);
+        else
+            retryRequest(state, *caller, link.member, reply_code::ConnectionLimit, now);
         return;
     }
     if (isSafeToResend(*caller, *pending)) {
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -151,10 +151,10 @@
 {
     if (!state.config)
         return;
-    const quota_node self{ state.settings.node, state.settings.zone };
+    const quota_node self{ state.settings.node, state.settings.zone, state.settings.capacity };
     std::vector<quota_node> nodes{ self };
     for (const auto &[name, peer] : state.peers)
-        nodes.push_back({ peer.node, peer.zone });
+        nodes.push_back({ peer.node, peer.zone, peer.capacity });
     // A workspace that is configured again may have a part that is still lent out.
     const bool free = state.recall.done && state.quota.workspaces.empty();
     const core::time_point ownPartUsableFrom =
@@ -213,6 +213,7 @@
         const auto known = state.peers.find(each.node);
         next[each.node] = known == state.peers.end() ? each : known->second;
         next[each.node].claimed = each.claimed;
+        next[each.node].capacity = each.capacity;
     }
     const auto count = static_cast<std::uint32_t>(next.size() + 1);
     if (count != state.instances) {
@@ -221,9 +222,11 @@
         note.number = count;
         state.out.emplace_back(std::move(note));
     }
-    const bool sameDaemons = std::equal(
-            next.begin(), next.end(), state.peers.begin(), state.peers.end(),
-            [](const auto &left, const auto &right) { return left.first == right.first; });
+    const bool sameDaemons = std::equal(next.begin(), next.end(), state.peers.begin(),
+                                        state.peers.end(), [](const auto &left, const auto &right) {
+                                            return left.first == right.first
+                                                   && left.second.capacity == right.second.capacity;
+                                        });
     state.peersVersion += sameDaemons ? 0 : 1;
     state.peers = std::move(next);
     state.instances = count;
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -6,6 +6,7 @@
 #include <fuchsiagw/core/rendezvous.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace fuchsiagw::proxy {
@@ -17,6 +18,7 @@
 /// Timeout for borrowing a connection. A relay without a free connection refuses earlier, so a
 /// relay that exceeds the timeout does not respond.
 constexpr milliseconds borrowTimeout{ 700 };
+constexpr milliseconds maxBorrowWait{ 450 };
 /// A link stays open this long for an answer that no request waits for any more.
 constexpr milliseconds orphanedAnswerTimeout{ 3'000 };
 /// Idle timeout of links beyond maxIdleLinks().
@@ -216,7 +218,7 @@
     if (alreadyOpening || member.connectionLimitUntil > now
         || connectingLinks(state, member) >= maxConnecting)
         return nullptr;
-    opening = openLink(state, member, caller.workspace, false, now);
+    opening = openLink(state, member, caller.workspace, false, now, &caller);
     upstream_link *link = findLink(state, opening);
     // A relay that refuses has forwarded nothing, so the statement can be sent together with
     // Startup. A direct link must be open first: if its connection ended, it would be unknown
@@ -226,24 +228,44 @@
 
 namespace {
 
-/// Ranks the daemons that may be the relay of a member, those of its zone first.
+/// @return the mean capacity of the daemons that have one, used for the others; 1 if none has
+double meanCapacity(const engine &state)
+{
+    double sum = state.settings.capacity;
+    std::size_t count = sum > 0 ? 1 : 0;
+    for (const auto &[name, peer] : state.peers) {
+        sum += peer.capacity;
+        count += peer.capacity > 0 ? 1 : 0;
+    }
+    return count == 0 ? 1 : sum / static_cast<double>(count);
+}
+
+/// Ranks the daemons that may be the relay of a member, those of its zone first and larger ones
+/// more often.
 std::vector<std::string> rankRelays(const engine &state, const member_state &member)
 {
     struct candidate
     {
         bool inMemberZone = false;
-        std::uint64_t score = 0;
+        double score = 0;
         std::string node;
-        auto operator<=>(const candidate &) const = default;
+        bool operator>(const candidate &other) const
+        {
+            return std::tie(inMemberZone, score, node)
+                   > std::tie(other.inMemberZone, other.score, other.node);
+        }
     };
     std::vector<candidate> all;
-    const auto consider = [&](const std::string &node, const std::string &zone) {
-        const std::uint64_t score = core::stableHash(node + "/" + member.entry.id);
+    const double unknown = meanCapacity(state);
+    const auto consider = [&](const std::string &node, const std::string &zone, double capacity) {
+        const double weight = capacity > 0 ? capacity : unknown;
+        const double score =
+                core::weightedScore(core::stableHash(node + "/" + member.entry.id), weight);
         all.push_back({ zone == member.entry.zone, score, node });
     };
-    consider(state.settings.node, state.settings.zone);
+    consider(state.settings.node, state.settings.zone, state.settings.capacity);
     for (const auto &[name, peer] : state.peers)
-        consider(name, peer.zone);
+        consider(name, peer.zone, peer.capacity);
     const std::size_t kept = std::min(maxRankedRelays, all.size());
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(kept), all.end(),
                       std::greater<>());
@@ -274,8 +296,25 @@
     return state.settings.node;
 }
 
+namespace {
+
+/// An operation may wait at the relay until its latency objective is over, and no longer than
+/// borrowTimeout leaves time for the relay's refusal.
+borrow_terms termsOf(const request &pending, core::time_point now)
+{
+    borrow_terms terms;
+    terms.priority = std::max(0, pending.effectiveRoute.priority);
+    terms.wait = std::clamp<core::duration>(pending.arrived
+                                                    + pending.effectiveRoute.latencyObjective - now,
+                                            core::duration::zero(), maxBorrowWait);
+    terms.isExclusive = pending.where.needsPrimary;
+    return terms;
+}
+
+} // namespace
+
 link_id openLink(engine &state, member_state &member, const std::string &workspace, bool direct,
-                 core::time_point now)
+                 core::time_point now, const session *caller)
 {
     upstream_link link;
     if (!direct)
@@ -298,6 +337,8 @@
     state.out.emplace_back(open_link{ id, member.entry.address, relay });
     upstream_command startup = makeCommand(command_kind::Startup, member.entry.service, workspace);
     startup.id = member.entry.id;
+    if (state.settings.priorityAdmission && caller != nullptr && !relay.empty())
+        startup.borrow = termsOf(*caller->current, now);
     state.out.emplace_back(send_to_member{ id, { std::move(startup) } });
     return id;
 }
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -285,6 +285,9 @@
     case peer_message_kind::EvidenceAnswer:
         onEvidenceAnswer(state, message, now);
         break;
+    case peer_message_kind::MemberLoad:
+        applyLoad(state, message.member, message.load, now);
+        break;
     }
 }
 
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <fuchsiagw/core/fair_queue.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -71,6 +73,9 @@
     const double connect = member.connectUs > 0 ? member.connectUs : defaultConnectUs;
     const double slots = std::max<std::uint32_t>(1, member.entry.slots);
     double cost = answer * (1 + member.outstanding / slots);
+    if (member.loadUntil > now)
+        cost = std::max(cost, static_cast<double>(member.load.answerUs))
+               + static_cast<double>(member.load.waitUs);
     if (!hasIdleLink(state, member, caller.workspace))
         cost += connect;
     if (member.connectionLimitUntil > now)
@@ -190,6 +195,17 @@
     return isAvailable(member, now) && acceptsPrimaryWork(state.evacuation, member.entry.zone, now);
 }
 
+bool hasUntriedMember(const engine &state, const session &caller, core::time_point now)
+{
+    const auto service = state.services.find(caller.current->effectiveRoute.service);
+    if (service == state.services.end())
+        return false;
+    const auto &members = service->second.members;
+    return std::any_of(members.begin(), members.end(), [&](const std::string &id) {
+        return acceptsNewWork(state, state.members.at(id), now) && !isExcluded(*caller.current, id);
+    });
+}
+
 void decidePlacement(engine &state, const session &caller, request &pending)
 {
     const bool inTransaction = caller.state != transaction_state::Idle;
@@ -283,11 +299,44 @@
     placeOnLink(state, caller, *member, *link, now);
 }
 
-void serveQueue(engine &state, service_state &service, core::time_point now)
+namespace {
+
+/// Empties the queue of a service.
+/// @return its sessions in the order in which they are to be served
+std::deque<session_id> takeInOrder(const engine &state, service_state &service)
 {
-    // placeRequest() appends requests that still have to wait, so the loop runs on a copy.
     std::deque<session_id> waiting;
     waiting.swap(service.queue);
+    if (!state.settings.priorityAdmission || waiting.size() < 2)
+        return waiting;
+    core::fair_queue queue;
+    queue.capacity = waiting.size();
+    for (const session_id id : waiting) {
+        const auto caller = state.sessions.find(id);
+        if (caller == state.sessions.end() || !caller->second.current)
+            continue;
+        const request &pending = *caller->second.current;
+        core::queued_statement entry;
+        entry.handle = id;
+        entry.session = id;
+        entry.workspace = core::workspace_id{ caller->second.workspace };
+        entry.inTransaction = !pending.startsOperation;
+        entry.priority = pending.effectiveRoute.priority;
+        entry.deadline = pending.arrived + pending.effectiveRoute.latencyObjective;
+        static_cast<void>(core::enqueue(queue, std::move(entry), 1));
+    }
+    std::deque<session_id> ordered;
+    while (const auto next = core::dequeue(queue))
+        ordered.push_back(next->session);
+    return ordered;
+}
+
+} // namespace
+
+void serveQueue(engine &state, service_state &service, core::time_point now)
+{
+    // placeRequest() appends requests that still have to wait, so the loop runs on a copy.
+    const std::deque<session_id> waiting = takeInOrder(state, service);
     for (const session_id id : waiting) {
         session *caller = findSession(state, id);
         if (caller == nullptr || !caller->current || !caller->current->queued)
--- a/src/proxy/quota.cpp
+++ b/src/proxy/quota.cpp
@@ -46,14 +46,31 @@
     return toTokenAmount(quota.demandPerSecond * reserveSeconds);
 }
 
+/// @return the mean capacity of the nodes that have one, used for the others; 1 if none has
+double meanCapacity(const std::vector<quota_node> &nodes)
+{
+    double sum = 0;
+    std::size_t count = 0;
+    for (const quota_node &each : nodes) {
+        sum += each.capacity;
+        count += each.capacity > 0 ? 1 : 0;
+    }
+    return count == 0 ? 1 : sum / static_cast<double>(count);
+}
+
 /// @return the daemons of a zone that are preferred as the workspace's home, best first
 std::vector<std::string> rankHomes(const std::string &workspace,
                                    const std::vector<quota_node> &nodes, const std::string &zone)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    std::vector<std::pair<double, std::string>> scored;
+    const double unknown = meanCapacity(nodes);
     for (const quota_node &each : nodes) {
-        if (each.zone == zone)
-            scored.emplace_back(core::stableHash(each.node + "/" + workspace), each.node);
+        if (each.zone != zone)
+            continue;
+        const double weight = each.capacity > 0 ? each.capacity : unknown;
+        scored.emplace_back(
+                core::weightedScore(core::stableHash(each.node + "/" + workspace), weight),
+                each.node);
     }
     const std::size_t kept = std::min(maxHomesPerZone, scored.size());
     std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
--- a/src/wire/instance_row.cpp
+++ b/src/wire/instance_row.cpp
@@ -5,14 +5,18 @@
 
 #include <fuchsiagw/detail/bounded_json.hpp>
 
+#include <algorithm>
+
 namespace fuchsiagw::wire {
 
 std::string toJson(const instance_row &row)
 {
-    const nlohmann::json value = { { "address", row.address },
-                                   { "zone", row.zone },
-                                   { "incarnation", row.incarnation },
-                                   { "part", row.part } };
+    nlohmann::json value = { { "address", row.address },
+                             { "zone", row.zone },
+                             { "incarnation", row.incarnation },
+                             { "part", row.part } };
+    if (row.capacity > 0)
+        value["capacity"] = row.capacity;
     return value.dump();
 }
 
@@ -26,6 +30,8 @@
     row.zone = detail::textField(value, "zone");
     row.incarnation = detail::integerField<std::uint64_t>(value, "incarnation").value_or(0);
     row.part = detail::integerField<std::int64_t>(value, "part").value_or(0);
+    constexpr double maxCapacity = 1e6;
+    row.capacity = std::clamp(detail::numberField(value, "capacity").value_or(0), 0.0, maxCapacity);
     if (row.part > maxInstancePart)
         return std::nullopt;
     return row;
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -103,7 +103,7 @@
             return true;
         workspace_quota &home = quotaOf(own.homes.front());
         if (zonesConnected) {
-            if (const auto amount = tokensToRequest(home, now)) {
+            if (const auto amount = tokensToRequest(home, 0, now)) {
                 // All homes are asked concurrently; tokens that exceed the capacity are returned.
                 for (const std::string &other : home.otherHomes) {
                     workspace_quota &lender = quotaOf(other);
@@ -113,7 +113,7 @@
             }
         }
         if (&home != &own) {
-            if (const auto amount = tokensToRequest(own, now))
+            if (const auto amount = tokensToRequest(own, 0, now))
                 addTokensWithOverflow(own, takeForZonePeer(home, *amount, now), now);
         }
         return admit(own, now);
--- a/tests/unit-relay-pool.cpp
+++ b/tests/unit-relay-pool.cpp
@@ -5,6 +5,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 using namespace fuchsiagw::proxy;
 using namespace fuchsiagw;
 using std::chrono::milliseconds;
@@ -23,7 +25,8 @@
 
     borrower_id wait(const std::string &workspace)
     {
-        pool.waiting.push_back({ ++lastBorrower, workspace, now + milliseconds(100) });
+        CHECK_FALSE(addBorrower(pool, { ++lastBorrower, workspace, now + milliseconds(100) }, now)
+                            .has_value());
         return lastBorrower;
     }
 
@@ -104,7 +107,7 @@
     now += milliseconds(100);
     const relay_step step = advance(pool, now);
     CHECK_EQUAL(1U, step.refuse.size());
-    CHECK_EQUAL(id, step.refuse[0]);
+    CHECK_EQUAL(id, step.refuse[0].borrower);
     CHECK_TRUE(pool.waiting.empty());
 }
 
@@ -128,3 +131,87 @@
     CHECK_EQUAL(1U, found.size());
     CHECK_EQUAL(idle, found[0]);
 }
+
+// Load: lookups and an order wait while all operations that the member takes are running. Guards
+// against lending in order of arrival.
+TEST(relay_pool, nextConnectionGoesToTheHighestPriority)
+{
+    pool.maxBusy = 1;
+    const pooled_id running = add("house", pooled_state::Lent);
+    pool.connections.at(running).hasOutstanding = true;
+    const pooled_id idle = add("house", pooled_state::Idle);
+    static_cast<void>(addBorrower(pool, { 101, "house", now + milliseconds(100), 2 }, now));
+    static_cast<void>(addBorrower(pool, { 102, "house", now + milliseconds(100), 0 }, now));
+    CHECK_TRUE(advance(pool, now).lend.empty());
+    pool.connections.at(running).hasOutstanding = false;
+    const relay_step step = advance(pool, now);
+    CHECK_EQUAL(1U, step.lend.size());
+    CHECK_EQUAL(102U, step.lend[0].borrower);
+    CHECK_EQUAL(idle, step.lend[0].connection);
+}
+
+// Load: reads that replicas could run as well fill the primary. Guards against writes that find no
+// slot, and against a slot that stays reserved after the last write.
+TEST(relay_pool, lastSlotIsKeptForExclusiveOperations)
+{
+    pool.maxBusy = 2;
+    for (int i = 0; i < 3; ++i)
+        add("house", pooled_state::Idle);
+    static_cast<void>(addBorrower(pool, { 101, "house", now + milliseconds(900), 0, true }, now));
+    CHECK_EQUAL(1U, advance(pool, now).lend.size());
+    static_cast<void>(addBorrower(pool, { 102, "house", now + milliseconds(2'000), 0 }, now));
+    CHECK_TRUE(advance(pool, now).lend.empty());
+    static_cast<void>(addBorrower(pool, { 103, "house", now + milliseconds(900), 2, true }, now));
+    CHECK_EQUAL(103U, advance(pool, now).lend.at(0).borrower);
+    // One of the two operations ends.
+    for (auto &[id, each] : pool.connections) {
+        if (each.state == pooled_state::Lent) {
+            each.hasOutstanding = false;
+            break;
+        }
+    }
+    CHECK_TRUE(advance(pool, now).lend.empty());
+    now += milliseconds(1'100);
+    CHECK_EQUAL(102U, advance(pool, now).lend.at(0).borrower);
+}
+
+// Load: more operations arrive than the member serves before their objectives. Guards against
+// letting them wait in vain, and against retries that come back together.
+TEST(relay_pool, hopelessOperationsAreRefusedAtOnceWithSpreadReturns)
+{
+    pool.maxBusy = 1;
+    pool.limit = 1;
+    const pooled_id connection = add("house", pooled_state::Idle);
+    borrower_id id = 200;
+    const auto borrow = [&](milliseconds patience) {
+        return addBorrower(pool, { ++id, "house", now + patience }, now);
+    };
+    // The member serves one operation in 10 ms.
+    for (int i = 0; i < 30; ++i) {
+        static_cast<void>(borrow(milliseconds(5'000)));
+        static_cast<void>(borrow(milliseconds(5'000)));
+        static_cast<void>(advance(pool, now));
+        now += milliseconds(10);
+        pool.connections.at(connection).state = pooled_state::Idle;
+    }
+    CHECK(pool.waiting.size() > 20);
+    std::set<core::duration> returns;
+    for (int i = 0; i < 10; ++i) {
+        const auto refused = borrow(milliseconds(100));
+        CHECK_TRUE(refused.has_value());
+        returns.insert(refused.value_or(core::duration{}));
+    }
+    CHECK_EQUAL(10U, returns.size());
+    CHECK_FALSE(borrow(milliseconds(2'000)).has_value());
+}
+
+// Load: borrowers that leave before their turn. Guards against places that they keep.
+TEST(relay_pool, borrowerThatLeavesFreesItsPlace)
+{
+    const borrower_id gone = wait("house");
+    const borrower_id next = wait("house");
+    removeBorrower(pool, gone);
+    add("house", pooled_state::Idle);
+    CHECK_EQUAL(next, advance(pool, now).lend.at(0).borrower);
+    CHECK_EQUAL(0U, pool.queue.length);
+}
