Bound the memory and descriptors that callers can use

Cause: nothing counts the bytes that connections keep; sessions were counted with 32 KiB each, but a message may have 1 MiB, is copied several times on its way, and values and prepared statements are kept without an end. Change: budgets for callers, the relay's borrowers and session state, divided from memory_mb; a long line is read on only if there is room, which is made by closing those that hold much for longest without progress; long statements are let through only as far as there is room for their copies; buffers shrink after a long line; values beyond the budget are refused; connections without a session are limited. Small messages need no room. Log 933, metrics of held bytes and closed connections.

--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <fuchsiagw/daemon/session_log.hpp>
+#include <fuchsiagw/net/byte_budget.hpp>
 #include <fuchsiagw/net/endpoint.hpp>
 #include <fuchsiagw/net/line_connection.hpp>
 #include <fuchsiagw/proxy/concurrency_limit.hpp>
@@ -71,6 +72,9 @@
 
     /// @brief Sets the handlers of decisions to log, and of loads that the other daemons must know.
     void setLoadHandlers(note_handler onNote, load_handler onLoad);
+    /// @brief Limits the memory for what borrowers send.
+    void setMemoryLimit(std::size_t bytes) { borrowerBytes_->limit = bytes; }
+    [[nodiscard]] const net::byte_budget &memory() const { return *borrowerBytes_; }
     [[nodiscard]] std::error_code start(const net::endpoint &local);
     /// @brief Refuses new borrowers and closes idle connections; a second call has no effect.
     /// @param lendUntil from then on, a lent connection is closed as soon as no reply is pending
@@ -131,6 +135,7 @@
     std::map<proxy::borrower_id, std::unique_ptr<borrower>> borrowers_;
     std::map<proxy::pooled_id, std::unique_ptr<pooled>> pooled_;
     std::map<std::string, proxy::relay_pool> pools_; ///< by member
+    std::shared_ptr<net::byte_budget> borrowerBytes_ = std::make_shared<net::byte_budget>();
     std::map<std::string, relayed_member> members_; ///< by member; only with limits on members
     note_handler onNote_;
     load_handler onLoad_;
--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -7,6 +7,7 @@
 #include <fuchsiagw/daemon/relay_server.hpp>
 #include <fuchsiagw/daemon/session_log.hpp>
 #include <fuchsiagw/daemon/session_settings.hpp>
+#include <fuchsiagw/daemon/statement_memory.hpp>
 #include <fuchsiagw/daemon/store_client.hpp>
 #include <fuchsiagw/net/line_connection.hpp>
 #include <fuchsiagw/net/udp_link.hpp>
@@ -55,6 +56,14 @@
     struct caller_connection;
     struct upstream_connection;
 
+    /// @brief Divides the memory of the settings among callers, relay and session state.
+    void applyMemoryLimits();
+    /// @brief Closes connections that have not opened a session, so that others find descriptors.
+    void limitConnections();
+    /// @brief Logs that connections were closed for their memory, at most once a second.
+    void logPressure();
+    /// @brief Lets long statements through that waited for memory.
+    void resumeHeldStatements();
     void startAccepting();
     void accept();
     void onCallerLine(proxy::session_id id, std::string_view line);
@@ -109,6 +118,12 @@
     std::map<std::string, std::vector<std::shared_ptr<net::line_connection>>> spareConnections_;
     std::function<void()> onStopped_;
     latency_histograms latencies_;
+    std::shared_ptr<net::byte_budget> callerBytes_ = std::make_shared<net::byte_budget>();
+    statement_memory statementMemory_{ callerBytes_, {}, {} };
+    std::uint64_t closedSilent_ = 0; ///< connections that had not opened a session
+    std::uint64_t loggedClosed_ =
+            0; ///< connections closed for their memory, as of the last log line
+    core::time_point nextPressureLogAt_{};
     std::uint64_t droppedEvents_ = 0;
     std::uint64_t unreadableDatagrams_ = 0;
     std::uint64_t repeatedDatagrams_ = 0;
--- a/include/fuchsiagw/net/line_connection.hpp
+++ b/include/fuchsiagw/net/line_connection.hpp
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <fuchsiagw/core/time.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
@@ -13,6 +15,8 @@
 
 namespace fuchsiagw::net {
 
+struct byte_budget;
+
 /// How soon the loss of the peer is detected on a connection without traffic.
 enum class keepalive_profile {
     Short, ///< about three seconds
@@ -31,6 +35,9 @@
 public:
     using line_handler = std::function<void(std::string_view line)>;
     using closed_handler = std::function<void()>;
+    /// @param bytes of a line
+    /// @return whether the line may be handled now; if not, resumeInput() must follow
+    using line_gate = std::function<bool(std::size_t bytes)>;
 
     /// @param maxLine bytes without CR LF; a longer line closes the connection
     [[nodiscard]] static std::shared_ptr<line_connection> create(boost::asio::io_context &context,
@@ -38,8 +45,21 @@
     [[nodiscard]] static std::shared_ptr<line_connection>
     create(boost::asio::ip::tcp::socket &&socket, std::size_t maxLine);
 
+    ~line_connection();
+    line_connection(const line_connection &) = delete;
+    line_connection &operator=(const line_connection &) = delete;
+
     void setHandlers(line_handler onLine, closed_handler onClosed);
 
+    /// @brief Counts the bytes that this connection keeps in a budget. While there is no room, a
+    /// long line is not read on; after a time the connection is closed. Must precede start() and
+    /// connect().
+    void setBudget(std::shared_ptr<byte_budget> budget);
+    /// @brief Asks the gate before each line that is longer than net::largeHolding.
+    void setLineGate(line_gate gate) { gate_ = std::move(gate); }
+    /// @brief Handles a line that the gate has held back, if there is one.
+    void resumeInput();
+
     /// @brief Connects and starts reading; text sent before that is queued.
     void connect(const boost::asio::ip::tcp::endpoint &peer, keepalive_profile profile);
     /// @brief Starts reading from an accepted connection.
@@ -59,6 +79,13 @@
     line_connection(boost::asio::ip::tcp::socket &&socket, std::size_t maxLine);
 
     void read();
+    /// @brief Enlarges the input buffer for the rest of a line.
+    /// @return whether there is room; if not, a later attempt is scheduled, or the connection
+    /// closed
+    bool growInput();
+    void releaseInput();
+    /// @brief Updates the budget after a change of a buffer.
+    void account();
     void handleInput(std::size_t length);
     /// @brief Passes on the complete lines of the input.
     /// @return bytes of the input that were handled
@@ -69,6 +96,11 @@
 
     boost::asio::ip::tcp::socket socket_;
     std::size_t maxLine_;
+    std::shared_ptr<byte_budget> budget_; ///< null: not counted
+    std::size_t countedBytes_ = 0; ///< in budget_
+    core::time_point waitsForRoomSince_ = core::noDeadline;
+    line_gate gate_;
+    bool isHeldBack_ = false; ///< the gate has refused the next line
     std::string input_;
     std::size_t receivedBytes_ = 0; ///< bytes of input_ that are not handled yet
     std::size_t scannedBytes_ = 0; ///< prefix of these bytes in which no line end begins
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -23,6 +23,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
     std::string node;
     std::string zone;
     std::uint32_t maxSessions = 0; ///< limit of concurrent caller connections
+    /// Limit of the values and prepared statements that all sessions keep together, in bytes.
+    std::size_t maxStateBytes = std::numeric_limits<std::size_t>::max();
     core::duration drainLimit{ 0 }; ///< time within which a draining member stops receiving work
     core::duration gracePeriod{ 0 }; ///< from the shutdown request to the end of the process
     /// The platform rejects outdated promotion orders, and a primary loses the lead in the moment
@@ -114,6 +117,7 @@
     std::map<session_id, session> sessions;
     std::map<link_id, upstream_link> links;
     std::map<std::string, peer_state> peers;
+    std::size_t stateBytes = 0; ///< sum of session::stateBytes
     std::set<session_id> active; ///< sessions with a current request or transaction
     std::uint32_t instances = 1; ///< number of daemons among which limits are divided
     std::uint64_t peersVersion = 1; ///< incremented when the set of peers changes
--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -34,6 +34,7 @@
     ZoneEvacuated, ///< only members in evacuated zones could run the statement
     MemberCold, ///< the only member that can run the statement has started recently
     Overloaded, ///< the queue drains too slowly for the statement's latency objective
+    StateTooLarge, ///< the session's values and prepared statements would need too much memory
 };
 
 /// Maps a reason to its name and reply code.
@@ -44,7 +45,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 20> refusalRows{ {
+inline constexpr std::array<refusal_row, 21> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -65,6 +66,7 @@
         { refusal_reason::ZoneEvacuated, "zone_evacuated", reply_code::Busy },
         { refusal_reason::MemberCold, "member_cold", reply_code::Busy },
         { refusal_reason::Overloaded, "overloaded", reply_code::Busy },
+        { refusal_reason::StateTooLarge, "state_too_large", reply_code::TooLarge },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/include/fuchsiagw/proxy/session.hpp
+++ b/include/fuchsiagw/proxy/session.hpp
@@ -93,6 +93,7 @@
     std::string workspace;
     session_values values;
     std::map<std::string, prepared_shape> prepared; ///< by the name that the caller uses
+    std::size_t stateBytes = 0; ///< of `values` and `prepared`
     transaction_state state = transaction_state::Idle;
     std::optional<open_transaction> transaction; ///< set while state is not Idle
     std::string positionService; ///< service to which ownPosition belongs
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -24,6 +24,9 @@
 constexpr double relayConnectionShare = 0.85;
 /// Wait of borrowers that send no terms.
 constexpr std::chrono::milliseconds defaultBorrowerWait{ 150 };
+/// Commands of one operation before a connection is assigned: values, a prepared statement and the
+/// statement itself.
+constexpr std::size_t maxBufferedBytes = 8 * adapter::maxMessageBytes;
 constexpr int defaultPriority = 1'000; // of borrowers that send no terms
 /// Statements of a workspace in each round of the queue: enough for priorities to count in it.
 constexpr std::uint32_t queueQuantum = 4;
@@ -78,6 +81,7 @@
             auto entry = std::make_unique<borrower>();
             entry->connection = net::line_connection::create(std::move(socket),
                                                              adapter::maxInternalMessageBytes);
+            entry->connection->setBudget(borrowerBytes_);
             entry->connection->setHandlers(
                     [this, id](std::string_view line) { onBorrowerLine(id, line); },
                     [this, id] { onBorrowerDisconnected(id, false); });
@@ -126,6 +130,11 @@
     }
     source.bufferedLines += message;
     source.bufferedShapes.push_back(*shape);
+    if (source.bufferedLines.size() > maxBufferedBytes) {
+        const auto connection = source.connection;
+        onBorrowerDisconnected(id, false);
+        connection->close();
+    }
 }
 
 void relay_server::requestConnection(proxy::borrower_id id, const adapter::member_startup &opening)
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <random>
 #include <string>
@@ -30,14 +32,31 @@
 constexpr std::chrono::milliseconds maxAcceptDelay{ 800 };
 /// Unreadable datagrams are counted, and logged at most this often.
 constexpr std::chrono::seconds unreadableLogInterval{ 1 };
+constexpr std::chrono::seconds pressureLogInterval{ 1 };
 constexpr int storeEventNumber = 930;
 constexpr int socketEventNumber = 931;
 constexpr int droppedEventNumber = 932;
+constexpr int memoryEventNumber = 933;
 /// Lent connections are returned this long before the end of the grace period.
 constexpr std::chrono::milliseconds lendMargin{ 1'000 };
 /// Pause after a timer handler that failed, which is then due again at once.
 constexpr std::chrono::milliseconds failedTimerPause{ 50 };
 
+/// Parts of the memory for what callers send and get, for the relay, and for what sessions keep.
+constexpr std::size_t callerMemoryDivisor = 2;
+constexpr std::size_t relayMemoryDivisor = 4;
+constexpr std::size_t stateMemoryDivisor = 4;
+/// A single message within the protocol's limit must get through on the smallest instance.
+constexpr std::size_t minMemory = 16 * 1024 * 1024; // bytes
+/// Connections without a session, beyond the limit of sessions.
+constexpr std::size_t maxUnopenedConnections = 128;
+
+std::size_t availableMemory(const session_settings &values)
+{
+    const std::size_t memory = std::size_t{ values.memoryMegabytes } * 1024 * 1024;
+    return memory > reservedMemory + minMemory ? memory - reservedMemory : minMemory;
+}
+
 std::uint32_t sessionLimit(const session_settings &values)
 {
     const std::uint32_t descriptors =
@@ -122,6 +141,7 @@
                 perform();
             });
     engine_.settings = engineSettings(values);
+    applyMemoryLimits();
     engine_.random.seed(std::random_device{}());
     engine_.incarnation = engine_.random();
 }
@@ -167,6 +187,57 @@
 {
     values_ = values;
     engine_.settings = engineSettings(values);
+    applyMemoryLimits();
+}
+
+void session_gateway::applyMemoryLimits()
+{
+    const std::size_t memory = availableMemory(values_);
+    callerBytes_->limit = memory / callerMemoryDivisor;
+    relay_.setMemoryLimit(memory / relayMemoryDivisor);
+    engine_.settings.maxStateBytes = memory / stateMemoryDivisor;
+}
+
+void session_gateway::limitConnections()
+{
+    const std::size_t limit = engine_.settings.maxSessions + maxUnopenedConnections;
+    if (callers_.size() <= limit)
+        return;
+    // Ids grow with the time of the connection, so the first one found is the oldest.
+    const auto oldest = std::find_if(callers_.begin(), callers_.end(),
+                                     [](const auto &each) { return !each.second->isOpen; });
+    if (oldest == callers_.end())
+        return;
+    ++closedSilent_;
+    oldest->second->connection->close();
+    release(statementMemory_, oldest->first);
+    callers_.erase(oldest);
+}
+
+void session_gateway::logPressure()
+{
+    const std::uint64_t closed = callerBytes_->closedHolders + relay_.memory().closedHolders;
+    const core::time_point now = net::currentBootTime();
+    if (closed == loggedClosed_ || now < nextPressureLogAt_)
+        return;
+    loggedClosed_ = closed;
+    nextPressureLogAt_ = now + pressureLogInterval;
+    log_.write(memoryEventNumber, "memory_pressure",
+               fmt::format("closed={} caller_bytes={} relay_bytes={}", closed, callerBytes_->used,
+                           relay_.memory().used));
+}
+
+void session_gateway::resumeHeldStatements()
+{
+    // A statement that still finds no room goes to the end of the line again.
+    for (std::size_t count = statementMemory_.waiting.size(); count > 0; --count) {
+        const auto found = callers_.find(takeNextWaiting(statementMemory_));
+        if (found == callers_.end())
+            continue;
+        const auto connection = found->second->connection;
+        boost::asio::post(context_, [connection] { connection->resumeInput(); });
+        return;
+    }
 }
 
 void session_gateway::accept()
@@ -187,16 +258,22 @@
         auto entry = std::make_unique<caller_connection>();
         entry->connection =
                 net::line_connection::create(std::move(socket), adapter::maxMessageBytes);
+        entry->connection->setBudget(callerBytes_);
+        entry->connection->setLineGate(
+                [this, id](std::size_t bytes) { return reserve(statementMemory_, id, bytes); });
         entry->connection->setHandlers(
                 [this, id](std::string_view line) { onCallerLine(id, line); },
                 [this, id] {
                     callers_.erase(id);
+                    release(statementMemory_, id);
+                    resumeHeldStatements();
                     proxy::onCallerDisconnected(engine_, id, net::currentBootTime());
                     perform();
                 });
         const auto connection = entry->connection;
         callers_.emplace(id, std::move(entry));
         connection->start(net::keepalive_profile::Long);
+        limitConnections();
         accept();
     });
 }
@@ -315,6 +392,7 @@
     if (!isAccepting_ && proxy::isReady(engine_))
         startAccepting();
     scheduleTimer();
+    logPressure();
     finishStopIfDrained();
 }
 
@@ -327,11 +405,17 @@
     if (!action.opens)
         latencies_.record(recipient.statementKind,
                           net::currentBootTime() - recipient.statementReceivedAt);
+    const proxy::session_id id = action.session;
     recipient.connection->send(adapter::encodeReply(action.answer, action.opens));
-    if (recipient.connection->queuedBytes() > maxQueuedReplyBytes) {
+    if (statementMemory_.reserved.contains(id)) {
+        release(statementMemory_, id);
+        resumeHeldStatements();
+    }
+    const std::size_t queued = recipient.connection->queuedBytes();
+    const bool isOverBudget = queued > net::largeHolding && !net::fits(*callerBytes_, 0);
+    if (queued > maxQueuedReplyBytes || isOverBudget) {
         log_.write(socketEventNumber, "caller_does_not_read", {});
         recipient.connection->close();
-        const proxy::session_id id = action.session;
         callers_.erase(found);
         proxy::onCallerDisconnected(engine_, id, net::currentBootTime());
     }
@@ -344,6 +428,8 @@
         return;
     found->second->connection->closeGracefully();
     callers_.erase(found);
+    release(statementMemory_, action.session);
+    resumeHeldStatements();
 }
 
 void session_gateway::perform(const proxy::refresh_directory &)
--- a/src/daemon/session_process.cpp
+++ b/src/daemon/session_process.cpp
@@ -13,6 +13,8 @@
 #include <csignal>
 #include <filesystem>
 
+#include <malloc.h>
+
 namespace fuchsiagw::daemon {
 
 namespace {
@@ -35,6 +37,14 @@
     return options;
 }
 
+/// The memory of long messages goes back to the system when they are freed. Otherwise the C library
+/// would raise its threshold after the first one and keep what a crowd has used.
+void keepLongBuffersOutOfTheHeap()
+{
+    constexpr int threshold = 128 * 1024; // bytes
+    static_cast<void>(mallopt(M_MMAP_THRESHOLD, threshold));
+}
+
 /// Runs all components of the process on one thread.
 class session_daemon
 {
@@ -69,6 +79,7 @@
 
     exit_code run()
     {
+        keepLongBuffersOutOfTheHeap();
         log_.writeStart(startEvent, "session_daemon_started", values_.instance, values_.zone);
         for (const std::error_code error :
              { gateway_.start(), readinessServer_.start(), metricsServer_.start() }) {
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -81,6 +81,12 @@
     add("store_rows_unreadable_total", "counter", store_.counters().unreadableRows);
     add("store_failures_total", "counter", store_.counters().failures);
     add("early_refusals_total", "counter", relay_.counters().refusedEarly);
+    add("buffered_bytes", "gauge", callerBytes_->used + relay_.memory().used + engine_.stateBytes);
+    text += fmt::format("# TYPE fuchsiagw_connections_closed_total counter\n"
+                        "fuchsiagw_connections_closed_total{{reason=\"caller_memory\"}} {}\n"
+                        "fuchsiagw_connections_closed_total{{reason=\"relay_memory\"}} {}\n"
+                        "fuchsiagw_connections_closed_total{{reason=\"no_session\"}} {}\n",
+                        callerBytes_->closedHolders, relay_.memory().closedHolders, closedSilent_);
     add("sessions", "gauge", engine_.sessions.size());
     add("links", "gauge", engine_.links.size());
     add("instances", "gauge", engine_.instances);
--- a/src/net/line_connection.cpp
+++ b/src/net/line_connection.cpp
@@ -3,6 +3,9 @@
 
 #include <fuchsiagw/net/line_connection.hpp>
 
+#include <fuchsiagw/net/byte_budget.hpp>
+#include <fuchsiagw/net/clock.hpp>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -21,6 +24,10 @@
 
 constexpr std::size_t initialInputBytes = 2048;
 constexpr std::string_view lineEnd = "\r\n";
+/// Pause before another attempt to get room for a long line.
+constexpr std::chrono::milliseconds roomRetryInterval{ 20 };
+/// A connection whose line gets no room for this long is closed.
+constexpr std::chrono::milliseconds maxWaitForRoom{ 2'000 };
 /// Wait for the peer to close its side in a graceful close.
 constexpr std::chrono::milliseconds gracefulCloseTimeout{ 1'000 };
 
@@ -73,6 +80,12 @@
     return std::shared_ptr<line_connection>(new line_connection(std::move(socket), maxLine));
 }
 
+line_connection::~line_connection()
+{
+    closed_ = true;
+    account();
+}
+
 void line_connection::setHandlers(line_handler onLine, closed_handler onClosed)
 {
     onLine_ = std::move(onLine);
@@ -97,6 +110,7 @@
     open_ = true;
     configureKeepalive(socket_, profile);
     input_.resize(initialInputBytes);
+    account();
     read();
     write();
 }
@@ -109,13 +123,87 @@
         queue_ = std::move(text);
     else
         queue_ += text;
+    account();
     write();
 }
 
+void line_connection::setBudget(std::shared_ptr<byte_budget> budget)
+{
+    budget_ = std::move(budget);
+}
+
+void line_connection::account()
+{
+    if (!budget_)
+        return;
+    const std::size_t held = closed_ ? 0 : input_.size() + queue_.size() + writing_.size();
+    budget_->used += held - countedBytes_;
+    countedBytes_ = held;
+    if (held <= largeHolding) {
+        budget_->holders.erase(this);
+        return;
+    }
+    if (budget_->holders.contains(this))
+        return;
+    const auto close = [weak = weak_from_this()] {
+        if (const auto keep = weak.lock())
+            keep->fail();
+    };
+    budget_->holders.emplace(this, large_holder{ currentBootTime(), close });
+}
+
+bool line_connection::growInput()
+{
+    const std::size_t longest = maxLine_ + lineEnd.size();
+    const std::size_t next = std::min(input_.size() * 2, longest + initialInputBytes);
+    const core::time_point now = currentBootTime();
+    const bool hasRoom =
+            !budget_ || next <= largeHolding || makeRoom(*budget_, next - input_.size(), this, now);
+    if (hasRoom) {
+        waitsForRoomSince_ = core::noDeadline;
+        input_.reserve(next); // a larger capacity would not be counted
+        input_.resize(next);
+        account();
+        return true;
+    }
+    waitsForRoomSince_ = std::min(waitsForRoomSince_, now);
+    if (now - waitsForRoomSince_ >= maxWaitForRoom) {
+        ++budget_->closedHolders;
+        fail();
+        return false;
+    }
+    const auto timer =
+            std::make_shared<boost::asio::steady_timer>(socket_.get_executor(), roomRetryInterval);
+    timer->async_wait([timer, weak = weak_from_this()](const boost::system::error_code &) {
+        const auto keep = weak.lock();
+        if (keep && !keep->closed_)
+            keep->read();
+    });
+    return false;
+}
+
+/// Gives the memory of a long line back once it has been handled.
+void line_connection::releaseInput()
+{
+    if (input_.size() <= largeHolding || receivedBytes_ > initialInputBytes)
+        return;
+    std::string smaller(initialInputBytes, '\0');
+    std::memcpy(smaller.data(), input_.data(), receivedBytes_);
+    input_ = std::move(smaller);
+    account();
+}
+
+void line_connection::resumeInput()
+{
+    if (!std::exchange(isHeldBack_, false) || closed_ || closing_)
+        return;
+    handleInput(0);
+}
+
 void line_connection::read()
 {
-    if (receivedBytes_ == input_.size())
-        input_.resize(input_.size() * 2);
+    if (receivedBytes_ == input_.size() && !growInput())
+        return;
     socket_.async_read_some(
             boost::asio::buffer(input_.data() + receivedBytes_, input_.size() - receivedBytes_),
             [keep = shared_from_this()](const boost::system::error_code &error,
@@ -145,6 +233,11 @@
         return;
     receivedBytes_ = closing_ ? 0 : receivedBytes_ - handled;
     std::memmove(input_.data(), input_.data() + handled, receivedBytes_);
+    if (isHeldBack_) {
+        scannedBytes_ = 0;
+        return;
+    }
+    releaseInput();
     // The line end may be divided between two reads.
     scannedBytes_ = receivedBytes_ - (receivedBytes_ > 0 ? 1 : 0);
     if (receivedBytes_ > maxLine_ + 1) {
@@ -166,6 +259,10 @@
             fail();
             break;
         }
+        if (gate_ && end - begin > largeHolding && !gate_(end - begin)) {
+            isHeldBack_ = true;
+            break;
+        }
         const std::string_view line = input.substr(begin, end - begin);
         begin = end + lineEnd.size();
         scannedBytes_ = begin;
@@ -192,6 +289,7 @@
                 if (keep->closed_)
                     return;
                 keep->writing_.clear();
+                keep->account();
                 if (error)
                     keep->fail();
                 else
@@ -217,6 +315,7 @@
         return;
     }
     closed_ = true;
+    account();
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
@@ -224,6 +323,7 @@
 void line_connection::reset()
 {
     closed_ = true;
+    account();
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t maxWaitingStatements = 64; // pipelined by one caller
+/// A session with less state is never refused more of it: ordinary sessions are served while others
+/// use the memory up.
+constexpr std::size_t smallStateBytes = 4'096;
 constexpr std::string_view proxyDigest = "-"; // digest of answers from the proxy itself
 
 reply proxySuccess(transaction_state state)
@@ -142,9 +145,52 @@
     finishRequest(state, caller, proxySuccess(caller.state), now);
 }
 
+/// @return bytes that an entry of the session's values or prepared statements keeps
+std::size_t entryBytes(const std::string &name, std::size_t contentBytes)
+{
+    constexpr std::size_t entryOverhead = 128; // nodes and strings
+    return name.size() + contentBytes + entryOverhead;
+}
+
+/// @return bytes of the entry that the statement sets, prepares or drops, as the session has it now
+std::size_t presentEntryBytes(const session &caller, const caller_statement &statement)
+{
+    if (statement.kind == statement_kind::SetValue) {
+        const auto value = caller.values.find(statement.name);
+        return value == caller.values.end() ? 0 : entryBytes(statement.name, value->second.size());
+    }
+    const auto prepared = caller.prepared.find(statement.name);
+    return prepared == caller.prepared.end()
+                   ? 0
+                   : entryBytes(statement.name, prepared->second.shape.size());
+}
+
+/// Counts the change of the session's state by a statement.
+/// @return false if it would need too much memory
+bool countStateBytes(engine &state, session &caller, const caller_statement &statement)
+{
+    std::size_t added = 0;
+    if (statement.kind == statement_kind::SetValue)
+        added = entryBytes(statement.name, statement.argument.size());
+    else if (statement.kind == statement_kind::Prepare)
+        added = entryBytes(statement.name, statement.prepared.shape.size());
+    const std::size_t removed = presentEntryBytes(caller, statement);
+    const std::size_t all = state.stateBytes - removed + added;
+    const bool isShort = added <= smallStateBytes && caller.stateBytes + added <= smallStateBytes;
+    if (all > state.settings.maxStateBytes && added > removed && !isShort)
+        return false;
+    state.stateBytes = all;
+    caller.stateBytes = caller.stateBytes - removed + added;
+    return true;
+}
+
 void updateSession(engine &state, session &caller, core::time_point now)
 {
     const caller_statement &statement = caller.current->statement;
+    if (!countStateBytes(state, caller, statement)) {
+        refuseRequest(state, caller, refusal_reason::StateTooLarge, now);
+        return;
+    }
     if (statement.kind == statement_kind::SetValue)
         caller.values[statement.name] = statement.argument;
     else if (statement.kind == statement_kind::Prepare)
@@ -327,6 +373,7 @@
     note.workspace = caller->workspace;
     note.reason = caller->closing ? "by_proxy" : "ended";
     state.out.emplace_back(std::move(note));
+    state.stateBytes -= caller->stateBytes;
     state.sessions.erase(id);
     if (upstream_link *link = findLink(state, pinnedLink))
         rollBack(state, *link, now);
