Let operations wait longer at relays, and announce only lasting loads

Change: an operation may wait for twice its objective, one more than the limit may be in transit, and only states that last 200 ms are announced, queues from 500 ms on, at most once a second for a member.

--- a/include/fuchsiagw/proxy/member_load.hpp
+++ b/include/fuchsiagw/proxy/member_load.hpp
@@ -46,6 +46,8 @@
 {
     member_load announced;
     core::time_point announcedAt{};
+    load_state measured = load_state::Normal; ///< at the latest measurement
+    core::time_point measuredSince{}; ///< when it became so
     core::time_point waitingSince = core::noDeadline; ///< operations wait for the member since then
 };
 
@@ -57,8 +59,8 @@
                                       const relay_pool &pool, core::time_point now);
 
 /// @brief Decides whether the other daemons have to be told now; then records that they are. They
-/// are told of each change of the state, at most once in a quarter of a second, and each second
-/// while the state is not normal.
+/// are told of each change of the state that lasts, at most once a second, and each second while the
+/// state is not normal.
 [[nodiscard]] bool takeAnnouncement(load_announcement &progress, const member_load &load,
                                     core::time_point now);
 
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -27,6 +27,9 @@
 /// Commands of one operation before a connection is assigned: values, a prepared statement and the
 /// statement itself.
 constexpr std::size_t maxBufferedBytes = 8 * adapter::maxMessageBytes;
+/// Operations beyond a member's limit, so that none of its slots is idle while an answer and the
+/// next command are between the relay and the member.
+constexpr std::size_t operationsInTransit = 1;
 constexpr int defaultPriority = 1'000; // of borrowers that send no terms
 /// Statements of a workspace in each round of the queue: enough for priorities to count in it.
 constexpr std::uint32_t queueQuantum = 4;
@@ -181,9 +184,10 @@
         return;
     const core::time_point now = net::currentBootTime();
     const auto limited = members_.find(memberId);
-    pool->second.maxBusy = limitsMembers() && limited != members_.end()
-                                   ? proxy::currentLimit(limited->second.limit, now)
-                                   : 0;
+    pool->second.maxBusy =
+            limitsMembers() && limited != members_.end()
+                    ? proxy::currentLimit(limited->second.limit, now) + operationsInTransit
+                    : 0;
     const proxy::relay_step step = proxy::advance(pool->second, now);
     for (const auto &each : step.lend)
         lend(each.borrower, each.connection);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -398,7 +398,7 @@
         retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
         return;
     }
-    const core::time_point useful = pending.arrived + pending.effectiveRoute.latencyObjective;
+    const core::time_point useful = pending.arrived + 2 * pending.effectiveRoute.latencyObjective;
     if (now + link.retryAfter < std::min(useful, pending.deadline)) {
         pending.retryAt = now + link.retryAfter;
         retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
--- a/src/proxy/engine_links.cpp
+++ b/src/proxy/engine_links.cpp
@@ -298,15 +298,16 @@
 
 namespace {
 
-/// An operation may wait at the relay until its latency objective is over, and no longer than
-/// borrowTimeout leaves time for the relay's refusal.
+/// An operation may wait at the relay for twice its latency objective, as a late answer is of more
+/// use to its caller than none, and no longer than borrowTimeout leaves time for the relay's
+/// refusal.
 borrow_terms termsOf(const request &pending, core::time_point now)
 {
     borrow_terms terms;
     terms.priority = std::max(0, pending.effectiveRoute.priority);
-    terms.wait = std::clamp<core::duration>(pending.arrived
-                                                    + pending.effectiveRoute.latencyObjective - now,
-                                            core::duration::zero(), maxBorrowWait);
+    terms.wait = std::clamp<core::duration>(
+            pending.arrived + 2 * pending.effectiveRoute.latencyObjective - now,
+            core::duration::zero(), maxBorrowWait);
     terms.isExclusive = pending.where.needsPrimary;
     return terms;
 }
--- a/src/proxy/member_load.cpp
+++ b/src/proxy/member_load.cpp
@@ -15,9 +15,12 @@
 
 using std::chrono::milliseconds;
 
-/// A member is full once operations have waited for it without a pause for this long.
-constexpr milliseconds fullDelay{ 50 };
-constexpr milliseconds minAnnouncementInterval{ 250 };
+/// A member is full once operations have waited for it without a pause for this long. Shorter
+/// queues are over before the other daemons could act on the news.
+constexpr milliseconds fullDelay{ 500 };
+/// A state that lasts shorter is not announced: each announcement is a datagram to every daemon.
+constexpr milliseconds minStateAge{ 200 };
+constexpr milliseconds minAnnouncementInterval{ 1'000 };
 constexpr milliseconds repetitionInterval{ 1'000 };
 
 } // namespace
@@ -43,8 +46,13 @@
 
 bool takeAnnouncement(load_announcement &progress, const member_load &load, core::time_point now)
 {
+    if (load.state != progress.measured) {
+        progress.measured = load.state;
+        progress.measuredSince = now;
+    }
     const core::duration age = now - progress.announcedAt;
-    const bool isChanged = load.state != progress.announced.state;
+    const bool isChanged =
+            load.state != progress.announced.state && now - progress.measuredSince >= minStateAge;
     const bool isDue = isChanged ? age >= minAnnouncementInterval
                                  : load.state != load_state::Normal && age >= repetitionInterval;
     if (!isDue)
