--- a/include/fuchsiagw/core/fair_queue.hpp
+++ b/include/fuchsiagw/core/fair_queue.hpp
@@ -5,7 +5,7 @@
 /// Statements of open transactions are served first, because they hold locks at the upstream. The
 /// others are served in rounds. In each round a workspace has a share of `quantum` statements for
 /// each unit of its weight; among the workspaces that have some of their share left, the statement
-/// with the highest priority goes first, then the one with the earliest deadline. A priority that
+/// with the highest priority goes first, then the one with the earliest objective. A priority that
 /// has been passed over often enough is served once, so that none is starved.
 
 #pragma once
@@ -33,6 +33,9 @@
     bool inTransaction = false;
     time_point deadline = noDeadline;
     int priority = 0; ///< 0 is the highest
+    /// Orders statements of equal priority. Set from the configuration: callers choose `deadline`
+    /// themselves, so the order must not depend on it.
+    time_point objective = noDeadline;
 };
 
 /// The queued statements of one workspace.
--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -59,7 +59,7 @@
 {
     if (left.priority != right.priority)
         return left.priority < right.priority;
-    return left.deadline < right.deadline;
+    return left.objective < right.objective;
 }
 
 /// A statement that can be served next.
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -322,7 +322,7 @@
         entry.workspace = core::workspace_id{ caller->second.workspace };
         entry.inTransaction = !pending.startsOperation;
         entry.priority = pending.effectiveRoute.priority;
-        entry.deadline = pending.arrived + pending.effectiveRoute.latencyObjective;
+        entry.objective = pending.arrived + pending.effectiveRoute.latencyObjective;
         static_cast<void>(core::enqueue(queue, std::move(entry), 1));
     }
     std::deque<session_id> ordered;
--- a/src/proxy/relay_pool.cpp
+++ b/src/proxy/relay_pool.cpp
@@ -110,7 +110,7 @@
     entry.session = borrower.id;
     entry.workspace = core::workspace_id{ borrower.workspace };
     entry.priority = borrower.priority;
-    entry.deadline = borrower.waitUntil;
+    entry.objective = borrower.waitUntil;
     return entry;
 }
 
