--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -60,7 +60,22 @@
 void expireMissingMembers(engine &state, core::time_point now);
 
 /// @return whether a member may get a statement that is not part of a running transaction
-[[nodiscard]] bool acceptsNewWork(const member_state &member, core::time_point now);
+[[nodiscard]] bool acceptsNewWork(const engine &state, const member_state &member,
+                                  core::time_point now);
+/// @return whether a primary may get a statement that only it can run, as its zone is not evacuated
+/// or is still within the time for that
+[[nodiscard]] bool acceptsWorkAsLeader(const engine &state, const member_state &member,
+                                       core::time_point now);
+
+/// @return whether a group has to replace its primary now, because its zone is evacuated
+[[nodiscard]] bool isReplacementDue(const engine &state, const service_state &service,
+                                    core::time_point now);
+/// @brief Counts a statement that is sent to a member, if its zone is evacuated.
+void recordEvacuatedWork(engine &state, const member_state &member, core::time_point now);
+/// @return whether a session's transaction runs at a member that gets no statements any more,
+/// because its zone is evacuated
+[[nodiscard]] bool isTransactionEvacuated(const engine &state, const session &caller,
+                                          core::time_point now);
 
 /// @brief Logs a decision about a session's current request.
 void noteRequest(engine &state, note_kind kind, const session &caller, const std::string &member,
@@ -89,6 +104,9 @@
 void placeRequest(engine &state, session &caller, core::time_point now);
 /// @brief Tries to place the queued requests of a service.
 void serveQueue(engine &state, service_state &service, core::time_point now);
+/// @return whether a member that has not been tried yet may get the current request, a read
+[[nodiscard]] bool hasUntriedMember(const engine &state, const session &caller,
+                                    core::time_point now);
 /// @brief Decides where the first statement of an operation must run.
 void decidePlacement(engine &state, const session &caller, request &pending);
 
@@ -99,13 +117,17 @@
                            link_id &opening, core::time_point now);
 /// @brief Opens a link to a member.
 /// @param direct connects to the member itself instead of its relay
+/// @param caller session whose current request the link is opened for; none: a command of the proxy
 link_id openLink(engine &state, member_state &member, const std::string &workspace, bool direct,
-                 core::time_point now);
+                 core::time_point now, const session *caller = nullptr);
 /// @return the relay of a member, which is the daemon that pools the member's connections for all
 /// daemons; may be this daemon
 /// @param skipped number of usable relays to pass over
 [[nodiscard]] std::string relayNodeFor(const engine &state, member_state &member,
                                        core::time_point now, std::size_t skipped = 0);
+/// @brief Records the load of a member as its relay has told it.
+void applyLoad(engine &state, const std::string &member, const member_load &load,
+               core::time_point now);
 /// @brief Sends the current request on a link, together with its preparation.
 void sendRequest(engine &state, upstream_link &link, session &caller, core::time_point now);
 /// @brief Sends the first statement of a transaction after the member has confirmed its begin.
@@ -215,6 +237,8 @@
 /// @brief Takes a rate-limit token for the operation, waits for one, or refuses the statement.
 /// @return whether the statement may proceed now
 bool admitOperation(engine &state, session &caller, core::time_point now);
+/// @brief Refuses an operation whose wait for a token is over.
+void refuseForRate(engine &state, session &caller, core::time_point now);
 /// @brief Continues a statement that waited for a rate-limit token.
 void resume(engine &state, session &caller, core::time_point now);
 /// @return the home of a workspace's quota: the daemon of the zone that collects the workspace's
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -19,14 +19,17 @@
 #include <fuchsiagw/proxy/service_state.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_link.hpp>
+#include <fuchsiagw/proxy/zone_evacuation.hpp>
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsiagw::proxy {
@@ -36,12 +39,20 @@
     std::string node;
     std::string zone;
     std::uint32_t maxSessions = 0; ///< limit of concurrent caller connections
+    /// Limit of the values and prepared statements that all sessions keep together, in bytes.
+    std::size_t maxStateBytes = std::numeric_limits<std::size_t>::max();
     core::duration drainLimit{ 0 }; ///< time within which a draining member stops receiving work
     core::duration gracePeriod{ 0 }; ///< from the shutdown request to the end of the process
     /// The platform rejects outdated promotion orders, and a primary loses the lead in the moment
     /// in which another member is promoted. Otherwise it may go on until it learns of its
     /// successor.
     bool promotionsAreFenced = false;
+    /// Time, from the operator's request, within which the members of an evacuated zone stop
+    /// getting work.
+    core::duration evacuationLimit{ std::chrono::seconds(5) };
+    bool priorityAdmission = false; ///< queues serve by priority, deadline and fair share
+    double capacity = 0; ///< processor cores of this instance; 0: unknown
+    bool memberLimits = false; ///< the number of operations at a member is limited adaptively
 };
 
 /// What this daemon knows of another daemon of the deployment.
@@ -62,6 +73,7 @@
     /// @{
     std::uint64_t incarnation = 0; ///< incarnation of the process that wrote the row
     limit_part claimed = 0; ///< claimed part of every limit
+    double capacity = 0; ///< processor cores of its instance; 0: unknown
     /// @}
 };
 
@@ -105,6 +117,7 @@
     std::map<session_id, session> sessions;
     std::map<link_id, upstream_link> links;
     std::map<std::string, peer_state> peers;
+    std::size_t stateBytes = 0; ///< sum of session::stateBytes
     std::set<session_id> active; ///< sessions with a current request or transaction
     std::uint32_t instances = 1; ///< number of daemons among which limits are divided
     std::uint64_t peersVersion = 1; ///< incremented when the set of peers changes
@@ -125,6 +138,7 @@
     core::time_point nextPartRequest =
             core::noDeadline; ///< next request for parts of the zone's daemons
     part_recall recall;
+    evacuation_state evacuation;
     std::uint64_t incarnation = 0;
     engine_counters counters;
     std::vector<action> out;
@@ -133,6 +147,12 @@
 /// @brief Applies a manifest; a version that is not newer than the current one is ignored.
 void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now);
 
+/// @brief Applies the set of evacuated zones; a version that is not newer is ignored.
+/// @param version of the store, as of which the set is complete
+/// @param source of the set, for the log
+void onEvacuations(engine &state, const std::set<std::string> &zones, std::uint64_t version,
+                   std::string_view source, core::time_point now);
+
 /// One row of the list of members in the store.
 struct listed_member
 {
@@ -186,6 +206,10 @@
 void onPromoteAnswer(engine &state, const std::string &service, promote_outcome outcome,
                      core::time_point now);
 
+/// @brief Tells the other daemons the load of a member whose relay this daemon is.
+void announceLoad(engine &state, const std::string &member, const member_load &load,
+                  core::time_point now);
+
 /// @brief Starts the graceful shutdown.
 void onStop(engine &state, core::time_point now);
 
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -142,6 +142,18 @@
     }
 }
 
+void store_client::applyEvacuationRows(const std::vector<adapter::store_row> &rows)
+{
+    for (const adapter::store_row &row : rows) {
+        const auto zone = adapter::evacuatedZoneOf(row);
+        if (zone && row.deleted)
+            evacuatedZones_.erase(*zone);
+        else if (zone)
+            evacuatedZones_.insert(*zone);
+    }
+    callbacks_.onEvacuations(evacuatedZones_, manifestFeedVersion_);
+}
+
 void store_client::reportUnusableNames(const proxy::manifest &manifest)
 {
     const std::size_t count = std::min(manifest.unusableNames.size(), maxReportedNames);
@@ -181,6 +193,8 @@
              }
              manifestFailures_ = 0;
              manifestFeedVersion_ = rows->version;
+             evacuatedZones_.clear();
+             applyEvacuationRows(rows->rows);
              applyManifestRows(rows->rows);
              followManifest();
          });
@@ -199,6 +213,7 @@
              if (rows) {
                  manifestFailures_ = 0;
                  manifestFeedVersion_ = std::max(manifestFeedVersion_, rows->version);
+                 applyEvacuationRows(rows->rows);
                  applyManifestRows(rows->rows);
                  followManifest();
                  return;
@@ -318,7 +333,8 @@
         return;
     const auto ownRow = instances_.find(values_.instance);
     const std::uint64_t version = ownRow == instances_.end() ? 0 : ownRow->second.version;
-    const std::string value = wire::toJson({ values_.address, values_.zone, incarnation, part });
+    const std::string value =
+            wire::toJson({ values_.address, values_.zone, incarnation, part, values_.cpuShare });
     // The expected version keeps a delayed request from overwriting a newer row.
     call(store_purpose::Instances,
          adapter::changeRows({ { wire::instanceTable, values_.instance, version, value } }),
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -3,6 +3,8 @@
 
 #include <fuchsiagw/detail/engine_steps.hpp>
 
+#include <fuchsiagw/core/fair_queue.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,11 +28,20 @@
 /// A read is hedged after this multiple of the member's average time to an answer.
 constexpr double hedgeAnswerFactor = 4;
 constexpr milliseconds minHedgeDelay{ 80 };
+/// High enough that a member of a zone that fills up again is chosen only as last resort.
+constexpr double returningPenaltyUs = 1'000'000;
 /// Cost of a failed statement, which the proxy or the caller has to retry.
 constexpr double failurePenaltyUs = 400'000;
 /// Half-life of a member's failure rate without new failures, so that the member is tried again.
 constexpr double failureHalfLifeSeconds = 1.5;
 constexpr int maxTries = 12; // per statement
+/// A primary outside of the evacuated zone leads within about this time.
+constexpr milliseconds evacuationRetryDelay{ 400 };
+
+bool isAvailable(const member_state &member, core::time_point now)
+{
+    return member.listed && !member.entry.draining && member.avoidUntil <= now;
+}
 
 bool isExcluded(const request &pending, const std::string &member)
 {
@@ -62,6 +73,9 @@
     const double connect = member.connectUs > 0 ? member.connectUs : defaultConnectUs;
     const double slots = std::max<std::uint32_t>(1, member.entry.slots);
     double cost = answer * (1 + member.outstanding / slots);
+    if (member.loadUntil > now)
+        cost = std::max(cost, static_cast<double>(member.load.answerUs))
+               + static_cast<double>(member.load.waitUs);
     if (!hasIdleLink(state, member, caller.workspace))
         cost += connect;
     if (member.connectionLimitUntil > now)
@@ -87,9 +101,12 @@
         member_state &member = state.members.at(id);
         // A primary with a full queue is reserved for statements that only it can serve.
         const bool reservedPrimary = id == service.leader && member.busyUntil > now;
-        if (!acceptsNewWork(member, now) || isExcluded(*caller.current, id) || reservedPrimary)
+        if (!acceptsNewWork(state, member, now) || isExcluded(*caller.current, id)
+            || reservedPrimary)
             continue;
-        const double cost = costOf(state, member, service, caller, now);
+        double cost = costOf(state, member, service, caller, now);
+        if (!admitsReturningWork(state.evacuation, member.entry.zone, state.random, now))
+            cost += returningPenaltyUs;
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
@@ -101,7 +118,7 @@
 member_state *leaderOf(engine &state, const service_state &service, core::time_point now)
 {
     member_state *member = findMember(state, service.leader);
-    if (member == nullptr || !acceptsNewWork(*member, now))
+    if (member == nullptr || !acceptsWorkAsLeader(state, *member, now))
         return nullptr;
     return member;
 }
@@ -122,6 +139,23 @@
     return best;
 }
 
+/// @return whether members that could run the request get no work only because their zones are
+/// evacuated
+bool isEvacuationCause(const engine &state, const service_state &service, const request &pending,
+                       core::time_point now)
+{
+    if (state.evacuation.zones.empty())
+        return false;
+    const auto isHeldBack = [&](const std::string &id) {
+        const auto found = state.members.find(id);
+        return found != state.members.end() && isAvailable(found->second, now)
+               && isEvacuated(state.evacuation, found->second.entry.zone);
+    };
+    if (pending.where.needsPrimary)
+        return isHeldBack(service.leader);
+    return std::any_of(service.members.begin(), service.members.end(), isHeldBack);
+}
+
 core::duration queueTimeout(const request &pending, refusal_reason reason)
 {
     const core::duration objective = pending.effectiveRoute.latencyObjective;
@@ -151,9 +185,25 @@
 
 } // namespace
 
-bool acceptsNewWork(const member_state &member, core::time_point now)
+bool acceptsNewWork(const engine &state, const member_state &member, core::time_point now)
 {
-    return member.listed && !member.entry.draining && member.avoidUntil <= now;
+    return isAvailable(member, now) && !isEvacuated(state.evacuation, member.entry.zone);
+}
+
+bool acceptsWorkAsLeader(const engine &state, const member_state &member, core::time_point now)
+{
+    return isAvailable(member, now) && acceptsPrimaryWork(state.evacuation, member.entry.zone, now);
+}
+
+bool hasUntriedMember(const engine &state, const session &caller, core::time_point now)
+{
+    const auto service = state.services.find(caller.current->effectiveRoute.service);
+    if (service == state.services.end())
+        return false;
+    const auto &members = service->second.members;
+    return std::any_of(members.begin(), members.end(), [&](const std::string &id) {
+        return acceptsNewWork(state, state.members.at(id), now) && !isExcluded(*caller.current, id);
+    });
 }
 
 void decidePlacement(engine &state, const session &caller, request &pending)
@@ -225,6 +275,10 @@
         return;
     }
     member_state *member = chooseMember(state, *service, caller, now);
+    if (member == nullptr && isEvacuationCause(state, *service, pending, now)) {
+        refuseRequest(state, caller, refusal_reason::ZoneEvacuated, now, evacuationRetryDelay);
+        return;
+    }
     if (member == nullptr) {
         enqueueRequest(state, caller,
                        pending.where.needsPrimary ? refusal_reason::NoPrimary
@@ -245,11 +299,44 @@
     placeOnLink(state, caller, *member, *link, now);
 }
 
-void serveQueue(engine &state, service_state &service, core::time_point now)
+namespace {
+
+/// Empties the queue of a service.
+/// @return its sessions in the order in which they are to be served
+std::deque<session_id> takeInOrder(const engine &state, service_state &service)
 {
-    // placeRequest() appends requests that still have to wait, so the loop runs on a copy.
     std::deque<session_id> waiting;
     waiting.swap(service.queue);
+    if (!state.settings.priorityAdmission || waiting.size() < 2)
+        return waiting;
+    core::fair_queue queue;
+    queue.capacity = waiting.size();
+    for (const session_id id : waiting) {
+        const auto caller = state.sessions.find(id);
+        if (caller == state.sessions.end() || !caller->second.current)
+            continue;
+        const request &pending = *caller->second.current;
+        core::queued_statement entry;
+        entry.handle = id;
+        entry.session = id;
+        entry.workspace = core::workspace_id{ caller->second.workspace };
+        entry.inTransaction = !pending.startsOperation;
+        entry.priority = pending.effectiveRoute.priority;
+        entry.objective = pending.arrived + pending.effectiveRoute.latencyObjective;
+        static_cast<void>(core::enqueue(queue, std::move(entry), 1));
+    }
+    std::deque<session_id> ordered;
+    while (const auto next = core::dequeue(queue))
+        ordered.push_back(next->session);
+    return ordered;
+}
+
+} // namespace
+
+void serveQueue(engine &state, service_state &service, core::time_point now)
+{
+    // placeRequest() appends requests that still have to wait, so the loop runs on a copy.
+    const std::deque<session_id> waiting = takeInOrder(state, service);
     for (const session_id id : waiting) {
         session *caller = findSession(state, id);
         if (caller == nullptr || !caller->current || !caller->current->queued)
