Session gateway: move its limits of memory and descriptors to a file of their own

Change: session_memory.cpp has the division of the memory, the limit of silent connections and the statements that wait for room; two files are formatted.

--- a/include/fuchsiagw/detail/session_connections.hpp
+++ b/include/fuchsiagw/detail/session_connections.hpp
@@ -8,10 +8,14 @@
 
 #include <platform/wire_codec.hpp>
 
+#include <cstddef>
 #include <memory>
 
 namespace fuchsiagw::daemon {
 
+/// Memory of the process for everything except sessions and what callers send and get, in bytes.
+inline constexpr std::size_t reservedMemory = 48 * 1024 * 1024;
+
 struct session_gateway::caller_connection
 {
     std::shared_ptr<net::line_connection> connection;
--- a/include/fuchsiagw/proxy/member_load.hpp
+++ b/include/fuchsiagw/proxy/member_load.hpp
@@ -59,8 +59,8 @@
                                       const relay_pool &pool, core::time_point now);
 
 /// @brief Decides whether the other daemons have to be told now; then records that they are. They
-/// are told of each change of the state that lasts, at most once a second, and each second while the
-/// state is not normal.
+/// are told of each change of the state that lasts, at most once a second, and each second while
+/// the state is not normal.
 [[nodiscard]] bool takeAnnouncement(load_announcement &progress, const member_load &load,
                                     core::time_point now);
 
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -78,8 +78,8 @@
     void serialize(archive &ar)
     {
         ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
-           betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones,
-           load, priority);
+           betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones, load,
+           priority);
     }
 };
 
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -9,8 +9,6 @@
 
 #include <boost/asio/post.hpp>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <random>
 #include <string>
@@ -25,38 +23,20 @@
 /// The caller's socket and a share of the sockets to members.
 constexpr std::uint32_t descriptorsPerSession = 2;
 constexpr std::size_t memoryPerSession = 32 * 1024; // bytes
-constexpr std::size_t reservedMemory = 48 * 1024 * 1024; // bytes, for everything except sessions
 constexpr std::size_t maxQueuedReplyBytes = 4 * adapter::maxMessageBytes;
 /// If no manifest has been read after this time, callers are accepted and refused at once instead
 /// of waiting in the listen backlog.
 constexpr std::chrono::milliseconds maxAcceptDelay{ 800 };
 /// Unreadable datagrams are counted, and logged at most this often.
 constexpr std::chrono::seconds unreadableLogInterval{ 1 };
-constexpr std::chrono::seconds pressureLogInterval{ 1 };
 constexpr int storeEventNumber = 930;
 constexpr int socketEventNumber = 931;
 constexpr int droppedEventNumber = 932;
-constexpr int memoryEventNumber = 933;
 /// Lent connections are returned this long before the end of the grace period.
 constexpr std::chrono::milliseconds lendMargin{ 1'000 };
 /// Pause after a timer handler that failed, which is then due again at once.
 constexpr std::chrono::milliseconds failedTimerPause{ 50 };
 
-/// Parts of the memory for what callers send and get, for the relay, and for what sessions keep.
-constexpr std::size_t callerMemoryDivisor = 2;
-constexpr std::size_t relayMemoryDivisor = 4;
-constexpr std::size_t stateMemoryDivisor = 4;
-/// A single message within the protocol's limit must get through on the smallest instance.
-constexpr std::size_t minMemory = 16 * 1024 * 1024; // bytes
-/// Connections without a session, beyond the limit of sessions.
-constexpr std::size_t maxUnopenedConnections = 128;
-
-std::size_t availableMemory(const session_settings &values)
-{
-    const std::size_t memory = std::size_t{ values.memoryMegabytes } * 1024 * 1024;
-    return memory > reservedMemory + minMemory ? memory - reservedMemory : minMemory;
-}
-
 std::uint32_t sessionLimit(const session_settings &values)
 {
     const std::uint32_t descriptors =
@@ -190,56 +170,6 @@
     applyMemoryLimits();
 }
 
-void session_gateway::applyMemoryLimits()
-{
-    const std::size_t memory = availableMemory(values_);
-    callerBytes_->limit = memory / callerMemoryDivisor;
-    relay_.setMemoryLimit(memory / relayMemoryDivisor);
-    engine_.settings.maxStateBytes = memory / stateMemoryDivisor;
-}
-
-void session_gateway::limitConnections()
-{
-    const std::size_t limit = engine_.settings.maxSessions + maxUnopenedConnections;
-    if (callers_.size() <= limit)
-        return;
-    // Ids grow with the time of the connection, so the first one found is the oldest.
-    const auto oldest = std::find_if(callers_.begin(), callers_.end(),
-                                     [](const auto &each) { return !each.second->isOpen; });
-    if (oldest == callers_.end())
-        return;
-    ++closedSilent_;
-    oldest->second->connection->close();
-    release(statementMemory_, oldest->first);
-    callers_.erase(oldest);
-}
-
-void session_gateway::logPressure()
-{
-    const std::uint64_t closed = callerBytes_->closedHolders + relay_.memory().closedHolders;
-    const core::time_point now = net::currentBootTime();
-    if (closed == loggedClosed_ || now < nextPressureLogAt_)
-        return;
-    loggedClosed_ = closed;
-    nextPressureLogAt_ = now + pressureLogInterval;
-    log_.write(memoryEventNumber, "memory_pressure",
-               fmt::format("closed={} caller_bytes={} relay_bytes={}", closed, callerBytes_->used,
-                           relay_.memory().used));
-}
-
-void session_gateway::resumeHeldStatements()
-{
-    // A statement that still finds no room goes to the end of the line again.
-    for (std::size_t count = statementMemory_.waiting.size(); count > 0; --count) {
-        const auto found = callers_.find(takeNextWaiting(statementMemory_));
-        if (found == callers_.end())
-            continue;
-        const auto connection = found->second->connection;
-        boost::asio::post(context_, [connection] { connection->resumeInput(); });
-        return;
-    }
-}
-
 void session_gateway::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
