--- a/tests/unit-rendezvous.cpp
+++ b/tests/unit-rendezvous.cpp
@@ -66,3 +66,23 @@
     for (const auto &[instance, count] : owned)
         CHECK_TRUE(count > 850 && count < 1150); // mean 1000, bounds five standard deviations away
 }
+
+// Guards against instances of an eighth of a core that get as many keys as larger ones, and against
+// another order where all instances are equal.
+TEST(rendezvous, keysFollowTheWeights)
+{
+    int won = 0;
+    constexpr int keys = 4'000;
+    for (int i = 0; i < keys; ++i) {
+        const std::string key = "/" + std::to_string(i);
+        const double large = weightedScore(stableHash("large" + key), 0.5);
+        double best = 0;
+        for (const char *small : { "a", "b", "c", "d" })
+            best = std::max(best, weightedScore(stableHash(small + key), 0.125));
+        won += large > best ? 1 : 0;
+        const std::uint64_t left = stableHash("left" + key);
+        const std::uint64_t right = stableHash("right" + key);
+        CHECK_EQUAL(left > right, weightedScore(left, 0.25) > weightedScore(right, 0.25));
+    }
+    CHECK(won > keys * 0.45 && won < keys * 0.55);
+}
--- a/tests/unit-wire-codec.cpp
+++ b/tests/unit-wire-codec.cpp
@@ -272,3 +272,41 @@
     CHECK_FALSE(decoder.failed());
     CHECK_TRUE(received.has_value());
 }
+
+// Guards against a relay that takes terms for names, and against numbers beyond their range.
+TEST(wire_codec, termsOfABorrowerAreReadBack)
+{
+    proxy::upstream_command startup;
+    startup.kind = proxy::command_kind::Startup;
+    startup.name = "books";
+    startup.argument = "house";
+    startup.id = "m 1";
+    startup.borrow = proxy::borrow_terms{ 2, std::chrono::milliseconds(45), true };
+    const std::string text = adapter::encodeCommand(startup);
+    STRCMP_EQUAL("BORROW 2 45000 1 books house m 1\r\n", text.c_str());
+    const auto read =
+            adapter::decodeMemberStartup(std::string_view(text).substr(0, text.size() - 2));
+    CHECK_TRUE(read.has_value() && read->borrow.has_value());
+    STRCMP_EQUAL("m 1", read->member.c_str());
+    LONGS_EQUAL(2, read->borrow->priority);
+    CHECK_TRUE(read->borrow->isExclusive);
+    CHECK(adapter::replyShapeOf("BORROW 2 45000 1 books house m1") == proxy::reply_shape::Startup);
+    for (const char *line :
+         { "BORROW -1 1 1 books house m1", "BORROW 1 -1 1 books house m1",
+           "BORROW 1 1 2 books house m1", "BORROW 1 99999999999 1 books house m1",
+           "BORROW x 1 1 books house m1", "BORROW 1 1 1 books house" })
+        CHECK_FALSE(adapter::decodeMemberStartup(line).has_value());
+}
+
+// Guards against a time to return that is lost between a relay and its borrower.
+TEST(wire_codec, refusalOfARelayNamesTheTimeToReturn)
+{
+    proxy::reply refusal;
+    refusal.code = proxy::reply_code::ConnectionLimit;
+    refusal.retryAfter = std::chrono::milliseconds(70);
+    const std::string text = adapter::encodeReply(refusal, true);
+    adapter::reply_decoder decoder;
+    const auto read = decoder.feed(std::string_view(text).substr(0, text.size() - 2), true);
+    CHECK_TRUE(read.has_value());
+    CHECK(read->retryAfter == std::chrono::milliseconds(70));
+}
