Leave the bound of memory to the build without sanitizers

Cause: the address sanitizer keeps freed and shadow memory in the daemon, so its peak says nothing about the product. Change: only there, the peak is not compared; that the process lives, its descriptors and the request afterwards are checked in both builds.

--- a/tests/unit-client-memory.cpp
+++ b/tests/unit-client-memory.cpp
@@ -28,6 +28,13 @@
 
 constexpr std::uint32_t memoryMegabytes = 64;
 constexpr std::uint32_t openFiles = 512;
+/// The address sanitizer keeps freed memory and shadow memory in the process, far beyond the limit;
+/// the other checks hold there as well.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool measuresMemory = false;
+#else
+constexpr bool measuresMemory = true;
+#endif
 constexpr milliseconds serveTimeout{ 15'000 };
 constexpr std::size_t longMessage = 1'000'000; // bytes; legal
 constexpr std::size_t crowd = 80;
@@ -147,7 +154,8 @@
                                  static_cast<int>(peakKilobytes / 1024), static_cast<int>(files));
         UT_PRINT(text);
         CHECK(peakKilobytes > 0);
-        CHECK_TEXT(peakKilobytes <= memoryMegabytes * 1'024, text.asCharString());
+        if (measuresMemory)
+            CHECK_TEXT(peakKilobytes <= memoryMegabytes * 1'024, text.asCharString());
         CHECK_TEXT(files <= openFiles, text.asCharString());
     }
 
