Keep the turns of workspaces where priorities are equal

The new rounds let a workspace that becomes active go before those whose turn it is, so the HTTP interface served in another order. Change: the workspace whose turn it is goes next, as before; one with some of its share left overtakes it only by a higher rank.

--- a/src/core/fair_queue.cpp
+++ b/src/core/fair_queue.cpp
@@ -174,8 +174,19 @@
     return std::nullopt;
 }
 
-/// Chooses the next statement that starts an operation; starts a new round if no flow with an
-/// eligible statement has some of its share left.
+/// @return the eligible statement whose workspace was served longest ago
+candidate findFirstInRotation(fair_queue &queue, const statement_filter &isEligible)
+{
+    for (const workspace_id &workspace : queue.rotation) {
+        const candidate next = findBest(queue.flows.find(workspace), isEligible, std::nullopt);
+        if (next.statement != nullptr)
+            return next;
+    }
+    return { queue.flows.end() };
+}
+
+/// Chooses the next statement that starts an operation: that of the workspace whose turn it is,
+/// unless a workspace with some of its share left has one that goes before it.
 candidate chooseNext(fair_queue &queue, const statement_filter &isEligible)
 {
     if (const auto starved = findStarved(queue)) {
@@ -183,14 +194,15 @@
         if (next.statement != nullptr)
             return next;
     }
-    candidate next = findBest(queue, isEligible, std::nullopt, true);
-    if (next.statement != nullptr)
-        return next;
-    next = findBest(queue, isEligible, std::nullopt, false);
-    if (next.statement == nullptr)
-        return next;
-    ++queue.round;
-    return findBest(queue, isEligible, std::nullopt, true);
+    const candidate turn = findFirstInRotation(queue, isEligible);
+    if (turn.statement == nullptr)
+        return turn;
+    candidate best = findBest(queue, isEligible, std::nullopt, true);
+    if (best.statement == nullptr) {
+        ++queue.round;
+        best = findBest(queue, isEligible, std::nullopt, true);
+    }
+    return goesBefore(*best.statement, *turn.statement) ? best : turn;
 }
 
 /// Removes the newest statement of the session with the most statements. Statements of open
@@ -276,7 +288,9 @@
         return std::nullopt;
     workspace_flow &flow = chosen.flow->second;
     queued_statement next = popSession(flow, chosen.session);
-    flow.deficit -= flow.deficit > 0 ? 1 : 0;
+    if (flow.deficit == 0)
+        flow.deficit = flow.weight * queue.quantum;
+    --flow.deficit;
     changeLength(queue, chosen.flow, flow.length - 1);
     if (flow.length > 0 && flow.deficit == 0) {
         std::erase(queue.rotation, chosen.flow->first);
