Log pauses, resumes and promotion orders whose outcome is open

Events 951 to 954 say so; numbers up to 929 are taken, and 930 to 943 belong to the process. No decision is changed.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -196,7 +196,9 @@
 /// @brief Schedules resume orders to the paused replicas. They are repeated until the replicas
 /// confirm, but only while no other daemon can have started an attempt. A replica that does not
 /// follow the newest known term stays paused if an old primary of its term may go on.
-void scheduleResume(const engine &state, service_state &service, core::time_point now);
+/// @param reason for the log
+void scheduleResume(engine &state, service_state &service, std::string_view reason,
+                    core::time_point now);
 void stepResume(engine &state, service_state &service, core::time_point now);
 /// @brief Handles what a member reports of its pause: resumes a replica that follows
 /// promotion_state::resumeTerm, pauses one again that has restarted before it did, because a pause
--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -27,6 +27,8 @@
                   core::time_point now);
 /// @brief Orders the promotion of the chosen member, which receives from then on.
 void orderPromotion(engine &state, service_state &service, core::time_point now);
+/// @brief Records that an order got no answer: the platform may carry it out at any later time.
+void noteUnanswered(engine &state, service_state &service, core::time_point now);
 /// @brief Orders a promotion if the reports allow a choice.
 void tryToOrderPromotion(engine &state, service_state &service, core::time_point now);
 /// @brief Ends an attempt whose chosen member leads.
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -43,19 +43,24 @@
     MemberTemperatureChanged,
     MemberLimitChanged,
     OverloadChanged,
+    ReplicaPaused,
+    ReplicaResumed,
+    PromotionOrderOpen,
+    PromotionOrderClosed,
 };
 
-inline constexpr std::array<std::string_view, 29> noteKindNames{
-    "statement_placed",     "statement_refused",   "statement_retried",
-    "statement_hedged",     "statement_uncertain", "transaction_ended",
-    "session_closed",       "member_avoided",      "member_listed",
-    "member_draining",      "member_gone",         "leader_learned",
-    "leader_lost",          "manifest_applied",    "manifest_ignored",
-    "quota_lent",           "promotion_started",   "promotion_step",
-    "promotion_done",       "promotion_ended",     "instances_changed",
-    "stop_started",         "quota_part_changed",  "reply_rejected",
-    "zone_evacuated",       "zone_restored",       "member_temperature_changed",
-    "member_limit_changed", "overload_changed",
+inline constexpr std::array<std::string_view, 33> noteKindNames{
+    "statement_placed",     "statement_refused",    "statement_retried",
+    "statement_hedged",     "statement_uncertain",  "transaction_ended",
+    "session_closed",       "member_avoided",       "member_listed",
+    "member_draining",      "member_gone",          "leader_learned",
+    "leader_lost",          "manifest_applied",     "manifest_ignored",
+    "quota_lent",           "promotion_started",    "promotion_step",
+    "promotion_done",       "promotion_ended",      "instances_changed",
+    "stop_started",         "quota_part_changed",   "reply_rejected",
+    "zone_evacuated",       "zone_restored",        "member_temperature_changed",
+    "member_limit_changed", "overload_changed",     "replica_paused",
+    "replica_resumed",      "promotion_order_open", "promotion_order_closed",
 };
 
 [[nodiscard]] constexpr std::string_view toString(note_kind kind)
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int firstDecisionEvent = 901;
+/// Decisions from this kind on have numbers behind those of the process's own events.
+constexpr proxy::note_kind firstLaterKind = proxy::note_kind::ReplicaPaused;
+constexpr int firstLaterEvent = 951;
 constexpr std::int64_t maxSampledLinesPerSecond = 10; // per sampled kind
 constexpr std::int64_t sampledLineBurst = 20;
 
@@ -55,6 +58,8 @@
 
 int eventNumber(proxy::note_kind kind)
 {
+    if (kind >= firstLaterKind)
+        return firstLaterEvent + static_cast<int>(kind) - static_cast<int>(firstLaterKind);
     return firstDecisionEvent + static_cast<int>(kind);
 }
 
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -49,6 +49,19 @@
     return true;
 }
 
+void noteReplica(engine &state, note_kind kind, const service_state &service,
+                 const std::string &replica, std::string_view reason, core::time_point now)
+{
+    decision_note note;
+    note.kind = kind;
+    note.service = service.name;
+    note.member = replica;
+    note.reason = reason;
+    note.age = now - service.promotion.startedAt;
+    note.number = static_cast<std::int64_t>(service.promotion.token);
+    state.out.emplace_back(std::move(note));
+}
+
 /// Orders every replica to pause, except the one that goes on receiving.
 void pauseOthers(engine &state, service_state &service, const std::string &receiver,
                  core::time_point now)
@@ -60,7 +73,8 @@
             continue;
         if (!member.listed && !takeUnlistedTurn(attempt, member, now))
             continue;
-        attempt.fenced.insert(id);
+        if (attempt.fenced.insert(id).second)
+            noteReplica(state, note_kind::ReplicaPaused, service, id, toString(attempt.cause), now);
         sendControlCommand(state, id, command_kind::PauseReceiving, attempt.fenceTerm, now);
     }
 }
@@ -109,13 +123,16 @@
         service->promotion.reports.erase(memberId);
 }
 
-void scheduleResume(const engine &state, service_state &service, core::time_point now)
+void scheduleResume(engine &state, service_state &service, std::string_view reason,
+                    core::time_point now)
 {
     promotion_state &attempt = service.promotion;
     attempt.resumeTerm = state.settings.promotionsAreFenced ? 0 : service.term;
     attempt.replicasToResume = attempt.fenced;
     attempt.replicasToResume.erase(attempt.chosen);
     attempt.nextResumeAt = attempt.replicasToResume.empty() ? core::noDeadline : now;
+    for (const std::string &each : attempt.replicasToResume)
+        noteReplica(state, note_kind::ReplicaResumed, service, each, reason, now);
 }
 
 void stepResume(engine &state, service_state &service, core::time_point now)
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -73,7 +73,7 @@
     // The replicas resume, so their earlier reports no longer bound the acknowledged commits; only
     // the old primary's answer does.
     attempt.reports.clear();
-    scheduleResume(state, service, now);
+    scheduleResume(state, service, "old_primary_steps_down", now);
     sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown, attempt.fenceTerm, now);
 }
 
@@ -136,7 +136,7 @@
         return;
     case promotion_phase::Ordering:
         if (now >= attempt.phaseDeadline) {
-            attempt.orderUnanswered = true;
+            noteUnanswered(state, service, now);
             enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 2);
         }
         if (now >= attempt.nextProbeAt)
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -198,7 +198,7 @@
         enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
         break;
     case promote_outcome::NoAnswer:
-        attempt.orderUnanswered = true;
+        noteUnanswered(state, *service, now);
         // The primary leads already, so only an answer shows that a repair has taken effect.
         if (attempt.cause == promotion_cause::ReplicaPaused)
             enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -4,6 +4,7 @@
 #include <fuchsiagw/detail/promotion_steps.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace fuchsiagw::proxy {
 
@@ -61,7 +62,9 @@
     logPromotion(state, note_kind::PromotionEnded, service, reason, now);
     if (!attempt.orderSent) {
         attempt.chosen.clear();
-        scheduleResume(state, service, now);
+        scheduleResume(state, service, reason, now);
+    } else {
+        logPromotion(state, note_kind::PromotionOrderOpen, service, reason, now);
     }
     attempt.phase = promotion_phase::None;
     attempt.earliestStartAt = now + retryDelay + randomBelow(state, retryDelay);
@@ -86,6 +89,13 @@
             order_promotion{ service.name, attempt.chosen, attempt.token, attempt.leaseUntil });
 }
 
+void noteUnanswered(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (!std::exchange(attempt.orderUnanswered, true))
+        logPromotion(state, note_kind::PromotionOrderOpen, service, "no_answer", now);
+}
+
 void tryToOrderPromotion(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
@@ -114,7 +124,8 @@
 {
     promotion_state &attempt = service.promotion;
     logPromotion(state, note_kind::PromotionDone, service, "leads", now);
-    scheduleResume(state, service, now);
+    logPromotion(state, note_kind::PromotionOrderClosed, service, "leads", now);
+    scheduleResume(state, service, "leads", now);
     attempt.phase = promotion_phase::None;
     attempt.nextProbeAt = core::noDeadline;
     attempt.phaseDeadline = core::noDeadline;
