--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -69,6 +69,10 @@
     std::uint64_t highestOrderedToken = 0;
     std::string orderedMember; ///< member of the latest promotion order
     milliseconds promotionDelay{ 300 }; ///< from an order to its effect
+    /// Orders that are sent before this time get no answer and reach the platform 2 to 12 s later.
+    core::time_point ordersAreLateUntil{};
+    bool fencesOrders = false; ///< orders are checked when they reach the platform
+    std::uint64_t highestSeenToken = 0; ///< of the orders that reached the platform
     /// @name Results
     /// @{
     std::size_t reads = 0;
@@ -341,6 +345,15 @@
     void perform(const std::string &, engine &, const other &)
     { }
 
+    void perform(const std::string &daemon, engine &, const decision_note &each)
+    {
+        const bool isTraced =
+                (each.kind >= note_kind::PromotionStarted && each.kind <= note_kind::PromotionEnded)
+                || each.kind >= note_kind::ReplicaPaused;
+        if (isTraced)
+            record(daemon + " " + std::string(toString(each.kind)) + " " + each.member + " "
+                   + each.reason + " " + std::to_string(each.number));
+    }
     void perform(const std::string &daemon, engine &, const open_link &each)
     {
         const auto &link = daemons.at(daemon)->links.at(each.link);
@@ -404,19 +417,41 @@
             onPromoteAnswer(state, each.service, promote_outcome::Refused, now);
             return;
         }
+        if (each.token < highestOrderedToken)
+            ++outdatedOrders;
+        highestOrderedToken = std::max(highestOrderedToken, each.token);
+        orderedMember = each.member;
+        record(daemon + " orders " + each.member + " under " + std::to_string(each.token));
+        if (now < ordersAreLateUntil) {
+            after(milliseconds(2'000 + below(10'000)), [=, this] { carryOut(each); });
+            after(milliseconds(1'500),
+                  [=, this] { answerOrder(daemon, each.service, promote_outcome::NoAnswer); });
+            return;
+        }
         after(milliseconds(10), [=, this] {
-            if (each.token < highestOrderedToken)
-                ++outdatedOrders;
-            highestOrderedToken = std::max(highestOrderedToken, each.token);
-            orderedMember = each.member;
-            after(promotionDelay, [=, this] { promote(each.member); });
-            after(milliseconds(5), [=, this] {
-                handle(daemon, [=, this](engine &target) {
-                    onPromoteAnswer(target, each.service, promote_outcome::Ordered, now);
-                });
-            });
+            const promote_outcome outcome = carryOut(each);
+            after(milliseconds(5), [=, this] { answerOrder(daemon, each.service, outcome); });
         });
     }
+
+    void answerOrder(const std::string &daemon, const std::string &name, promote_outcome outcome)
+    {
+        handle(daemon, [=, this](engine &state) { onPromoteAnswer(state, name, outcome, now); });
+    }
+
+    /// The platform's part of an order, at the time at which it carries it out. A token counts as
+    /// seen only if its order was accepted.
+    promote_outcome carryOut(const order_promotion &order)
+    {
+        const bool isOutdated = fencesOrders && order.token < highestSeenToken;
+        if (isOutdated || !members.at(order.member).running)
+            return promote_outcome::FencedOff;
+        highestSeenToken = std::max(highestSeenToken, order.token);
+        record("order " + std::to_string(order.token) + " for " + order.member + " accepted");
+        if (!members.at(order.member).leads)
+            after(promotionDelay, [=, this] { promote(order.member); });
+        return promote_outcome::Ordered;
+    }
     void perform(const std::string &daemon, engine &, const send_to_caller &each)
     {
         const auto found = callers.find({ daemon, each.session });
--- a/tests/simulated-group.hpp
+++ b/tests/simulated-group.hpp
@@ -101,6 +101,7 @@
     bool oldPrimaryGoesOn = true;
     std::size_t lostCommits = 0; ///< acknowledged, but not in the log of a promoted member
     std::size_t promotions = 0;
+    std::vector<std::string> trace; ///< orders, promotions and what daemons log of them
 
     explicit simulated_group(std::uint64_t seed)
         : simulated_network(seed)
@@ -110,6 +111,21 @@
         members["m1"].leads = true;
     }
 
+    void record(const std::string &line)
+    {
+        const auto at = std::chrono::duration_cast<milliseconds>(now - start);
+        trace.push_back(std::to_string(at.count()) + " ms " + line);
+    }
+
+    /// @return the name of a seed and the trace, for a failing check
+    std::string describe(std::uint64_t seed) const
+    {
+        std::string result = "seed " + std::to_string(seed);
+        for (const std::string &line : trace)
+            result += "\n" + line;
+        return result;
+    }
+
     std::set<std::uint64_t> commitsOf(const group_member &member) const
     {
         std::set<std::uint64_t> result;
@@ -174,6 +190,8 @@
         lostCommits += static_cast<std::size_t>(
                 std::count_if(acknowledged.begin(), acknowledged.end(),
                               [&](const auto &each) { return !kept.contains(each.commit); }));
+        record(id + " leads term " + std::to_string(chosen.term)
+               + ", commits lost so far: " + std::to_string(lostCommits));
         if (!oldPrimaryGoesOn) {
             for (auto &[name, member] : members) {
                 if (name != id && member.leads)
