Complete open promotion orders instead of ordering another member

Cause: an order that the platform has not answered can be carried out seconds later. Nobody but its sender knew of it, so a later attempt, mostly the repair of a returned primary, ordered another member under a higher token. The first order took effect, its member acknowledged commits, and the second one replaced it by a member without them. Besides, each attempt resumed the replicas when it ended, also those on whose pause an open order rested. Change: an order is recorded in the promotion row before it is sent. Why it works: whichever open order takes effect first, its member is the same, and it has what was acknowledged meanwhile, because the others are paused. Price: one more write to the store before each order and one after it.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -86,6 +86,7 @@
     void perform(const proxy::refresh_directory &action);
     void perform(const proxy::refresh_manifest &action);
     void perform(const proxy::acquire_fencing_token &action);
+    void perform(const proxy::record_open_orders &action);
     void perform(const proxy::order_promotion &action);
     void perform(const proxy::send_to_peer &action);
     void perform(const proxy::claim_part &action);
--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
 #include <fuchsiagw/wire/instance_row.hpp>
+#include <fuchsiagw/wire/promotion_row.hpp>
 
 #include <platform/store_codec.hpp>
 
@@ -41,7 +42,12 @@
     std::function<void(const std::set<std::string> &, std::uint64_t)> onEvacuations;
     std::function<void(const std::vector<proxy::listed_member> &)> onMembers;
     std::function<void(const std::vector<listed_instance> &)> onInstances;
-    std::function<void(const std::string &service, std::uint64_t token)> onTokenAcquired;
+    /// Called with the orders that were open when the token was acquired; token 0: none acquired.
+    std::function<void(const std::string &service, std::uint64_t token, const proxy::open_orders &)>
+            onTokenAcquired;
+    /// Called with false if another daemon has acquired a token since, or if no answer came.
+    std::function<void(const std::string &service, std::uint64_t token, bool isRecorded)>
+            onOrdersRecorded;
     /// Another daemon holds the promotion lease for the given remaining time.
     std::function<void(const std::string &service, std::chrono::milliseconds)> onTokenHeldElsewhere;
     /// No token was acquired because the operator has disabled promotions.
@@ -52,6 +58,14 @@
     std::function<void(std::string_view name, std::string_view detail)> onStoreEvent;
 };
 
+/// A group's promotion row, as this daemon wrote it last.
+struct own_promotion_row
+{
+    wire::promotion_row row;
+    std::uint64_t token = 0; ///< version of the change that acquired the lease
+    std::uint64_t version = 0; ///< of the row in the store
+};
+
 /// Purpose of a call to the platform.
 enum class store_purpose : std::uint8_t { Manifest, Members, Instances, Promotion };
 
@@ -86,6 +100,9 @@
     /// noticed sooner.
     void setShortPolls(bool isEnabled) { usesShortPolls_ = isEnabled; }
     void acquireFencingToken(const std::string &service);
+    /// @brief Records the open orders of a service, if its row is as this daemon wrote it last.
+    void recordOrders(const std::string &service, std::uint64_t token,
+                      const proxy::open_orders &orders);
     void promote(const std::string &service, const std::string &member, std::uint64_t token);
     /// @brief Writes this instance's row if its version is still the one that was read last, then
     /// reads the list of instances again. Does nothing while an earlier claim is in progress.
@@ -135,6 +152,7 @@
     net::http_client httpClient_;
     core::random_engine random_;
     store_counters counters_;
+    std::map<std::string, own_promotion_row> promotionRows_; ///< by service, while it is valid
     std::uint64_t manifestFeedVersion_ = 0; ///< store version up to which changes were read
     std::uint64_t manifestVersion_ = 0; ///< newest manifest that was read
     std::set<std::string> evacuatedZones_; ///< as of manifestFeedVersion_
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -214,6 +214,10 @@
 void onControlAnswer(engine &state, const std::string &member, const reply &answer,
                      core::time_point sentAt, core::time_point now);
 [[nodiscard]] core::time_point nextPromotionStep(const engine &state);
+/// @brief Takes an open order for done whose member was proven to lead.
+/// @param askedAt the proof describes the member at this time or later
+void closeOrdersOf(engine &state, service_state &service, const std::string &leader,
+                   core::time_point askedAt, core::time_point now);
 
 /// @brief Asks for evidence that the member of a link leads, if the request it gets depends on
 /// that.
--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -25,8 +25,11 @@
 /// still take effect.
 void abortAttempt(engine &state, service_state &service, std::string_view reason,
                   core::time_point now);
-/// @brief Orders the promotion of the chosen member, which receives from then on.
+/// @brief Records the order to promote the chosen member, which receives from then on; it is sent
+/// once it is recorded.
 void orderPromotion(engine &state, service_state &service, core::time_point now);
+/// @brief Sends the order that the store has recorded.
+void sendOrder(engine &state, service_state &service, core::time_point now);
 /// @brief Records that an order got no answer: the platform may carry it out at any later time.
 void noteUnanswered(engine &state, service_state &service, core::time_point now);
 /// @brief Orders a promotion if the reports allow a choice.
@@ -34,6 +37,21 @@
 /// @brief Ends an attempt whose chosen member leads.
 void finishPromotion(engine &state, service_state &service, core::time_point now);
 
+/// @brief Applies what the store says of earlier orders at the start of an attempt.
+/// @return false if the attempt has ended with that
+[[nodiscard]] bool applyOpenOrders(engine &state, service_state &service, const open_orders &orders,
+                                   core::time_point now);
+/// @brief Orders the member of an open order again, or gives it up if it lacks commits.
+void stepCompletion(engine &state, service_state &service, core::time_point now);
+/// @brief Gives up the completion of an order: its member is not running, or lacks commits.
+void leaveCompletion(engine &state, service_state &service, std::string_view reason,
+                     core::time_point now);
+/// @brief Renews the pauses on which open orders rest while no attempt does so.
+void stepGuard(engine &state, service_state &service, core::time_point now);
+/// @brief Starts or ends the renewal of the pauses after an attempt.
+void startGuard(service_state &service, core::time_point now);
+void stopGuard(service_state &service);
+
 /// @brief Starts a repair: promoting the present primary changes nothing, but the new fencing token
 /// invalidates all earlier orders, so that the replicas can safely be resumed.
 void startRepair(engine &state, service_state &service, core::time_point now);
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/proxy/decision_note.hpp>
 #include <fuchsiagw/proxy/peer_message.hpp>
+#include <fuchsiagw/proxy/promotion_order.hpp>
 #include <fuchsiagw/proxy/reply.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 #include <fuchsiagw/proxy/upstream_command.hpp>
@@ -66,6 +67,15 @@
     std::string service;
 };
 
+/// Records the open orders of a service in its promotion row, unless another daemon has acquired a
+/// token since; answered with onOrdersRecorded().
+struct record_open_orders
+{
+    std::string service;
+    std::uint64_t token = 0; ///< this daemon's token
+    open_orders orders;
+};
+
 /// Promotes a member to primary; answered with onPromoteAnswer().
 struct order_promotion
 {
@@ -87,8 +97,9 @@
     limit_part part = 0; ///< claimed part of every limit; 0 only registers this daemon
 };
 
-using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
-                            refresh_directory, refresh_manifest, acquire_fencing_token,
-                            order_promotion, send_to_peer, claim_part, decision_note>;
+using action =
+        std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
+                     refresh_directory, refresh_manifest, acquire_fencing_token, record_open_orders,
+                     order_promotion, send_to_peer, claim_part, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -186,8 +186,14 @@
 
 /// @brief Handles the store's answer to acquire_fencing_token.
 /// @param token 0 if another daemon holds the token or the store is unreachable
+/// @param orders of earlier attempts that are open, as of the store's answer
 void onTokenAcquired(engine &state, const std::string &service, std::uint64_t token,
-                     core::time_point now);
+                     core::time_point now, const open_orders &orders = {});
+
+/// @brief Handles the store's answer to record_open_orders.
+/// @param isRecorded false if another daemon has acquired a token since or the outcome is unknown
+void onOrdersRecorded(engine &state, const std::string &service, std::uint64_t token,
+                      bool isRecorded, core::time_point now);
 
 /// @brief Handles that another daemon holds the fencing token of a service.
 /// @param until time before which no other daemon can acquire a token
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -10,6 +10,10 @@
 /// A promotion takes effect some time after its order, and the old primary may be back before that.
 /// From the order on, the chosen replica therefore receives and the others are kept paused, so that
 /// a commit that is acknowledged meanwhile is in the log of the chosen one.
+///
+/// The platform may carry out an order seconds after it was sent, also beside a later attempt of
+/// another daemon. Each order is recorded in the store before it is sent, and an attempt learns of
+/// open orders with its token. It completes the newest one: it orders the same member again.
 
 #pragma once
 
@@ -32,12 +36,13 @@
     QueryingPeers, ///< peers are asked whether they can reach the primary
     DrawingToken, ///< waiting for the fencing token from the store
     Fencing, ///< members are paused or stepped down, and report positions
+    RecordingOrder, ///< waiting until the store has recorded the order
     Ordering, ///< waiting for the platform to accept the promotion
     AwaitingLeader, ///< waiting until the new primary reports that it leads
 };
 
-inline constexpr std::array<std::string_view, 6> promotionPhaseNames{
-    "none", "asking", "drawing_token", "fencing", "ordering", "settling",
+inline constexpr std::array<std::string_view, 7> promotionPhaseNames{
+    "none", "asking", "drawing_token", "fencing", "recording_order", "ordering", "settling",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_phase phase)
@@ -53,11 +58,12 @@
     NoPrimary,
     ReplicaPaused, ///< a replica is still paused by an earlier attempt
     ZoneEvacuated, ///< the primary's zone is evacuated
+    OrderOpen, ///< an earlier order may still take effect
 };
 
-inline constexpr std::array<std::string_view, 6> promotionCauseNames{
-    "primary_silent", "primary_gone",   "primary_draining",
-    "no_primary",     "replica_paused", "zone_evacuated",
+inline constexpr std::array<std::string_view, 7> promotionCauseNames{
+    "primary_silent", "primary_gone",   "primary_draining", "no_primary",
+    "replica_paused", "zone_evacuated", "order_open",
 };
 
 [[nodiscard]] constexpr std::string_view toString(promotion_cause cause)
@@ -91,7 +97,12 @@
     /// Latest time for an answer of a member without an entry in the store, from the first order to
     /// pause in this attempt.
     std::map<std::string, core::time_point> unlistedDeadlines;
-    bool orderSent = false; ///< a promotion was ordered and may still take effect
+    /// The attempt completes an open order of an earlier one, whose member is `chosen`.
+    bool completesOrder = false;
+    bool oldPrimaryLeads = false; ///< it has answered so in this attempt
+    /// Orders for other members are open as well: that the chosen one leads closes none of them.
+    bool hasRivalOrders = false;
+    bool orderSent = false; ///< an order was recorded, or sent, and may still take effect
     bool orderAccepted = false; ///< the platform has accepted an order of this attempt
     bool orderUnanswered = false; ///< an order got no answer; the platform may carry it out later
     core::time_point repairAskedAt{}; ///< a repair needs an answer to a later question
@@ -108,6 +119,19 @@
     core::time_point nextProbeAt = core::noDeadline; ///< next repetition of orders to members
 };
 
+/// @return whether the chosen replica goes on receiving while the others are paused, so that every
+/// commit that is acknowledged meanwhile is in its log
+[[nodiscard]] inline bool hasReceiver(const promotion_state &attempt)
+{
+    return isPlanned(attempt.cause) || attempt.completesOrder;
+}
+
+/// @return whether the attempt only invalidates earlier orders, by one for the present primary
+[[nodiscard]] inline bool isRepair(const promotion_state &attempt)
+{
+    return attempt.cause == promotion_cause::ReplicaPaused && !attempt.completesOrder;
+}
+
 /// Result of the choice of a new primary.
 struct promotion_choice
 {
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -8,6 +8,7 @@
 #include <fuchsiagw/proxy/leadership_evidence.hpp>
 #include <fuchsiagw/proxy/position_history.hpp>
 #include <fuchsiagw/proxy/promotion.hpp>
+#include <fuchsiagw/proxy/promotion_order.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 
 #include <cstdint>
@@ -34,6 +35,12 @@
     core::time_point nextChallengeAt{}; ///< earliest order to a deposed leader to step down
     std::deque<session_id> queue; ///< sessions whose request is queued, oldest first
     promotion_state promotion;
+    open_orders openOrders; ///< as recorded in the store when last known
+    core::time_point openOrdersKnownAt{}; ///< when `openOrders` was last changed
+    /// Pauses of the open orders are renewed under this term between two attempts; 0: by another
+    /// daemon, or by none.
+    core::term_number guardTerm = 0;
+    core::time_point nextGuardAt = core::noDeadline;
     core::time_point nextReplicaCheckAt{}; ///< next check whether the replicas receive
     std::size_t rank = 0; ///< instanceRank() of this daemon for the service
     std::uint64_t rankVersion = 0; ///< engine::peersVersion for which `rank` was computed
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -85,8 +85,14 @@
                    perform();
                },
                [this](const std::vector<listed_instance> &list) { onInstances(list); },
-               [this](const std::string &service, std::uint64_t token) {
-                   proxy::onTokenAcquired(engine_, service, token, net::currentBootTime());
+               [this](const std::string &service, std::uint64_t token,
+                      const proxy::open_orders &orders) {
+                   proxy::onTokenAcquired(engine_, service, token, net::currentBootTime(), orders);
+                   perform();
+               },
+               [this](const std::string &service, std::uint64_t token, bool isRecorded) {
+                   proxy::onOrdersRecorded(engine_, service, token, isRecorded,
+                                           net::currentBootTime());
                    perform();
                },
                [this](const std::string &service, std::chrono::milliseconds left) {
@@ -377,6 +383,11 @@
     store_.acquireFencingToken(action.service);
 }
 
+void session_gateway::perform(const proxy::record_open_orders &action)
+{
+    store_.recordOrders(action.service, action.token, action.orders);
+}
+
 void session_gateway::perform(const proxy::order_promotion &action)
 {
     // The process may have been suspended since the order was decided.
--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -1,16 +1,14 @@
 /// @file
 /// @brief Fencing tokens and promotion orders: a lease for each service in the platform's store,
-/// drawn by a compare-and-set that also checks the operators' switch.
+/// drawn by a compare-and-set that also checks the operators' switch, and the record of open orders
+/// beside it.
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
-#include <fuchsiagw/detail/bounded_json.hpp>
 #include <fuchsiagw/detail/store_calls.hpp>
 #include <fuchsiagw/net/clock.hpp>
 #include <fuchsiagw/wire/automation_json.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace fuchsiagw::daemon {
@@ -45,7 +43,7 @@
          callTimeout, [this, service](int status, const std::string &body) {
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
-                 callbacks_.onTokenAcquired(service, 0);
+                 callbacks_.onTokenAcquired(service, 0, {});
                  return;
              }
              applyPromotionSwitch(*rows);
@@ -64,7 +62,7 @@
              if (rows)
                  claimPromotion(service, *rows);
              else
-                 callbacks_.onTokenAcquired(service, 0);
+                 callbacks_.onTokenAcquired(service, 0, {});
          });
 }
 
@@ -78,25 +76,23 @@
 void store_client::claimPromotion(const std::string &service, const adapter::store_rows &rows)
 {
     std::uint64_t version = 0;
+    own_promotion_row claimed;
     if (const adapter::store_row *row = findRow(rows, promotionTable, service)) {
         version = row->version;
         // A row that can't be read holds no lease; the compare-and-set below still excludes two
         // holders.
-        const auto lease = detail::parseBounded(row->value);
-        const bool isReadable = lease.is_object();
-        const bool isOwnLease =
-                isReadable && detail::textField(lease, "holder") == values_.instance;
-        const auto untilMs =
-                isReadable ? detail::integerField<std::int64_t>(lease, "until_ms") : std::nullopt;
-        const std::int64_t remainingMs = untilMs.value_or(0) - rows.storeClockMs;
-        if (!isOwnLease && remainingMs > 0) {
+        const wire::promotion_row present = wire::readPromotionRow(row->value);
+        const std::int64_t remainingMs = present.leaseUntilMs - rows.storeClockMs;
+        if (present.holder != values_.instance && remainingMs > 0) {
             callbacks_.onTokenHeldElsewhere(service,
                                             milliseconds(std::min(remainingMs, promotionLeaseMs)));
             return;
         }
+        claimed.row.orders = present.orders;
     }
-    const nlohmann::json value = { { "holder", values_.instance },
-                                   { "until_ms", rows.storeClockMs + promotionLeaseMs } };
+    claimed.row.holder = values_.instance;
+    claimed.row.leaseUntilMs = rows.storeClockMs + promotionLeaseMs;
+    promotionRows_.erase(service);
     // The transaction also checks the switch's version, so that no promotion attempt starts after
     // the operator's change of the switch was acknowledged.
     adapter::row_change switchUnchanged;
@@ -105,18 +101,50 @@
     switchUnchanged.expectedVersion = switchVersion_;
     switchUnchanged.checkedOnly = true;
     call(store_purpose::Promotion,
-         adapter::changeRows(
-                 { switchUnchanged, { promotionTable, service, version, value.dump() } }),
-         callTimeout, [this, service](int status, const std::string &body) {
+         adapter::changeRows({ switchUnchanged,
+                               { promotionTable, service, version, wire::toJson(claimed.row) } }),
+         callTimeout, [this, service, claimed](int status, const std::string &body) mutable {
              const auto answer = adapter::decodeRows(body);
              if (status == statusConditionFailed && answer) {
                  onClaimConflict(service, *answer);
                  return;
              }
+             if (status != statusOk || !answer) {
+                 callbacks_.onTokenAcquired(service, 0, {});
+                 return;
+             }
              // The store assigns strictly increasing versions to changes, so the version serves as
              // the fencing token.
-             callbacks_.onTokenAcquired(service,
-                                        status == statusOk && answer ? answer->version : 0);
+             claimed.token = answer->version;
+             claimed.version = answer->version;
+             const proxy::open_orders orders = claimed.row.orders;
+             promotionRows_[service] = std::move(claimed);
+             callbacks_.onTokenAcquired(service, answer->version, orders);
+         });
+}
+
+void store_client::recordOrders(const std::string &service, std::uint64_t token,
+                                const proxy::open_orders &orders)
+{
+    const auto found = promotionRows_.find(service);
+    if (found == promotionRows_.end() || found->second.token != token) {
+        callbacks_.onOrdersRecorded(service, token, false);
+        return;
+    }
+    own_promotion_row next = std::move(found->second);
+    // Until the answer comes, the row's version is unknown.
+    promotionRows_.erase(found);
+    next.row.orders = orders;
+    call(store_purpose::Promotion,
+         adapter::changeRows({ { promotionTable, service, next.version, wire::toJson(next.row) } }),
+         callTimeout, [this, service, token, next](int status, const std::string &body) mutable {
+             const auto answer = adapter::decodeRows(body);
+             const bool isRecorded = status == statusOk && answer;
+             if (isRecorded) {
+                 next.version = answer->version;
+                 promotionRows_[service] = std::move(next);
+             }
+             callbacks_.onOrdersRecorded(service, token, isRecorded);
          });
 }
 
@@ -131,7 +159,7 @@
     else if (switchVersion_ != previousVersion)
         readPromotion(service);
     else
-        callbacks_.onTokenAcquired(service, 0);
+        callbacks_.onTokenAcquired(service, 0, {});
 }
 
 void store_client::promote(const std::string &service, const std::string &member,
--- /dev/null
+++ b/src/proxy/engine_open_orders.cpp
@@ -0,0 +1,183 @@
+/// @file
+/// @brief Promotion orders that an earlier attempt has left open: their completion by a later
+/// attempt, and the pauses on which they rest meanwhile.
+
+#include <fuchsiagw/detail/promotion_steps.hpp>
+
+#include <algorithm>
+
+namespace fuchsiagw::proxy {
+
+namespace {
+
+/// Time for the reports of the members before an open order is sent again without all of them.
+constexpr milliseconds completionReportTimeout{ 500 };
+/// Renewal of the pauses of open orders between two attempts.
+constexpr milliseconds guardInterval{ 100 };
+
+void setOpenOrders(service_state &service, const open_orders &orders, core::time_point now)
+{
+    service.openOrders = orders;
+    service.openOrdersKnownAt = now;
+}
+
+void logOpenOrders(engine &state, const service_state &service, note_kind kind,
+                   std::string_view reason, core::time_point now)
+{
+    for (const promotion_order &each : service.openOrders) {
+        decision_note note;
+        note.kind = kind;
+        note.service = service.name;
+        note.member = each.member;
+        note.reason = reason;
+        note.age = now - service.openOrdersKnownAt;
+        note.number = static_cast<std::int64_t>(each.token);
+        state.out.emplace_back(std::move(note));
+    }
+}
+
+/// @return whether a reported log is longer than that of the member of the open order
+bool isBehind(const promotion_state &attempt)
+{
+    const auto own = attempt.reports.find(attempt.chosen);
+    return own != attempt.reports.end()
+           && std::any_of(attempt.reports.begin(), attempt.reports.end(), [&](const auto &each) {
+                  return each.first != attempt.oldPrimary
+                         && each.second.received > own->second.received;
+              });
+}
+
+/// No order is open any more: the replicas that were kept paused resume.
+void endWithoutOpenOrder(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    attempt.fenced = service.members;
+    attempt.fenced.erase(service.leader);
+    abortAttempt(state, service, "order_closed", now);
+}
+
+} // namespace
+
+bool applyOpenOrders(engine &state, service_state &service, const open_orders &orders,
+                     core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    stopGuard(service);
+    setOpenOrders(service, orders, now);
+    logOpenOrders(state, service, note_kind::PromotionOrderOpen, "recorded", now);
+    const bool isOpen = mayReplace(orders, attempt.oldPrimary);
+    if (!isOpen && attempt.cause == promotion_cause::OrderOpen) {
+        endWithoutOpenOrder(state, service, now);
+        return false;
+    }
+    if (!isOpen)
+        return true;
+    if (orders.back().member != attempt.oldPrimary) {
+        attempt.completesOrder = true;
+        attempt.chosen = orders.back().member;
+    } else if (attempt.cause == promotion_cause::OrderOpen) {
+        // The newest order is for the present primary; once accepted it closes the older ones.
+        attempt.cause = promotion_cause::ReplicaPaused;
+    }
+    return true;
+}
+
+void stepCompletion(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (now >= attempt.phaseDeadline) {
+        abortAttempt(state, service, "members_missing", now);
+        return;
+    }
+    if (now - attempt.startedAt >= completionReportTimeout) {
+        if (isBehind(attempt)) {
+            leaveCompletion(state, service, "order_behind", now);
+            return;
+        }
+        // Whatever the members hold, the earlier order may be carried out at any time.
+        orderPromotion(state, service, now);
+        return;
+    }
+    if (now < attempt.nextProbeAt)
+        return;
+    pauseReplicas(state, service, now);
+    sendControlCommand(state, attempt.oldPrimary, command_kind::Status, 0, now);
+}
+
+void leaveCompletion(engine &state, service_state &service, std::string_view reason,
+                     core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    logPromotion(state, note_kind::PromotionStep, service, reason, now);
+    attempt.completesOrder = false;
+    attempt.orderSent = false;
+    attempt.chosen.clear();
+    if (attempt.oldPrimaryLeads) {
+        // An accepted order for the present primary changes nothing and closes the earlier ones.
+        attempt.cause = promotion_cause::ReplicaPaused;
+        startRepair(state, service, now);
+        return;
+    }
+    attempt.reports.clear();
+    enterPhase(attempt, promotion_phase::Fencing,
+               std::min(now + fencingTimeout, attempt.leaseUntil));
+    pauseReplicas(state, service, now);
+}
+
+void onOrdersRecorded(engine &state, const std::string &serviceName, std::uint64_t token,
+                      bool isRecorded, core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr || service->promotion.phase != promotion_phase::RecordingOrder
+        || service->promotion.token != token)
+        return;
+    if (isRecorded)
+        sendOrder(state, *service, now);
+    else
+        abortAttempt(state, *service, "order_not_recorded", now);
+}
+
+void closeOrdersOf(engine &state, service_state &service, const std::string &leader,
+                   core::time_point askedAt, core::time_point now)
+{
+    if (!promoteOnly(service.openOrders, leader) || askedAt < service.openOrdersKnownAt)
+        return;
+    logOpenOrders(state, service, note_kind::PromotionOrderClosed, "leads", now);
+    setOpenOrders(service, {}, now);
+    stopGuard(service);
+}
+
+void startGuard(service_state &service, core::time_point now)
+{
+    const bool isNeeded = mayReplace(service.openOrders, service.leader);
+    service.guardTerm = isNeeded ? service.promotion.fenceTerm : 0;
+    service.nextGuardAt = isNeeded ? now : core::noDeadline;
+}
+
+void stopGuard(service_state &service)
+{
+    service.guardTerm = 0;
+    service.nextGuardAt = core::noDeadline;
+}
+
+void stepGuard(engine &state, service_state &service, core::time_point now)
+{
+    if (now < service.nextGuardAt)
+        return;
+    if (service.openOrders.empty() || service.term >= service.guardTerm) {
+        stopGuard(service);
+        return;
+    }
+    service.nextGuardAt = now + guardInterval;
+    const std::string &receiver = service.openOrders.back().member;
+    for (const std::string &id : service.members) {
+        if (id == service.leader)
+            continue;
+        if (id == receiver)
+            sendControlCommand(state, id, command_kind::ResumeReceiving, 0, now);
+        else
+            sendControlCommand(state, id, command_kind::PauseReceiving, service.guardTerm, now);
+    }
+}
+
+} // namespace fuchsiagw::proxy
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -87,9 +87,12 @@
     attempt.nextProbeAt = now + pauseInterval;
     if (isPlanned(attempt.cause) && attempt.chosen.empty())
         attempt.chosen = chooseReceiver(state, service);
-    const std::string receiver = isPlanned(attempt.cause) ? attempt.chosen : std::string();
+    const std::string receiver = hasReceiver(attempt) ? attempt.chosen : std::string();
     if (!receiver.empty())
-        sendControlCommand(state, receiver, command_kind::Status, 0, now);
+        sendControlCommand(state, receiver,
+                           attempt.completesOrder ? command_kind::ResumeReceiving
+                                                  : command_kind::Status,
+                           0, now);
     pauseOthers(state, service, receiver, now);
 }
 
@@ -100,7 +103,7 @@
     const bool isPaused = attempt.fenced.contains(attempt.chosen);
     sendControlCommand(state, attempt.chosen,
                        isPaused ? command_kind::ResumeReceiving : command_kind::Status, 0, now);
-    if (attempt.cause != promotion_cause::ReplicaPaused)
+    if (!isRepair(attempt))
         pauseOthers(state, service, attempt.chosen, now);
 }
 
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -43,7 +43,8 @@
     attempt.oldTerm = service.term;
     attempt.earliestStartAt = now;
     logPromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
-    const bool primaryServes = isPlanned(cause) || cause == promotion_cause::ReplicaPaused;
+    const bool primaryServes = isPlanned(cause) || cause == promotion_cause::ReplicaPaused
+                               || cause == promotion_cause::OrderOpen;
     if (primaryServes || state.peers.empty()) {
         drawToken(state, service, now);
         return;
@@ -67,7 +68,8 @@
 {
     promotion_state &attempt = service.promotion;
     const member_state *old = findMember(state, attempt.oldPrimary);
-    if (attempt.stepDownSent || old == nullptr || !old->listed)
+    // Beside an open order the replicas must stay paused.
+    if (attempt.stepDownSent || old == nullptr || !old->listed || !service.openOrders.empty())
         return;
     attempt.stepDownSent = true;
     // The replicas resume, so their earlier reports no longer bound the acknowledged commits; only
@@ -80,13 +82,17 @@
 void stepFencing(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
-    if (attempt.cause == promotion_cause::ReplicaPaused) {
+    if (isRepair(attempt)) {
         stepRepair(state, service, now);
         return;
     }
     tryToOrderPromotion(state, service, now);
     if (attempt.phase != promotion_phase::Fencing)
         return;
+    if (attempt.completesOrder) {
+        stepCompletion(state, service, now);
+        return;
+    }
     if (now >= attempt.phaseDeadline) {
         abortAttempt(state, service, "members_missing", now);
         return;
@@ -134,6 +140,12 @@
     case promotion_phase::Fencing:
         stepFencing(state, service, now);
         return;
+    case promotion_phase::RecordingOrder:
+        if (now >= attempt.phaseDeadline)
+            abortAttempt(state, service, "order_not_recorded", now);
+        else if (now >= attempt.nextProbeAt)
+            keepOthersPaused(state, service, now);
+        return;
     case promotion_phase::Ordering:
         if (now >= attempt.phaseDeadline) {
             noteUnanswered(state, service, now);
@@ -166,6 +178,7 @@
     for (auto &[name, service] : state.services) {
         stepPromotion(state, service, now);
         stepResume(state, service, now);
+        stepGuard(state, service, now);
     }
 }
 
@@ -174,7 +187,7 @@
     core::time_point due = core::noDeadline;
     for (const auto &[name, service] : state.services)
         due = std::min({ due, service.promotion.phaseDeadline, service.promotion.nextProbeAt,
-                         service.promotion.nextResumeAt });
+                         service.promotion.nextResumeAt, service.nextGuardAt });
     return due;
 }
 
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -15,8 +15,9 @@
 /// @return whether the attempt has not ordered a promotion yet and assumes that no member leads
 bool assumesNoLeader(const promotion_state &attempt)
 {
-    const bool basedOnSilence = attempt.cause == promotion_cause::PrimarySilent
-                                || attempt.cause == promotion_cause::NoPrimary;
+    const bool basedOnSilence = !attempt.completesOrder
+                                && (attempt.cause == promotion_cause::PrimarySilent
+                                    || attempt.cause == promotion_cause::NoPrimary);
     const bool beforeOrder = attempt.phase == promotion_phase::QueryingPeers
                              || attempt.phase == promotion_phase::DrawingToken
                              || attempt.phase == promotion_phase::Fencing;
@@ -40,7 +41,7 @@
         return false;
     if (attempt.stepDownSent)
         return member != attempt.oldPrimary || !status.leads;
-    if (isPlanned(attempt.cause) && member == attempt.chosen)
+    if (hasReceiver(attempt) && member == attempt.chosen)
         return true;
     return attempt.fenced.contains(member) && status.pausedTerm >= attempt.fenceTerm;
 }
@@ -53,6 +54,8 @@
     if (status.leads) {
         const auto proven = isFenced ? std::optional(status.received) : std::nullopt;
         learnLeader(state, service, memberId, status.term, proven, sentAt, now);
+        if (service.leader == memberId)
+            closeOrdersOf(state, service, memberId, sentAt, now);
         return;
     }
     recordReplicaReport(state, service, memberId, { sentAt, status.received }, now);
@@ -94,7 +97,7 @@
                     const member_status &status)
 {
     // The primary of a repair leads already.
-    const bool isProof = attempt.cause != promotion_cause::ReplicaPaused || attempt.orderAccepted;
+    const bool isProof = attempt.orderAccepted || (!isRepair(attempt) && !attempt.hasRivalOrders);
     return attempt.phase == promotion_phase::AwaitingLeader && status.leads
            && memberId == attempt.chosen && isProof;
 }
@@ -120,8 +123,10 @@
     trackReceiver(attempt, memberId, status);
     if (abortIfContradicted(state, service, status, now))
         return;
+    if (memberId == attempt.oldPrimary)
+        attempt.oldPrimaryLeads = status.leads;
     const bool isFencing = attempt.phase == promotion_phase::Fencing;
-    if (isFencing && attempt.cause == promotion_cause::ReplicaPaused) {
+    if (isFencing && isRepair(attempt)) {
         onRepairAnswer(state, service, memberId, status, sentAt, now);
         return;
     }
@@ -134,10 +139,27 @@
     }
 }
 
+/// This order was rejected, but an earlier one without an answer may take effect later.
+void onOrderRejected(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (!attempt.orderUnanswered)
+        dropRejectedOrder(service.openOrders, { attempt.token, attempt.chosen });
+    if (attempt.completesOrder && now < attempt.leaseUntil) {
+        leaveCompletion(state, service, "member_not_running", now);
+        return;
+    }
+    attempt.orderSent = attempt.orderUnanswered;
+    if (!attempt.orderSent)
+        state.out.emplace_back(
+                record_open_orders{ service.name, attempt.token, service.openOrders });
+    abortAttempt(state, service, "fenced_off", now);
+}
+
 } // namespace
 
 void onTokenAcquired(engine &state, const std::string &serviceName, std::uint64_t token,
-                     core::time_point now)
+                     core::time_point now, const open_orders &orders)
 {
     service_state *service = findService(state, serviceName);
     if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
@@ -156,7 +178,9 @@
         return;
     }
     attempt.fenceTerm = service->term + 1;
-    if (attempt.cause == promotion_cause::ReplicaPaused) {
+    if (!applyOpenOrders(state, *service, orders, now))
+        return;
+    if (isRepair(attempt)) {
         startRepair(state, *service, now);
         return;
     }
@@ -172,6 +196,7 @@
     service_state *service = findService(state, serviceName);
     if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
         return;
+    stopGuard(*service);
     abortAttempt(state, *service, "held_by_other", now);
     service->promotion.earliestStartAt = until + startDelay(state, *service);
 }
@@ -195,6 +220,8 @@
     switch (outcome) {
     case promote_outcome::Ordered:
         attempt.orderAccepted = true;
+        if (state.settings.promotionsAreFenced)
+            service->openOrders = { { attempt.token, attempt.chosen } };
         enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
         break;
     case promote_outcome::NoAnswer:
@@ -206,9 +233,7 @@
             enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
         break;
     case promote_outcome::FencedOff:
-        // This order was rejected, but an earlier one without an answer may take effect later.
-        attempt.orderSent = attempt.orderUnanswered;
-        abortAttempt(state, *service, "fenced_off", now);
+        onOrderRejected(state, *service, now);
         break;
     case promote_outcome::Refused:
         enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -60,11 +60,16 @@
 {
     promotion_state &attempt = service.promotion;
     logPromotion(state, note_kind::PromotionEnded, service, reason, now);
-    if (!attempt.orderSent) {
+    if (attempt.orderSent)
+        logPromotion(state, note_kind::PromotionOrderOpen, service, reason, now);
+    if (attempt.orderSent || mayReplace(service.openOrders, service.leader)) {
+        // The pauses hold on, because commits must not be acknowledged without the member of an
+        // order that may still take effect.
+        if (attempt.token != 0)
+            startGuard(service, now);
+    } else {
         attempt.chosen.clear();
         scheduleResume(state, service, reason, now);
-    } else {
-        logPromotion(state, note_kind::PromotionOrderOpen, service, reason, now);
     }
     attempt.phase = promotion_phase::None;
     attempt.earliestStartAt = now + retryDelay + randomBelow(state, retryDelay);
@@ -83,6 +88,16 @@
     if (report != attempt.reports.end())
         trackReceiver(attempt, attempt.chosen, report->second);
     keepOthersPaused(state, service, now);
+    addOrder(service.openOrders, { attempt.token, attempt.chosen });
+    service.openOrdersKnownAt = now;
+    attempt.hasRivalOrders = !promoteOnly(service.openOrders, attempt.chosen);
+    enterPhase(attempt, promotion_phase::RecordingOrder, attempt.leaseUntil);
+    state.out.emplace_back(record_open_orders{ service.name, attempt.token, service.openOrders });
+}
+
+void sendOrder(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
     enterPhase(attempt, promotion_phase::Ordering, now + orderTimeout);
     logPromotion(state, note_kind::PromotionStep, service, "ordered", now);
     state.out.emplace_back(
@@ -103,12 +118,11 @@
         || (attempt.stepDownSent && !attempt.reports.contains(attempt.oldPrimary)))
         return;
     std::set<std::string> electable = electableMembers(state, service);
-    const bool hasReceiver = isPlanned(attempt.cause) && !attempt.stepDownSent;
-    if (hasReceiver && !attempt.chosen.empty())
-        std::erase_if(electable, [&](const auto &each) { return each != attempt.chosen; });
+    if (hasReceiver(attempt) && !attempt.stepDownSent && !attempt.chosen.empty())
+        electable = { attempt.chosen };
     const std::set<std::string> witnesses = witnessesOf(state, service, now);
     promotion_choice choice = chooseNewPrimary(attempt, electable, witnesses);
-    const bool isFinal = !isPlanned(attempt.cause) && !attempt.stepDownSent;
+    const bool isFinal = !hasReceiver(attempt) && !attempt.stepDownSent;
     if (choice.waitsForCatchUp && isFinal && !state.evacuation.zones.empty()) {
         // The replicas are paused and the primary is lost, so none of them will catch up.
         attempt.mayElectEvacuated = true;
@@ -125,6 +139,15 @@
     promotion_state &attempt = service.promotion;
     logPromotion(state, note_kind::PromotionDone, service, "leads", now);
     logPromotion(state, note_kind::PromotionOrderClosed, service, "leads", now);
+    service.openOrders.clear();
+    stopGuard(service);
+    // An order without an answer stays recorded: it may be carried out once more, which changes
+    // nothing while its member leads.
+    if (!attempt.orderUnanswered)
+        state.out.emplace_back(record_open_orders{ service.name, attempt.token, {} });
+    else if (attempt.orderAccepted && attempt.hasRivalOrders)
+        state.out.emplace_back(record_open_orders{
+                service.name, attempt.token, { { attempt.token, attempt.chosen } } });
     scheduleResume(state, service, "leads", now);
     attempt.phase = promotion_phase::None;
     attempt.nextProbeAt = core::noDeadline;
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -66,6 +66,7 @@
     std::string leaseHolder;
     core::time_point leaseUntil{};
     std::uint64_t lastToken = 0;
+    open_orders recordedOrders; ///< in the store's promotion row
     std::uint64_t highestOrderedToken = 0;
     std::string orderedMember; ///< member of the latest promotion order
     milliseconds promotionDelay{ 300 }; ///< from an order to its effect
@@ -401,12 +402,26 @@
                 ++lastToken;
             }
             const std::uint64_t token = lastToken;
+            const open_orders orders = recordedOrders;
             after(milliseconds(4), [=, this] {
                 handle(daemon, [=, this](engine &state) {
                     if (held)
                         onTokenHeldElsewhere(state, each.service, until, now);
                     else
-                        onTokenAcquired(state, each.service, token, now);
+                        onTokenAcquired(state, each.service, token, now, orders);
+                });
+            });
+        });
+    }
+    void perform(const std::string &daemon, engine &, const record_open_orders &each)
+    {
+        after(milliseconds(8), [=, this] {
+            const bool isRecorded = reaches(daemon, "store") && each.token == lastToken;
+            if (isRecorded)
+                recordedOrders = each.orders;
+            after(milliseconds(4), [=, this] {
+                handle(daemon, [=, this](engine &state) {
+                    onOrdersRecorded(state, each.service, each.token, isRecorded, now);
                 });
             });
         });
--- a/tests/proxy-fixture.hpp
+++ b/tests/proxy-fixture.hpp
@@ -116,6 +116,21 @@
         return result;
     }
 
+    /// Confirms that the store has recorded the engine's promotion orders.
+    /// @return the orders that were sent to the platform
+    std::vector<order_promotion> takeOrders()
+    {
+        std::vector<order_promotion> orders;
+        while (!state.out.empty()) {
+            const std::vector<action> actions = takeActions();
+            for (const auto &each : actionsOf<order_promotion>(actions))
+                orders.push_back(each);
+            for (const auto &each : actionsOf<record_open_orders>(actions))
+                onOrdersRecorded(state, each.service, each.token, true, now);
+        }
+        return orders;
+    }
+
     /// Advances the clock in steps of 10 ms and runs the timers.
     void advanceTime(core::duration elapsed)
     {
--- a/tests/unit-leadership-evidence.cpp
+++ b/tests/unit-leadership-evidence.cpp
@@ -299,7 +299,7 @@
     attempt.phaseDeadline = fixture.now + milliseconds(600);
     attempt.earliestStartAt = fixture.now;
     fixture.advanceTime(milliseconds(700));
-    CHECK(proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).empty());
+    CHECK(fixture.takeOrders().empty());
 }
 
 // Guards against a replica that restarts after a promotion, before it follows the new primary: it
--- a/tests/unit-promotion-guard.cpp
+++ b/tests/unit-promotion-guard.cpp
@@ -133,7 +133,7 @@
 
     std::size_t takeOrders()
     {
-        return proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).size();
+        return fixture.takeOrders().size();
     }
 
     /// Reports the status of a member, as the answer to a command that was sent just now.
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -545,12 +545,12 @@
     answerControlCommands(fixture, 0);
     fixture.advanceTime(milliseconds(100));
     answerControlCommands(fixture, 0);
-    CHECK(proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).empty());
+    CHECK(fixture.takeOrders().empty());
     for (int i = 0; i < 3; ++i) {
         fixture.advanceTime(milliseconds(50));
         answerControlCommands(fixture, 2);
     }
-    CHECK_EQUAL(1U, proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).size());
+    CHECK_EQUAL(1U, fixture.takeOrders().size());
 }
 
 // Guards against two daemons that use the same part of a limit, which exceeds the limit. This
@@ -864,7 +864,7 @@
     service_state &service = fixture.state.services.at(proxy_fixture::service);
     CHECK(service.promotion.phase == promotion_phase::None);
     STRCMP_EQUAL("m1", service.leader.c_str());
-    CHECK(proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).empty());
+    CHECK(fixture.takeOrders().empty());
 }
 
 // Guards against a daemon that keeps an old manifest, and accepts revoked keys, because its change
@@ -914,6 +914,7 @@
     fixture.advanceTime(milliseconds(4'900));
     const std::vector<action> done = fixture.takeActions();
     CHECK(proxy_fixture::actionsOf<acquire_fencing_token>(done).empty());
+    CHECK(proxy_fixture::actionsOf<record_open_orders>(done).empty());
     CHECK(proxy_fixture::actionsOf<order_promotion>(done).empty());
     for (const send_to_member &each : proxy_fixture::actionsOf<send_to_member>(done)) {
         for (const upstream_command &command : each.commands)
