--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -143,7 +143,9 @@
 void onOrderRejected(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
-    if (!attempt.orderUnanswered)
+    if (!state.settings.promotionsAreFenced)
+        service.openOrders.clear(); // its member is not running, and no later token voids the order
+    else if (!attempt.orderUnanswered)
         dropRejectedOrder(service.openOrders, { attempt.token, attempt.chosen });
     if (attempt.completesOrder && now < attempt.leaseUntil) {
         leaveCompletion(state, service, "member_not_running", now);
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -118,8 +118,10 @@
         || (attempt.stepDownSent && !attempt.reports.contains(attempt.oldPrimary)))
         return;
     std::set<std::string> electable = electableMembers(state, service);
-    if (hasReceiver(attempt) && !attempt.stepDownSent && !attempt.chosen.empty())
+    if (attempt.completesOrder)
         electable = { attempt.chosen };
+    else if (hasReceiver(attempt) && !attempt.stepDownSent && !attempt.chosen.empty())
+        std::erase_if(electable, [&](const auto &each) { return each != attempt.chosen; });
     const std::set<std::string> witnesses = witnessesOf(state, service, now);
     promotion_choice choice = chooseNewPrimary(attempt, electable, witnesses);
     const bool isFinal = !hasReceiver(attempt) && !attempt.stepDownSent;
--- /dev/null
+++ b/tests/unit-order-completion.cpp
@@ -0,0 +1,196 @@
+/// @file
+/// @brief Tests of an attempt that finds a promotion order of an earlier one open.
+
+#include "proxy-fixture.hpp"
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagw::proxy;
+
+TEST_GROUP(order_completion)
+{
+    proxy_fixture fixture;
+
+    service_state &service()
+    {
+        return fixture.state.services.at(proxy_fixture::service);
+    }
+
+    promotion_state &attempt()
+    {
+        return service().promotion;
+    }
+
+    /// Draws a token for an attempt to replace m1.
+    void drawToken(promotion_cause cause, const open_orders &orders, std::uint64_t token = 9)
+    {
+        attempt() = {};
+        attempt().cause = cause;
+        attempt().phase = promotion_phase::DrawingToken;
+        attempt().oldPrimary = "m1";
+        attempt().startedAt = fixture.now;
+        attempt().leaseUntil = fixture.now + milliseconds(2'700);
+        onTokenAcquired(fixture.state, proxy_fixture::service, token, fixture.now, orders);
+    }
+
+    /// Reports the status of a member, as the answer to a command that was sent just now.
+    void report(const std::string &member, const member_status &status)
+    {
+        reply answer = proxy_fixture::success(status.received);
+        answer.status = status;
+        onControlAnswer(fixture.state, member, answer, fixture.now, fixture.now);
+    }
+
+    /// Advances the clock until an order is sent; no member answers.
+    std::vector<order_promotion> awaitOrders(milliseconds limit)
+    {
+        const auto end = fixture.now + limit;
+        while (fixture.now < end) {
+            fixture.advanceTime(milliseconds(10));
+            const auto orders = fixture.takeOrders();
+            if (!orders.empty())
+                return orders;
+        }
+        return {};
+    }
+
+    std::size_t count(const std::vector<action> &actions, command_kind kind)
+    {
+        const auto commands = proxy_fixture::commandsOf(actions);
+        return static_cast<std::size_t>(
+                std::count_if(commands.begin(), commands.end(),
+                              [&](const auto &each) { return each.kind == kind; }));
+    }
+};
+
+// Guards against an order for a second member beside an open one: whichever takes effect second
+// loses what was acknowledged after the first.
+TEST(order_completion, memberOfTheOpenOrderIsOrderedAgain)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 5 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m2", orders.front().member.c_str());
+    CHECK_EQUAL(9U, orders.front().token);
+}
+
+// Guards against the course of the incident: the repair of a returned primary beside an open order.
+TEST(order_completion, returnedPrimaryIsNotOrdered)
+{
+    drawToken(promotion_cause::ReplicaPaused, { { 7, "m2" } });
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK(fixture.takeOrders().empty());
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 6 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m2", orders.front().member.c_str());
+}
+
+// Guards against replicas that resume at the end of an attempt while another daemon's order still
+// rests on their pauses.
+TEST(order_completion, endOfAnAttemptResumesNoReplicaBesideAnOpenOrder)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    attempt().phaseDeadline = fixture.now;
+    attempt().startedAt = fixture.now;
+    fixture.advanceTime(milliseconds(10));
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.empty());
+}
+
+// Guards against an order that no later attempt would know of: it must not leave the process before
+// the store has recorded it, and the pauses must hold if the record's outcome is unknown.
+TEST(order_completion, unrecordedOrderIsNotSent)
+{
+    drawToken(promotion_cause::PrimarySilent, {});
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 6 }, 2 });
+    const auto actions = fixture.takeActions();
+    CHECK(proxy_fixture::actionsOf<order_promotion>(actions).empty());
+    const auto records = proxy_fixture::actionsOf<record_open_orders>(actions);
+    CHECK_EQUAL(1U, records.size());
+    STRCMP_EQUAL("m2", records.front().orders.front().member.c_str());
+    onOrdersRecorded(fixture.state, proxy_fixture::service, 9, false, fixture.now);
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.empty());
+    CHECK(proxy_fixture::actionsOf<order_promotion>(fixture.takeActions()).empty());
+}
+
+// Guards against pauses that end between two attempts: a replica that has restarted would
+// acknowledge commits that the ordered member lacks.
+TEST(order_completion, pausesAreRenewedBetweenAttempts)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    attempt().orderSent = true;
+    attempt().phase = promotion_phase::AwaitingLeader;
+    attempt().phaseDeadline = fixture.now;
+    attempt().leaseUntil = fixture.now;
+    fixture.advanceTime(milliseconds(10));
+    CHECK(attempt().phase == promotion_phase::None);
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(250));
+    const auto actions = fixture.takeActions();
+    CHECK(count(actions, command_kind::PauseReceiving) >= 2);
+    CHECK(count(actions, command_kind::ResumeReceiving) >= 2);
+}
+
+// Guards against a group whose replicas stay paused for good because the ordered member is gone:
+// the present primary is ordered, which voids the open order once it is accepted.
+TEST(order_completion, lostMemberOfAnOpenOrderIsPassedOver)
+{
+    drawToken(promotion_cause::ReplicaPaused, { { 7, "m2" } });
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    const auto first = awaitOrders(milliseconds(700));
+    CHECK_EQUAL(1U, first.size());
+    STRCMP_EQUAL("m2", first.front().member.c_str());
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::FencedOff, fixture.now);
+    fixture.advanceTime(milliseconds(10));
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    const auto second = fixture.takeOrders();
+    CHECK_EQUAL(1U, second.size());
+    STRCMP_EQUAL("m1", second.front().member.c_str());
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::Ordered, fixture.now);
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_TRUE(service().openOrders.empty());
+    CHECK_TRUE(attempt().replicasToResume.contains("m3"));
+}
+
+// Guards against taking a member's lead for the end of a pair of open orders: the other one may
+// still take effect.
+TEST(order_completion, leadClosesNoOrderBesideOneForAnotherMember)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 6, "m3" }, { 7, "m2" } });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 5 }, 0 });
+    CHECK_EQUAL(1U, fixture.takeOrders().size());
+    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    report("m2", { true, 2, { 2, 6 }, 0 });
+    CHECK(attempt().phase == promotion_phase::AwaitingLeader);
+    CHECK_FALSE(service().openOrders.empty());
+}
+
+// Guards against an old primary that is told to step down beside an open order: that rests on
+// replicas that resume, and they would acknowledge its last commits without the ordered member.
+TEST(order_completion, oldPrimaryIsNotSteppedDownBesideAnOpenOrder)
+{
+    drawToken(promotion_cause::PrimaryDraining, { { 7, "m1" } });
+    fixture.acceptLinks();
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(900));
+    CHECK_EQUAL(0U, count(fixture.takeActions(), command_kind::StepDown));
+}
+
+// Guards against replicas that stay paused after the order was closed by another daemon.
+TEST(order_completion, closedOrderLetsReplicasResume)
+{
+    drawToken(promotion_cause::OrderOpen, {});
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.contains("m2"));
+    CHECK_TRUE(attempt().replicasToResume.contains("m3"));
+}
