Tell other daemons of open promotion orders, so that one takes over

What callers would see: lost commits, as before, if the daemon whose order is open freezes, stops or dies and a replica then restarts: its pause ends, and nobody renews it. One that hears nothing for 3.2 s and does not see the member lead draws a token, which shows what is open, and completes it. A lost or false notice costs two calls to the store.

--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -48,6 +48,8 @@
                      core::time_point now);
 /// @brief Renews the pauses on which open orders rest while no attempt does so.
 void stepGuard(engine &state, service_state &service, core::time_point now);
+/// @brief Tells other daemons of an open order, at intervals.
+void stepOrderNotice(engine &state, service_state &service, core::time_point now);
 /// @brief Starts or ends the renewal of the pauses after an attempt.
 void startGuard(service_state &service, core::time_point now);
 void stopGuard(service_state &service);
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -32,6 +32,7 @@
     EvidenceRequest, ///< asks the relay of a replica for the replica's status
     EvidenceAnswer, ///< the replica's position and term, as the only leader report
     MemberLoad, ///< load of a member whose relay the sender is
+    OpenOrder, ///< the promotion of `member` of service `subject` may still take effect
 };
 
 /// What one daemon knows of a service's primary.
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -41,6 +41,9 @@
     /// daemon, or by none.
     core::term_number guardTerm = 0;
     core::time_point nextGuardAt = core::noDeadline;
+    core::time_point nextOrderNoticeAt{}; ///< next notice of an open order to other daemons
+    std::string noticedOrder; ///< member of an open order of which another daemon has told
+    core::time_point noticeValidUntil = core::noDeadline; ///< the other daemon guards it until then
     core::time_point nextReplicaCheckAt{}; ///< next check whether the replicas receive
     std::size_t rank = 0; ///< instanceRank() of this daemon for the service
     std::uint64_t rankVersion = 0; ///< engine::peersVersion for which `rank` was computed
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -15,6 +15,10 @@
 /// Renewal of the pauses of open orders between two attempts.
 constexpr milliseconds guardInterval{ 100 };
 
+constexpr milliseconds noticeInterval{ 700 };
+/// Longer than the lease, so that the daemon that guards an order is first to renew it.
+constexpr milliseconds noticeTimeout{ 3'200 };
+
 void setOpenOrders(service_state &service, const open_orders &orders, core::time_point now)
 {
     service.openOrders = orders;
@@ -63,6 +67,7 @@
 {
     promotion_state &attempt = service.promotion;
     stopGuard(service);
+    service.noticedOrder.clear();
     setOpenOrders(service, orders, now);
     logOpenOrders(state, service, note_kind::PromotionOrderOpen, "recorded", now);
     const bool isOpen = mayReplace(orders, attempt.oldPrimary);
@@ -160,6 +165,30 @@
     service.nextGuardAt = core::noDeadline;
 }
 
+void stepOrderNotice(engine &state, service_state &service, core::time_point now)
+{
+    if (now < service.nextOrderNoticeAt || !mayReplace(service.openOrders, service.leader))
+        return;
+    service.nextOrderNoticeAt = now + noticeInterval;
+    announceOpenOrder(state, service, service.openOrders.back().member);
+}
+
+void onOpenOrderNotice(engine &state, const std::string &serviceName, const std::string &member,
+                       core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    if (service == nullptr)
+        return;
+    service->noticedOrder = member;
+    service->noticeValidUntil = now + noticeTimeout;
+}
+
+bool isOrderUnguarded(const service_state &service, core::time_point now)
+{
+    return !service.noticedOrder.empty() && service.noticedOrder != service.leader
+           && now >= service.noticeValidUntil;
+}
+
 void stepGuard(engine &state, service_state &service, core::time_point now)
 {
     if (now < service.nextGuardAt)
@@ -169,6 +198,7 @@
         return;
     }
     service.nextGuardAt = now + guardInterval;
+    stepOrderNotice(state, service, now);
     const std::string &receiver = service.openOrders.back().member;
     for (const std::string &id : service.members) {
         if (id == service.leader)
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -224,6 +224,15 @@
         state.out.emplace_back(send_to_peer{ peer, message });
 }
 
+void announceOpenOrder(engine &state, const service_state &service, const std::string &member)
+{
+    peer_message message = makeMessage(state, peer_message_kind::OpenOrder);
+    message.subject = service.name;
+    message.member = member;
+    for (const std::string &peer : samplePeers(state, announcementPeers))
+        state.out.emplace_back(send_to_peer{ peer, message });
+}
+
 void onPeerMessage(engine &state, const peer_message &message, core::time_point now)
 {
     const auto peer = state.peers.find(message.from);
@@ -288,6 +297,9 @@
     case peer_message_kind::MemberLoad:
         applyLoad(state, message.member, message.load, now);
         break;
+    case peer_message_kind::OpenOrder:
+        onOpenOrderNotice(state, message.subject, message.member, now);
+        break;
     }
 }
 
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -113,6 +113,13 @@
     }
 }
 
+/// Renews the pauses on which the attempt's order rests, and the notice of it.
+void renewOrder(engine &state, service_state &service, core::time_point now)
+{
+    keepOthersPaused(state, service, now);
+    stepOrderNotice(state, service, now);
+}
+
 /// Ends an attempt without an answer before another daemon can draw a token. The next one of this
 /// daemon starts at once and renews the lease, so that the daemons do not order in turn.
 bool endsWithLease(engine &state, service_state &service, core::time_point now)
@@ -155,7 +162,7 @@
         if (now >= attempt.phaseDeadline)
             abortAttempt(state, service, "order_not_recorded", now);
         else if (now >= attempt.nextProbeAt)
-            keepOthersPaused(state, service, now);
+            renewOrder(state, service, now);
         return;
     case promotion_phase::Ordering:
         if (endsWithLease(state, service, now))
@@ -165,7 +172,7 @@
             enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 2);
         }
         if (now >= attempt.nextProbeAt)
-            keepOthersPaused(state, service, now);
+            renewOrder(state, service, now);
         return;
     case promotion_phase::AwaitingLeader:
         if (endsWithLease(state, service, now))
@@ -177,7 +184,7 @@
             return;
         }
         if (now >= attempt.nextProbeAt)
-            keepOthersPaused(state, service, now);
+            renewOrder(state, service, now);
     }
 }
 
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -91,6 +91,8 @@
     addOrder(service.openOrders, { attempt.token, attempt.chosen });
     service.openOrdersKnownAt = now;
     attempt.hasRivalOrders = !promoteOnly(service.openOrders, attempt.chosen);
+    service.nextOrderNoticeAt = now;
+    stepOrderNotice(state, service, now);
     enterPhase(attempt, promotion_phase::RecordingOrder, attempt.leaseUntil);
     state.out.emplace_back(record_open_orders{ service.name, attempt.token, service.openOrders });
 }
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -194,3 +194,27 @@
     CHECK_TRUE(attempt().replicasToResume.contains("m2"));
     CHECK_TRUE(attempt().replicasToResume.contains("m3"));
 }
+
+// Guards against an open order that nobody guards any more because its daemon has stopped: a
+// replica that restarts then would acknowledge commits that the ordered member lacks.
+TEST(order_completion, orderOfSilentDaemonIsTakenOver)
+{
+    fixture.provePrimary({ 1, 7 });
+    peer_message notice;
+    notice.kind = peer_message_kind::OpenOrder;
+    notice.from = "node-2";
+    notice.subject = proxy_fixture::service;
+    notice.member = "m2";
+    onPeerMessage(fixture.state, notice, fixture.now);
+    CHECK_FALSE(isOrderUnguarded(service(), fixture.now + milliseconds(3'100)));
+    const auto end = fixture.now + milliseconds(4'500);
+    bool isDrawn = false;
+    while (fixture.now < end && !isDrawn) {
+        fixture.advanceTime(milliseconds(10));
+        isDrawn = !proxy_fixture::actionsOf<acquire_fencing_token>(fixture.takeActions()).empty();
+    }
+    CHECK_TRUE(isDrawn);
+    onTokenAcquired(fixture.state, proxy_fixture::service, 9, fixture.now, { { 7, "m2" } });
+    CHECK_TRUE(attempt().completesOrder);
+    STRCMP_EQUAL("m2", attempt().chosen.c_str());
+}
