--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -75,6 +75,11 @@
     add("links_opened_total", "counter", counts.linksOpened);
     add("links_reused_total", "counter", counts.linksReused);
     add("promotions_ordered_total", "counter", counts.promotionsOrdered);
+    const auto open =
+            std::count_if(engine_.services.begin(), engine_.services.end(), [](const auto &each) {
+                return proxy::mayReplace(each.second.openOrders, each.second.leader);
+            });
+    add("groups_with_open_orders", "gauge", open);
     add("datagrams_unreadable_total", "counter", unreadableDatagrams_);
     add("datagrams_repeated_total", "counter", repeatedDatagrams_);
     add("events_dropped_total", "counter", droppedEvents_);
