Leave the pauses of an open order to the daemon with the latest token

Notices carry the token now, and the member of the older order receives. Measured: both tests are new; unit-order-completion passes with 12 tests.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -286,11 +286,13 @@
 /// @brief Announces the leader of a service to a sample of the other daemons.
 void announceLeader(engine &state, const service_state &service);
 /// @brief Tells other daemons that an order to promote a member is open.
-void announceOpenOrder(engine &state, const service_state &service, const std::string &member);
+/// @param token latest one of this daemon
+void announceOpenOrder(engine &state, const service_state &service, const std::string &member,
+                       std::uint64_t token);
 /// @brief Handles that another daemon guards an open order. If it stops to tell so and the member
 /// does not lead, this daemon asks the store.
 void onOpenOrderNotice(engine &state, const std::string &service, const std::string &member,
-                       core::time_point now);
+                       std::uint64_t token, core::time_point now);
 /// @return whether another daemon's order may be open without anybody who guards it
 [[nodiscard]] bool isOrderUnguarded(const service_state &service, core::time_point now);
 /// @return a message with the fields that all kinds have in common
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -65,6 +65,7 @@
     std::string member; ///< member whose reachability or status is asked about
     bool betweenHomes = false; ///< the loan is between the homes of two zones
     /// Tokens. ReachabilityAnswer: 1 reached, 0 not reached, -1 unknown. EvidenceAnswer: 1 leads.
+    /// OpenOrder: the sender's fencing token.
     std::int64_t amount = 0;
     std::vector<std::string> workspaces; ///< workspaces whose parts a PartRequest asks for
     std::vector<part_grant> parts; ///< parts that a PartGrant lends
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -40,6 +40,7 @@
     /// Pauses of the open orders are renewed under this term between two attempts; 0: by another
     /// daemon, or by none.
     core::term_number guardTerm = 0;
+    std::uint64_t guardToken = 0; ///< token of the attempt after which the pauses are renewed
     core::time_point nextGuardAt = core::noDeadline;
     core::time_point nextOrderNoticeAt{}; ///< next notice of an open order to other daemons
     std::string noticedOrder; ///< member of an open order of which another daemon has told
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -40,6 +40,16 @@
     }
 }
 
+/// @return the member of the newest order that would replace the leader
+std::string receiverOf(const service_state &service)
+{
+    const auto &orders = service.openOrders;
+    const auto found = std::find_if(orders.rbegin(), orders.rend(), [&](const auto &each) {
+        return each.member != service.leader;
+    });
+    return found == orders.rend() ? std::string() : found->member;
+}
+
 /// @return whether a reported log is longer than that of the member of the open order
 bool isBehind(const promotion_state &attempt)
 {
@@ -156,6 +166,7 @@
 {
     const bool isNeeded = mayReplace(service.openOrders, service.leader);
     service.guardTerm = isNeeded ? service.promotion.fenceTerm : 0;
+    service.guardToken = service.promotion.token;
     service.nextGuardAt = isNeeded ? now : core::noDeadline;
 }
 
@@ -170,15 +181,19 @@
     if (now < service.nextOrderNoticeAt || !mayReplace(service.openOrders, service.leader))
         return;
     service.nextOrderNoticeAt = now + noticeInterval;
-    announceOpenOrder(state, service, service.openOrders.back().member);
+    const std::uint64_t token = std::max(service.promotion.token, service.guardToken);
+    announceOpenOrder(state, service, service.openOrders.back().member, token);
 }
 
 void onOpenOrderNotice(engine &state, const std::string &serviceName, const std::string &member,
-                       core::time_point now)
+                       std::uint64_t token, core::time_point now)
 {
     service_state *service = findService(state, serviceName);
     if (service == nullptr)
         return;
+    // The daemon with the later token decides which replicas are paused.
+    if (token > service->guardToken)
+        stopGuard(*service);
     service->noticedOrder = member;
     service->noticeValidUntil = now + noticeTimeout;
 }
@@ -199,7 +214,7 @@
     }
     service.nextGuardAt = now + guardInterval;
     stepOrderNotice(state, service, now);
-    const std::string &receiver = service.openOrders.back().member;
+    const std::string receiver = receiverOf(service);
     for (const std::string &id : service.members) {
         if (id == service.leader)
             continue;
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -224,11 +224,13 @@
         state.out.emplace_back(send_to_peer{ peer, message });
 }
 
-void announceOpenOrder(engine &state, const service_state &service, const std::string &member)
+void announceOpenOrder(engine &state, const service_state &service, const std::string &member,
+                       std::uint64_t token)
 {
     peer_message message = makeMessage(state, peer_message_kind::OpenOrder);
     message.subject = service.name;
     message.member = member;
+    message.amount = static_cast<std::int64_t>(token);
     for (const std::string &peer : samplePeers(state, announcementPeers))
         state.out.emplace_back(send_to_peer{ peer, message });
 }
@@ -298,7 +300,9 @@
         applyLoad(state, message.member, message.load, now);
         break;
     case peer_message_kind::OpenOrder:
-        onOpenOrderNotice(state, message.subject, message.member, now);
+        onOpenOrderNotice(state, message.subject, message.member,
+                          static_cast<std::uint64_t>(std::max<std::int64_t>(message.amount, 0)),
+                          now);
         break;
     }
 }
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -3,7 +3,7 @@
 
 #include "proxy-fixture.hpp"
 
-#include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/detail/promotion_steps.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -218,3 +218,35 @@
     CHECK_TRUE(attempt().completesOrder);
     STRCMP_EQUAL("m2", attempt().chosen.c_str());
 }
+
+// Guards against two daemons that pause and resume the same replicas in turn: the one that can't
+// draw a token any more leaves them to the holder of a later one.
+TEST(order_completion, guardEndsWithNoticeOfLaterToken)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    abortAttempt(fixture.state, service(), "lease_expired", fixture.now);
+    CHECK(service().guardTerm != 0);
+    peer_message notice;
+    notice.kind = peer_message_kind::OpenOrder;
+    notice.from = "node-2";
+    notice.subject = proxy_fixture::service;
+    notice.member = "m1";
+    notice.amount = 8;
+    onPeerMessage(fixture.state, notice, fixture.now);
+    CHECK(service().guardTerm != 0);
+    notice.amount = 10;
+    onPeerMessage(fixture.state, notice, fixture.now);
+    CHECK(service().guardTerm == 0);
+}
+
+// Guards against a primary that can acknowledge nothing between two attempts: the newest order is
+// its own, and the member of the order before it must receive.
+TEST(order_completion, memberOfOlderOrderReceivesBesideThePrimarysOwn)
+{
+    fixture.provePrimary({ 1, 7 });
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" }, { 8, "m1" } });
+    abortAttempt(fixture.state, service(), "lease_expired", fixture.now);
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(10));
+    CHECK_EQUAL(1U, count(fixture.takeActions(), command_kind::ResumeReceiving));
+}
