--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -52,7 +52,7 @@
     std::function<void(const std::string &service, std::chrono::milliseconds)> onTokenHeldElsewhere;
     /// No token was acquired because the operator has disabled promotions.
     std::function<void(const std::string &service)> onPromotionsDisabled;
-    std::function<void(const std::string &service, proxy::promote_outcome)> onPromoteAnswer;
+    std::function<void(const proxy::order_promotion &, proxy::promote_outcome)> onPromoteAnswer;
     /// Called with a log event when the store becomes unreachable or reachable again, or when the
     /// manifest can't be decoded.
     std::function<void(std::string_view name, std::string_view detail)> onStoreEvent;
@@ -103,7 +103,7 @@
     /// @brief Records the open orders of a service, if its row is as this daemon wrote it last.
     void recordOrders(const std::string &service, std::uint64_t token,
                       const proxy::open_orders &orders);
-    void promote(const std::string &service, const std::string &member, std::uint64_t token);
+    void promote(const proxy::order_promotion &order);
     /// @brief Writes this instance's row if its version is still the one that was read last, then
     /// reads the list of instances again. Does nothing while an earlier claim is in progress.
     /// @param part claimed part of every limit, in millionths
--- a/include/fuchsiagw/detail/store_calls.hpp
+++ b/include/fuchsiagw/detail/store_calls.hpp
@@ -13,6 +13,7 @@
 inline constexpr int statusConflict = 409;
 inline constexpr int statusGone = 410;
 inline constexpr int statusConditionFailed = 412;
+inline constexpr int statusUnavailable = 503; ///< nothing was done
 inline constexpr int statusNoResponse = 0;
 
 } // namespace fuchsiagw::daemon
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -207,9 +207,11 @@
     Ordered,
     FencedOff, ///< a higher token was used, or the member is not running
     NoAnswer, ///< the promotion may still be carried out
-    Refused,
+    Refused, ///< nothing was done
 };
-void onPromoteAnswer(engine &state, const std::string &service, promote_outcome outcome,
+/// @brief Handles the platform's answer to an order; one to another order than the attempt's is
+/// ignored, because it says nothing of this one.
+void onPromoteAnswer(engine &state, const order_promotion &order, promote_outcome outcome,
                      core::time_point now);
 
 /// @brief Tells the other daemons the load of a member whose relay this daemon is.
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -104,6 +104,8 @@
     bool hasRivalOrders = false;
     bool orderSent = false; ///< an order was recorded, or sent, and may still take effect
     bool orderAccepted = false; ///< the platform has accepted an order of this attempt
+    core::time_point acceptedAt{}; ///< when it answered so; valid if orderAccepted
+    bool isAnswered = false; ///< the platform has answered an order of this attempt
     bool orderUnanswered = false; ///< an order got no answer; the platform may carry it out later
     core::time_point repairAskedAt{}; ///< a repair needs an answer to a later question
     /// A replica in an evacuated zone has commits that no other replica can get, so it may be
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -42,6 +42,9 @@
     core::term_number guardTerm = 0;
     std::uint64_t guardToken = 0; ///< token of the attempt after which the pauses are renewed
     core::time_point nextGuardAt = core::noDeadline;
+    core::time_point guardLeaseUntil{}; ///< no other daemon gets a token before then
+    core::time_point guardUntil{}; ///< the pauses are not renewed later
+    int unansweredLeases = 0; ///< leases in a row without an answer of the platform to an order
     core::time_point nextOrderNoticeAt{}; ///< next notice of an open order to other daemons
     std::string noticedOrder; ///< member of an open order of which another daemon has told
     core::time_point noticeValidUntil = core::noDeadline; ///< the other daemon guards it until then
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -104,8 +104,8 @@
                    proxy::onPromotionsDisabled(engine_, service, net::currentBootTime());
                    perform();
                },
-               [this](const std::string &service, proxy::promote_outcome outcome) {
-                   proxy::onPromoteAnswer(engine_, service, outcome, net::currentBootTime());
+               [this](const proxy::order_promotion &order, proxy::promote_outcome outcome) {
+                   proxy::onPromoteAnswer(engine_, order, outcome, net::currentBootTime());
                    perform();
                },
                [this](std::string_view name, std::string_view detail) {
@@ -393,9 +393,9 @@
     // The process may have been suspended since the order was decided.
     const core::time_point now = net::currentBootTime();
     if (now >= action.validUntil)
-        proxy::onPromoteAnswer(engine_, action.service, proxy::promote_outcome::Refused, now);
+        proxy::onPromoteAnswer(engine_, action, proxy::promote_outcome::Refused, now);
     else
-        store_.promote(action.service, action.member, action.token);
+        store_.promote(action);
 }
 
 void session_gateway::perform(const proxy::send_to_peer &action)
--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -30,6 +30,18 @@
     return found == rows.rows.end() ? nullptr : &*found;
 }
 
+/// @return what the status of a response says of an order; a failure of the server says nothing
+proxy::promote_outcome outcomeOf(int status)
+{
+    constexpr int firstServerFailure = 500;
+    if (status == statusOk)
+        return proxy::promote_outcome::Ordered;
+    if (status == statusConflict)
+        return proxy::promote_outcome::FencedOff;
+    const bool isDone = status < firstServerFailure || status == statusUnavailable;
+    return isDone ? proxy::promote_outcome::Refused : proxy::promote_outcome::NoAnswer;
+}
+
 } // namespace
 
 void store_client::acquireFencingToken(const std::string &service)
@@ -162,23 +174,18 @@
         callbacks_.onTokenAcquired(service, 0, {});
 }
 
-void store_client::promote(const std::string &service, const std::string &member,
-                           std::uint64_t token)
+void store_client::promote(const proxy::order_promotion &order)
 {
     countCall(store_purpose::Promotion);
-    httpClient_.call(
-            values_.promotionAddress, adapter::promote(service, member, values_.instance, token),
-            net::currentTime() + callTimeout, [this, service](net::http_exchange &&result) {
-                proxy::promote_outcome outcome = proxy::promote_outcome::Refused;
-                if (result.error)
-                    outcome = proxy::promote_outcome::NoAnswer;
-                else if (result.response.status == statusOk)
-                    outcome = proxy::promote_outcome::Ordered;
-                else if (result.response.status == statusConflict)
-                    outcome = proxy::promote_outcome::FencedOff;
-                if (!isStopped_)
-                    callbacks_.onPromoteAnswer(service, outcome);
-            });
+    httpClient_.call(values_.promotionAddress,
+                     adapter::promote(order.service, order.member, values_.instance, order.token),
+                     net::currentTime() + callTimeout, [this, order](net::http_exchange &&result) {
+                         const proxy::promote_outcome outcome =
+                                 result.error ? proxy::promote_outcome::NoAnswer
+                                              : outcomeOf(result.response.status);
+                         if (!isStopped_)
+                             callbacks_.onPromoteAnswer(order, outcome);
+                     });
 }
 
 } // namespace fuchsiagw::daemon
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -10,12 +10,15 @@
 
 namespace {
 
-/// Time for the reports of the members before an open order is sent again without all of them.
+/// Time for the report of an ordered member before its order is sent again without one.
 constexpr milliseconds completionReportTimeout{ 500 };
 /// Renewal of the pauses of open orders between two attempts.
 constexpr milliseconds guardInterval{ 100 };
 
 constexpr milliseconds noticeInterval{ 700 };
+/// The pauses are renewed for this time after the lease, for a daemon that waits for its next
+/// token. Another one may have closed the order by then.
+constexpr milliseconds guardGrace{ 3'000 };
 /// Longer than the lease, so that the daemon that guards an order is first to renew it.
 constexpr milliseconds noticeTimeout{ 3'200 };
 
@@ -109,9 +112,11 @@
             leaveCompletion(state, service, "order_behind", now);
             return;
         }
-        // Whatever the members hold, the earlier order may be carried out at any time.
-        orderPromotion(state, service, now);
-        return;
+        if (!attempt.reports.contains(attempt.chosen)) {
+            // The platform's answer shows whether the member runs.
+            orderPromotion(state, service, now);
+            return;
+        }
     }
     if (now < attempt.nextProbeAt)
         return;
@@ -167,6 +172,8 @@
     const bool isNeeded = mayReplace(service.openOrders, service.leader);
     service.guardTerm = isNeeded ? service.promotion.fenceTerm : 0;
     service.guardToken = service.promotion.token;
+    service.guardLeaseUntil = service.promotion.leaseUntil;
+    service.guardUntil = service.promotion.leaseUntil + guardGrace;
     service.nextGuardAt = isNeeded ? now : core::noDeadline;
 }
 
@@ -208,7 +215,8 @@
 {
     if (now < service.nextGuardAt)
         return;
-    if (service.openOrders.empty() || service.term >= service.guardTerm) {
+    const bool isOver = now >= service.guardUntil || service.term >= service.guardTerm;
+    if (service.openOrders.empty() || isOver) {
         stopGuard(service);
         return;
     }
@@ -218,10 +226,10 @@
     for (const std::string &id : service.members) {
         if (id == service.leader)
             continue;
-        if (id == receiver)
-            sendControlCommand(state, id, command_kind::ResumeReceiving, 0, now);
-        else
+        if (id != receiver)
             sendControlCommand(state, id, command_kind::PauseReceiving, service.guardTerm, now);
+        else if (now < service.guardLeaseUntil)
+            sendControlCommand(state, id, command_kind::ResumeReceiving, 0, now);
     }
 }
 
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -103,7 +103,7 @@
     const bool isPaused = attempt.fenced.contains(attempt.chosen);
     sendControlCommand(state, attempt.chosen,
                        isPaused ? command_kind::ResumeReceiving : command_kind::Status, 0, now);
-    if (!isRepair(attempt))
+    if (!isRepair(attempt) || attempt.hasRivalOrders)
         pauseOthers(state, service, attempt.chosen, now);
 }
 
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds tokenTimeout{ 1'500 };
 /// The lease in the store lasts 3 s; the difference allows for the latency of the store's answer.
 constexpr milliseconds usableLeaseDuration{ 2'700 };
+constexpr int maxUnansweredRenewals = 2;
+/// Others can draw a token in this time.
+constexpr milliseconds handOverTime{ 3'200 };
 /// If a witness does not answer, the old primary is ordered to step down after this time.
 constexpr milliseconds stepDownDelay{ 400 };
 
@@ -120,14 +123,20 @@
     stepOrderNotice(state, service, now);
 }
 
-/// Ends an attempt without an answer before another daemon can draw a token. The next one of this
-/// daemon starts at once and renews the lease, so that the daemons do not order in turn.
+/// Ends an attempt before another daemon can draw a token. The next one of this daemon starts at
+/// once and renews the lease, so that the daemons do not order in turn. After several leases
+/// without an answer it lets others try, which may reach the platform.
 bool endsWithLease(engine &state, service_state &service, core::time_point now)
 {
     if (now < service.promotion.leaseUntil)
         return false;
+    const bool isAnswered = service.promotion.isAnswered;
     abortAttempt(state, service, "lease_expired", now);
-    service.promotion.earliestStartAt = now;
+    service.unansweredLeases = isAnswered ? 0 : service.unansweredLeases + 1;
+    const bool renews = service.unansweredLeases <= maxUnansweredRenewals;
+    service.promotion.earliestStartAt = renews ? now : now + handOverTime;
+    if (!renews)
+        service.unansweredLeases = 0;
     return true;
 }
 
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// An accepted promotion takes effect within this time.
+constexpr milliseconds promotionEffectTimeout{ 1'500 };
 /// Retry interval while the operator has switched promotions off.
 constexpr milliseconds switchedOffRetryInterval{ 5'000 };
 
@@ -92,14 +94,20 @@
         attempt.reports.erase(memberId); // it was paused, and has restarted since
 }
 
-/// @return whether the status shows that the ordered promotion has taken effect
+/// @return whether the status shows that the ordered promotion has taken effect, and that no
+/// earlier order can
 bool showsPromotion(const promotion_state &attempt, const std::string &memberId,
-                    const member_status &status)
+                    const member_status &status, core::time_point askedAt)
 {
+    if (attempt.phase != promotion_phase::AwaitingLeader || !status.leads
+        || memberId != attempt.chosen)
+        return false;
     // The primary of a repair leads already.
-    const bool isProof = attempt.orderAccepted || (!isRepair(attempt) && !attempt.hasRivalOrders);
-    return attempt.phase == promotion_phase::AwaitingLeader && status.leads
-           && memberId == attempt.chosen && isProof;
+    if (!isRepair(attempt))
+        return attempt.orderAccepted || !attempt.hasRivalOrders;
+    const core::duration margin =
+            attempt.hasRivalOrders ? core::duration(promotionEffectTimeout) : core::duration(0);
+    return attempt.orderAccepted && askedAt >= attempt.acceptedAt + margin;
 }
 
 /// Orders a replaced primary to step down where it would go on until it learns of its successor.
@@ -131,7 +139,7 @@
         return;
     }
     recordReport(attempt, memberId, status);
-    if (showsPromotion(attempt, memberId, status)) {
+    if (showsPromotion(attempt, memberId, status, sentAt)) {
         stepDownReplaced(state, attempt, status.term, now);
         finishPromotion(state, service, now);
     } else if (isFencing) {
@@ -139,15 +147,34 @@
     }
 }
 
-/// This order was rejected, but an earlier one without an answer may take effect later.
+void onOrderAccepted(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    attempt.orderAccepted = true;
+    attempt.acceptedAt = now;
+    // A repair voids the earlier orders, but one that was accepted shortly before may still take
+    // effect.
+    const bool mayTakeEffect = isRepair(attempt) && attempt.hasRivalOrders;
+    if (state.settings.promotionsAreFenced && !mayTakeEffect)
+        service.openOrders = { { attempt.token, attempt.chosen } };
+    enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+}
+
+/// This order was rejected, but an earlier copy without an answer may take effect later. The token
+/// then orders no other member, since the platform would not reject that copy.
 void onOrderRejected(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
-    if (!state.settings.promotionsAreFenced)
-        service.openOrders.clear(); // its member is not running, and no later token voids the order
-    else if (!attempt.orderUnanswered)
-        dropRejectedOrder(service.openOrders, { attempt.token, attempt.chosen });
-    if (attempt.completesOrder && now < attempt.leaseUntil) {
+    const member_state *member = findMember(state, attempt.chosen);
+    // A member that is listed may run again when an earlier order is carried out.
+    const bool isGone = member == nullptr || !member->listed;
+    if (!attempt.orderUnanswered) {
+        if (state.settings.promotionsAreFenced)
+            dropRejectedOrder(service.openOrders, { attempt.token, attempt.chosen });
+        else
+            service.openOrders.clear(); // no later token would void the order
+    }
+    if (attempt.completesOrder && isGone && !attempt.orderUnanswered && now < attempt.leaseUntil) {
         leaveCompletion(state, service, "member_not_running", now);
         return;
     }
@@ -176,6 +203,7 @@
     // received more than it reported.
     attempt.reports.clear();
     if (now >= attempt.leaseUntil) {
+        service->openOrders = orders;
         abortAttempt(state, *service, "token_came_late", now);
         return;
     }
@@ -212,27 +240,30 @@
     service->promotion.earliestStartAt = now + switchedOffRetryInterval;
 }
 
-void onPromoteAnswer(engine &state, const std::string &serviceName, promote_outcome outcome,
+void onPromoteAnswer(engine &state, const order_promotion &order, promote_outcome outcome,
                      core::time_point now)
 {
-    service_state *service = findService(state, serviceName);
-    if (service == nullptr || service->promotion.phase != promotion_phase::Ordering)
+    service_state *service = findService(state, order.service);
+    if (service == nullptr)
         return;
     promotion_state &attempt = service->promotion;
+    const bool isCurrent = attempt.token == order.token && attempt.chosen == order.member;
+    // A second copy may be under way when the first one is accepted.
+    const bool isAwaited = attempt.phase == promotion_phase::Ordering
+                           || (attempt.phase == promotion_phase::AwaitingLeader
+                               && outcome == promote_outcome::Ordered);
+    if (!isCurrent || !isAwaited)
+        return;
+    attempt.isAnswered = attempt.isAnswered || outcome != promote_outcome::NoAnswer;
     switch (outcome) {
     case promote_outcome::Ordered:
-        attempt.orderAccepted = true;
-        if (state.settings.promotionsAreFenced)
-            service->openOrders = { { attempt.token, attempt.chosen } };
-        enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        onOrderAccepted(state, *service, now);
         break;
     case promote_outcome::NoAnswer:
         noteUnanswered(state, *service, now);
         // The primary leads already, so only an answer shows that a repair has taken effect.
-        if (attempt.cause == promotion_cause::ReplicaPaused)
-            enterPhase(attempt, promotion_phase::AwaitingLeader, now + refusedOrderDelay);
-        else
-            enterPhase(attempt, promotion_phase::AwaitingLeader, now + orderTimeout * 3);
+        enterPhase(attempt, promotion_phase::AwaitingLeader,
+                   now + (isRepair(attempt) ? refusedOrderDelay : orderTimeout * 3));
         break;
     case promote_outcome::FencedOff:
         onOrderRejected(state, *service, now);
--- a/src/proxy/engine_repair.cpp
+++ b/src/proxy/engine_repair.cpp
@@ -26,6 +26,8 @@
     }
     if (now < attempt.nextProbeAt)
         return;
+    if (mayReplace(service.openOrders, attempt.chosen))
+        pauseReplicas(state, service, now);
     attempt.nextProbeAt = now + probeInterval;
     sendControlCommand(state, attempt.chosen, command_kind::Status, 0, now);
 }
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -429,7 +429,7 @@
     void perform(const std::string &daemon, engine &state, const order_promotion &each)
     {
         if (now >= each.validUntil) {
-            onPromoteAnswer(state, each.service, promote_outcome::Refused, now);
+            onPromoteAnswer(state, each, promote_outcome::Refused, now);
             return;
         }
         if (each.token < highestOrderedToken)
@@ -440,18 +440,19 @@
         if (now < ordersAreLateUntil) {
             after(milliseconds(2'000 + below(10'000)), [=, this] { carryOut(each); });
             after(milliseconds(1'500),
-                  [=, this] { answerOrder(daemon, each.service, promote_outcome::NoAnswer); });
+                  [=, this] { answerOrder(daemon, each, promote_outcome::NoAnswer); });
             return;
         }
         after(milliseconds(10), [=, this] {
             const promote_outcome outcome = carryOut(each);
-            after(milliseconds(5), [=, this] { answerOrder(daemon, each.service, outcome); });
+            after(milliseconds(5), [=, this] { answerOrder(daemon, each, outcome); });
         });
     }
 
-    void answerOrder(const std::string &daemon, const std::string &name, promote_outcome outcome)
+    void answerOrder(const std::string &daemon, const order_promotion &order,
+                     promote_outcome outcome)
     {
-        handle(daemon, [=, this](engine &state) { onPromoteAnswer(state, name, outcome, now); });
+        handle(daemon, [=, this](engine &state) { onPromoteAnswer(state, order, outcome, now); });
     }
 
     /// The platform's part of an order, at the time at which it carries it out. A token counts as
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -35,6 +35,14 @@
         onTokenAcquired(fixture.state, proxy_fixture::service, token, fixture.now, orders);
     }
 
+    /// Answers the attempt's order.
+    void answerOrder(promote_outcome outcome)
+    {
+        const order_promotion order{ proxy_fixture::service, attempt().chosen, attempt().token,
+                                     attempt().leaseUntil };
+        onPromoteAnswer(fixture.state, order, outcome, fixture.now);
+    }
+
     /// Reports the status of a member, as the answer to a command that was sent just now.
     void report(const std::string &member, const member_status &status)
     {
@@ -127,11 +135,7 @@
 TEST(order_completion, pausesAreRenewedBetweenAttempts)
 {
     drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
-    attempt().orderSent = true;
-    attempt().phase = promotion_phase::AwaitingLeader;
-    attempt().phaseDeadline = fixture.now;
-    attempt().leaseUntil = fixture.now;
-    fixture.advanceTime(milliseconds(10));
+    abortAttempt(fixture.state, service(), "members_missing", fixture.now);
     CHECK(attempt().phase == promotion_phase::None);
     fixture.takeActions();
     fixture.advanceTime(milliseconds(250));
@@ -146,16 +150,22 @@
 {
     drawToken(promotion_cause::ReplicaPaused, { { 7, "m2" } });
     report("m1", { true, 1, { 1, 6 }, 0 });
+    fixture.state.members.at("m2").listed = false;
     const auto first = awaitOrders(milliseconds(700));
     CHECK_EQUAL(1U, first.size());
     STRCMP_EQUAL("m2", first.front().member.c_str());
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::FencedOff, fixture.now);
+    answerOrder(promote_outcome::FencedOff);
     fixture.advanceTime(milliseconds(10));
     report("m1", { true, 1, { 1, 6 }, 0 });
     const auto second = fixture.takeOrders();
     CHECK_EQUAL(1U, second.size());
     STRCMP_EQUAL("m1", second.front().member.c_str());
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::Ordered, fixture.now);
+    answerOrder(promote_outcome::Ordered);
+    // An order that was accepted just before would take effect within a second and a half.
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_FALSE(service().openOrders.empty());
+    CHECK_TRUE(attempt().replicasToResume.empty());
+    fixture.now += milliseconds(1'600);
     report("m1", { true, 1, { 1, 6 }, 0 });
     CHECK_TRUE(service().openOrders.empty());
     CHECK_TRUE(attempt().replicasToResume.contains("m3"));
@@ -169,7 +179,7 @@
     report("m3", { false, 1, { 1, 5 }, 2 });
     report("m2", { false, 1, { 1, 5 }, 0 });
     CHECK_EQUAL(1U, fixture.takeOrders().size());
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    answerOrder(promote_outcome::NoAnswer);
     report("m2", { true, 2, { 2, 6 }, 0 });
     CHECK(attempt().phase == promotion_phase::AwaitingLeader);
     CHECK_FALSE(service().openOrders.empty());
@@ -250,3 +260,114 @@
     fixture.advanceTime(milliseconds(10));
     CHECK_EQUAL(1U, count(fixture.takeActions(), command_kind::ResumeReceiving));
 }
+
+// Guards against one token for two members: the first copy of the order got no answer, and the
+// platform would not reject it after an order of the same token for another member.
+TEST(order_completion, tokenOfUnansweredOrderOrdersNoOtherMember)
+{
+    drawToken(promotion_cause::ReplicaPaused, { { 7, "m2" } });
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    fixture.state.members.at("m2").listed = false;
+    CHECK_EQUAL(1U, awaitOrders(milliseconds(700)).size());
+    answerOrder(promote_outcome::NoAnswer);
+    CHECK_EQUAL(1U, awaitOrders(milliseconds(2'200)).size());
+    answerOrder(promote_outcome::FencedOff);
+    CHECK(attempt().phase == promotion_phase::None);
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK(fixture.takeOrders().empty());
+}
+
+// Guards against an order for the primary beside an open one whose member is only down: it may run
+// again when the open order is carried out.
+TEST(order_completion, listedMemberOfAnOpenOrderIsNotPassedOver)
+{
+    drawToken(promotion_cause::ReplicaPaused, { { 7, "m2" } });
+    report("m1", { true, 1, { 1, 6 }, 0 });
+    CHECK_EQUAL(1U, awaitOrders(milliseconds(700)).size());
+    answerOrder(promote_outcome::FencedOff);
+    CHECK(attempt().phase == promotion_phase::None);
+    CHECK_TRUE(attempt().replicasToResume.empty());
+    CHECK_FALSE(service().openOrders.empty());
+}
+
+// Guards against an answer to an earlier attempt's order that counts for the present one.
+TEST(order_completion, answerToAnotherOrderIsIgnored)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 5 }, 0 });
+    CHECK_EQUAL(1U, fixture.takeOrders().size());
+    const order_promotion earlier{ proxy_fixture::service, "m2", 7, fixture.now };
+    onPromoteAnswer(fixture.state, earlier, promote_outcome::Ordered, fixture.now);
+    CHECK_FALSE(attempt().orderAccepted);
+    CHECK(attempt().phase == promotion_phase::Ordering);
+}
+
+// Guards against a daemon that renews pauses, and lets a replica resume, long after another one may
+// have closed the order.
+TEST(order_completion, guardEndsAfterTheLease)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    abortAttempt(fixture.state, service(), "lease_expired", fixture.now);
+    attempt().earliestStartAt = fixture.now + std::chrono::seconds(60);
+    fixture.now += milliseconds(2'800);
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(200));
+    auto actions = fixture.takeActions();
+    CHECK(count(actions, command_kind::PauseReceiving) > 0);
+    CHECK_EQUAL(0U, count(actions, command_kind::ResumeReceiving));
+    fixture.now += milliseconds(3'000);
+    fixture.advanceTime(milliseconds(200));
+    CHECK_EQUAL(0U, count(fixture.takeActions(), command_kind::PauseReceiving));
+}
+
+// Guards against holders that order in turn while the platform is late, and against a holder that
+// reaches the store but not the platform and keeps all others from trying.
+TEST(order_completion, leaseIsRenewedTwiceWithoutAnAnswer)
+{
+    for (int lease = 1; lease <= 3; ++lease) {
+        drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } }, 9 + lease);
+        attempt().phase = promotion_phase::AwaitingLeader;
+        attempt().orderSent = true;
+        attempt().leaseUntil = fixture.now;
+        fixture.advanceTime(milliseconds(10));
+        const bool isRenewed = attempt().earliestStartAt <= fixture.now;
+        CHECK_EQUAL(lease < 3, isRenewed);
+    }
+}
+
+// Guards against a status from before the order was recorded that counts as its effect.
+TEST(order_completion, earlierStatusClosesNoOrder)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    closeOrdersOf(fixture.state, service(), "m2", fixture.now - milliseconds(1), fixture.now);
+    CHECK_FALSE(service().openOrders.empty());
+    closeOrdersOf(fixture.state, service(), "m2", fixture.now, fixture.now);
+    CHECK_TRUE(service().openOrders.empty());
+}
+
+// Guards against replicas that receive while a repair is under way beside an open order for another
+// member: a replica that restarts would acknowledge commits which that member lacks.
+TEST(order_completion, repairBesideAnOpenOrderRenewsPauses)
+{
+    drawToken(promotion_cause::OrderOpen, { { 7, "m2" }, { 8, "m1" } });
+    CHECK_TRUE(isRepair(attempt()));
+    fixture.acceptLinks();
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(100));
+    CHECK(count(fixture.takeActions(), command_kind::PauseReceiving) >= 2);
+}
+
+// Guards against an order that is sent again while a replica may hold commits which its member
+// lacks: the replica has restarted, so its pause is gone, and does not answer this daemon.
+TEST(order_completion, orderIsNotRepeatedWithoutTheReportOfAReplica)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    for (int i = 0; i < 19; ++i) {
+        report("m2", { false, 1, { 1, 5 }, 0 });
+        CHECK(awaitOrders(milliseconds(100)).empty());
+    }
+    report("m2", { false, 1, { 1, 5 }, 0 });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    CHECK_EQUAL(1U, fixture.takeOrders().size());
+}
--- a/tests/unit-promotion-guard.cpp
+++ b/tests/unit-promotion-guard.cpp
@@ -136,6 +136,14 @@
         return fixture.takeOrders().size();
     }
 
+    /// Answers the attempt's order.
+    void answerOrder(promote_outcome outcome)
+    {
+        const order_promotion order{ proxy_fixture::service, attempt().chosen, attempt().token,
+                                     attempt().leaseUntil };
+        onPromoteAnswer(fixture.state, order, outcome, fixture.now);
+    }
+
     /// Reports the status of a member, as the answer to a command that was sent just now.
     void report(const std::string &member, const member_status &status)
     {
@@ -166,9 +174,9 @@
     startAttempt(promotion_phase::Ordering);
     attempt().chosen = "m2";
     attempt().orderSent = true;
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    answerOrder(promote_outcome::NoAnswer);
     attempt().phase = promotion_phase::Ordering;
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::FencedOff, fixture.now);
+    answerOrder(promote_outcome::FencedOff);
     CHECK(attempt().phase == promotion_phase::None);
     CHECK_TRUE(attempt().replicasToResume.empty());
 }
@@ -203,12 +211,12 @@
     startRepair();
     report("m1", { true, 1, { 1, 6 }, 0 });
     CHECK_EQUAL(1U, takeOrders());
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::NoAnswer, fixture.now);
+    answerOrder(promote_outcome::NoAnswer);
     report("m1", { true, 1, { 1, 6 }, 0 });
     CHECK_TRUE(attempt().replicasToResume.empty());
     fixture.advanceTime(milliseconds(200));
     CHECK_EQUAL(1U, takeOrders());
-    onPromoteAnswer(fixture.state, proxy_fixture::service, promote_outcome::Ordered, fixture.now);
+    answerOrder(promote_outcome::Ordered);
     report("m1", { true, 1, { 1, 6 }, 0 });
     CHECK_EQUAL(1U, attempt().replicasToResume.count("m3"));
 }
