Repeat an order without a report only if its member does not answer

Cause: a report is dropped with any connection to the member, and an attempt older than 500 ms then repeated the order at once, without waiting for the next report. Change: it is repeated only if the member is unlisted or unresponsive.

--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -64,6 +64,16 @@
               });
 }
 
+/// @return whether the member of the open order does not answer; the loss of one connection to it
+/// also drops its report
+bool isSilent(engine &state, const promotion_state &attempt)
+{
+    const member_state *member = findMember(state, attempt.chosen);
+    const bool isUnresponsive =
+            member == nullptr || !member->listed || member->unresponsiveSince != core::noDeadline;
+    return isUnresponsive && !attempt.reports.contains(attempt.chosen);
+}
+
 /// No order is open any more: the replicas that were kept paused resume.
 void endWithoutOpenOrder(engine &state, service_state &service, core::time_point now)
 {
@@ -112,7 +122,7 @@
             leaveCompletion(state, service, "order_behind", now);
             return;
         }
-        if (!attempt.reports.contains(attempt.chosen)) {
+        if (isSilent(state, attempt)) {
             // The platform's answer shows whether the member runs.
             orderPromotion(state, service, now);
             return;
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -363,9 +363,9 @@
 TEST(order_completion, orderIsNotRepeatedWithoutTheReportOfAReplica)
 {
     drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
-    for (int i = 0; i < 19; ++i) {
+    for (int i = 0; i < 190; ++i) {
         report("m2", { false, 1, { 1, 5 }, 0 });
-        CHECK(awaitOrders(milliseconds(100)).empty());
+        CHECK(awaitOrders(milliseconds(10)).empty());
     }
     report("m2", { false, 1, { 1, 5 }, 0 });
     report("m3", { false, 1, { 1, 5 }, 2 });
