Start on platforms without values for the optional settings

Cause: deploy/instance.yaml names five fields (bounds.evacuation-ms, bounds.cold-tolerance, bounds.cold-overage, limits.cpu-share, limits.bandwidth-mbps) that a platform may not know. Where it leaves their placeholders as they are, each became a YAML table, and the daemons ended on their settings. A quoted placeholder passed for the value of a mandatory text, such as the zone.

A placeholder that is not filled in leaves an optional entry its default; in a mandatory entry it is reported as a mistake.

--- a/include/fuchsiagw/daemon/session_settings.hpp
+++ b/include/fuchsiagw/daemon/session_settings.hpp
@@ -43,7 +43,9 @@
     /// @}
 };
 
-/// @brief Reads and validates a settings file. Unknown entries are ignored.
+/// @brief Reads and validates a settings file. Unknown entries are ignored. A placeholder of the
+/// template that is not filled in is a problem of a mandatory entry, and leaves an optional entry
+/// its default.
 /// @param result is complete only if there are no problems
 /// @return all problems found
 /// @complexity linear in the size of the file
--- a/src/daemon/session_settings.cpp
+++ b/src/daemon/session_settings.cpp
@@ -7,11 +7,16 @@
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
+#include <string_view>
 
 namespace fuchsiagw::daemon {
 
 namespace {
 
+/// Start and end of a placeholder of the template. A platform may leave one that it does not know.
+constexpr std::string_view placeholderStart = "{{";
+constexpr std::string_view placeholderEnd = "}}";
+
 /// Reads the entries of one file and collects the problems found.
 struct settings_reader
 {
@@ -33,15 +38,25 @@
             addProblem(name, "is missing or not a single value");
             return {};
         }
+        if (entry.Scalar().find(placeholderStart) != std::string::npos) {
+            addProblem(name, "contains a placeholder that is not filled in");
+            return {};
+        }
         return entry.Scalar();
     }
 
-    /// @return whether an optional entry has a value
+    /// @return whether an optional entry has a value; a quoted placeholder alone is none
     [[nodiscard]] bool hasValue(const std::string &name) const
     {
         const YAML::Node entry = root[name];
-        return entry.IsDefined() && !entry.IsNull()
-               && !(entry.IsScalar() && entry.Scalar().empty());
+        if (!entry.IsDefined() || entry.IsNull())
+            return false;
+        if (!entry.IsScalar())
+            return true;
+        const std::string &value = entry.Scalar();
+        const bool isPlaceholder =
+                value.starts_with(placeholderStart) && value.ends_with(placeholderEnd);
+        return !value.empty() && !isPlaceholder;
     }
 
     double number(const std::string &name, double minValue, double maxValue)
