--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -46,6 +46,7 @@
 
 void store_client::acquireFencingToken(const std::string &service)
 {
+    dropUnreportedTokens(service);
     if (promotionsAllowed_) {
         readPromotion(service);
         return;
@@ -131,7 +132,7 @@
              claimed.version = answer->version;
              const proxy::open_orders orders = claimed.row.orders;
              promotionRows_[service] = std::move(claimed);
-             callbacks_.onTokenAcquired(service, answer->version, orders);
+             reportWithMembers({ service, answer->version, orders, false });
          });
 }
 
