Bring the list of members up to date before a fencing token is reported

What callers would see: an acknowledged commit missing at a promoted member.

Cause: a promotion rested on the list of members as the feed had last delivered it. The feed is read again 0.8 to 3 s after each answer, and a connection that has fallen silent ends only after 29.5 s.

Change: after a token was drawn, one read of the members' feed without a wait, or a whole read where the feed answers 410 or no list was read yet, brings the list up to date; it goes to onMembers before the token is reported. If the read fails, the attempt ends without a token and nothing was paused. Tokens are versions of the store, so a read serves each token that is not higher than the version that it has reached; tokens of several groups share it. An answer that arrives late brings no older row back: the list's version never decreases. A token is not reported to a later request of the same group. The loop over the members moves to store_members.cpp.

Cost: one call more for each token or group of tokens, sent after the claim.

Measured: on the code before, 7 of the first 8 tests of unit-store-members fail, among them replicaThatJoinedWhileFeedIsSilentIsKnownBeforePromotion; the eighth, feedIsFollowedAfterPromotion, holds what worked. All 11 pass now. Two tokens drawn at the same moment cost one read of the members. unit-store-desk, unit-store-codec, unit-session-gateway, unit-promotion-guard, unit-open-orders and unit-order-completion pass.

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -16,10 +16,13 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -43,6 +46,7 @@
     std::function<void(const std::vector<proxy::listed_member> &)> onMembers;
     std::function<void(const std::vector<listed_instance> &)> onInstances;
     /// Called with the orders that were open when the token was acquired; token 0: none acquired.
+    /// The list of members that onMembers got last is as of a moment after the token.
     std::function<void(const std::string &service, std::uint64_t token, const proxy::open_orders &)>
             onTokenAcquired;
     /// Called with false if another daemon has acquired a token since, or if no answer came.
@@ -66,6 +70,22 @@
     std::uint64_t version = 0; ///< of the row in the store
 };
 
+/// The rows of the members' table.
+struct member_list
+{
+    std::map<std::string, proxy::listed_member> rows; ///< by key
+    std::uint64_t version = 0; ///< of the store; all changes up to it are contained; 0: not read
+};
+
+/// A fencing token that is reported once the list of members is as of a later moment.
+struct unreported_token
+{
+    std::string service;
+    std::uint64_t token = 0;
+    proxy::open_orders orders;
+    bool isReplaced = false; ///< a later request makes the report obsolete
+};
+
 /// Purpose of a call to the platform.
 enum class store_purpose : std::uint8_t { Manifest, Members, Instances, Promotion };
 
@@ -113,6 +133,8 @@
 
 private:
     using response_handler = std::function<void(int status, const std::string &body)>;
+    /// Called with nothing if the list could not be read.
+    using member_list_handler = std::function<void(std::optional<member_list> &&)>;
 
     void call(store_purpose purpose, const net::http_request &request,
               std::chrono::milliseconds timeout, response_handler done);
@@ -132,10 +154,18 @@
     void applyEvacuationRows(const std::vector<adapter::store_row> &rows);
     void reportUnusableNames(const proxy::manifest &manifest);
     void readMembers();
-    void readMembers(const std::string &from, std::map<std::string, proxy::listed_member> &&list);
+    void readMemberPages(const std::string &from, member_list &&list,
+                         std::optional<std::uint64_t> generation, member_list_handler done);
     void followMembers();
-    void applyMemberRows(const std::vector<adapter::store_row> &rows);
+    void applyMemberList(member_list &&list);
+    void applyMemberChanges(const adapter::store_rows &changes);
     void reportMembers();
+    void reportWithMembers(unreported_token &&token);
+    void dropUnreportedTokens(const std::string &service);
+    void readMembersForTokens();
+    void readMemberListForTokens();
+    void reportTokens(std::uint64_t listVersion, bool hasMore);
+    void reportToken(const unreported_token &token, bool isCovered);
     void readInstances();
     void readInstances(const std::string &from, std::map<std::string, listed_instance> &&list);
     void followInstances(std::uint64_t generation);
@@ -174,9 +204,12 @@
     bool isStopped_ = false;
     std::map<std::string, std::uint64_t> unreadableRows_; ///< version last logged, by key
     core::time_point lastMemberRead_{};
-    std::uint64_t memberFeedVersion_ = 0;
     std::uint64_t memberGeneration_ = 0; ///< callbacks of older generations are ignored
-    std::map<std::string, proxy::listed_member> members_;
+    member_list members_; ///< its version never decreases
+    std::deque<unreported_token> unreportedTokens_;
+    /// Number of unreported tokens, from the oldest on, that were acquired before the read of the
+    /// members in flight was sent; 0: none is in flight.
+    std::size_t tokensBeforeRead_ = 0;
     std::map<std::string, listed_instance> instances_;
 };
 
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Read and follow loops over the tables of the platform's store; each loop has its own
-/// backoff.
+/// backoff. The loop over the members is in store_members.cpp.
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
@@ -17,13 +17,8 @@
 
 using std::chrono::milliseconds;
 
-/// The store answers a long poll as soon as a row changes. Keep-alive probes detect dead
-/// connections, so the wait can be long.
-constexpr milliseconds longPollWait{ 28'000 };
 /// Wait of the daemons that check whether the manifest's feed still delivers changes.
 constexpr milliseconds shortPollWait{ 4'000 };
-/// Time for the response after the wait of a long poll.
-constexpr milliseconds longPollGrace{ 1'500 };
 constexpr milliseconds minManifestReadInterval{ 700 };
 /// Time within which this daemon's own feed normally delivers a manifest that another daemon has.
 constexpr milliseconds manifestFeedDelay{ 400 };
@@ -35,14 +30,6 @@
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
 constexpr std::size_t maxReportedNames = 64; // unusable ones of a manifest
 
-/// @return whether a page of rows is the last one or names the key from which the next one is read.
-/// That page then begins with the same row: no key that follows it is known to be within the
-/// store's limit.
-bool leadsOn(const adapter::store_rows &page, const std::string &from)
-{
-    return !page.hasMore || (!page.rows.empty() && page.rows.back().key > from);
-}
-
 } // namespace
 
 store_client::store_client(boost::asio::io_context &context, const session_settings &values,
@@ -232,101 +219,6 @@
     return pacingFor(instances_.size());
 }
 
-void store_client::refreshMembers()
-{
-    if (net::currentBootTime() - lastMemberRead_ >= pacing().minMemberReadInterval)
-        readMembers();
-}
-
-void store_client::readMembers()
-{
-    lastMemberRead_ = net::currentBootTime();
-    ++memberGeneration_;
-    readMembers({}, {});
-}
-
-void store_client::readMembers(const std::string &from,
-                               std::map<std::string, proxy::listed_member> &&list)
-{
-    call(store_purpose::Members, adapter::readRows(adapter::memberTable(), from), callTimeout,
-         [this, from, generation = memberGeneration_,
-          list = std::move(list)](int status, const std::string &body) mutable {
-             if (generation != memberGeneration_)
-                 return;
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows || !leadsOn(*rows, from)) {
-                 runAfter(backoff(memberFailures_++), [this, generation] {
-                     if (generation == memberGeneration_)
-                         readMembers();
-                 });
-                 return;
-             }
-             for (const adapter::store_row &row : rows->rows) {
-                 if (const auto entry = decodeMember(row))
-                     list[row.key] = *entry;
-             }
-             // The feed then repeats what changed while the pages were read.
-             if (from.empty())
-                 memberFeedVersion_ = rows->version;
-             if (rows->hasMore) {
-                 readMembers(rows->rows.back().key, std::move(list));
-                 return;
-             }
-             memberFailures_ = 0;
-             members_ = std::move(list);
-             reportMembers();
-             followMembers();
-         });
-}
-
-void store_client::followMembers()
-{
-    call(store_purpose::Members,
-         adapter::followRows(adapter::memberTable(), memberFeedVersion_, longPollWait),
-         longPollWait + longPollGrace,
-         [this, generation = memberGeneration_](int status, const std::string &body) {
-             if (generation != memberGeneration_)
-                 return;
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             const auto waitTime = rows                   ? pacing().memberPollPause
-                                   : status == statusGone ? milliseconds(0)
-                                                          : backoff(memberFailures_++);
-             if (rows) {
-                 memberFailures_ = 0;
-                 memberFeedVersion_ = std::max(memberFeedVersion_, rows->version);
-                 if (!rows->rows.empty())
-                     applyMemberRows(rows->rows);
-             }
-             runAfter(waitTime, [this, generation, isRead = rows.has_value()] {
-                 if (generation != memberGeneration_)
-                     return;
-                 if (isRead)
-                     followMembers();
-                 else
-                     readMembers();
-             });
-         });
-}
-
-void store_client::applyMemberRows(const std::vector<adapter::store_row> &rows)
-{
-    for (const adapter::store_row &row : rows) {
-        if (const auto entry = decodeMember(row))
-            members_[row.key] = *entry;
-        else
-            members_.erase(row.key);
-    }
-    reportMembers();
-}
-
-void store_client::reportMembers()
-{
-    std::vector<proxy::listed_member> list;
-    for (const auto &[id, each] : members_)
-        list.push_back(each);
-    callbacks_.onMembers(list);
-}
-
 void store_client::claim(std::int64_t part, std::uint64_t incarnation)
 {
     if (std::exchange(isClaiming_, true))
@@ -451,17 +343,6 @@
     return result;
 }
 
-std::optional<proxy::listed_member> store_client::decodeMember(const adapter::store_row &row)
-{
-    if (row.deleted)
-        return std::nullopt;
-    const auto entry = adapter::decodeMember(row);
-    if (entry)
-        return proxy::listed_member{ *entry, row.version };
-    reportUnreadable(row);
-    return std::nullopt;
-}
-
 /// Logs an unreadable row once for each of its versions.
 void store_client::reportUnreadable(const adapter::store_row &row)
 {
--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -34,6 +34,7 @@
 
 void store_client::acquireFencingToken(const std::string &service)
 {
+    dropUnreportedTokens(service);
     if (promotionsAllowed_) {
         readPromotion(service);
         return;
@@ -119,7 +120,7 @@
              claimed.version = answer->version;
              const proxy::open_orders orders = claimed.row.orders;
              promotionRows_[service] = std::move(claimed);
-             callbacks_.onTokenAcquired(service, answer->version, orders);
+             reportWithMembers({ service, answer->version, orders, false });
          });
 }
 
