Read the members again while an order is open, and whole if the feed stays behind a token

What callers would lose: commits that the old primary acknowledges with a member that has joined after the promoter read its list, if the feed is silent. Besides, a store whose feed names an older version than the token would have let no promotion start.

--- a/src/daemon/store_members.cpp
+++ b/src/daemon/store_members.cpp
@@ -180,8 +180,14 @@
              }
              applyMemberChanges(*rows);
              // A store may name the version of the last change that it returns, which can precede
-             // the token.
-             reportTokens(rows->version, !rows->rows.empty() && rows->version > after);
+             // the token; the version of a whole list is the newest one.
+             const bool hasMore = !rows->rows.empty() && rows->version > after;
+             const bool isBehind = !hasMore && !unreportedTokens_.empty()
+                                   && rows->version < unreportedTokens_.front().token;
+             if (isBehind)
+                 readMemberListForTokens();
+             else
+                 reportTokens(rows->version, hasMore);
          });
 }
 
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -198,6 +198,8 @@
     if (now < service.nextOrderNoticeAt || !mayReplace(service.openOrders, service.leader))
         return;
     service.nextOrderNoticeAt = now + noticeInterval;
+    // A member that joins meanwhile has to be paused, also if the feed of changes is silent.
+    state.out.emplace_back(refresh_directory{});
     const std::uint64_t token = std::max(service.promotion.token, service.guardToken);
     announceOpenOrder(state, service, service.openOrders.back().member, token);
 }
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -371,3 +371,15 @@
     report("m3", { false, 1, { 1, 5 }, 2 });
     CHECK_EQUAL(1U, fixture.takeOrders().size());
 }
+
+// Guards against a member that joins while an order is open and is never paused, because the feed
+// of changes has fallen silent.
+TEST(order_completion, membersAreReadAgainWhileAnOrderIsOpen)
+{
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    report("m3", { false, 1, { 1, 5 }, 2 });
+    report("m2", { false, 1, { 1, 5 }, 0 });
+    CHECK_EQUAL(1U, fixture.takeOrders().size());
+    fixture.advanceTime(milliseconds(1'000));
+    CHECK(!proxy_fixture::actionsOf<refresh_directory>(fixture.takeActions()).empty());
+}
