Let daemons without the token guard an open order too

What callers would lose: commits that are acknowledged with a replica which has restarted out of the reach of the daemon whose order is open.

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -52,8 +52,11 @@
     /// Called with false if another daemon has acquired a token since, or if no answer came.
     std::function<void(const std::string &service, std::uint64_t token, bool isRecorded)>
             onOrdersRecorded;
-    /// Another daemon holds the promotion lease for the given remaining time.
-    std::function<void(const std::string &service, std::chrono::milliseconds)> onTokenHeldElsewhere;
+    /// Another daemon holds the promotion lease for the given remaining time; with the open orders
+    /// and the version of the row in which they stand.
+    std::function<void(const std::string &service, std::chrono::milliseconds,
+                       const proxy::open_orders &, std::uint64_t version)>
+            onTokenHeldElsewhere;
     /// No token was acquired because the operator has disabled promotions.
     std::function<void(const std::string &service)> onPromotionsDisabled;
     std::function<void(const proxy::order_promotion &, proxy::promote_outcome)> onPromoteAnswer;
--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -53,6 +53,12 @@
 /// @brief Starts or ends the renewal of the pauses after an attempt.
 void startGuard(service_state &service, core::time_point now);
 void stopGuard(service_state &service);
+/// @brief Renews the pauses of another daemon's open orders beside it: that daemon may not reach a
+/// replica that restarts.
+/// @param version of the store, as of which the orders are open
+/// @param until end of the other daemon's lease
+void helpGuard(engine &state, service_state &service, const open_orders &orders,
+               std::uint64_t version, core::time_point until, core::time_point now);
 
 /// @brief Starts a repair: promoting the present primary changes nothing, but the new fencing token
 /// invalidates all earlier orders, so that the replicas can safely be resumed.
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -197,8 +197,11 @@
 
 /// @brief Handles that another daemon holds the fencing token of a service.
 /// @param until time before which no other daemon can acquire a token
+/// @param orders open ones, as of the store's answer
+/// @param version of the store, as of which they are open
 void onTokenHeldElsewhere(engine &state, const std::string &service, core::time_point until,
-                          core::time_point now);
+                          core::time_point now, const open_orders &orders = {},
+                          std::uint64_t version = 0);
 
 /// @brief Cancels an attempt before its first step, because the operator has disabled promotions.
 void onPromotionsDisabled(engine &state, const std::string &service, core::time_point now);
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -95,9 +95,10 @@
                                            net::currentBootTime());
                    perform();
                },
-               [this](const std::string &service, std::chrono::milliseconds left) {
+               [this](const std::string &service, std::chrono::milliseconds left,
+                      const proxy::open_orders &orders, std::uint64_t version) {
                    const core::time_point now = net::currentBootTime();
-                   proxy::onTokenHeldElsewhere(engine_, service, now + left, now);
+                   proxy::onTokenHeldElsewhere(engine_, service, now + left, now, orders, version);
                    perform();
                },
                [this](const std::string &service) {
--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -98,7 +98,8 @@
         const std::int64_t remainingMs = present.leaseUntilMs - rows.storeClockMs;
         if (present.holder != values_.instance && remainingMs > 0) {
             callbacks_.onTokenHeldElsewhere(service,
-                                            milliseconds(std::min(remainingMs, promotionLeaseMs)));
+                                            milliseconds(std::min(remainingMs, promotionLeaseMs)),
+                                            present.orders, row->version);
             return;
         }
         claimed.row.orders = present.orders;
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -187,6 +187,20 @@
     service.nextGuardAt = isNeeded ? now : core::noDeadline;
 }
 
+void helpGuard(engine &state, service_state &service, const open_orders &orders,
+               std::uint64_t version, core::time_point until, core::time_point now)
+{
+    setOpenOrders(service, orders, now);
+    if (!mayReplace(orders, service.leader))
+        return;
+    logOpenOrders(state, service, note_kind::PromotionOrderOpen, "held_by_other", now);
+    service.guardTerm = service.term + 1;
+    service.guardToken = version;
+    service.guardLeaseUntil = now; // the holder decides who receives
+    service.guardUntil = until + guardGrace;
+    service.nextGuardAt = now;
+}
+
 void stopGuard(service_state &service)
 {
     service.guardTerm = 0;
@@ -210,8 +224,9 @@
     service_state *service = findService(state, serviceName);
     if (service == nullptr)
         return;
-    // The daemon with the later token decides which replicas are paused.
-    if (token > service->guardToken)
+    // The daemon with the later token decides which replicas are paused. One whose order is for the
+    // present primary resumes them when it is done.
+    if (token > service->guardToken || member == service->leader)
         stopGuard(*service);
     service->noticedOrder = member;
     service->noticeValidUntil = now + noticeTimeout;
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -221,7 +221,7 @@
 }
 
 void onTokenHeldElsewhere(engine &state, const std::string &serviceName, core::time_point until,
-                          core::time_point now)
+                          core::time_point now, const open_orders &orders, std::uint64_t version)
 {
     service_state *service = findService(state, serviceName);
     if (service == nullptr || service->promotion.phase != promotion_phase::DrawingToken)
@@ -229,6 +229,7 @@
     stopGuard(*service);
     abortAttempt(state, *service, "held_by_other", now);
     service->promotion.earliestStartAt = until + startDelay(state, *service);
+    helpGuard(state, *service, orders, version, until, now);
 }
 
 void onPromotionsDisabled(engine &state, const std::string &serviceName, core::time_point now)
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -406,7 +406,7 @@
             after(milliseconds(4), [=, this] {
                 handle(daemon, [=, this](engine &state) {
                     if (held)
-                        onTokenHeldElsewhere(state, each.service, until, now);
+                        onTokenHeldElsewhere(state, each.service, until, now, orders, token);
                     else
                         onTokenAcquired(state, each.service, token, now, orders);
                 });
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -383,3 +383,20 @@
     fixture.advanceTime(milliseconds(1'000));
     CHECK(!proxy_fixture::actionsOf<refresh_directory>(fixture.takeActions()).empty());
 }
+
+// Guards against a replica that restarts out of the reach of the daemon whose order is open:
+// another daemon that has asked for a token knows of the order, and pauses the replica.
+TEST(order_completion, daemonWithoutTheTokenRenewsPauses)
+{
+    drawToken(promotion_cause::PrimarySilent, {});
+    attempt() = {};
+    attempt().phase = promotion_phase::DrawingToken;
+    attempt().oldPrimary = "m1";
+    onTokenHeldElsewhere(fixture.state, proxy_fixture::service, fixture.now + milliseconds(2'000),
+                         fixture.now, { { 7, "m2" } }, 8);
+    fixture.takeActions();
+    fixture.advanceTime(milliseconds(250));
+    const auto actions = fixture.takeActions();
+    CHECK(count(actions, command_kind::PauseReceiving) >= 2);
+    CHECK_EQUAL(0U, count(actions, command_kind::ResumeReceiving));
+}
