--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -72,6 +72,9 @@
     milliseconds promotionDelay{ 300 }; ///< from an order to its effect
     /// Orders that are sent before this time get no answer and reach the platform 2 to 12 s later.
     core::time_point ordersAreLateUntil{};
+    /// Delay with which a member carries out a command to pause, resume or step down, also if its
+    /// connection was closed meanwhile; empty: none.
+    std::function<milliseconds(const std::string &member)> controlDelay;
     bool fencesOrders = false; ///< orders are checked when they reach the platform
     std::uint64_t highestSeenToken = 0; ///< of the orders that reached the platform
     /// @name Results
@@ -169,12 +172,18 @@
             return;
         cluster_link &link = found->second;
         const milliseconds work(command.kind == command_kind::Forward ? 1 + below(40) : 0);
-        const core::time_point arrival = std::max(now + shortDelay(), link.busyUntil);
+        const bool isOrder = controlDelay && changesRole(command.kind);
+        const milliseconds lateness = isOrder ? controlDelay(link.member) : milliseconds(0);
+        const core::time_point arrival = std::max(now + shortDelay(), link.busyUntil) + lateness;
         link.busyUntil = arrival + work;
-        events.emplace(arrival, [this, daemon, id, command, work] {
+        const bool isReceived = lateness > milliseconds(0) && isConnected(link);
+        events.emplace(arrival, [this, daemon, id, command, work, isReceived, to = link.member] {
             const auto open = links.find({ daemon, id });
-            if (open == links.end() || open->second.broken)
+            if (open == links.end() || open->second.broken) {
+                if (isReceived && members.at(to).running)
+                    changeRole(members.at(to), command);
                 return;
+            }
             if (!isConnected(open->second)) {
                 breakLink(daemon, id);
                 return;
@@ -239,17 +248,9 @@
             link.inTransaction = false;
             break;
         case command_kind::PauseReceiving:
-            if (!member.leads && command.term > member.term)
-                member.pausedTerm = command.term;
-            addStatus(result, member);
-            break;
         case command_kind::ResumeReceiving:
-            member.pausedTerm = 0;
-            addStatus(result, member);
-            break;
         case command_kind::StepDown:
-            if (member.leads && command.term > member.term)
-                member.leads = false;
+            changeRole(member, command);
             addStatus(result, member);
             break;
         case command_kind::Status:
@@ -262,6 +263,22 @@
         answer(daemon, id, std::move(result), work);
     }
 
+    static bool changesRole(command_kind kind)
+    {
+        return kind == command_kind::PauseReceiving || kind == command_kind::ResumeReceiving
+               || kind == command_kind::StepDown;
+    }
+
+    static void changeRole(group_member &member, const upstream_command &command)
+    {
+        if (command.kind == command_kind::ResumeReceiving)
+            member.pausedTerm = 0;
+        else if (command.term > member.term && command.kind == command_kind::StepDown)
+            member.leads = false;
+        else if (command.term > member.term && !member.leads)
+            member.pausedTerm = command.term;
+    }
+
     static void addStatus(reply &result, const group_member &member)
     {
         result.status =
