--- a/tests/unit-schedule-losses.cpp
+++ b/tests/unit-schedule-losses.cpp
@@ -34,3 +34,10 @@
 {
     play(3, { .delaysControl = true });
 }
+
+// Guards against a replica that restarts while it is hidden from the daemon that renews the pauses:
+// the daemons that reach it don't know of the open order.
+TEST(schedule_losses, replicaRestartsHiddenFromTheSenderOfTheOrder)
+{
+    play(949, {});
+}
