Soak: carry out promotion orders and commands late, cut primaries off from most daemons

A primary can be cut off from most daemons while it goes on running: the proxy in front of it holds back connections by the process that made them.

--- a/include/fuchsiagw/testing/loopback_proxy.hpp
+++ b/include/fuchsiagw/testing/loopback_proxy.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -36,6 +37,10 @@
     /// @brief Sets the delay of each chunk of bytes, in both directions.
     void setDelay(std::chrono::milliseconds delay) { delay_ = delay; }
     void setBlockedDirections(const blocked_directions &blocked);
+    /// @brief Holds back all bytes of the connections of some clients, and forwards them once
+    /// another or no function is set.
+    /// @param isCut is called once for each connection, with the client's port
+    void cutClients(std::function<bool(std::uint16_t)> isCut);
     /// @brief Resets every open connection.
     void resetAllConnections();
     /// @brief Permanently stops forwarding on the open connections; new connections work.
@@ -52,6 +57,7 @@
     std::uint16_t port_ = 0;
     std::chrono::milliseconds delay_{ 0 };
     blocked_directions blocked_;
+    std::function<bool(std::uint16_t)> isCut_; ///< empty: no client is cut off
     std::set<std::shared_ptr<connection_pair>> connectionPairs_;
 };
 
--- a/testing/loopback_proxy.cpp
+++ b/testing/loopback_proxy.cpp
@@ -49,8 +49,17 @@
         forward.towardsTarget = true;
     }
 
+    /// Asks whether this connection's client is cut off.
+    void updateCut()
+    {
+        error_code error;
+        const auto from = client.remote_endpoint(error);
+        isCut = !error && owner.isCut_ && owner.isCut_(from.port());
+    }
+
     void start()
     {
+        updateCut();
         target.async_connect(owner.target_, [self = shared_from_this()](error_code error) {
             if (error) {
                 self->closeBoth(true);
@@ -103,7 +112,7 @@
         const bool isBlocked =
                 flow.towardsTarget ? owner.blocked_.towardsTarget : owner.blocked_.towardsClient;
         const auto remainingDelay = delayed ? std::chrono::milliseconds(0) : owner.delay_;
-        if (isBlocked || isSilent || remainingDelay.count() > 0) {
+        if (isBlocked || isCut || isSilent || remainingDelay.count() > 0) {
             auto &relayTimer = flow.towardsTarget ? towardsTargetTimer : towardsClientTimer;
             relayTimer.expires_after(remainingDelay.count() > 0 ? remainingDelay
                                                                 : blockedPollInterval);
@@ -155,6 +164,7 @@
     direction forward;
     direction backward;
     bool isSilent = false;
+    bool isCut = false;
     bool isHalfClosed = false;
     bool isClosed = false;
 };
@@ -192,6 +202,13 @@
     blocked_ = blocked;
 }
 
+void loopback_proxy::cutClients(std::function<bool(std::uint16_t)> isCut)
+{
+    isCut_ = std::move(isCut);
+    for (const auto &each : connectionPairs_)
+        each->updateCut();
+}
+
 void loopback_proxy::resetAllConnections()
 {
     const auto all = connectionPairs_;
--- a/testing/session-soak-main.cpp
+++ b/testing/session-soak-main.cpp
@@ -20,6 +20,9 @@
 ABSL_FLAG(std::string, profile, "everything", "fault profile: calm, planned or everything");
 ABSL_FLAG(std::uint32_t, stutter, 0,
           "percentage of the members' replies that is sent a second time, in any profile");
+ABSL_FLAG(bool, late_orders, false,
+          "every second fault is one of late promotion orders and primaries cut off from most "
+          "daemons");
 ABSL_FLAG(bool, plain_texts, false, "callers send letters and digits only");
 ABSL_FLAG(std::string, daemon, "", "path of the daemon program; default: the one of this build");
 ABSL_FLAG(bool, keep_logs, false, "keep settings and logs of runs without findings as well");
@@ -37,6 +40,7 @@
     options.daemonProgram = absl::GetFlag(FLAGS_daemon);
     options.callers = absl::GetFlag(FLAGS_callers);
     options.stutterPercent = absl::GetFlag(FLAGS_stutter);
+    options.lateOrders = absl::GetFlag(FLAGS_late_orders);
     options.texts = absl::GetFlag(FLAGS_plain_texts) ? text_profile::Plain : text_profile::AllBytes;
     const std::string profile = absl::GetFlag(FLAGS_profile);
     std::size_t profileIndex = 0;
