--- a/testing/session-soak-main.cpp
+++ b/testing/session-soak-main.cpp
@@ -21,7 +21,7 @@
 ABSL_FLAG(std::uint32_t, stutter, 0,
           "percentage of the members' replies that is sent a second time, in any profile");
 ABSL_FLAG(bool, late_orders, false,
-          "every second fault is one of late promotion orders and primaries cut off from most "
+          "three of four faults are late promotion orders and primaries cut off from most "
           "daemons");
 ABSL_FLAG(bool, plain_texts, false, "callers send letters and digits only");
 ABSL_FLAG(std::string, daemon, "", "path of the daemon program; default: the one of this build");
