--- a/tests/unit-session-soak.cpp
+++ b/tests/unit-session-soak.cpp
@@ -18,9 +18,11 @@
 namespace {
 
 soak_result runWith(std::uint64_t seed, soak_profile profile, seconds duration,
-                    text_profile texts = text_profile::AllBytes, unsigned stutterPercent = 0)
+                    text_profile texts = text_profile::AllBytes, unsigned stutterPercent = 0,
+                    bool lateOrders = false)
 {
     soak_options options;
+    options.lateOrders = lateOrders;
     options.texts = texts;
     options.stutterPercent = stutterPercent;
     options.seed = seed;
@@ -100,3 +102,15 @@
         CHECK(result.served > 300);
     }
 }
+
+// Guards against acknowledged commits that are lost when the platform carries out promotion orders
+// seconds late, as while a primary is cut off from most daemons and comes back (issue 40).
+TEST(session_soak, lateOrdersLoseNoCommit)
+{
+    const soak_result result =
+            runWith(40, soak_profile::Everything, seconds(15), text_profile::AllBytes, 0, true);
+    UNSIGNED_LONGS_EQUAL(0, result.findings.size());
+    CHECK(result.served > 300);
+    CHECK(result.inputs.at("late promotion orders") > 0);
+    CHECK(result.inputs.at("promotions in effect") > 0);
+}
