Forget notices of closed orders, and let three daemons guard beside the holder

Change: a notice is forgotten once its member leads or the row was read; only the holder tells; the first three by rank guard beside it.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -293,8 +293,9 @@
 /// does not lead, this daemon asks the store.
 void onOpenOrderNotice(engine &state, const std::string &service, const std::string &member,
                        std::uint64_t token, core::time_point now);
+/// @brief Forgets another daemon's order once its member leads.
 /// @return whether another daemon's order may be open without anybody who guards it
-[[nodiscard]] bool isOrderUnguarded(const service_state &service, core::time_point now);
+[[nodiscard]] bool isOrderUnguarded(service_state &service, core::time_point now);
 /// @return a message with the fields that all kinds have in common
 [[nodiscard]] peer_message makeMessage(const engine &state, peer_message_kind kind);
 
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -14,7 +14,9 @@
 constexpr milliseconds completionReportTimeout{ 500 };
 /// Renewal of the pauses of open orders between two attempts.
 constexpr milliseconds guardInterval{ 100 };
-
+/// Daemons without the token that guard beside its holder, by rank: each pause takes a slot of the
+/// member.
+constexpr std::size_t maxGuardHelpers = 3;
 constexpr milliseconds noticeInterval{ 700 };
 /// The pauses are renewed for this time after the lease, for a daemon that waits for its next
 /// token. Another one may have closed the order by then.
@@ -185,18 +187,22 @@
     service.guardLeaseUntil = service.promotion.leaseUntil;
     service.guardUntil = service.promotion.leaseUntil + guardGrace;
     service.nextGuardAt = isNeeded ? now : core::noDeadline;
+    service.nextOrderNoticeAt = now;
 }
 
 void helpGuard(engine &state, service_state &service, const open_orders &orders,
                std::uint64_t version, core::time_point until, core::time_point now)
 {
     setOpenOrders(service, orders, now);
-    if (!mayReplace(orders, service.leader))
+    service.noticedOrder.clear();
+    if (!mayReplace(orders, service.leader) || serviceRank(state, service) >= maxGuardHelpers)
         return;
     logOpenOrders(state, service, note_kind::PromotionOrderOpen, "held_by_other", now);
     service.guardTerm = service.term + 1;
     service.guardToken = version;
-    service.guardLeaseUntil = now; // the holder decides who receives
+    // Only the holder decides who receives, and tells of the order.
+    service.guardLeaseUntil = now;
+    service.nextOrderNoticeAt = core::noDeadline;
     service.guardUntil = until + guardGrace;
     service.nextGuardAt = now;
 }
@@ -232,10 +238,11 @@
     service->noticeValidUntil = now + noticeTimeout;
 }
 
-bool isOrderUnguarded(const service_state &service, core::time_point now)
+bool isOrderUnguarded(service_state &service, core::time_point now)
 {
-    return !service.noticedOrder.empty() && service.noticedOrder != service.leader
-           && now >= service.noticeValidUntil;
+    if (service.noticedOrder == service.leader)
+        service.noticedOrder.clear();
+    return !service.noticedOrder.empty() && now >= service.noticeValidUntil;
 }
 
 void stepGuard(engine &state, service_state &service, core::time_point now)
--- a/src/proxy/promotion_choice.cpp
+++ b/src/proxy/promotion_choice.cpp
@@ -130,7 +130,7 @@
     if (!state.memberListLoaded || state.stopping || !state.config
         || !state.config->services.contains(service.name) || service.members.empty())
         return std::nullopt;
-    if (mayReplace(service.openOrders, service.leader) || isOrderUnguarded(service, now))
+    if (isOrderUnguarded(service, now) || mayReplace(service.openOrders, service.leader))
         return promotion_cause::OrderOpen;
     const member_state *leader = findMember(state, service.leader);
     if (leader == nullptr) {
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -406,3 +406,26 @@
     CHECK(count(actions, command_kind::PauseReceiving) >= 2);
     CHECK_EQUAL(0U, count(actions, command_kind::ResumeReceiving));
 }
+
+// Guards against needless attempts of all daemons after a later promotion, by the notice of an
+// order that was closed long before.
+TEST(order_completion, noticeIsForgottenOnceItsMemberLeads)
+{
+    service().leader = "m2";
+    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, fixture.now);
+    fixture.advanceTime(milliseconds(300));
+    service().leader = "m3";
+    CHECK_FALSE(isOrderUnguarded(service(), fixture.now + std::chrono::seconds(10)));
+}
+
+// Guards against a lease that each daemon draws in turn after a notice: the row shows to all that
+// ask what is open.
+TEST(order_completion, rowTellsMoreThanANotice)
+{
+    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, fixture.now);
+    attempt() = {};
+    attempt().phase = promotion_phase::DrawingToken;
+    onTokenHeldElsewhere(fixture.state, proxy_fixture::service, fixture.now + milliseconds(2'000),
+                         fixture.now, {}, 8);
+    CHECK_FALSE(isOrderUnguarded(service(), fixture.now + std::chrono::seconds(10)));
+}
