Start the gateway under test on other ports if the chosen ones are taken

What was seen: unit-session-gateway aborted once at gateway->start(), beside two other tests. Cause: the fixture finds a free port with a probe, closes it and binds later; a connection of another test, or a UDP socket that the probe does not check, can take the port in between. Change: the fixture chooses other ports if the start fails with address_in_use, five times at most. Every other error still fails the test.

--- a/tests/unit-session-gateway.cpp
+++ b/tests/unit-session-gateway.cpp
@@ -83,8 +83,6 @@
         values.instance = "n1";
         values.zone = "north";
         values.address = "127.0.0.1";
-        values.callerAddress = { boost::asio::ip::address_v4::loopback(), findFreePort(context) };
-        values.peerPort = findFreePort(context);
         values.storeAddress = store.address();
         values.promotionAddress = store.address();
         values.openFiles = 1'024;
@@ -94,14 +92,30 @@
                   R"({"version":1,"routes":[{"database":"d","service":"s","type":"primary",
                   "timeout-ms":500,"target-latency-ms":200}],"services":[{"name":"s"}],
                   "tenants":[{"name":"t","api-keys":["k"]}]})");
-        gateway.emplace(context, values, log);
-        CHECK_FALSE(gateway->start());
+        CHECK_FALSE(startOnFreePorts());
         runUntil([this] { return gateway->isReady(); });
         CHECK_TRUE(gateway->isReady());
     }
 
     ~gateway_fixture() { std::filesystem::remove(logTarget.path); }
 
+    /// Another test's connection may take a port between its choice and its use.
+    std::error_code startOnFreePorts()
+    {
+        constexpr int maxAttempts = 5;
+        std::error_code error;
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            values.callerAddress = { boost::asio::ip::address_v4::loopback(),
+                                     findFreePort(context) };
+            values.peerPort = findFreePort(context);
+            gateway.emplace(context, values, log);
+            error = gateway->start();
+            if (error != std::errc::address_in_use)
+                break;
+        }
+        return error;
+    }
+
     /// @return all log lines so far, once the writer thread has written them
     std::string logLines() const
     {
