Log which reads of the configuration are abandoned or fail, and by which version access is refused

Cause of the gap: reads that were replaced or timed out left no trace, nor did the version by which a refusal was decided. The logic is unchanged.

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -40,7 +40,7 @@
 
 struct store_callbacks
 {
-    std::function<void(std::shared_ptr<const proxy::manifest>)> onManifest;
+    std::function<void(std::shared_ptr<const proxy::manifest>, proxy::manifest_source)> onManifest;
     /// Called with the evacuated zones and the store's version as of which the set is complete.
     std::function<void(const std::set<std::string> &, std::uint64_t)> onEvacuations;
     std::function<void(const std::vector<proxy::listed_member> &)> onMembers;
@@ -103,6 +103,15 @@
     std::uint64_t unreadableRows = 0; ///< versions of rows that could not be read
 };
 
+/// Reads of the table that contains the manifest.
+struct manifest_reads
+{
+    std::uint64_t namedVersion = 0; ///< newest manifest that another daemon has named
+    std::uint64_t abandoned = 0; ///< replaced by another read before their answers came
+    std::uint64_t failed = 0; ///< without a usable answer
+    core::time_point lastCompletedAt{}; ///< of the last usable answer
+};
+
 /// Not thread-safe; runs on the thread of its I/O context.
 class store_client
 {
@@ -133,6 +142,7 @@
     void claim(std::int64_t part, std::uint64_t incarnation);
 
     [[nodiscard]] const store_counters &counters() const { return counters_; }
+    [[nodiscard]] const manifest_reads &manifestReads() const { return manifestReads_; }
 
 private:
     using response_handler = std::function<void(int status, const std::string &body)>;
@@ -153,7 +163,12 @@
 
     void readManifest();
     void followManifest();
-    void applyManifestRows(const std::vector<adapter::store_row> &rows);
+    /// Logs an answer that nothing waits for any more, and counts it.
+    void reportAbandonedRead(core::time_point sentAt, std::size_t bytes);
+    /// Logs an answer that cannot be used, and counts it.
+    void reportFailedRead(core::time_point sentAt, int status);
+    void applyManifestRows(const std::vector<adapter::store_row> &rows,
+                           proxy::manifest_source source);
     void applyEvacuationRows(const std::vector<adapter::store_row> &rows);
     void reportUnusableNames(const proxy::manifest &manifest);
     void readMembers();
@@ -189,7 +204,7 @@
     std::uint64_t manifestFeedVersion_ = 0; ///< store version up to which changes were read
     std::uint64_t manifestVersion_ = 0; ///< newest manifest that was read
     std::set<std::string> evacuatedZones_; ///< as of manifestFeedVersion_
-    std::uint64_t newestManifestHeard_ = 0; ///< newest manifest that another daemon has
+    manifest_reads manifestReads_;
     bool isManifestCheckDue_ = false; ///< refreshManifest() will compare the two versions
     std::uint64_t manifestGeneration_ = 0; ///< callbacks of older generations are ignored
     core::time_point lastManifestRead_{};
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -83,6 +83,7 @@
     core::log_position position; ///< required by a statement, or reported by a member
     core::duration age{ 0 }; ///< age of the deciding input
     std::int64_t number = 0; ///< tries, tokens or version, depending on the kind
+    std::uint64_t manifestVersion = 0; ///< of the manifest by which access was refused
 };
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -145,7 +145,15 @@
 };
 
 /// @brief Applies a manifest; a version that is not newer than the current one is ignored.
-void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now);
+/// @param source call that brought it, for the log
+void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now,
+                manifest_source source = manifest_source::Table);
+
+/// @return the version of the manifest that is in force; 0: none was read yet
+[[nodiscard]] inline std::uint64_t manifestVersionOf(const engine &state)
+{
+    return state.config ? state.config->version : 0;
+}
 
 /// @brief Applies the set of evacuated zones; a version that is not newer is ignored.
 /// @param version of the store, as of which the set is complete
--- a/include/fuchsiagw/proxy/manifest.hpp
+++ b/include/fuchsiagw/proxy/manifest.hpp
@@ -57,6 +57,19 @@
     double burst = 0; ///< size of the token bucket, in operations
 };
 
+/// Call of the store that brought a manifest.
+enum class manifest_source : std::uint8_t {
+    Table, ///< a read of the whole table
+    Feed, ///< a read of the change feed that waits for changes
+};
+
+inline constexpr std::array<std::string_view, 2> manifestSourceNames{ "table", "feed" };
+
+[[nodiscard]] constexpr std::string_view toString(manifest_source source)
+{
+    return manifestSourceNames.at(static_cast<std::size_t>(source));
+}
+
 struct manifest
 {
     std::uint64_t version = 0;
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -72,8 +72,8 @@
     , values_(values)
     , log_(log)
     , store_(context, values,
-             { [this](std::shared_ptr<const proxy::manifest> next) {
-                  proxy::onManifest(engine_, std::move(next), net::currentBootTime());
+             { [this](std::shared_ptr<const proxy::manifest> next, proxy::manifest_source source) {
+                  proxy::onManifest(engine_, std::move(next), net::currentBootTime(), source);
                   perform();
               },
                [this](const std::set<std::string> &zones, std::uint64_t version) {
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -94,6 +94,7 @@
                        note.position.index);
     appendNumber(line, "age_us", note.age.count());
     appendNumber(line, "number", note.number);
+    appendNumber(line, "manifest", static_cast<std::int64_t>(note.manifestVersion));
     appendNumber(line, "skipped", static_cast<std::int64_t>(limit.skipped));
     limit.skipped = 0;
     sink_.write(log_level::Info, std::move(line));
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -104,7 +104,13 @@
     add("zone_refusals_total", "counter", zoneRefusals);
     text += evacuationMetrics(engine_.evacuation, net::currentBootTime());
     add("limit_part_millionths", "gauge", engine_.claim.granted);
-    add("manifest_version", "gauge", engine_.config ? engine_.config->version : 0);
+    add("manifest_version", "gauge", proxy::manifestVersionOf(engine_));
+    add("manifest_named_version", "gauge", store_.manifestReads().namedVersion);
+    add("manifest_reads_abandoned_total", "counter", store_.manifestReads().abandoned);
+    add("manifest_reads_failed_total", "counter", store_.manifestReads().failed);
+    const std::chrono::duration<double> manifestAge =
+            net::currentBootTime() - store_.manifestReads().lastCompletedAt;
+    add("manifest_last_read_age_seconds", "gauge", manifestAge.count());
     text += "# TYPE fuchsiagw_refused_total counter\n";
     for (std::size_t i = 0; i < counts.refused.size(); ++i)
         text += fmt::format("fuchsiagw_refused_total{{reason=\"{}\"}} {}\n",
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -7,6 +7,8 @@
 #include <fuchsiagw/detail/store_calls.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -112,7 +114,24 @@
            + milliseconds(static_cast<std::int64_t>(core::drawBelow(random_, halfDelay + 1)));
 }
 
-void store_client::applyManifestRows(const std::vector<adapter::store_row> &rows)
+void store_client::reportAbandonedRead(core::time_point sentAt, std::size_t bytes)
+{
+    ++manifestReads_.abandoned;
+    callbacks_.onStoreEvent(
+            "manifest_read_abandoned",
+            fmt::format("age_us={} bytes={}", (net::currentBootTime() - sentAt).count(), bytes));
+}
+
+void store_client::reportFailedRead(core::time_point sentAt, int status)
+{
+    ++manifestReads_.failed;
+    callbacks_.onStoreEvent(
+            "manifest_read_failed",
+            fmt::format("age_us={} status={}", (net::currentBootTime() - sentAt).count(), status));
+}
+
+void store_client::applyManifestRows(const std::vector<adapter::store_row> &rows,
+                                     proxy::manifest_source source)
 {
     for (const adapter::store_row &row : rows) {
         if (!adapter::isManifestRow(row) || row.deleted)
@@ -125,7 +144,8 @@
         if (manifest->version > manifestVersion_)
             reportUnusableNames(*manifest);
         manifestVersion_ = std::max(manifestVersion_, manifest->version);
-        callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)));
+        callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)),
+                              source);
     }
 }
 
@@ -150,13 +170,15 @@
 
 void store_client::refreshManifest(std::uint64_t version)
 {
-    newestManifestHeard_ = std::max(newestManifestHeard_, version);
+    if (version > std::max(manifestVersion_, manifestReads_.namedVersion))
+        callbacks_.onStoreEvent("manifest_named", std::to_string(version));
+    manifestReads_.namedVersion = std::max(manifestReads_.namedVersion, version);
     if (std::exchange(isManifestCheckDue_, true))
         return;
     // Most daemons get the change from their own feed at about the same time.
     runAfter(manifestFeedDelay, [this] {
         isManifestCheckDue_ = false;
-        const bool isBehind = manifestVersion_ < newestManifestHeard_;
+        const bool isBehind = manifestVersion_ < manifestReads_.namedVersion;
         if (isBehind && net::currentBootTime() - lastManifestRead_ >= minManifestReadInterval)
             readManifest();
     });
@@ -167,11 +189,15 @@
     lastManifestRead_ = net::currentBootTime();
     ++manifestGeneration_;
     call(store_purpose::Manifest, adapter::readRows(adapter::manifestTable(), {}), callTimeout,
-         [this, generation = manifestGeneration_](int status, const std::string &body) {
-             if (generation != manifestGeneration_)
+         [this, generation = manifestGeneration_,
+          sentAt = lastManifestRead_](int status, const std::string &body) {
+             if (generation != manifestGeneration_) {
+                 reportAbandonedRead(sentAt, body.size());
                  return;
+             }
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (!rows) {
+                 reportFailedRead(sentAt, status);
                  runAfter(backoff(manifestFailures_++), [this, generation] {
                      if (generation == manifestGeneration_)
                          readManifest();
@@ -179,10 +205,11 @@
                  return;
              }
              manifestFailures_ = 0;
+             manifestReads_.lastCompletedAt = net::currentBootTime();
              manifestFeedVersion_ = rows->version;
              evacuatedZones_.clear();
              applyEvacuationRows(rows->rows);
-             applyManifestRows(rows->rows);
+             applyManifestRows(rows->rows, proxy::manifest_source::Table);
              followManifest();
          });
 }
@@ -193,18 +220,23 @@
     call(store_purpose::Manifest,
          adapter::followRows(adapter::manifestTable(), manifestFeedVersion_, pollWait),
          pollWait + longPollGrace,
-         [this, generation = manifestGeneration_](int status, const std::string &body) {
-             if (generation != manifestGeneration_)
+         [this, generation = manifestGeneration_,
+          sentAt = net::currentBootTime()](int status, const std::string &body) {
+             if (generation != manifestGeneration_) {
+                 reportAbandonedRead(sentAt, body.size());
                  return;
+             }
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (rows) {
                  manifestFailures_ = 0;
+                 manifestReads_.lastCompletedAt = net::currentBootTime();
                  manifestFeedVersion_ = std::max(manifestFeedVersion_, rows->version);
                  applyEvacuationRows(rows->rows);
-                 applyManifestRows(rows->rows);
+                 applyManifestRows(rows->rows, proxy::manifest_source::Feed);
                  followManifest();
                  return;
              }
+             reportFailedRead(sentAt, status);
              // A full read of the table includes the changes that the feed did not deliver.
              runAfter(status == statusGone ? milliseconds(0) : backoff(manifestFailures_++),
                       [this, generation] {
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -324,6 +324,7 @@
         note.kind = note_kind::StatementRefused;
         note.session = id;
         note.reason = toString(*refused);
+        note.manifestVersion = manifestVersionOf(state);
         state.out.emplace_back(std::move(note));
         return false;
     }
@@ -444,6 +445,8 @@
     note.reason = reason;
     note.age = age;
     note.number = number;
+    if (kind == note_kind::StatementRefused)
+        note.manifestVersion = manifestVersionOf(state);
     if (caller.current) {
         note.request = caller.current->statement.id;
         note.service = caller.current->effectiveRoute.service;
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -168,9 +168,11 @@
         state.waitingLoans += quota.waitingLoanRequests.size();
 }
 
-void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now)
+void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now,
+                manifest_source source)
 {
     decision_note note;
+    note.reason = toString(source);
     note.number = static_cast<std::int64_t>(next->version);
     if (state.config && next->version <= state.config->version) {
         if (next->version < state.config->version) {
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -174,7 +174,7 @@
     message.kind = kind;
     message.from = state.settings.node;
     message.incarnation = state.incarnation;
-    message.manifestVersion = state.config ? state.config->version : 0;
+    message.manifestVersion = manifestVersionOf(state);
     return message;
 }
 
--- a/tests/unit-store-desk.cpp
+++ b/tests/unit-store-desk.cpp
@@ -41,7 +41,7 @@
         values.address = "127.0.0.1";
         values.storeAddress = store.address();
         daemon::store_callbacks callbacks;
-        callbacks.onManifest = [](auto) {};
+        callbacks.onManifest = [](auto, auto) {};
         callbacks.onEvacuations = [](const auto &, auto) {};
         callbacks.onMembers = [](const auto &) {};
         callbacks.onInstances = [this](const auto &list) { onList(list); };
--- a/tests/unit-store-members.cpp
+++ b/tests/unit-store-members.cpp
@@ -56,7 +56,7 @@
         values.storeAddress = store.address();
         values.promotionAddress = store.address();
         daemon::store_callbacks callbacks;
-        callbacks.onManifest = [](auto) {};
+        callbacks.onManifest = [](auto, auto) {};
         callbacks.onEvacuations = [](const auto &, auto) {};
         callbacks.onMembers = [this](const auto &list) {
             members.clear();
