--- a/include/fuchsiagw/testing/fault_server.hpp
+++ b/include/fuchsiagw/testing/fault_server.hpp
@@ -13,6 +13,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -50,6 +52,11 @@
     /// @brief Answers the connection's request; does nothing if it has none or is closed.
     void answer(connection_number connection, const net::http_response &response);
 
+    /// @brief Answers like answer(), but over a narrow link: the response is sent in pieces of at
+    /// most @p pieceBytes with a pause of @p pause after each.
+    void answerInPieces(connection_number connection, const net::http_response &response,
+                        std::size_t pieceBytes, std::chrono::milliseconds pause);
+
     void close(connection_number connection);
 
 private:
--- a/testing/fault_server.cpp
+++ b/testing/fault_server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -34,6 +35,7 @@
     boost::beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    std::optional<http::response_serializer<http::string_body>> serializer; ///< of a slow answer
     std::uint64_t requestCount = 0;
     bool awaitsAnswer = false; ///< a request is in progress
 };
@@ -109,11 +111,14 @@
         });
     }
 
-    void answer(connection_number number, const net::http_response &response)
+    /// Takes the connection's request as answered and fills its response.
+    /// @return nothing if the connection has no request or is closed
+    std::shared_ptr<client_connection> prepareAnswer(connection_number number,
+                                                     const net::http_response &response)
     {
         const auto found = connections.find(number);
         if (found == connections.end() || !found->second->awaitsAnswer)
-            return;
+            return nullptr;
         const auto each = found->second;
         each->awaitsAnswer = false;
         each->response = {};
@@ -122,6 +127,14 @@
             each->response.set(name, value);
         each->response.body() = response.body;
         each->response.prepare_payload();
+        return each;
+    }
+
+    void answer(connection_number number, const net::http_response &response)
+    {
+        const auto each = prepareAnswer(number, response);
+        if (!each)
+            return;
         http::async_write(each->socket, each->response,
                           [self = shared_from_this(), each, number](error_code error, std::size_t) {
                               if (error)
@@ -131,6 +144,44 @@
                           });
     }
 
+    void answerInPieces(connection_number number, const net::http_response &response,
+                        std::size_t pieceBytes, std::chrono::milliseconds pause)
+    {
+        const auto each = prepareAnswer(number, response);
+        if (!each)
+            return;
+        each->serializer.emplace(each->response);
+        each->serializer->limit(pieceBytes);
+        sendPiece(number, pause);
+    }
+
+    void sendPiece(connection_number number, std::chrono::milliseconds pause)
+    {
+        const auto each = connections.at(number);
+        http::async_write_some(
+                each->socket, *each->serializer,
+                [self = shared_from_this(), each, number, pause](error_code error, std::size_t) {
+                    if (error)
+                        self->drop(number);
+                    else if (!self->connections.contains(number))
+                        return;
+                    else if (each->serializer->is_done())
+                        self->read(number);
+                    else
+                        self->sendPieceAfter(number, pause);
+                });
+    }
+
+    void sendPieceAfter(connection_number number, std::chrono::milliseconds pause)
+    {
+        const auto timer =
+                std::make_shared<boost::asio::steady_timer>(acceptor.get_executor(), pause);
+        timer->async_wait([self = shared_from_this(), timer, number, pause](error_code error) {
+            if (!error && self->connections.contains(number))
+                self->sendPiece(number, pause);
+        });
+    }
+
     void drop(connection_number number)
     {
         const auto found = connections.find(number);
@@ -216,6 +267,12 @@
     implementation_->answer(connection, response);
 }
 
+void fault_server::answerInPieces(connection_number connection, const net::http_response &response,
+                                  std::size_t pieceBytes, std::chrono::milliseconds pause)
+{
+    implementation_->answerInPieces(connection, response, pieceBytes, pause);
+}
+
 void fault_server::close(connection_number connection)
 {
     implementation_->drop(connection);
