Reject parts of a manifest, and read its table beyond the first page

A row with a version and nothing else withdrew every route, and evacuations behind the first page of the table would be forgotten. Cause: any object with a version counted as a manifest, and has-more of the table was not looked at. Change: a manifest needs its list of routes, and its tenants must be a list; nextManifestPage() tells where to read on. The input of namesThatNoMessageCanCarryAreUnusable gets the list of routes that a manifest always has; its checks are unchanged.

--- a/tests/unit-store-codec.cpp
+++ b/tests/unit-store-codec.cpp
@@ -104,6 +104,41 @@
     CHECK_FALSE(decodeManifest("no json").has_value());
 }
 
+// Guards against a part of a manifest that withdraws every route or every key.
+TEST(store_codec, partOfManifestIsRejected)
+{
+    CHECK_FALSE(decodeManifest(R"({"version":2})").has_value());
+    CHECK_FALSE(decodeManifest(R"({"version":2,"services":[],"tenants":[]})").has_value());
+    CHECK_FALSE(decodeManifest(R"({"version":2,"routes":{},"tenants":[]})").has_value());
+    CHECK_FALSE(decodeManifest(R"({"version":2,"routes":[],"tenants":{}})").has_value());
+    CHECK_TRUE(decodeManifest(R"({"version":2,"routes":[]})").has_value());
+}
+
+// Guards against rows that are skipped or read again without end, where the store ends a page of
+// the table that contains the manifest.
+TEST(store_codec, pagesOfTheManifestTableAreReadOn)
+{
+    const auto pageEndingWith = [](const std::string &key) {
+        store_rows page;
+        page.rows.push_back({});
+        page.rows.back().key = key;
+        page.hasMore = true;
+        return page;
+    };
+    const auto next = [&](const std::string &last, const std::string &from) {
+        return nextManifestPage(pageEndingWith(last), from).value_or("none");
+    };
+    STRCMP_EQUAL("config", next("a", "").c_str());
+    STRCMP_EQUAL("evacuate/", next("config", "").c_str());
+    STRCMP_EQUAL("evacuate/", next("config", "config").c_str());
+    STRCMP_EQUAL("evacuate/north", next("evacuate/north", "evacuate/").c_str());
+    STRCMP_EQUAL("none", next("evacuate/north", "evacuate/north").c_str());
+    STRCMP_EQUAL("none", next("f", "").c_str());
+    store_rows last = pageEndingWith("config");
+    last.hasMore = false;
+    CHECK_FALSE(nextManifestPage(last, "").has_value());
+}
+
 // Guards against values that base64 encoding and decoding alter, such as those with NUL or
 // non-ASCII bytes.
 TEST(store_codec, valuesRoundTripUnchanged)
@@ -153,6 +188,7 @@
         member["service"] = name;
         CHECK_FALSE_TEXT(decodeMember(rowWith(member.dump())).has_value(), name);
         const nlohmann::json value = { { "version", 1 },
+                                       { "routes", nlohmann::json::array() },
                                        { "services",
                                          { { { "name", name } }, { { "name", "s" } } } },
                                        { "tenants",
