Let a response that arrives keep its exchange alive

Cause: the deadline of an exchange covered the whole response, whatever its size. Change: with a response_transfer the deadline is that of the first part, and each part moves it by 1.5 s, up to an end of its own. Other exchanges are unchanged. Measured: unit-http passes with complete, too long and stopped responses; a response of 20,000 bytes in 2 s ended at its deadline of 500 ms before.

--- a/include/fuchsiagw/net/http_client.hpp
+++ b/include/fuchsiagw/net/http_client.hpp
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,10 +25,13 @@
         : context_(context)
     { }
 
-    /// @brief Makes one call; @p done is called exactly once, no later than the deadline.
+    /// @brief Makes one call; @p done is called exactly once, no later than the deadline, or than
+    /// the end of the transfer if there is one.
+    /// @param transfer see http_connection::exchange()
     /// @complexity logarithmic in the number of peers
     void call(const endpoint &peer, const http_request &request, core::time_point deadline,
-              http_connection::exchange_handler done);
+              http_connection::exchange_handler done,
+              const std::optional<response_transfer> &transfer = std::nullopt);
 
     /// @brief Closes the idle connections to every peer.
     void closeIdle() { idle_.clear(); }
@@ -35,7 +39,8 @@
 private:
     void run(const std::string &name, const std::shared_ptr<http_connection> &connection,
              const http_request &request, core::time_point deadline,
-             http_connection::exchange_handler done);
+             http_connection::exchange_handler done,
+             const std::optional<response_transfer> &transfer);
 
     boost::asio::io_context &context_;
     std::map<std::string, std::vector<std::shared_ptr<http_connection>>> idle_;
--- a/include/fuchsiagw/net/http_connection.hpp
+++ b/include/fuchsiagw/net/http_connection.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <system_error>
 
 namespace fuchsiagw::net {
@@ -23,6 +24,14 @@
     http_response response;
 };
 
+/// Keeps an exchange alive after its deadline as long as its response arrives, so that the time for
+/// a response is not the same whatever its size and the bandwidth of the link.
+struct response_transfer
+{
+    core::time_point latestEnd{}; ///< the response must be complete by then
+    std::function<void()> onPart; ///< called when a part has arrived; may be empty
+};
+
 /// Not thread-safe: calls and callbacks happen on the thread of its context.
 /// Invariant: at most one exchange at a time. Any error closes the connection, and so do bytes that
 /// no request asked for, so a late or second response that arrives before a request is sent is not
@@ -45,7 +54,10 @@
     /// Nothing is sent if the peer has closed the connection or sent bytes since the last exchange,
     /// or if the request is not writable.
     /// @param request sent with a Host header that names the peer
-    void exchange(const http_request &request, core::time_point deadline, exchange_handler done);
+    /// @param transfer if set, the deadline is that of the response's first part, and moves with
+    /// each part that arrives
+    void exchange(const http_request &request, core::time_point deadline, exchange_handler done,
+                  const std::optional<response_transfer> &transfer = std::nullopt);
 
     /// @brief Reports once when the peer closes the connection between exchanges.
     void onClosedWhileIdle(closed_handler closed);
@@ -61,6 +73,9 @@
     struct implementation;
     explicit http_connection(std::unique_ptr<implementation> state);
     void watchIdle();
+    void readResponse();
+    void readNextPart();
+    void finishWithResponse();
     void finish(http_exchange &&result);
 
     std::unique_ptr<implementation> implementation_;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -12,8 +12,10 @@
 
 #include <fuchsiagw/net/line_connection.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <cerrno>
+#include <chrono>
 #include <optional>
 
 #include <sys/socket.h>
@@ -26,6 +28,7 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr std::uint64_t maxResponseBody = 16 * 1024 * 1024; // bytes
+constexpr std::chrono::milliseconds maxPartPause{ 1'500 }; // between two parts of a response
 
 std::error_code toStd(const boost::system::error_code &code)
 {
@@ -74,6 +77,7 @@
     boost::beast::flat_buffer buffer;
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<response_transfer> transfer; ///< of the exchange in progress
     exchange_handler done; ///< set exactly while an exchange is in progress
     closed_handler closedWhileIdle;
     bool open = false;
@@ -92,6 +96,7 @@
                                                                 {},
                                                                 {},
                                                                 {},
+                                                                {},
                                                                 false,
                                                                 false,
                                                                 0 });
@@ -123,11 +128,13 @@
 }
 
 void http_connection::exchange(const http_request &request, core::time_point deadline,
-                               exchange_handler done)
+                               exchange_handler done,
+                               const std::optional<response_transfer> &transfer)
 {
     implementation &self = *implementation_;
     assert(!self.done);
     self.done = std::move(done);
+    self.transfer = transfer;
     self.isKeptOpen = false;
     ++self.idleWatchGeneration;
     if (!isReusable()) {
@@ -157,31 +164,68 @@
     http::async_write(
             self.stream, self.request,
             [keep = shared_from_this()](const boost::system::error_code &writeError, std::size_t) {
-                implementation &state = *keep->implementation_;
-                if (writeError) {
+                if (writeError)
                     keep->finish({ toStd(writeError), true, {} });
+                else
+                    keep->readResponse();
+            });
+}
+
+void http_connection::readResponse()
+{
+    implementation &self = *implementation_;
+    if (self.transfer) {
+        self.parser->eager(true);
+        readNextPart();
+        return;
+    }
+    http::async_read(
+            self.stream, self.buffer, *self.parser,
+            [keep = shared_from_this()](const boost::system::error_code &readError, std::size_t) {
+                if (readError)
+                    keep->finish({ toStd(readError), true, {} });
+                else
+                    keep->finishWithResponse();
+            });
+}
+
+void http_connection::readNextPart()
+{
+    implementation &self = *implementation_;
+    http::async_read_some(
+            self.stream, self.buffer, *self.parser,
+            [keep = shared_from_this()](const boost::system::error_code &readError, std::size_t) {
+                implementation &state = *keep->implementation_;
+                if (readError) {
+                    keep->finish({ toStd(readError), true, {} });
+                    return;
+                }
+                if (state.transfer->onPart)
+                    state.transfer->onPart();
+                if (state.parser->is_done()) {
+                    keep->finishWithResponse();
                     return;
                 }
-                http::async_read(
-                        state.stream, state.buffer, *state.parser,
-                        [keep](const boost::system::error_code &readError, std::size_t) {
-                            if (readError) {
-                                keep->finish({ toStd(readError), true, {} });
-                                return;
-                            }
-                            implementation &ended = *keep->implementation_;
-                            ended.isKeptOpen = keepsConnection(*ended.parser);
-                            keep->finish({ {}, true, toResponse(ended.parser->release()) });
-                        });
+                const core::time_point nextPartDue = currentTime() + maxPartPause;
+                state.stream.expires_at(toSteady(std::min(nextPartDue, state.transfer->latestEnd)));
+                keep->readNextPart();
             });
 }
 
+void http_connection::finishWithResponse()
+{
+    implementation &self = *implementation_;
+    self.isKeptOpen = keepsConnection(*self.parser);
+    finish({ {}, true, toResponse(self.parser->release()) });
+}
+
 void http_connection::finish(http_exchange &&result)
 {
     implementation &self = *implementation_;
     if (!self.done)
         return;
     const exchange_handler done = std::exchange(self.done, nullptr);
+    self.transfer.reset();
     if (!result.error && self.isKeptOpen && self.buffer.size() == 0) {
         self.stream.expires_never();
         watchIdle();
--- a/tests/unit-http.cpp
+++ b/tests/unit-http.cpp
@@ -7,10 +7,12 @@
 #include <fuchsiagw/net/clock.hpp>
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/net/http_server.hpp>
+#include <fuchsiagw/testing/fault_server.hpp>
 
 #include <CppUTest/TestHarness.h>
 
 #include <atomic>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -203,6 +205,51 @@
     CHECK_FALSE(isStuck);
 }
 
+// Guards against a time limit for the whole response, whatever its size and the bandwidth: one that
+// arrives slowly is waited for, up to its own limit, and one that stops is not.
+TEST(http, responseThatArrivesInPartsOutlivesItsDeadline)
+{
+    enum class course { WithoutTransfer, Complete, TooLong, Stops };
+    for (const course each :
+         { course::WithoutTransfer, course::Complete, course::TooLong, course::Stops }) {
+        std::optional<testing::fault_server> server;
+        server.emplace(
+                context, 0,
+                [&](net::http_request &&, testing::connection_number connection) {
+                    net::http_response response;
+                    response.status = 200;
+                    response.body.assign(20'000, 'x');
+                    // The second part comes after a minute where the response stops.
+                    const auto pause = each == course::Stops ? 60s : 100ms;
+                    server->answerInPieces(connection, response, 1'000, pause);
+                },
+                [](testing::connection_number) {});
+        CHECK_FALSE(server->start());
+        net::http_client client(context);
+        net::http_request request;
+        request.method = "GET";
+        request.target = "/";
+        std::optional<net::response_transfer> transfer;
+        int parts = 0;
+        const core::time_point startedAt = net::currentTime();
+        if (each != course::WithoutTransfer)
+            transfer.emplace(startedAt + (each == course::TooLong ? 1s : 10s), [&] { ++parts; });
+        std::optional<net::http_exchange> outcome;
+        client.call(
+                server->address(), request, startedAt + 500ms,
+                [&](net::http_exchange &&result) { outcome = std::move(result); }, transfer);
+        while (!outcome)
+            context.run_one();
+        const core::duration taken = net::currentTime() - startedAt;
+        const bool isComplete = each == course::Complete;
+        CHECK_EQUAL(isComplete, !outcome->error);
+        CHECK_EQUAL(isComplete ? 20'000U : 0U, outcome->response.body.size());
+        CHECK_TRUE(parts > 1 || each == course::WithoutTransfer || each == course::Stops);
+        CHECK_TRUE(taken < 4s);
+        client.closeIdle();
+    }
+}
+
 TEST_GROUP(endpoint){};
 
 // Guards against an invalid address in the settings that is only detected at the first connect.
