Apply every answer with a manifest, and read the store by the age of a proof

Cause: a daemon that was told of a newer version started a read of the table 700 ms after the last one, and dropped the answers under way, its feed's too. An answer that took longer was never applied, and each one that was dropped had used the link. The class: a process without a fresh proof that its configuration is the newest behaves as if it had one. Change: manifest_sync decides when to read. One read at a time, none replaces another, every answer counts if it is newer, a version that was named stays due, and no read starts while the feed's answer arrives. The age of the last proof bounds how long a silent feed goes unnoticed, by the daemon's own clock; proofs travel between daemons, so that a few reads serve all. Reads have time as long as their answers arrive. The test fewDaemonsPollStore now counts the daemons with a short interval of reads, which replaces pollsStore().

--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -8,6 +8,7 @@
 #include <fuchsiagw/daemon/session_settings.hpp>
 #include <fuchsiagw/net/http_client.hpp>
 #include <fuchsiagw/proxy/engine.hpp>
+#include <fuchsiagw/proxy/manifest_sync.hpp>
 #include <fuchsiagw/wire/instance_row.hpp>
 #include <fuchsiagw/wire/promotion_row.hpp>
 
@@ -41,6 +42,9 @@
 struct store_callbacks
 {
     std::function<void(std::shared_ptr<const proxy::manifest>, proxy::manifest_source)> onManifest;
+    /// Called when the store or another daemon has proven that no manifest newer than the one that
+    /// was handed over last existed at a time, and when a newer one has become known.
+    std::function<void(const proxy::manifest_sync &)> onManifestChecked;
     /// Called with the evacuated zones and the store's version as of which the set is complete.
     std::function<void(const std::set<std::string> &, std::uint64_t)> onEvacuations;
     std::function<void(const std::vector<proxy::listed_member> &)> onMembers;
@@ -101,15 +105,18 @@
     std::uint64_t failures = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t unreadableRows = 0; ///< versions of rows that could not be read
+    std::uint64_t failedManifestReads = 0;
+    std::uint64_t reopenedFeeds = 0; ///< calls that missed a change of the manifest's table
 };
 
-/// Reads of the table that contains the manifest.
-struct manifest_reads
+/// State of the call that waits for changes of the manifest's table.
+struct manifest_feed
 {
-    std::uint64_t namedVersion = 0; ///< newest manifest that another daemon has named
-    std::uint64_t abandoned = 0; ///< replaced by another read before their answers came
-    std::uint64_t failed = 0; ///< without a usable answer
-    core::time_point lastCompletedAt{}; ///< of the last usable answer
+    std::uint64_t version = 0; ///< of the store; all changes up to it were read
+    std::uint64_t lastChange = 0; ///< greatest version of a row that was read
+    std::uint64_t call = 0; ///< number of the call that goes on with the next one
+    bool isOpen = false; ///< that call is in progress
+    core::time_point reopenableAt{}; ///< a call that seems to hang is given up from then on
 };
 
 /// Not thread-safe; runs on the thread of its I/O context.
@@ -124,13 +131,14 @@
     /// @brief Reads the list of members again, limited to one read per
     /// read_pacing::minMemberReadInterval.
     void refreshMembers();
-    /// @brief Reads the manifest again if the feed does not deliver it soon; limited to one read
-    /// per minManifestReadInterval.
+    /// @brief Reads the manifest if the feed does not deliver it soon.
     /// @param version newest version that another daemon has
     void refreshManifest(std::uint64_t version);
-    /// @brief Makes the long polls for the manifest short, so that a feed that delivers nothing is
-    /// noticed sooner.
-    void setShortPolls(bool isEnabled) { usesShortPolls_ = isEnabled; }
+    /// @brief Takes over a proof of another daemon, so that this one need not read the store.
+    /// @param version of the manifest that was the newest at @p provenAt
+    void confirmManifest(std::uint64_t version, core::time_point provenAt);
+    /// @brief Sets this daemon's place among those that read the store to prove its manifest.
+    void setReaderRank(std::size_t rank) { readerRank_ = rank; }
     void acquireFencingToken(const std::string &service);
     /// @brief Records the open orders of a service, if its row is as this daemon wrote it last.
     void recordOrders(const std::string &service, std::uint64_t token,
@@ -142,34 +150,44 @@
     void claim(std::int64_t part, std::uint64_t incarnation);
 
     [[nodiscard]] const store_counters &counters() const { return counters_; }
-    [[nodiscard]] const manifest_reads &manifestReads() const { return manifestReads_; }
+    [[nodiscard]] const proxy::manifest_sync &manifestSync() const { return manifestSync_; }
 
 private:
     using response_handler = std::function<void(int status, const std::string &body)>;
     /// Called with nothing if the list could not be read.
     using member_list_handler = std::function<void(std::optional<member_list> &&)>;
 
+    /// @param timeout for the first part of the response; that of a read may arrive in parts
+    /// @param onPart called when a part has arrived; may be empty
     void call(store_purpose purpose, const net::http_request &request,
-              std::chrono::milliseconds timeout, response_handler done);
+              std::chrono::milliseconds timeout, response_handler done,
+              const std::function<void()> &onPart = {});
     void countCall(store_purpose purpose);
     void runAfter(std::chrono::milliseconds waitTime, std::function<void()> task);
     std::chrono::milliseconds backoff(int failures);
     void updateReachability(bool isReached);
+    void checkFeedsAfterSilence(bool isTimeout, bool isServed);
     [[nodiscard]] read_pacing pacing() const;
     void handleResponse(const response_handler &done, int status, const std::string &body);
     std::optional<listed_instance> decodeInstance(const adapter::store_row &row);
     std::optional<proxy::listed_member> decodeMember(const adapter::store_row &row);
-    void reportUnreadable(const adapter::store_row &row);
-
-    void readManifest();
+    void reportUnreadable(const adapter::store_row &row, std::string_view event = "row_unreadable");
+
+    [[nodiscard]] core::duration proofLifetime() const;
+    void stepManifest();
+    void readManifestChanges();
+    void readManifestTable(const std::string &from, adapter::store_rows &&rowsBefore);
+    void onManifestReadFailed(int status);
+    void onManifestReadAnswered(proxy::manifest_read kind, std::uint64_t versionBefore);
     void followManifest();
-    /// Logs an answer that nothing waits for any more, and counts it.
-    void reportAbandonedRead(core::time_point sentAt, std::size_t bytes);
-    /// Logs an answer that cannot be used, and counts it.
+    void onFeedAnswered(std::uint64_t number, core::time_point sentAt, int status,
+                        const std::string &body);
+    void reopenFeedIfHung();
+    /// Takes over rows that have changed; an answer may be late and contain older ones.
+    void applyManifestChanges(const adapter::store_rows &changes, proxy::manifest_source source);
+    void applyManifestTable(const adapter::store_rows &table);
+    void applyManifestRow(const adapter::store_row &row, proxy::manifest_source source);
     void reportFailedRead(core::time_point sentAt, int status);
-    void applyManifestRows(const std::vector<adapter::store_row> &rows,
-                           proxy::manifest_source source);
-    void applyEvacuationRows(const std::vector<adapter::store_row> &rows);
     void reportUnusableNames(const proxy::manifest &manifest);
     void readMembers();
     void readMemberPages(const std::string &from, member_list &&list,
@@ -201,21 +219,21 @@
     core::random_engine random_;
     store_counters counters_;
     std::map<std::string, own_promotion_row> promotionRows_; ///< by service, while it is valid
-    std::uint64_t manifestFeedVersion_ = 0; ///< store version up to which changes were read
-    std::uint64_t manifestVersion_ = 0; ///< newest manifest that was read
-    std::set<std::string> evacuatedZones_; ///< as of manifestFeedVersion_
-    manifest_reads manifestReads_;
-    bool isManifestCheckDue_ = false; ///< refreshManifest() will compare the two versions
-    std::uint64_t manifestGeneration_ = 0; ///< callbacks of older generations are ignored
-    core::time_point lastManifestRead_{};
-    bool usesShortPolls_ = false;
+    proxy::manifest_sync manifestSync_;
+    manifest_feed manifestFeed_;
+    std::set<std::string> evacuatedZones_; ///< as of manifest_feed::version
+    boost::asio::steady_timer manifestTimer_; ///< of the next read that does not wait
+    std::size_t readerRank_ = 0;
     std::uint64_t instanceFeedVersion_ = 0;
     std::uint64_t instanceGeneration_ = 0; ///< callbacks of older generations are ignored
     bool isClaiming_ = false; ///< until the next read of the list of instances starts
-    int manifestFailures_ = 0;
     int instanceFailures_ = 0;
     int memberFailures_ = 0;
     bool isReachable_ = true;
+    bool wasSilent_ = false; ///< a call has timed out since the last answer
+    bool isReadingMembers_ = false;
+    bool isFollowingMembers_ = false; ///< a call of the members' feed is in progress
+    bool isFollowingInstances_ = false; ///< a call of the instances' feed is in progress
     /// Operator's switch for promotions as last read; each token request checks its version.
     bool promotionsAllowed_ = true;
     std::uint64_t switchVersion_ = 0; ///< 0: the row does not exist
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -54,7 +54,14 @@
 struct refresh_directory
 { };
 
-/// Reads the manifest again: another daemon has a newer one, so the change feed may be broken.
+/// Another daemon has proven that this version of the manifest was the newest one at a time.
+struct confirm_manifest
+{
+    std::uint64_t version = 0;
+    core::time_point provenAt{};
+};
+
+/// Reads the manifest unless the change feed delivers it soon: another daemon has a newer one.
 struct refresh_manifest
 {
     std::uint64_t version = 0; ///< version that the other daemon has
@@ -99,7 +106,7 @@
 
 using action =
         std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
-                     refresh_directory, refresh_manifest, acquire_fencing_token, record_open_orders,
-                     order_promotion, send_to_peer, claim_part, decision_note>;
+                     refresh_directory, refresh_manifest, confirm_manifest, acquire_fencing_token,
+                     record_open_orders, order_promotion, send_to_peer, claim_part, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -52,6 +52,9 @@
     core::duration evacuationLimit{ std::chrono::seconds(5) };
     bool priorityAdmission = false; ///< queues serve by priority, deadline and fair share
     double capacity = 0; ///< processor cores of this instance; 0: unknown
+    /// Time within which a manifest has to be in force. A final refusal needs a proof that is not
+    /// older; 0: any proof.
+    core::duration configurationLimit{ 0 };
     bool memberLimits = false; ///< the number of operations at a member is limited adaptively
 };
 
@@ -110,6 +113,8 @@
     engine_settings settings;
     core::random_engine random;
     std::shared_ptr<const manifest> config;
+    core::time_point manifestProvenAt{}; ///< no manifest newer than `config` existed then
+    bool isManifestMissing = false; ///< a newer one is known to exist
     quota_table quota;
     std::size_t waitingLoans = 0; ///< total size of waitingLoanRequests over all workspaces
     std::map<std::string, member_state> members;
@@ -149,6 +154,11 @@
 void onManifest(engine &state, std::shared_ptr<const manifest> next, core::time_point now,
                 manifest_source source = manifest_source::Table);
 
+/// @brief Handles what the reads of the store show of the manifest in force.
+/// @param provenAt no newer one existed then
+/// @param isMissing a newer one is known to exist
+void onManifestChecked(engine &state, core::time_point provenAt, bool isMissing);
+
 /// @return the version of the manifest that is in force; 0: none was read yet
 [[nodiscard]] inline std::uint64_t manifestVersionOf(const engine &state)
 {
@@ -232,10 +242,9 @@
 /// @brief Starts the graceful shutdown.
 void onStop(engine &state, core::time_point now);
 
-/// @return whether this daemon is one of the few that poll the store at short intervals; the others
-/// learn of a newer manifest from them, even when their own change feed delivers nothing
+/// @return this daemon's place among those that read the store to prove the manifest, from 0
 /// @complexity linear in the daemons
-[[nodiscard]] bool pollsStore(const engine &state);
+[[nodiscard]] std::size_t storeReaderRank(const engine &state);
 
 /// @brief Runs all timers that are due.
 void onTimer(engine &state, core::time_point now);
--- a/include/fuchsiagw/proxy/manifest.hpp
+++ b/include/fuchsiagw/proxy/manifest.hpp
@@ -61,9 +61,10 @@
 enum class manifest_source : std::uint8_t {
     Table, ///< a read of the whole table
     Feed, ///< a read of the change feed that waits for changes
+    Check, ///< a read of the change feed that does not wait
 };
 
-inline constexpr std::array<std::string_view, 2> manifestSourceNames{ "table", "feed" };
+inline constexpr std::array<std::string_view, 3> manifestSourceNames{ "table", "feed", "check" };
 
 [[nodiscard]] constexpr std::string_view toString(manifest_source source)
 {
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -75,13 +75,15 @@
     std::vector<std::string> evacuatedZones;
     member_load load; ///< of `member`
     std::int32_t priority = 0; ///< of the operations that a loan is for; copied to the answer
+    /// Age of the proof that `manifestVersion` is the newest one, when sent; -1: none.
+    std::int64_t manifestAgeUs = -1;
 
     template <typename archive>
     void serialize(archive &ar)
     {
         ar(kind, from, incarnation, sequence, askedAtUs, manifestVersion, leaders, subject, member,
            betweenHomes, amount, workspaces, parts, recall, evacuationVersion, evacuatedZones, load,
-           priority);
+           priority, manifestAgeUs);
     }
 };
 
--- a/src/daemon/session_datagram.cpp
+++ b/src/daemon/session_datagram.cpp
@@ -52,7 +52,8 @@
     return message.kind <= peer_message_kind::OpenOrder && isName(message.from)
            && isName(message.subject) && isName(message.member) && message.askedAtUs >= 0
            && message.askedAtUs <= maxClockUs && message.amount >= -maxAmount
-           && message.amount <= maxAmount
+           && message.amount <= maxAmount && message.manifestAgeUs >= -1
+           && message.manifestAgeUs <= maxClockUs
            && std::all_of(message.workspaces.begin(), message.workspaces.end(), isName)
            && std::all_of(message.evacuatedZones.begin(), message.evacuatedZones.end(), isName)
            && isValid(message.load)
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -61,6 +61,7 @@
     result.priorityAdmission = values.priorityAdmission;
     result.memberLimits = values.memberLimits;
     result.capacity = values.cpuShare;
+    result.configurationLimit = values.configurationLimit;
     return result;
 }
 
@@ -76,6 +77,9 @@
                   proxy::onManifest(engine_, std::move(next), net::currentBootTime(), source);
                   perform();
               },
+               [this](const proxy::manifest_sync &sync) {
+                   proxy::onManifestChecked(engine_, sync.provenAt, proxy::isManifestMissing(sync));
+               },
                [this](const std::set<std::string> &zones, std::uint64_t version) {
                    proxy::onEvacuations(engine_, zones, version, "store", net::currentBootTime());
                    perform();
@@ -307,7 +311,7 @@
         peers.push_back(std::move(peer));
     }
     proxy::onInstances(engine_, peers, net::currentBootTime());
-    store_.setShortPolls(proxy::pollsStore(engine_));
+    store_.setReaderRank(proxy::storeReaderRank(engine_));
     perform();
 }
 
@@ -379,6 +383,11 @@
     store_.refreshManifest(action.version);
 }
 
+void session_gateway::perform(const proxy::confirm_manifest &action)
+{
+    store_.confirmManifest(action.version, action.provenAt);
+}
+
 void session_gateway::perform(const proxy::acquire_fencing_token &action)
 {
     store_.acquireFencingToken(action.service);
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -105,12 +105,12 @@
     text += evacuationMetrics(engine_.evacuation, net::currentBootTime());
     add("limit_part_millionths", "gauge", engine_.claim.granted);
     add("manifest_version", "gauge", proxy::manifestVersionOf(engine_));
-    add("manifest_named_version", "gauge", store_.manifestReads().namedVersion);
-    add("manifest_reads_abandoned_total", "counter", store_.manifestReads().abandoned);
-    add("manifest_reads_failed_total", "counter", store_.manifestReads().failed);
-    const std::chrono::duration<double> manifestAge =
-            net::currentBootTime() - store_.manifestReads().lastCompletedAt;
-    add("manifest_last_read_age_seconds", "gauge", manifestAge.count());
+    add("manifest_named_version", "gauge", store_.manifestSync().namedVersion);
+    add("manifest_reads_failed_total", "counter", store_.counters().failedManifestReads);
+    add("manifest_feeds_reopened_total", "counter", store_.counters().reopenedFeeds);
+    const std::chrono::duration<double> proofAge =
+            net::currentBootTime() - engine_.manifestProvenAt;
+    add("manifest_proof_age_seconds", "gauge", proofAge.count());
     text += "# TYPE fuchsiagw_refused_total counter\n";
     for (std::size_t i = 0; i < counts.refused.size(); ++i)
         text += fmt::format("fuchsiagw_refused_total{{reason=\"{}\"}} {}\n",
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -1,14 +1,13 @@
 /// @file
-/// @brief Read and follow loops over the tables of the platform's store; each loop has its own
-/// backoff. The loop over the members is in store_members.cpp.
+/// @brief Calls to the platform's store, and the loop over the list of daemons; each loop has its
+/// own backoff. Those over the manifest and the members are in store_manifest.cpp and
+/// store_members.cpp.
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
 #include <fuchsiagw/detail/store_calls.hpp>
 #include <fuchsiagw/net/clock.hpp>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -19,18 +18,14 @@
 
 using std::chrono::milliseconds;
 
-/// Wait of the daemons that check whether the manifest's feed still delivers changes.
-constexpr milliseconds shortPollWait{ 4'000 };
-constexpr milliseconds minManifestReadInterval{ 700 };
-/// Time within which this daemon's own feed normally delivers a manifest that another daemon has.
-constexpr milliseconds manifestFeedDelay{ 400 };
 /// Pause after a daemon has registered, so that daemons that start at the same time read each
 /// other's rows before they claim parts of the limits.
 constexpr milliseconds peerDiscoveryDelay{ 800 };
 constexpr milliseconds initialBackoff{ 100 };
 constexpr int maxBackoffDoublings = 3;
 constexpr std::size_t maxUnreadableRows = 64; // whose log line is remembered
-constexpr std::size_t maxReportedNames = 64; // unusable ones of a manifest
+/// Time for the parts of a large answer over a narrow link.
+constexpr milliseconds maxTransferTime{ 15'000 };
 
 } // namespace
 
@@ -41,11 +36,12 @@
     , callbacks_(std::move(callbacks))
     , httpClient_(context)
     , random_(std::random_device{}())
+    , manifestTimer_(context)
 { }
 
 void store_client::start()
 {
-    readManifest();
+    stepManifest();
     readMembers();
     readInstances();
 }
@@ -56,22 +52,28 @@
 }
 
 void store_client::call(store_purpose purpose, const net::http_request &request,
-                        milliseconds timeout, response_handler done)
+                        milliseconds timeout, response_handler done,
+                        const std::function<void()> &onPart)
 {
     countCall(purpose);
-    httpClient_.call(values_.storeAddress, request, net::currentTime() + timeout,
-                     [this, done = std::move(done)](net::http_exchange &&result) {
-                         const int status =
-                                 result.error ? statusNoResponse : result.response.status;
-                         counters_.bytesReceived += result.response.body.size();
-                         // 410 is not a failure of the store: it no longer has the requested change
-                         // history.
-                         const bool isServed = status == statusOk || status == statusGone
-                                               || status == statusConditionFailed;
-                         updateReachability(isServed);
-                         if (!isStopped_)
-                             handleResponse(done, status, result.response.body);
-                     });
+    const core::time_point deadline = net::currentTime() + timeout;
+    const net::response_transfer parts{ deadline + maxTransferTime, onPart };
+    const auto transfer = request.method == "GET" ? std::optional(parts) : std::nullopt;
+    httpClient_.call(
+            values_.storeAddress, request, deadline,
+            [this, done = std::move(done)](net::http_exchange &&result) {
+                const int status = result.error ? statusNoResponse : result.response.status;
+                counters_.bytesReceived += result.response.body.size();
+                // 410 is not a failure of the store: it no longer has the requested change
+                // history.
+                const bool isServed = status == statusOk || status == statusGone
+                                      || status == statusConditionFailed;
+                updateReachability(isServed);
+                checkFeedsAfterSilence(result.error == std::errc::timed_out, isServed);
+                if (!isStopped_)
+                    handleResponse(done, status, result.response.body);
+            },
+            transfer);
 }
 
 /// An unexpected error in the handling of a response must not end the loop that waits for it. The
@@ -96,6 +98,25 @@
     callbacks_.onStoreEvent(isReached ? "store_regained" : "store_lost", {});
 }
 
+/// Calls of the feeds that are older than a silence of the store may never be answered, and a
+/// change would then be noticed at the end of their wait.
+void store_client::checkFeedsAfterSilence(bool isTimeout, bool isServed)
+{
+    wasSilent_ = wasSilent_ || isTimeout;
+    if (!wasSilent_ || !isServed || isStopped_)
+        return;
+    wasSilent_ = false;
+    callbacks_.onStoreEvent("feeds_reopened", {});
+    if (manifestFeed_.isOpen)
+        followManifest();
+    if (isFollowingMembers_) {
+        ++memberGeneration_;
+        followMembers();
+    }
+    if (isFollowingInstances_)
+        followInstances(++instanceGeneration_);
+}
+
 void store_client::runAfter(milliseconds waitTime, std::function<void()> task)
 {
     const auto timer = std::make_shared<boost::asio::steady_timer>(context_, waitTime);
@@ -114,138 +135,6 @@
            + milliseconds(static_cast<std::int64_t>(core::drawBelow(random_, halfDelay + 1)));
 }
 
-void store_client::reportAbandonedRead(core::time_point sentAt, std::size_t bytes)
-{
-    ++manifestReads_.abandoned;
-    callbacks_.onStoreEvent(
-            "manifest_read_abandoned",
-            fmt::format("age_us={} bytes={}", (net::currentBootTime() - sentAt).count(), bytes));
-}
-
-void store_client::reportFailedRead(core::time_point sentAt, int status)
-{
-    ++manifestReads_.failed;
-    callbacks_.onStoreEvent(
-            "manifest_read_failed",
-            fmt::format("age_us={} status={}", (net::currentBootTime() - sentAt).count(), status));
-}
-
-void store_client::applyManifestRows(const std::vector<adapter::store_row> &rows,
-                                     proxy::manifest_source source)
-{
-    for (const adapter::store_row &row : rows) {
-        if (!adapter::isManifestRow(row) || row.deleted)
-            continue;
-        auto manifest = adapter::decodeManifest(row.value);
-        if (!manifest) {
-            callbacks_.onStoreEvent("manifest_unreadable", row.key);
-            continue;
-        }
-        if (manifest->version > manifestVersion_)
-            reportUnusableNames(*manifest);
-        manifestVersion_ = std::max(manifestVersion_, manifest->version);
-        callbacks_.onManifest(std::make_shared<const proxy::manifest>(std::move(*manifest)),
-                              source);
-    }
-}
-
-void store_client::applyEvacuationRows(const std::vector<adapter::store_row> &rows)
-{
-    for (const adapter::store_row &row : rows) {
-        const auto zone = adapter::evacuatedZoneOf(row);
-        if (zone && row.deleted)
-            evacuatedZones_.erase(*zone);
-        else if (zone)
-            evacuatedZones_.insert(*zone);
-    }
-    callbacks_.onEvacuations(evacuatedZones_, manifestFeedVersion_);
-}
-
-void store_client::reportUnusableNames(const proxy::manifest &manifest)
-{
-    const std::size_t count = std::min(manifest.unusableNames.size(), maxReportedNames);
-    for (std::size_t i = 0; i < count; ++i)
-        callbacks_.onStoreEvent("name_unusable", manifest.unusableNames[i]);
-}
-
-void store_client::refreshManifest(std::uint64_t version)
-{
-    if (version > std::max(manifestVersion_, manifestReads_.namedVersion))
-        callbacks_.onStoreEvent("manifest_named", std::to_string(version));
-    manifestReads_.namedVersion = std::max(manifestReads_.namedVersion, version);
-    if (std::exchange(isManifestCheckDue_, true))
-        return;
-    // Most daemons get the change from their own feed at about the same time.
-    runAfter(manifestFeedDelay, [this] {
-        isManifestCheckDue_ = false;
-        const bool isBehind = manifestVersion_ < manifestReads_.namedVersion;
-        if (isBehind && net::currentBootTime() - lastManifestRead_ >= minManifestReadInterval)
-            readManifest();
-    });
-}
-
-void store_client::readManifest()
-{
-    lastManifestRead_ = net::currentBootTime();
-    ++manifestGeneration_;
-    call(store_purpose::Manifest, adapter::readRows(adapter::manifestTable(), {}), callTimeout,
-         [this, generation = manifestGeneration_,
-          sentAt = lastManifestRead_](int status, const std::string &body) {
-             if (generation != manifestGeneration_) {
-                 reportAbandonedRead(sentAt, body.size());
-                 return;
-             }
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (!rows) {
-                 reportFailedRead(sentAt, status);
-                 runAfter(backoff(manifestFailures_++), [this, generation] {
-                     if (generation == manifestGeneration_)
-                         readManifest();
-                 });
-                 return;
-             }
-             manifestFailures_ = 0;
-             manifestReads_.lastCompletedAt = net::currentBootTime();
-             manifestFeedVersion_ = rows->version;
-             evacuatedZones_.clear();
-             applyEvacuationRows(rows->rows);
-             applyManifestRows(rows->rows, proxy::manifest_source::Table);
-             followManifest();
-         });
-}
-
-void store_client::followManifest()
-{
-    const milliseconds pollWait = usesShortPolls_ ? shortPollWait : longPollWait;
-    call(store_purpose::Manifest,
-         adapter::followRows(adapter::manifestTable(), manifestFeedVersion_, pollWait),
-         pollWait + longPollGrace,
-         [this, generation = manifestGeneration_,
-          sentAt = net::currentBootTime()](int status, const std::string &body) {
-             if (generation != manifestGeneration_) {
-                 reportAbandonedRead(sentAt, body.size());
-                 return;
-             }
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
-             if (rows) {
-                 manifestFailures_ = 0;
-                 manifestReads_.lastCompletedAt = net::currentBootTime();
-                 manifestFeedVersion_ = std::max(manifestFeedVersion_, rows->version);
-                 applyEvacuationRows(rows->rows);
-                 applyManifestRows(rows->rows, proxy::manifest_source::Feed);
-                 followManifest();
-                 return;
-             }
-             reportFailedRead(sentAt, status);
-             // A full read of the table includes the changes that the feed did not deliver.
-             runAfter(status == statusGone ? milliseconds(0) : backoff(manifestFailures_++),
-                      [this, generation] {
-                          if (generation == manifestGeneration_)
-                              readManifest();
-                      });
-         });
-}
-
 read_pacing store_client::pacing() const
 {
     return pacingFor(instances_.size());
@@ -276,6 +165,7 @@
 void store_client::readInstances()
 {
     ++instanceGeneration_;
+    isFollowingInstances_ = false;
     readInstances({}, {});
 }
 
@@ -318,11 +208,13 @@
 {
     if (generation != instanceGeneration_)
         return;
+    isFollowingInstances_ = true;
     call(store_purpose::Instances,
          adapter::followRows(wire::instanceTable, instanceFeedVersion_, longPollWait),
          longPollWait + longPollGrace, [this, generation](int status, const std::string &body) {
              if (generation != instanceGeneration_)
                  return;
+             isFollowingInstances_ = false;
              const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
              if (rows) {
                  instanceFailures_ = 0;
@@ -376,14 +268,14 @@
 }
 
 /// Logs an unreadable row once for each of its versions.
-void store_client::reportUnreadable(const adapter::store_row &row)
+void store_client::reportUnreadable(const adapter::store_row &row, std::string_view event)
 {
     if (unreadableRows_.size() >= maxUnreadableRows && !unreadableRows_.contains(row.key))
         unreadableRows_.erase(unreadableRows_.begin());
     if (std::exchange(unreadableRows_[row.key], row.version) == row.version)
         return;
     ++counters_.unreadableRows;
-    callbacks_.onStoreEvent("row_unreadable", row.key);
+    callbacks_.onStoreEvent(event, row.key);
 }
 
 void store_client::reportInstances()
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -141,10 +141,9 @@
     return rank;
 }
 
-bool pollsStore(const engine &state)
+std::size_t storeReaderRank(const engine &state)
 {
-    constexpr std::size_t pollingDaemons = 3;
-    return instanceRank(state, "manifest") < pollingDaemons;
+    return instanceRank(state, "manifest");
 }
 
 void updateQuotas(engine &state, core::time_point now)
@@ -190,6 +189,12 @@
         serviceFor(state, name);
 }
 
+void onManifestChecked(engine &state, core::time_point provenAt, bool isMissing)
+{
+    state.manifestProvenAt = std::max(state.manifestProvenAt, provenAt);
+    state.isManifestMissing = isMissing;
+}
+
 void onMemberList(engine &state, const std::vector<listed_member> &list, core::time_point now)
 {
     state.memberListLoaded = true;
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -120,11 +120,26 @@
     serveQueue(state, *service, now);
 }
 
+/// A peer that has an older manifest has not seen a newer one than this daemon's either.
+void takeOverProof(engine &state, const peer_message &message, core::time_point asked)
+{
+    if (message.manifestAgeUs < 0 || message.manifestVersion == 0
+        || message.manifestVersion > manifestVersionOf(state))
+        return;
+    // The age counts from the request, so that network delay can't make a proof look fresher.
+    const core::time_point provenAt = asked - core::duration(message.manifestAgeUs);
+    if (provenAt <= state.manifestProvenAt)
+        return;
+    state.manifestProvenAt = provenAt;
+    state.out.emplace_back(confirm_manifest{ message.manifestVersion, provenAt });
+}
+
 void onExchangeAnswer(engine &state, const peer_message &message, core::time_point now)
 {
     const core::time_point asked{ core::duration(message.askedAtUs) };
     if (asked > now || now - asked > maxAnswerAge)
         return;
+    takeOverProof(state, message, asked);
     for (const leader_report &each : message.leaders) {
         service_state *service = findService(state, each.service);
         if (service == nullptr || each.ageUs < 0 || findMember(state, each.member) == nullptr)
@@ -252,6 +267,8 @@
         peer_message answer = makeMessage(state, peer_message_kind::ExchangeAnswer);
         answer.askedAtUs = message.askedAtUs;
         answer.leaders = reportsOf(state, now);
+        if (state.manifestProvenAt != core::time_point{})
+            answer.manifestAgeUs = (now - state.manifestProvenAt).count();
         addEvacuations(state, answer);
         state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
         break;
--- a/tests/unit-manifest-reads.cpp
+++ b/tests/unit-manifest-reads.cpp
@@ -67,6 +67,7 @@
             version = manifest->version;
             routes = manifest->routes.size();
         };
+        callbacks.onManifestChecked = [](const auto &) {};
         callbacks.onEvacuations = [this](const auto &zones, auto) { evacuatedZones = zones; };
         callbacks.onMembers = [](const auto &) {};
         callbacks.onInstances = [](const auto &) {};
--- a/tests/unit-session-engine.cpp
+++ b/tests/unit-session-engine.cpp
@@ -4,6 +4,7 @@
 #include "proxy-fixture.hpp"
 
 #include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/proxy/manifest_sync.hpp>
 #include <fuchsiagw/proxy/reply_pairing.hpp>
 
 #include <platform/wire_codec.hpp>
@@ -882,7 +883,7 @@
     CHECK_EQUAL(1U, proxy_fixture::actionsOf<refresh_manifest>(fixture.takeActions()).size());
 }
 
-// Guards against all daemons, or none, polling the store at short intervals.
+// Guards against all daemons, or none, reading the store at short intervals.
 TEST(session_engine, fewDaemonsPollStore)
 {
     std::vector<std::string> nodes;
@@ -899,7 +900,9 @@
             peers.push_back(peer);
         }
         onInstances(each.state, peers, each.now);
-        watching += pollsStore(each.state) ? 1 : 0;
+        constexpr std::chrono::seconds limit{ 5 };
+        const std::size_t rank = storeReaderRank(each.state);
+        watching += proofLifetime(limit, rank, nodes.size()) < limit / 2 ? 1 : 0;
     }
     CHECK_EQUAL(3, watching);
 }
--- a/tests/unit-store-desk.cpp
+++ b/tests/unit-store-desk.cpp
@@ -42,6 +42,7 @@
         values.storeAddress = store.address();
         daemon::store_callbacks callbacks;
         callbacks.onManifest = [](auto, auto) {};
+        callbacks.onManifestChecked = [](const auto &) {};
         callbacks.onEvacuations = [](const auto &, auto) {};
         callbacks.onMembers = [](const auto &) {};
         callbacks.onInstances = [this](const auto &list) { onList(list); };
--- a/tests/unit-store-members.cpp
+++ b/tests/unit-store-members.cpp
@@ -57,6 +57,7 @@
         values.promotionAddress = store.address();
         daemon::store_callbacks callbacks;
         callbacks.onManifest = [](auto, auto) {};
+        callbacks.onManifestChecked = [](const auto &) {};
         callbacks.onEvacuations = [](const auto &, auto) {};
         callbacks.onMembers = [this](const auto &list) {
             members.clear();
