Refuse unknown databases and keys for good only with a proven manifest

Cause: access was decided by the manifest in force, however old the proof was that it is the newest, and even if a newer one was known to exist. Change: without a proof younger than configuration_limit_ms, or while a named manifest is missing, such a refusal is BUSY with a time to return, so that callers try again. Callers whom the manifest allows are served as before.

--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -35,6 +35,8 @@
     MemberCold, ///< the only member that can run the statement has started recently
     Overloaded, ///< the queue drains too slowly for the statement's latency objective
     StateTooLarge, ///< the session's values and prepared statements would need too much memory
+    /// The manifest has no such route or key, but it may not be the newest one.
+    ManifestUnproven,
 };
 
 /// Maps a reason to its name and reply code.
@@ -45,7 +47,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 21> refusalRows{ {
+inline constexpr std::array<refusal_row, 22> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -67,6 +69,7 @@
         { refusal_reason::MemberCold, "member_cold", reply_code::Busy },
         { refusal_reason::Overloaded, "overloaded", reply_code::Busy },
         { refusal_reason::StateTooLarge, "state_too_large", reply_code::TooLarge },
+        { refusal_reason::ManifestUnproven, "manifest_unproven", reply_code::Busy },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -13,6 +13,8 @@
 /// A session with less state is never refused more of it: ordinary sessions are served while others
 /// use the memory up.
 constexpr std::size_t smallStateBytes = 4'096;
+/// The daemon has then read the store, or another one has answered.
+constexpr core::duration manifestRetryDelay = std::chrono::milliseconds(500);
 constexpr std::string_view proxyDigest = "-"; // digest of answers from the proxy itself
 
 reply proxySuccess(transaction_state state)
@@ -23,22 +25,40 @@
     return answer;
 }
 
+/// @return when another try may find the manifest proven; 0: unknown
+core::duration retryDelayOf(refusal_reason reason)
+{
+    const bool isTemporary = reason == refusal_reason::ManifestUnproven;
+    return isTemporary ? manifestRetryDelay : core::duration::zero();
+}
+
+/// A caller takes an unknown database or key as final, so this must not rest on a manifest that a
+/// newer one may have replaced.
+/// @return the reason, or ManifestUnproven if another daemon may have a manifest that allows it
+refusal_reason provenRefusal(const engine &state, refusal_reason reason, core::time_point now)
+{
+    const core::duration limit = state.settings.configurationLimit;
+    const bool isOld = limit != core::duration::zero() && now - state.manifestProvenAt > limit;
+    return state.isManifestMissing || isOld ? refusal_reason::ManifestUnproven : reason;
+}
+
 /// @brief Checks the session's access and sets its workspace.
 /// @return why the session may not start an operation now, if it may not
-std::optional<refusal_reason> checkAccess(engine &state, session &caller)
+std::optional<refusal_reason> checkAccess(const engine &state, session &caller,
+                                          core::time_point now)
 {
     if (!state.config)
         return refusal_reason::NotConfigured;
     const auto found = state.config->routes.find(caller.database);
     if (found == state.config->routes.end())
-        return refusal_reason::UnknownDatabase;
+        return provenRefusal(state, refusal_reason::UnknownDatabase, now);
     const auto key = state.config->workspaceByKey.find(caller.key);
     if (key != state.config->workspaceByKey.end()) {
         caller.workspace = state.config->workspaces[key->second].name;
         return std::nullopt;
     }
     if (!found->second.anonymousAllowed || !caller.key.empty())
-        return refusal_reason::KeyNotAccepted;
+        return provenRefusal(state, refusal_reason::KeyNotAccepted, now);
     caller.workspace.clear();
     return std::nullopt;
 }
@@ -293,9 +313,9 @@
     if (refuseIfTooLate(state, caller, now))
         return;
     if (caller.state == transaction_state::Idle) {
-        if (const auto refused = checkAccess(state, caller)) {
+        if (const auto refused = checkAccess(state, caller, now)) {
             caller.closing = *refused != refusal_reason::NotConfigured;
-            refuseRequest(state, caller, *refused, now);
+            refuseRequest(state, caller, *refused, now, retryDelayOf(*refused));
             return;
         }
     }
@@ -310,7 +330,7 @@
     caller.id = id;
     caller.database = database;
     caller.key = key;
-    auto refused = checkAccess(state, caller);
+    auto refused = checkAccess(state, caller, now);
     if (!refused && state.sessions.size() >= state.settings.maxSessions)
         refused = refusal_reason::TooManySessions;
     if (state.stopping
@@ -318,8 +338,8 @@
         refused = refusal_reason::Stopping;
     if (refused) {
         ++state.counters.refused.at(static_cast<std::size_t>(*refused));
-        state.out.emplace_back(
-                send_to_caller{ id, refuse(*refused, transaction_state::Idle), true });
+        state.out.emplace_back(send_to_caller{
+                id, refuse(*refused, transaction_state::Idle, retryDelayOf(*refused)), true });
         decision_note note;
         note.kind = note_kind::StatementRefused;
         note.session = id;
