--- a/src/daemon/store_members.cpp
+++ b/src/daemon/store_members.cpp
@@ -16,7 +16,10 @@
 
 void store_client::refreshMembers()
 {
-    if (net::currentBootTime() - lastMemberRead_ >= pacing().minMemberReadInterval)
+    // A read in progress is not replaced: a list that takes longer than the interval between two
+    // reads would otherwise never be applied.
+    const core::duration sinceLastRead = net::currentBootTime() - lastMemberRead_;
+    if (!isReadingMembers_ && sinceLastRead >= pacing().minMemberReadInterval)
         readMembers();
 }
 
@@ -24,7 +27,10 @@
 {
     lastMemberRead_ = net::currentBootTime();
     const std::uint64_t generation = ++memberGeneration_;
+    isReadingMembers_ = true;
+    isFollowingMembers_ = false;
     readMemberPages({}, {}, generation, [this, generation](std::optional<member_list> &&list) {
+        isReadingMembers_ = false;
         if (!list) {
             runAfter(backoff(memberFailures_++), [this, generation] {
                 if (generation == memberGeneration_)
@@ -70,20 +76,22 @@
 
 void store_client::followMembers()
 {
+    isFollowingMembers_ = true;
     call(store_purpose::Members,
          adapter::followRows(adapter::memberTable(), members_.version, longPollWait),
          longPollWait + longPollGrace,
          [this, generation = memberGeneration_](int status, const std::string &body) {
+             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             if (rows)
+                 applyMemberChanges(*rows);
              if (generation != memberGeneration_)
                  return;
-             const auto rows = status == statusOk ? adapter::decodeRows(body) : std::nullopt;
+             isFollowingMembers_ = false;
              const auto waitTime = rows                   ? pacing().memberPollPause
                                    : status == statusGone ? milliseconds(0)
                                                           : backoff(memberFailures_++);
-             if (rows) {
+             if (rows)
                  memberFailures_ = 0;
-                 applyMemberChanges(*rows);
-             }
              runAfter(waitTime, [this, generation, isRead = rows.has_value()] {
                  if (generation != memberGeneration_)
                      return;
--- a/tests/unit-store-members.cpp
+++ b/tests/unit-store-members.cpp
@@ -281,3 +281,35 @@
     const std::set<std::string> expected{ "second", "third" };
     CHECK_TRUE(fixture.runUntil([&] { return fixture.members == expected; }));
 }
+
+// Guards against a list of members that takes longer than the interval between two reads, and is
+// replaced by the next read each time: no list is ever applied while members ask for one.
+TEST(store_members, slowListIsNotAbandonedForTheNextRead)
+{
+    fixture.startFollowing();
+    fixture.store.faults.longPollsSilent = true;
+    fixture.store.faults.readAnswerDelay = 600ms;
+    fixture.store.put("servers", "joined", replica);
+    const auto end = std::chrono::steady_clock::now() + 3s;
+    while (!fixture.members.contains("joined") && std::chrono::steady_clock::now() < end) {
+        fixture.client->refreshMembers();
+        fixture.context.run_for(50ms);
+    }
+    CHECK_TRUE(fixture.members.contains("joined"));
+}
+
+// Guards against changes that are noticed after 29.5 s because the calls of the feeds are older
+// than a silence of the store, and are never answered.
+TEST(store_members, feedsThatAreOlderThanASilenceAreReopened)
+{
+    fixture.startFollowing();
+    fixture.store.faults.silent = true;
+    fixture.store.forgetFeeds();
+    fixture.context.run_for(3s);
+    fixture.store.faults.silent = false;
+    fixture.store.put("servers", "joined", replica);
+    fixture.store.remove("servers", "first");
+    const std::set<std::string> expected{ "joined" };
+    CHECK_TRUE(testing::runUntil(
+            fixture.context, [&] { return fixture.members == expected; }, 4s));
+}
