HTTP interface: let a configuration that arrives in parts keep its fetch

Cause: a fetch had 2 s for the whole body, and was then sent again from its start, on the same link if there is one source, which dropped the parts that had come. Change: each part that arrives gives the fetch another 2 s. Measured: fetchGoesOnWhilePartsArrive passes; before, the fetch was sent again after 2 s whatever had arrived. Not tried on a narrow link with real daemons.

--- a/include/fuchsiagw/core/config_store.hpp
+++ b/include/fuchsiagw/core/config_store.hpp
@@ -169,7 +169,7 @@
     /// Previous versions, for the difference that is reported with a NoteConflict.
     std::deque<std::shared_ptr<const configuration>> earlierVersions;
     std::vector<fetch_source> sources; ///< greatest version first; a failed source moves to the end
-    time_point fetchDeadline = time_point::min(); ///< deadline of the running fetch
+    time_point fetchDeadline = time_point::min(); ///< of the next part of the running fetch
     bool isFetching = false;
 };
 
@@ -194,6 +194,11 @@
 /// @return a fetch to start now, if none is running or the running one has timed out
 [[nodiscard]] std::optional<fetch_source> nextFetch(config_store &store, time_point now);
 
+/// @brief Handles that a part of a body has arrived from a peer: its fetch gets more time, so that
+/// a body which needs longer than the time for a fetch is not asked for from its start again and
+/// again.
+void onFetchProgress(config_store &store, const instance_id &peer, time_point now);
+
 /// @return the difference between @p version and the current version; empty if @p version is no
 /// longer in memory
 [[nodiscard]] std::optional<section_changes> changesSince(const config_store &store,
--- a/include/fuchsiagw/daemon/cluster.hpp
+++ b/include/fuchsiagw/daemon/cluster.hpp
@@ -46,6 +46,7 @@
     void onProbe(core::incarnation_id from, const wire::probe_message &message,
                  core::time_point now);
     void onConfigurationReceived(const configuration_received &event, core::time_point now);
+    void onConfigurationProgress(const configuration_progress &event, core::time_point now);
     void onConfigurationRequested(const configuration_requested &event);
     void onNoAnswer(const core::instance_id &instance, core::time_point now);
 
--- a/include/fuchsiagw/daemon/gateway_driver.hpp
+++ b/include/fuchsiagw/daemon/gateway_driver.hpp
@@ -109,6 +109,7 @@
     void onEvent(forward_failed &event);
     void onEvent(configuration_requested &event);
     void onEvent(configuration_received &event);
+    void onEvent(configuration_progress &event);
     [[nodiscard]] core::gateway_turn turn();
 
     boost::asio::steady_timer timer_;
--- a/include/fuchsiagw/daemon/peer_messenger.hpp
+++ b/include/fuchsiagw/daemon/peer_messenger.hpp
@@ -112,9 +112,15 @@
     std::string text; ///< empty: the peer could not be reached or has no configuration
 };
 
+/// A part of a configuration has arrived that is not the last one.
+struct configuration_progress
+{
+    core::instance_id peer;
+};
+
 using peer_event = std::variant<sender_info_received, datagram_received, forward_received,
                                 forward_answer_received, forward_failed, configuration_requested,
-                                configuration_received>;
+                                configuration_received, configuration_progress>;
 
 /// Traffic counters since the start of the process.
 struct peer_traffic
--- a/src/core/config_store.cpp
+++ b/src/core/config_store.cpp
@@ -15,7 +15,8 @@
 constexpr auto initialRetryDelay = std::chrono::milliseconds(50);
 constexpr auto maxRetryDelay = std::chrono::milliseconds(1600);
 constexpr unsigned maxRetryDoublings = 5; ///< initialRetryDelay * 2^5 is maxRetryDelay
-constexpr auto fetchTimeout = std::chrono::seconds(2); ///< after it the next source is tried
+/// Without a part of the body for this time, the next source is tried.
+constexpr auto fetchTimeout = std::chrono::seconds(2);
 constexpr std::size_t maxEarlierVersions = 8;
 constexpr std::size_t maxSources = 8;
 /// After one conflict the row shows the version that won; repeated ones mean a faulty platform.
@@ -375,6 +376,15 @@
     return store.sources.front();
 }
 
+void onFetchProgress(config_store &store, const instance_id &peer, time_point now)
+{
+    const bool isSource =
+            std::any_of(store.sources.begin(), store.sources.end(),
+                        [&peer](const fetch_source &each) { return each.peer == peer; });
+    if (store.isFetching && isSource)
+        store.fetchDeadline = now + fetchTimeout;
+}
+
 std::optional<section_changes> changesSince(const config_store &store,
                                             configuration_version version)
 {
--- a/src/daemon/cluster.cpp
+++ b/src/daemon/cluster.cpp
@@ -287,6 +287,11 @@
         installVersion(source, event.text, now);
 }
 
+void cluster::onConfigurationProgress(const configuration_progress &event, core::time_point now)
+{
+    core::onFetchProgress(store, event.peer, now);
+}
+
 void cluster::onConfigurationRequested(const configuration_requested &event)
 {
     outputs_.toPeers(send_configuration{ event.link, store.current->version, store.currentBody });
--- a/src/daemon/gateway_driver.cpp
+++ b/src/daemon/gateway_driver.cpp
@@ -319,6 +319,11 @@
     cluster_.onConfigurationRequested(event);
 }
 
+void gateway_driver::onEvent(configuration_progress &event)
+{
+    cluster_.onConfigurationProgress(event, now_);
+}
+
 void gateway_driver::onEvent(configuration_received &event)
 {
     cluster_.onConfigurationReceived(event, now_);
--- a/src/daemon/peer_messenger.cpp
+++ b/src/daemon/peer_messenger.cpp
@@ -313,9 +313,12 @@
     wire::configuration_body message;
     link_state &state = linkStates_[link];
     if (wire::readBody(body, message) || state.configurationSource.empty()
-        || state.configurationParts.add(message.part, message.parts, message.content)
-        || !state.configurationParts.isComplete())
+        || state.configurationParts.add(message.part, message.parts, message.content))
         return;
+    if (!state.configurationParts.isComplete()) {
+        eventSink_(configuration_progress{ state.configurationSource });
+        return;
+    }
     eventSink_(configuration_received{ std::exchange(state.configurationSource, {}),
                                        state.configurationVersion,
                                        std::move(state.configurationParts.content) });
--- a/tests/unit-config-store.cpp
+++ b/tests/unit-config-store.cpp
@@ -225,3 +225,17 @@
     CHECK_FALSE(nextFetch(store, start + 1s).has_value());
     STRCMP_EQUAL("p", nextFetch(store, start + 2s)->peer.value.c_str());
 }
+
+// Guards against a body that takes longer than the time for a fetch, and is asked for from its
+// start again each time, so that it never arrives.
+TEST(take_in, fetchGoesOnWhilePartsArrive)
+{
+    config_store store;
+    CHECK_TRUE(addFetchSource(store, { { "p" }, 5, "" }, start).has_value());
+    for (const auto at : { 1s, 2s, 3s, 4s }) {
+        onFetchProgress(store, { "p" }, start + at);
+        CHECK_FALSE(nextFetch(store, start + at + 1s).has_value());
+    }
+    onFetchProgress(store, { "other" }, start + 5s);
+    CHECK_TRUE(nextFetch(store, start + 6s).has_value());
+}
--- a/tests/unit-manifest-sync.cpp
+++ b/tests/unit-manifest-sync.cpp
@@ -254,8 +254,10 @@
         std::size_t count;
         core::duration ownLimit;
     };
-    for (const auto &[count, ownLimit] : { deployment{ 9, limit }, deployment{ 70, limit },
-                                           deployment{ 300, limit }, { 1'600, largeLimit } }) {
+    for (const auto &[count, ownLimit] : { deployment{ 9, limit },
+                                           deployment{ 70, limit },
+                                           deployment{ 300, limit },
+                                           { 1'600, largeLimit } }) {
         sync_cluster cluster(count, count, ownLimit);
         cluster.run(10s);
         const std::uint64_t before = cluster.reads();
