End the pause of an unreadable manifest once a readable one has come

What callers saw: nothing; found while reading the change. Cause: the pause of up to 6.4 s before the next read of a row that can't be read also held back the next proof, after the feed had brought a newer row; and a feed's call that was given up while its answer arrived left its bound to the next one. Change: both are reset. Tests of store_client share their callbacks and settings.

--- a/src/daemon/store_manifest.cpp
+++ b/src/daemon/store_manifest.cpp
@@ -145,6 +145,7 @@
 void store_client::followManifest()
 {
     manifestFeed_.isOpen = true;
+    proxy::onManifestFeedEnded(manifestSync_); // a call that was given up may have been arriving
     call(
             store_purpose::Manifest,
             adapter::followRows(adapter::manifestTable(), manifestFeed_.version, longPollWait),
--- a/src/proxy/manifest_sync.cpp
+++ b/src/proxy/manifest_sync.cpp
@@ -62,6 +62,8 @@
 void onManifestHeld(manifest_sync &state, std::uint64_t version)
 {
     state.heldVersion = std::max(state.heldVersion, version);
+    if (state.hasUnreadableRow)
+        state.notBefore = {}; // the pause was for the row that could not be read
     state.hasUnreadableRow = false;
     state.unreadableAnswers = 0;
     if (!isManifestMissing(state))
--- a/tests/unit-manifest-reads.cpp
+++ b/tests/unit-manifest-reads.cpp
@@ -2,6 +2,7 @@
 /// @brief Tests of the time after which store_client hands over a manifest that the store has.
 
 #include "run-until.hpp"
+#include "store-callbacks.hpp"
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
@@ -54,24 +55,15 @@
     {
         CHECK_FALSE(store.start());
         store.put("op", "config", manifestWith(1, 1));
-        daemon::session_settings values;
-        values.instance = "n1";
-        values.zone = "north";
-        values.address = "127.0.0.1";
-        values.storeAddress = store.address();
-        values.promotionAddress = store.address();
+        daemon::session_settings values = testing::settingsFor(store.address());
         values.configurationLimit = configurationLimit;
-        daemon::store_callbacks callbacks;
+        daemon::store_callbacks callbacks = testing::ignoringCallbacks();
         callbacks.onManifest = [this](const auto &manifest, auto) {
             CHECK_TRUE(manifest->version > version);
             version = manifest->version;
             routes = manifest->routes.size();
         };
-        callbacks.onManifestChecked = [](const auto &) {};
         callbacks.onEvacuations = [this](const auto &zones, auto) { evacuatedZones = zones; };
-        callbacks.onMembers = [](const auto &) {};
-        callbacks.onInstances = [](const auto &) {};
-        callbacks.onTokenAcquired = [](const auto &, auto, const auto &) {};
         callbacks.onStoreEvent = [this](std::string_view name, auto) {
             events.insert(std::string(name));
         };
--- a/tests/unit-manifest-sync.cpp
+++ b/tests/unit-manifest-sync.cpp
@@ -175,6 +175,16 @@
     }
 };
 
+/// Publishes several changes and checks after each that all but @p unreachable daemons have it.
+void checkChanges(sync_cluster &cluster, std::size_t unreachable)
+{
+    for (int change = 0; change < 5; ++change) {
+        cluster.publish();
+        cluster.run(limit);
+        CHECK_EQUAL(unreachable, cluster.behind());
+    }
+}
+
 } // namespace
 
 TEST_GROUP(manifest_sync){};
@@ -187,11 +197,7 @@
         sync_cluster cluster(count, count);
         for (simulated_daemon &each : cluster.daemons)
             each.faults.feedIsSilent = true;
-        for (int change = 0; change < 5; ++change) {
-            cluster.publish();
-            cluster.run(limit);
-            CHECK_EQUAL(0U, cluster.behind());
-        }
+        checkChanges(cluster, 0);
     }
 }
 
@@ -206,11 +212,7 @@
         cluster.daemons[i].faults.readsAreLost = true;
     }
     cluster.run(10s);
-    for (int change = 0; change < 5; ++change) {
-        cluster.publish();
-        cluster.run(limit);
-        CHECK_EQUAL(3U, cluster.behind());
-    }
+    checkChanges(cluster, 3);
 }
 
 // Guards against a daemon that no datagram reaches and whose feed is silent: only its own clock
@@ -221,11 +223,7 @@
     simulated_daemon &alone = cluster.daemons.back();
     alone.faults.isAlone = true;
     alone.faults.feedIsSilent = true;
-    for (int change = 0; change < 5; ++change) {
-        cluster.publish();
-        cluster.run(limit);
-        CHECK_EQUAL(0U, cluster.behind());
-    }
+    checkChanges(cluster, 0);
 }
 
 // Guards against an answer that takes longer than the pause between two reads and is replaced by
@@ -301,6 +299,23 @@
     CHECK_TRUE(startManifestRead(sync, now + 20ms) == manifest_read::Table);
 }
 
+// Guards against a proof that is due and waits for the pause after a row that could not be read,
+// although the feed has brought a readable one since.
+TEST(manifest_sync, readableManifestEndsThePauseOfAnUnreadableOne)
+{
+    manifest_sync sync;
+    time_point now{ 1h };
+    for (int i = 0; i < 6; ++i) {
+        now = std::max(now, nextManifestRead(sync));
+        CHECK_TRUE(startManifestRead(sync, now).has_value());
+        onManifestUnreadable(sync, now);
+        onManifestRead(sync, manifest_read::Table, now, limit);
+    }
+    CHECK_TRUE(nextManifestRead(sync) >= now + 6s);
+    onManifestHeld(sync, 2);
+    CHECK_TRUE(nextManifestRead(sync) <= now);
+}
+
 // Guards against a read beside the feed's answer while that arrives, which would halve the
 // bandwidth for both; and against one that waits without end for an answer that never ends.
 TEST(manifest_sync, arrivingAnswerOfTheFeedHoldsReadsBackForATime)
--- a/tests/unit-store-desk.cpp
+++ b/tests/unit-store-desk.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// @brief Tests of store_client against the stand-in of the platform's store.
 
+#include "store-callbacks.hpp"
+
 #include <fuchsiagw/daemon/store_client.hpp>
 
 #include <platform/standin/table_store.hpp>
@@ -35,18 +37,9 @@
         : store(context, seed)
     {
         CHECK_FALSE(store.start());
-        daemon::session_settings values;
-        values.instance = "n1";
-        values.zone = "north";
-        values.address = "127.0.0.1";
-        values.storeAddress = store.address();
-        daemon::store_callbacks callbacks;
-        callbacks.onManifest = [](auto, auto) {};
-        callbacks.onManifestChecked = [](const auto &) {};
-        callbacks.onEvacuations = [](const auto &, auto) {};
-        callbacks.onMembers = [](const auto &) {};
+        const daemon::session_settings values = testing::settingsFor(store.address());
+        daemon::store_callbacks callbacks = testing::ignoringCallbacks();
         callbacks.onInstances = [this](const auto &list) { onList(list); };
-        callbacks.onStoreEvent = [](auto, auto) {};
         client.emplace(context, values, std::move(callbacks));
         client->start();
     }
--- a/tests/unit-store-members.cpp
+++ b/tests/unit-store-members.cpp
@@ -2,6 +2,7 @@
 /// @brief Tests of the list of members that store_client reports before a fencing token.
 
 #include "run-until.hpp"
+#include "store-callbacks.hpp"
 
 #include <fuchsiagw/daemon/store_client.hpp>
 
@@ -49,29 +50,19 @@
     {
         CHECK_FALSE(store.start());
         store.put("servers", "first", replica);
-        daemon::session_settings values;
-        values.instance = "n1";
-        values.zone = "north";
-        values.address = "127.0.0.1";
-        values.storeAddress = store.address();
-        values.promotionAddress = store.address();
-        daemon::store_callbacks callbacks;
-        callbacks.onManifest = [](auto, auto) {};
-        callbacks.onManifestChecked = [](const auto &) {};
-        callbacks.onEvacuations = [](const auto &, auto) {};
+        const daemon::session_settings values = testing::settingsFor(store.address());
+        daemon::store_callbacks callbacks = testing::ignoringCallbacks();
         callbacks.onMembers = [this](const auto &list) {
             members.clear();
             for (const proxy::listed_member &each : list)
                 members.insert(each.entry.id);
             ++reports;
         };
-        callbacks.onInstances = [](const auto &) {};
         callbacks.onTokenAcquired = [this](const std::string &service, std::uint64_t token,
                                            const auto &) {
             answers[service] = { token, members };
             ++tokenReports;
         };
-        callbacks.onStoreEvent = [](auto, auto) {};
         client.emplace(context, values, std::move(callbacks));
     }
 
