Log a commit that waits, and an ordered member that receives nothing

Callers saw acknowledged commits missing at a promoted member.

Cause: an attempt's pauses were logged, a guard's were not; nothing compared the ordered member with the primary; a write that waits for its second copy was logged only once it had timed out.

Change: events 955 ordered_member_behind and 956 commit_delayed, 951 with reason guard, a gauge and a counter. No decision rests on them yet.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -181,6 +181,9 @@
 [[nodiscard]] std::optional<promotion_cause>
 findPromotionCause(engine &state, service_state &service, core::time_point now);
 void stepPromotions(engine &state, core::time_point now);
+/// @brief Logs that a replica is paused or resumed.
+void noteReplica(engine &state, note_kind kind, const service_state &service,
+                 const std::string &replica, std::string_view reason, core::time_point now);
 /// @brief Orders the replicas of a service to pause, also those without an entry in the store,
 /// which may receive as well. At a planned replacement one replica goes on, and is asked for its
 /// status.
@@ -214,6 +217,10 @@
 void onControlAnswer(engine &state, const std::string &member, const reply &answer,
                      core::time_point sentAt, core::time_point now);
 [[nodiscard]] core::time_point nextPromotionStep(const engine &state);
+/// @brief Follows from a status whether the member of an open order receives, and logs changes.
+/// @param sentAt the status describes the member at this time or later
+void watchReceiver(engine &state, service_state &service, const std::string &member,
+                   const member_status &status, core::time_point sentAt, core::time_point now);
 /// @brief Takes an open order for done whose member was proven to lead.
 /// @param askedAt the proof describes the member at this time or later
 void closeOrdersOf(engine &state, service_state &service, const std::string &leader,
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -47,9 +47,11 @@
     ReplicaResumed,
     PromotionOrderOpen,
     PromotionOrderClosed,
+    OrderedMemberBehind,
+    CommitDelayed,
 };
 
-inline constexpr std::array<std::string_view, 33> noteKindNames{
+inline constexpr std::array<std::string_view, 35> noteKindNames{
     "statement_placed",     "statement_refused",    "statement_retried",
     "statement_hedged",     "statement_uncertain",  "transaction_ended",
     "session_closed",       "member_avoided",       "member_listed",
@@ -61,6 +63,7 @@
     "zone_evacuated",       "zone_restored",        "member_temperature_changed",
     "member_limit_changed", "overload_changed",     "replica_paused",
     "replica_resumed",      "promotion_order_open", "promotion_order_closed",
+    "ordered_member_behind", "commit_delayed",
 };
 
 [[nodiscard]] constexpr std::string_view toString(note_kind kind)
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -103,6 +103,7 @@
     std::uint64_t linksReused = 0;
     std::array<std::uint64_t, refusalRows.size()> refused{};
     std::uint64_t promotionsOrdered = 0;
+    std::uint64_t commitsDelayed = 0; ///< writes whose answer took longer than replication does
 };
 
 /// Invariants: every link is in member_state::links of its member; a session is in the queue of its
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/proxy/position_history.hpp>
 #include <fuchsiagw/proxy/promotion.hpp>
 #include <fuchsiagw/proxy/promotion_order.hpp>
+#include <fuchsiagw/proxy/receiver_watch.hpp>
 #include <fuchsiagw/proxy/session.hpp>
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     promotion_state promotion;
     open_orders openOrders; ///< as recorded in the store when last known
     core::time_point openOrdersKnownAt{}; ///< when `openOrders` was last changed
+    receiver_watch receiver; ///< of the member that the newest open order would promote
+    std::set<std::string> guardPaused; ///< replicas that this guard has logged as paused
     /// Pauses of the open orders are renewed under this term between two attempts; 0: by another
     /// daemon, or by none.
     core::term_number guardTerm = 0;
--- a/include/fuchsiagw/proxy/session.hpp
+++ b/include/fuchsiagw/proxy/session.hpp
@@ -68,6 +68,7 @@
     link_id openingLink = 0; ///< link that was opened for this request
     std::vector<link_id> outstandingLinks; ///< links on which an answer to it is outstanding
     bool wasSent = false; ///< has been sent to a member
+    bool isDelayReported = false; ///< it was logged that the commit waits for its answer
     int tries = 0;
     std::vector<std::string>
             excludedMembers; ///< not chosen again until no other member can be chosen
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -32,6 +32,7 @@
     case proxy::note_kind::QuotaLent:
     case proxy::note_kind::QuotaPartChanged:
     case proxy::note_kind::ReplyRejected:
+    case proxy::note_kind::CommitDelayed:
         return true;
     default:
         return false;
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -80,6 +80,12 @@
                 return proxy::mayReplace(each.second.openOrders, each.second.leader);
             });
     add("groups_with_open_orders", "gauge", open);
+    const auto behind =
+            std::count_if(engine_.services.begin(), engine_.services.end(), [](const auto &each) {
+                return each.second.receiver.isReported;
+            });
+    add("groups_with_ordered_member_behind", "gauge", behind);
+    add("commits_delayed_total", "counter", counts.commitsDelayed);
     add("datagrams_unreadable_total", "counter", unreadableDatagrams_);
     add("datagrams_repeated_total", "counter", repeatedDatagrams_);
     add("events_dropped_total", "counter", droppedEvents_);
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -172,6 +172,10 @@
     }
     const bool wrote =
             wroteOutsideTransaction || (commits && caller.transaction && caller.transaction->wrote);
+    if (wrote && pending.isDelayReported)
+        noteRequest(state, note_kind::CommitDelayed, caller, link.member, "acknowledged",
+                    now - pending.arrived,
+                    answer.position ? static_cast<std::int64_t>(answer.position->index) : 0);
     if (wrote && answer.position) {
         caller.ownPosition = answer.position;
         caller.positionService = pending.effectiveRoute.service;
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -209,6 +209,7 @@
 
 void stopGuard(service_state &service)
 {
+    service.guardPaused.clear();
     service.guardTerm = 0;
     service.nextGuardAt = core::noDeadline;
 }
@@ -238,6 +239,34 @@
     service->noticeValidUntil = now + noticeTimeout;
 }
 
+void watchReceiver(engine &state, service_state &service, const std::string &memberId,
+                   const member_status &status, core::time_point sentAt, core::time_point now)
+{
+    receiver_watch &watch = service.receiver;
+    if (!mayReplace(service.openOrders, service.leader)) {
+        watch = {};
+        return;
+    }
+    const auto primary = newestSample(service.positions);
+    if (memberId != receiverOf(service) || !primary)
+        return;
+    recordReceived(watch, status.received, sentAt, primary->position, primary->since);
+    const bool isBehindNow = staysBehind(watch, now);
+    const bool isChanged = isBehindNow || watch.behindSince == core::noDeadline;
+    if (!isChanged || isBehindNow == watch.isReported)
+        return;
+    watch.isReported = isBehindNow;
+    decision_note note;
+    note.kind = note_kind::OrderedMemberBehind;
+    note.service = service.name;
+    note.member = memberId;
+    note.reason = isBehindNow ? "receives_nothing" : "receives";
+    note.position = status.received;
+    note.age = isBehindNow ? now - watch.behindSince : core::duration(0);
+    note.number = static_cast<std::int64_t>(primary->position.index);
+    state.out.emplace_back(std::move(note));
+}
+
 bool isOrderUnguarded(service_state &service, core::time_point now)
 {
     if (service.noticedOrder == service.leader)
@@ -260,8 +289,11 @@
     for (const std::string &id : service.members) {
         if (id == service.leader)
             continue;
-        if (id != receiver)
+        if (id != receiver) {
+            if (service.guardPaused.insert(id).second)
+                noteReplica(state, note_kind::ReplicaPaused, service, id, "guard", now);
             sendControlCommand(state, id, command_kind::PauseReceiving, service.guardTerm, now);
+        }
         else if (now < service.guardLeaseUntil)
             sendControlCommand(state, id, command_kind::ResumeReceiving, 0, now);
     }
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -49,19 +49,6 @@
     return true;
 }
 
-void noteReplica(engine &state, note_kind kind, const service_state &service,
-                 const std::string &replica, std::string_view reason, core::time_point now)
-{
-    decision_note note;
-    note.kind = kind;
-    note.service = service.name;
-    note.member = replica;
-    note.reason = reason;
-    note.age = now - service.promotion.startedAt;
-    note.number = static_cast<std::int64_t>(service.promotion.token);
-    state.out.emplace_back(std::move(note));
-}
-
 /// Orders every replica to pause, except the one that goes on receiving.
 void pauseOthers(engine &state, service_state &service, const std::string &receiver,
                  core::time_point now)
@@ -81,6 +68,19 @@
 
 } // namespace
 
+void noteReplica(engine &state, note_kind kind, const service_state &service,
+                 const std::string &replica, std::string_view reason, core::time_point now)
+{
+    decision_note note;
+    note.kind = kind;
+    note.service = service.name;
+    note.member = replica;
+    note.reason = reason;
+    note.age = now - service.promotion.startedAt;
+    note.number = static_cast<std::int64_t>(service.promotion.token);
+    state.out.emplace_back(std::move(note));
+}
+
 void pauseReplicas(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -285,6 +285,7 @@
     const member_status &status = *answer.status;
     learnRole(state, *service, memberId, status, sentAt, now);
     trackPause(state, *service, memberId, status, now);
+    watchReceiver(state, *service, memberId, status, sentAt, now);
     if (service->promotion.phase != promotion_phase::None)
         continueAttempt(state, *service, memberId, status, sentAt, now);
 }
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -16,6 +16,9 @@
 /// Period over which idle sessions are closed at shutdown.
 constexpr milliseconds sessionClosePeriod{ 1'000 };
 constexpr std::size_t minClosedPerInterval = 2; // sessions
+/// A write takes tens of milliseconds; one that takes longer waits for a second copy.
+constexpr milliseconds commitDelayLimit{ 400 };
+
 /// Ends the current request after the route's timeout.
 void timeOut(engine &state, session &caller, core::time_point now)
 {
@@ -65,6 +68,21 @@
     placeRequest(state, caller, now);
 }
 
+/// Logs a write that waits for its answer, as one does that no replica receives.
+void reportDelayedCommit(engine &state, session &caller, core::time_point now)
+{
+    request &pending = *caller.current;
+    const bool writes = pending.writes || pending.statement.kind == statement_kind::Commit;
+    if (!writes || pending.isDelayReported || pending.outstandingLinks.empty()
+        || now - pending.arrived < commitDelayLimit)
+        return;
+    pending.isDelayReported = true;
+    ++state.counters.commitsDelayed;
+    const upstream_link *link = findLink(state, pending.outstandingLinks.front());
+    noteRequest(state, note_kind::CommitDelayed, caller,
+                link == nullptr ? std::string() : link->member, "waits", now - pending.arrived);
+}
+
 void checkSession(engine &state, session_id id, core::time_point now)
 {
     session *caller = findSession(state, id);
@@ -95,6 +113,7 @@
         refuseRequest(state, *caller, pending.queuedReason, now, milliseconds(100));
         return;
     }
+    reportDelayedCommit(state, *caller, now);
     if (!pending.queued && pending.hedgeAt <= now)
         hedge(state, *caller, now);
 }
