--- a/tests/directed-schedule.hpp
+++ b/tests/directed-schedule.hpp
@@ -89,6 +89,21 @@
     cluster.advance(directedDuration);
 }
 
+/// The primary is back and the ordered member receives at first. When it no longer does, a member
+/// that no daemon lists yet joins and becomes the second copy of the commits that wait.
+inline void playJoinAfterLoss(schedule_cluster &cluster)
+{
+    const std::string ordered = openOrder(cluster, ordered_member::Receives);
+    if (ordered.empty())
+        return;
+    cluster.show("m1", { "n1", "n2", "n3" });
+    cluster.advance(milliseconds(700));
+    cluster.cut("m1", ordered, directedDuration);
+    cluster.advance(milliseconds(300));
+    cluster.join(std::chrono::seconds(1));
+    cluster.advance(directedDuration);
+}
+
 /// A member joins before the primary is hidden from two daemons, and is in no list when one of them
 /// pauses the replicas.
 inline void playMissingEntry(schedule_cluster &cluster, ordered_member course)
--- a/tests/unit-unpaused-members.cpp
+++ b/tests/unit-unpaused-members.cpp
@@ -43,3 +43,10 @@
         playRestart(cluster, ordered_member::ReceivesNothing, false);
     });
 }
+
+// Guards against the course of issue 47: commits wait because the ordered member has stopped to
+// receive, and a replica that has just joined, and that no daemon knows, acknowledges them.
+TEST(unpaused_members, memberJoinsWhenTheOrderedOneStopsToReceive)
+{
+    play([](schedule_cluster &cluster) { playJoinAfterLoss(cluster); });
+}
