Fence the primary that an open promotion order would replace

Callers saw acknowledged commits missing at a promoted member.

Cause: the premise of an open order, that its member has every acknowledged commit, rested on pauses of the replicas that daemons know. The old primary went on being given writes by daemons that knew of the order, and acknowledges with any replica that receives; one that joins or restarts receives before anybody can pause it.

Change: from the moment in which the order is recorded the primary is fenced. Each daemon that knows of the order, from the store or by a notice of another one, sends it no writes, orders it to step down as soon as it is reached, and answers 'outcome unknown' in place of a success that the primary still gives. A planned replacement keeps its primary until its order is late or the ordered member stays behind. What only a stepped-down primary's log has was not acknowledged, and no longer ends the completion of the order. A replica that is listed is paused at once.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -221,6 +221,14 @@
 /// @param sentAt the status describes the member at this time or later
 void watchReceiver(engine &state, service_state &service, const std::string &member,
                    const member_status &status, core::time_point sentAt, core::time_point now);
+/// @return whether a member would be replaced by an open order, and is to acknowledge nothing
+[[nodiscard]] bool isFenced(const service_state &service, const std::string &member,
+                            core::time_point now);
+/// @return whether a session's transaction writes at a fenced primary
+[[nodiscard]] bool isTransactionFenced(const engine &state, const session &caller,
+                                       core::time_point now);
+/// @brief Renews the pauses of a service at once, because a replica may have come into view.
+void pauseNewReplica(service_state &service, core::time_point now);
 /// @brief Takes an open order for done whose member was proven to lead.
 /// @param askedAt the proof describes the member at this time or later
 void closeOrdersOf(engine &state, service_state &service, const std::string &leader,
@@ -294,12 +302,14 @@
 void announceLeader(engine &state, const service_state &service);
 /// @brief Tells other daemons that an order to promote a member is open.
 /// @param token latest one of this daemon
+/// @param isFenced whether the present primary steps down and gets no writes
 void announceOpenOrder(engine &state, const service_state &service, const std::string &member,
-                       std::uint64_t token);
+                       std::uint64_t token, bool isFenced);
 /// @brief Handles that another daemon guards an open order. If it stops to tell so and the member
 /// does not lead, this daemon asks the store.
+/// @param isFenced whether the present primary has to step down
 void onOpenOrderNotice(engine &state, const std::string &service, const std::string &member,
-                       std::uint64_t token, core::time_point now);
+                       std::uint64_t token, bool isFenced, core::time_point now);
 /// @brief Forgets another daemon's order once its member leads.
 /// @return whether another daemon's order may be open without anybody who guards it
 [[nodiscard]] bool isOrderUnguarded(service_state &service, core::time_point now);
--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -12,6 +12,8 @@
 
 /// Shorter than the lease, so that no other daemon acts before this one has ended its attempt.
 inline constexpr milliseconds fencingTimeout{ 2'000 };
+/// An accepted promotion takes effect within this time.
+inline constexpr milliseconds promotionEffectTimeout{ 1'500 };
 inline constexpr milliseconds probeInterval{ 40 };
 inline constexpr milliseconds orderTimeout{ 700 };
 inline constexpr milliseconds refusedOrderDelay{ 120 };
@@ -46,6 +48,13 @@
 /// @brief Gives up the completion of an order: its member is not running, or lacks commits.
 void leaveCompletion(engine &state, service_state &service, std::string_view reason,
                      core::time_point now);
+/// @brief Fences the primary that an open order would replace, from @p from on.
+void fencePrimary(service_state &service, core::time_point from);
+/// @brief Orders a fenced primary to step down, at intervals.
+void stepFence(engine &state, service_state &service, core::time_point now);
+/// @return the primary that has stepped down beside an open order; empty if there is none. What
+/// only its log has was not acknowledged to a caller.
+[[nodiscard]] std::string deposedPrimary(const service_state &service);
 /// @brief Renews the pauses on which open orders rest while no attempt does so.
 void stepGuard(engine &state, service_state &service, core::time_point now);
 /// @brief Tells other daemons of an open order, at intervals.
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -33,6 +33,7 @@
     EvidenceAnswer, ///< the replica's position and term, as the only leader report
     MemberLoad, ///< load of a member whose relay the sender is
     OpenOrder, ///< the promotion of `member` of service `subject` may still take effect
+    PrimaryFenced, ///< as OpenOrder; the present primary steps down and gets no writes
 };
 
 /// What one daemon knows of a service's primary.
@@ -65,7 +66,7 @@
     std::string member; ///< member whose reachability or status is asked about
     bool betweenHomes = false; ///< the loan is between the homes of two zones
     /// Tokens. ReachabilityAnswer: 1 reached, 0 not reached, -1 unknown. EvidenceAnswer: 1 leads.
-    /// OpenOrder: the sender's fencing token.
+    /// OpenOrder and PrimaryFenced: the sender's fencing token.
     std::int64_t amount = 0;
     std::vector<std::string> workspaces; ///< workspaces whose parts a PartRequest asks for
     std::vector<part_grant> parts; ///< parts that a PartGrant lends
--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -37,6 +37,8 @@
     StateTooLarge, ///< the session's values and prepared statements would need too much memory
     /// The manifest has no such route or key, but it may not be the newest one.
     ManifestUnproven,
+    /// Committed, but a promotion that may take effect at any time may not keep it.
+    CommitUnproven,
 };
 
 /// Maps a reason to its name and reply code.
@@ -47,7 +49,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 22> refusalRows{ {
+inline constexpr std::array<refusal_row, 23> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -70,6 +72,7 @@
         { refusal_reason::Overloaded, "overloaded", reply_code::Busy },
         { refusal_reason::StateTooLarge, "state_too_large", reply_code::TooLarge },
         { refusal_reason::ManifestUnproven, "manifest_unproven", reply_code::Busy },
+        { refusal_reason::CommitUnproven, "commit_unproven", reply_code::OutcomeUnknown },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -28,6 +28,8 @@
     core::term_number term = 0; ///< highest term seen
     core::time_point leaderProvenAt{}; ///< latest time at which the leader was proven to lead
     core::time_point leaderlessSince = core::noDeadline;
+    std::string lastLeader; ///< member that led before the leader became unknown
+    core::term_number lastLeaderTerm = 0; ///< newest term known when `lastLeader` was lost
     /// Members that denied being the leader, with member_state::roleVersion at that time.
     std::map<std::string, std::uint64_t> leadershipDenials;
     position_history positions;
@@ -38,6 +40,11 @@
     promotion_state promotion;
     open_orders openOrders; ///< as recorded in the store when last known
     core::time_point openOrdersKnownAt{}; ///< when `openOrders` was last changed
+    /// From then on, a primary that an open order would replace is fenced: it is ordered to step
+    /// down, and gets no writes. Valid while an order is open.
+    core::time_point fenceFrom = core::noDeadline;
+    core::time_point nextStepDownAt{}; ///< next order to a fenced primary to step down
+    std::string fenceReported; ///< primary whose fencing was logged
     receiver_watch receiver; ///< of the member that the newest open order would promote
     std::set<std::string> guardPaused; ///< replicas that this guard has logged as paused
     /// Pauses of the open orders are renewed under this term between two attempts; 0: by another
--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -154,6 +154,18 @@
     return pending.startsOperation && pending.statement.kind != statement_kind::Commit;
 }
 
+/// Answers a commit that its primary has acknowledged, but that an open promotion order may not
+/// keep: the second copy may be at another replica than the ordered one.
+void withholdCommit(engine &state, session &caller, upstream_link &link, core::time_point now)
+{
+    if (caller.current->statement.kind == statement_kind::Commit) {
+        link.pinnedTo = 0;
+        caller.transaction.reset();
+        caller.state = transaction_state::Idle;
+    }
+    refuseRequest(state, caller, refusal_reason::CommitUnproven, now);
+}
+
 void deliverSuccess(engine &state, session &caller, upstream_link &link,
                     const expected_answer &expected, reply &&answer, core::time_point now)
 {
@@ -176,6 +188,10 @@
         noteRequest(state, note_kind::CommitDelayed, caller, link.member, "acknowledged",
                     now - pending.arrived,
                     answer.position ? static_cast<std::int64_t>(answer.position->index) : 0);
+    if (wrote && isFenced(service, link.member, now)) {
+        withholdCommit(state, caller, link, now);
+        return;
+    }
     if (wrote && answer.position) {
         caller.ownPosition = answer.position;
         caller.positionService = pending.effectiveRoute.service;
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -242,6 +242,15 @@
         endTransaction(state, caller, refusal_reason::ZoneEvacuated, now);
 }
 
+/// Ends a transaction that has written at a primary which an open promotion order would replace:
+/// its commit might be lost.
+void endFencedTransaction(engine &state, session &caller, core::time_point now)
+{
+    if (caller.state == transaction_state::Open && !caller.transaction->lost
+        && isTransactionFenced(state, caller, now))
+        endTransaction(state, caller, refusal_reason::TransactionLost, now);
+}
+
 /// @return whether a shutdown leaves no time for the operation that the statement starts
 bool startsTooLate(const engine &state, const session &caller, core::time_point now)
 {
@@ -274,6 +283,7 @@
     const bool ends = kind == statement_kind::Commit;
     endDrainedTransaction(state, caller, ends, now);
     endEvacuatedTransaction(state, caller, now);
+    endFencedTransaction(state, caller, now);
     if (reportTransactionLoss(state, caller, now))
         return;
     if (kind == statement_kind::Malformed || (caller.state == transaction_state::Failed && !ends)) {
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -69,9 +69,12 @@
         member.roleVersion = from.version;
     if (restarted || moved)
         resetMember(state, member, now);
-    serviceFor(state, member.entry.service).members.insert(member.entry.id);
-    if (isNew || returned || restarted)
+    service_state &service = serviceFor(state, member.entry.service);
+    service.members.insert(member.entry.id);
+    if (isNew || returned || restarted) {
         noteMember(state, note_kind::MemberListed, member, restarted ? "restarted" : "listed");
+        pauseNewReplica(service, now);
+    }
     if (startsDraining) {
         noteMember(state, note_kind::MemberDraining, member, "reported");
         closeIdleLinks(state, member, now);
@@ -279,6 +282,8 @@
     if (service.leader != member)
         return;
     noteLeader(state, note_kind::LeaderLost, service, member, "read_only");
+    service.lastLeader = member;
+    service.lastLeaderTerm = service.term;
     service.leader.clear();
     service.leaderlessSince = now;
     state.out.emplace_back(refresh_directory{});
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -56,12 +56,14 @@
 }
 
 /// @return whether a reported log is longer than that of the member of the open order
-bool isBehind(const promotion_state &attempt)
+bool isBehind(const service_state &service)
 {
+    const promotion_state &attempt = service.promotion;
+    const std::string deposed = deposedPrimary(service);
     const auto own = attempt.reports.find(attempt.chosen);
     return own != attempt.reports.end()
            && std::any_of(attempt.reports.begin(), attempt.reports.end(), [&](const auto &each) {
-                  return each.first != attempt.oldPrimary
+                  return each.first != attempt.oldPrimary && each.first != deposed
                          && each.second.received > own->second.received;
               });
 }
@@ -102,6 +104,8 @@
     }
     if (!isOpen)
         return true;
+    // The order is older than a lease, so it is late.
+    fencePrimary(service, now);
     if (orders.back().member != attempt.oldPrimary) {
         attempt.completesOrder = true;
         attempt.chosen = orders.back().member;
@@ -120,7 +124,7 @@
         return;
     }
     if (now - attempt.startedAt >= completionReportTimeout) {
-        if (isBehind(attempt)) {
+        if (isBehind(service)) {
             leaveCompletion(state, service, "order_behind", now);
             return;
         }
@@ -193,6 +197,8 @@
 void helpGuard(engine &state, service_state &service, const open_orders &orders,
                std::uint64_t version, core::time_point until, core::time_point now)
 {
+    // Unless its holder tells otherwise, the primary of a planned replacement serves meanwhile.
+    fencePrimary(service, now + promotionEffectTimeout);
     setOpenOrders(service, orders, now);
     service.noticedOrder.clear();
     if (!mayReplace(orders, service.leader) || serviceRank(state, service) >= maxGuardHelpers)
@@ -222,11 +228,12 @@
     // A member that joins meanwhile has to be paused, also if the feed of changes is silent.
     state.out.emplace_back(refresh_directory{});
     const std::uint64_t token = std::max(service.promotion.token, service.guardToken);
-    announceOpenOrder(state, service, service.openOrders.back().member, token);
+    announceOpenOrder(state, service, service.openOrders.back().member, token,
+                      isFenced(service, service.leader, now));
 }
 
 void onOpenOrderNotice(engine &state, const std::string &serviceName, const std::string &member,
-                       std::uint64_t token, core::time_point now)
+                       std::uint64_t token, bool isFenced, core::time_point now)
 {
     service_state *service = findService(state, serviceName);
     if (service == nullptr)
@@ -235,8 +242,10 @@
     // present primary resumes them when it is done.
     if (token > service->guardToken || member == service->leader)
         stopGuard(*service);
+    fencePrimary(*service, isFenced ? now : core::noDeadline);
     service->noticedOrder = member;
     service->noticeValidUntil = now + noticeTimeout;
+    stepFence(state, *service, now);
 }
 
 void watchReceiver(engine &state, service_state &service, const std::string &memberId,
@@ -256,6 +265,8 @@
     if (!isChanged || isBehindNow == watch.isReported)
         return;
     watch.isReported = isBehindNow;
+    if (isBehindNow)
+        fencePrimary(service, now);
     decision_note note;
     note.kind = note_kind::OrderedMemberBehind;
     note.service = service.name;
@@ -287,14 +298,13 @@
     stepOrderNotice(state, service, now);
     const std::string receiver = receiverOf(service);
     for (const std::string &id : service.members) {
-        if (id == service.leader)
+        if (id == service.leader || id == deposedPrimary(service))
             continue;
         if (id != receiver) {
             if (service.guardPaused.insert(id).second)
                 noteReplica(state, note_kind::ReplicaPaused, service, id, "guard", now);
             sendControlCommand(state, id, command_kind::PauseReceiving, service.guardTerm, now);
-        }
-        else if (now < service.guardLeaseUntil)
+        } else if (now < service.guardLeaseUntil)
             sendControlCommand(state, id, command_kind::ResumeReceiving, 0, now);
     }
 }
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -240,9 +240,10 @@
 }
 
 void announceOpenOrder(engine &state, const service_state &service, const std::string &member,
-                       std::uint64_t token)
+                       std::uint64_t token, bool isFenced)
 {
-    peer_message message = makeMessage(state, peer_message_kind::OpenOrder);
+    peer_message message = makeMessage(state, isFenced ? peer_message_kind::PrimaryFenced
+                                                       : peer_message_kind::OpenOrder);
     message.subject = service.name;
     message.member = member;
     message.amount = static_cast<std::int64_t>(token);
@@ -317,9 +318,10 @@
         applyLoad(state, message.member, message.load, now);
         break;
     case peer_message_kind::OpenOrder:
+    case peer_message_kind::PrimaryFenced:
         onOpenOrderNotice(state, message.subject, message.member,
                           static_cast<std::uint64_t>(std::max<std::int64_t>(message.amount, 0)),
-                          now);
+                          message.kind == peer_message_kind::PrimaryFenced, now);
         break;
     }
 }
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -118,6 +118,8 @@
 member_state *leaderOf(engine &state, const service_state &service, core::time_point now)
 {
     member_state *member = findMember(state, service.leader);
+    if (isFenced(service, service.leader, now))
+        return nullptr;
     if (member == nullptr || !acceptsWorkAsLeader(state, *member, now))
         return nullptr;
     return member;
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -205,6 +205,7 @@
         stepPromotion(state, service, now);
         stepResume(state, service, now);
         stepGuard(state, service, now);
+        stepFence(state, service, now);
     }
 }
 
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// An accepted promotion takes effect within this time.
-constexpr milliseconds promotionEffectTimeout{ 1'500 };
 /// Retry interval while the operator has switched promotions off.
 constexpr milliseconds switchedOffRetryInterval{ 5'000 };
 
@@ -61,10 +59,15 @@
         return;
     }
     recordReplicaReport(state, service, memberId, { sentAt, status.received }, now);
-    // A replaced primary has stepped down, by an order or since it has reached its successor.
-    if (!isFenced && service.promotion.phase == promotion_phase::None && service.leader == memberId
-        && sentAt > service.leaderProvenAt)
+    if (service.leader != memberId || sentAt <= service.leaderProvenAt)
+        return;
+    if (proxy::isFenced(service, memberId, now)) {
+        logPromotion(state, note_kind::PrimarySteppedDown, service, "order_open", now);
+        loseLeader(state, service, memberId, now);
+    } else if (!isFenced && service.promotion.phase == promotion_phase::None) {
+        // A replaced primary has stepped down, by an order or since it has reached its successor.
         loseLeader(state, service, memberId, now);
+    }
 }
 
 /// Ends an attempt whose reason a status contradicts.
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -88,6 +88,9 @@
     if (report != attempt.reports.end())
         trackReceiver(attempt, attempt.chosen, report->second);
     keepOthersPaused(state, service, now);
+    // A primary that is replaced as planned serves until then, as the chosen member receives.
+    const bool serves = isPlanned(attempt.cause) && !attempt.completesOrder;
+    fencePrimary(service, serves ? now + promotionEffectTimeout : now);
     addOrder(service.openOrders, { attempt.token, attempt.chosen });
     service.openOrdersKnownAt = now;
     attempt.hasRivalOrders = !promoteOnly(service.openOrders, attempt.chosen);
@@ -109,6 +112,7 @@
 void noteUnanswered(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
+    fencePrimary(service, now);
     if (!std::exchange(attempt.orderUnanswered, true))
         logPromotion(state, note_kind::PromotionOrderOpen, service, "no_answer", now);
 }
@@ -124,7 +128,9 @@
         electable = { attempt.chosen };
     else if (hasReceiver(attempt) && !attempt.stepDownSent && !attempt.chosen.empty())
         std::erase_if(electable, [&](const auto &each) { return each != attempt.chosen; });
-    const std::set<std::string> witnesses = witnessesOf(state, service, now);
+    std::set<std::string> witnesses = witnessesOf(state, service, now);
+    if (attempt.completesOrder)
+        witnesses.erase(deposedPrimary(service));
     promotion_choice choice = chooseNewPrimary(attempt, electable, witnesses);
     const bool isFinal = !hasReceiver(attempt) && !attempt.stepDownSent;
     if (choice.waitsForCatchUp && isFinal && !state.evacuation.zones.empty()) {
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -412,7 +412,7 @@
 TEST(order_completion, noticeIsForgottenOnceItsMemberLeads)
 {
     service().leader = "m2";
-    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, fixture.now);
+    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, false, fixture.now);
     fixture.advanceTime(milliseconds(300));
     service().leader = "m3";
     CHECK_FALSE(isOrderUnguarded(service(), fixture.now + std::chrono::seconds(10)));
@@ -422,7 +422,7 @@
 // ask what is open.
 TEST(order_completion, rowTellsMoreThanANotice)
 {
-    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, fixture.now);
+    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, false, fixture.now);
     attempt() = {};
     attempt().phase = promotion_phase::DrawingToken;
     onTokenHeldElsewhere(fixture.state, proxy_fixture::service, fixture.now + milliseconds(2'000),
--- a/tests/unit-primary-fence.cpp
+++ b/tests/unit-primary-fence.cpp
@@ -43,6 +43,31 @@
         onControlAnswer(fixture.state, member, answer, fixture.now, fixture.now);
     }
 
+    /// Another daemon tells of an open order.
+    void tell(peer_message_kind kind, const std::string &member)
+    {
+        peer_message notice;
+        notice.kind = kind;
+        notice.from = "node-2";
+        notice.subject = proxy_fixture::service;
+        notice.member = member;
+        notice.amount = 7;
+        onPeerMessage(fixture.state, notice, fixture.now);
+    }
+
+    /// Orders a planned replacement of m1 by m2, which receives.
+    void orderPlannedReplacement()
+    {
+        drawToken(promotion_cause::PrimaryDraining, {});
+        const std::string chosen = attempt().chosen;
+        report(chosen, { false, 1, { 1, 7 }, 0 });
+        for (const char *each : { "m2", "m3" }) {
+            if (each != chosen)
+                report(each, { false, 1, { 1, 7 }, 2 });
+        }
+        CHECK_EQUAL(1U, fixture.takeOrders().size());
+    }
+
     std::size_t countCommands(const std::string &member, command_kind kind)
     {
         std::size_t result = 0;
@@ -121,3 +146,88 @@
     onTimer(fixture.state, fixture.now);
     CHECK_EQUAL(1U, countCommands("m4", command_kind::PauseReceiving));
 }
+
+// Guards against an order that only some daemons know of: the others would go on giving writes to
+// the primary.
+TEST(primary_fence, noticeOfAnOrderFencesThePrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    const auto [id, link] = startWrite();
+    tell(peer_message_kind::PrimaryFenced, "m2");
+    CHECK_EQUAL(1U, countCommands("m1", command_kind::StepDown));
+    fixture.answer(link, proxy_fixture::success({ 1, 8 }));
+    const auto answers = proxy_fixture::answersTo(id, fixture.takeActions());
+    CHECK_EQUAL(1U, answers.size());
+    CHECK(answers.front().code == reply_code::OutcomeUnknown);
+}
+
+// Guards against a fence that outlives its order: the group would get no writes.
+TEST(primary_fence, fenceEndsWhenTheOrderedMemberLeads)
+{
+    fixture.provePrimary({ 1, 7 });
+    tell(peer_message_kind::PrimaryFenced, "m2");
+    CHECK(isFenced(service(), "m1", fixture.now));
+    report("m2", { true, 2, { 1, 7 }, 0 });
+    STRCMP_EQUAL("m2", service().leader.c_str());
+    CHECK_FALSE(isFenced(service(), "m2", fixture.now));
+    // A notice of a later order that does not fence starts anew.
+    tell(peer_message_kind::OpenOrder, "m3");
+    CHECK_FALSE(isFenced(service(), "m2", fixture.now));
+}
+
+// Guards against a planned replacement that costs writes although its order is answered and the
+// ordered member receives.
+TEST(primary_fence, primaryServesUntilAPlannedReplacement)
+{
+    fixture.provePrimary({ 1, 7 });
+    orderPlannedReplacement();
+    fixture.advanceTime(milliseconds(500));
+    CHECK_EQUAL(0U, countCommands("m1", command_kind::StepDown));
+    CHECK_FALSE(isFenced(service(), "m1", fixture.now));
+}
+
+// Guards against a planned replacement whose order is late: its primary would go on for as long.
+TEST(primary_fence, latePlannedReplacementFencesThePrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    orderPlannedReplacement();
+    fixture.advanceTime(milliseconds(1'600));
+    CHECK(isFenced(service(), "m1", fixture.now));
+}
+
+// Guards against a planned replacement whose ordered member stops to receive: another replica
+// would acknowledge what it lacks.
+TEST(primary_fence, plannedReplacementWhoseMemberStaysBehindFencesThePrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    orderPlannedReplacement();
+    const std::string chosen = attempt().chosen;
+    fixture.advanceTime(milliseconds(50));
+    fixture.provePrimary({ 1, 9 });
+    report(chosen, { false, 1, { 1, 7 }, 0 });
+    fixture.advanceTime(milliseconds(250));
+    CHECK_FALSE(isFenced(service(), "m1", fixture.now));
+    report(chosen, { false, 1, { 1, 7 }, 0 });
+    CHECK(isFenced(service(), "m1", fixture.now));
+}
+
+// Guards against an order that is given up because the old primary has run commits that nobody has
+// acknowledged: a second order for another member would be open beside it.
+TEST(primary_fence, unacknowledgedCommitsOfAFencedPrimaryDoNotEndTheOrder)
+{
+    fixture.provePrimary({ 1, 7 });
+    drawToken(promotion_cause::PrimarySilent, { { 7, "m2" } });
+    fixture.advanceTime(milliseconds(50));
+    report("m1", { false, 1, { 1, 9 }, 0 });
+    STRCMP_EQUAL("", service().leader.c_str());
+    abortAttempt(fixture.state, service(), "lease_expired", fixture.now);
+    drawToken(promotion_cause::OrderOpen, { { 7, "m2" } });
+    attempt().oldPrimary.clear();
+    report("m1", { false, 1, { 1, 9 }, 2 });
+    report("m3", { false, 1, { 1, 7 }, 2 });
+    fixture.advanceTime(milliseconds(600));
+    report("m2", { false, 1, { 1, 7 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m2", orders.front().member.c_str());
+}
