Step a primary that some daemons reach down before its successor is ordered

Callers saw acknowledged commits missing at a promoted member.

Cause: a primary that most daemons do not reach is replaced although others go on giving it writes. Between the pauses of the replicas and the order, a replica that no daemon knows acknowledges them; a step down at the moment of the order keeps the ordered member from ever getting them.

Change: the daemon that replaces the primary asks the peers that have just said that they reach it to order it to step down, and pauses replicas only after that answer, or 150 ms. A replica is ordered only if it has what the primary had then; if none has, the primary itself leads again. Notices of an order are repeated at 50 ms first, and each daemon that learns of one passes it on once, so that a lost datagram or a large number of daemons leaves nobody out.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -310,6 +310,9 @@
 /// @param isFenced whether the present primary has to step down
 void onOpenOrderNotice(engine &state, const std::string &service, const std::string &member,
                        std::uint64_t token, bool isFenced, core::time_point now);
+/// @brief Orders a primary to step down on behalf of a daemon that does not reach it.
+void onStepDownRequest(engine &state, const peer_message &message, core::time_point now);
+void onStepDownAnswer(engine &state, const peer_message &message, core::time_point now);
 /// @brief Forgets another daemon's order once its member leads.
 /// @return whether another daemon's order may be open without anybody who guards it
 [[nodiscard]] bool isOrderUnguarded(service_state &service, core::time_point now);
--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -50,6 +50,13 @@
                      core::time_point now);
 /// @brief Fences the primary that an open order would replace, from @p from on.
 void fencePrimary(service_state &service, core::time_point from);
+/// @brief Asks the peers that reach the old primary to order it to step down, before the replicas
+/// are paused: what it acknowledges in between might be at a replica that no daemon knows.
+/// @return whether there are such peers
+bool askPeersForStepDown(engine &state, service_state &service, core::time_point now);
+/// @brief Tells the daemon that has asked for it that the primary has stepped down.
+void answerStepDownRequest(engine &state, service_state &service, const std::string &member,
+                           const member_status &status, core::time_point now);
 /// @brief Orders a fenced primary to step down, at intervals.
 void stepFence(engine &state, service_state &service, core::time_point now);
 /// @return the primary that has stepped down beside an open order; empty if there is none. What
--- a/include/fuchsiagw/proxy/peer_message.hpp
+++ b/include/fuchsiagw/proxy/peer_message.hpp
@@ -34,6 +34,8 @@
     MemberLoad, ///< load of a member whose relay the sender is
     OpenOrder, ///< the promotion of `member` of service `subject` may still take effect
     PrimaryFenced, ///< as OpenOrder; the present primary steps down and gets no writes
+    StepDownRequest, ///< asks a peer that reaches the primary `member` to order it to step down
+    StepDownAnswer, ///< it has stepped down; its term and newest position as the only report
 };
 
 /// What one daemon knows of a service's primary.
--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -111,6 +111,9 @@
     /// A replica in an evacuated zone has commits that no other replica can get, so it may be
     /// chosen.
     bool mayElectEvacuated = false;
+    /// Peers that reach the old primary order it to step down until then; the replicas go on
+    /// receiving meanwhile.
+    core::time_point peersStepDownUntil{};
     bool stepDownSent = false; ///< the old primary was ordered to step down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -44,6 +44,8 @@
     /// down, and gets no writes. Valid while an order is open.
     core::time_point fenceFrom = core::noDeadline;
     core::time_point nextStepDownAt{}; ///< next order to a fenced primary to step down
+    std::string stepDownAskedBy; ///< daemon that awaits the answer of `leader` to step down
+    std::int64_t stepDownAskedAtUs = 0; ///< clock of that daemon; copied unchanged to the answer
     std::string fenceReported; ///< primary whose fencing was logged
     receiver_watch receiver; ///< of the member that the newest open order would promote
     std::set<std::string> guardPaused; ///< replicas that this guard has logged as paused
@@ -57,6 +59,8 @@
     int unansweredLeases = 0; ///< leases in a row without an answer of the platform to an order
     core::time_point nextOrderNoticeAt{}; ///< next notice of an open order to other daemons
     std::string noticedOrder; ///< member of an open order of which another daemon has told
+    std::uint64_t noticedToken = 0; ///< newest token of which another daemon has told
+    std::uint64_t noticedFence = 0; ///< newest token for whose order the primary is fenced
     core::time_point noticeValidUntil = core::noDeadline; ///< the other daemon guards it until then
     core::time_point nextReplicaCheckAt{}; ///< next check whether the replicas receive
     std::size_t rank = 0; ///< instanceRank() of this daemon for the service
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -17,7 +17,9 @@
 /// Daemons without the token that guard beside its holder, by rank: each pause takes a slot of the
 /// member.
 constexpr std::size_t maxGuardHelpers = 3;
-constexpr milliseconds noticeInterval{ 700 };
+constexpr milliseconds maxNoticeInterval{ 700 };
+/// A new order is told of more often, because a daemon that misses the notice goes on to write.
+constexpr milliseconds minNoticeInterval{ 50 };
 /// The pauses are renewed for this time after the lease, for a daemon that waits for its next
 /// token. Another one may have closed the order by then.
 constexpr milliseconds guardGrace{ 3'000 };
@@ -224,7 +226,9 @@
 {
     if (now < service.nextOrderNoticeAt || !mayReplace(service.openOrders, service.leader))
         return;
-    service.nextOrderNoticeAt = now + noticeInterval;
+    service.nextOrderNoticeAt = now
+                                + std::clamp<core::duration>(now - service.openOrdersKnownAt,
+                                                             minNoticeInterval, maxNoticeInterval);
     // A member that joins meanwhile has to be paused, also if the feed of changes is silent.
     state.out.emplace_back(refresh_directory{});
     const std::uint64_t token = std::max(service.promotion.token, service.guardToken);
@@ -243,6 +247,12 @@
     if (token > service->guardToken || member == service->leader)
         stopGuard(*service);
     fencePrimary(*service, isFenced ? now : core::noDeadline);
+    // Each daemon tells others once, so that a notice reaches all of them in a few steps.
+    std::uint64_t &known = isFenced ? service->noticedFence : service->noticedToken;
+    if (token > known) {
+        known = token;
+        announceOpenOrder(state, *service, member, token, isFenced);
+    }
     service->noticedOrder = member;
     service->noticeValidUntil = now + noticeTimeout;
     stepFence(state, *service, now);
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -323,6 +323,12 @@
                           static_cast<std::uint64_t>(std::max<std::int64_t>(message.amount, 0)),
                           message.kind == peer_message_kind::PrimaryFenced, now);
         break;
+    case peer_message_kind::StepDownRequest:
+        onStepDownRequest(state, message, now);
+        break;
+    case peer_message_kind::StepDownAnswer:
+        onStepDownAnswer(state, message, now);
+        break;
     }
 }
 
--- a/src/proxy/engine_primary_fence.cpp
+++ b/src/proxy/engine_primary_fence.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds stepDownInterval{ 100 };
+/// Time for the answer of a peer that orders the old primary to step down.
+constexpr milliseconds peersStepDownTimeout{ 150 };
 
 /// @return whether an open order, of this daemon or of another one, would replace a member
 bool mayBeReplaced(const service_state &service, const std::string &member)
@@ -89,6 +91,71 @@
     sendControlCommand(state, service.leader, command_kind::StepDown, service.term + 1, now);
 }
 
+bool askPeersForStepDown(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (attempt.peersReaching.empty() || attempt.completesOrder || isPlanned(attempt.cause))
+        return false;
+    attempt.peersStepDownUntil = now + peersStepDownTimeout;
+    peer_message request = makeMessage(state, peer_message_kind::StepDownRequest);
+    request.askedAtUs = attempt.startedAt.time_since_epoch().count();
+    request.subject = service.name;
+    request.member = attempt.oldPrimary;
+    for (const std::string &peer : attempt.peersReaching)
+        state.out.emplace_back(send_to_peer{ peer, request });
+    return true;
+}
+
+void onStepDownRequest(engine &state, const peer_message &message, core::time_point now)
+{
+    service_state *service = findService(state, message.subject);
+    if (service == nullptr || service->leader != message.member
+        || findMember(state, message.member) == nullptr)
+        return;
+    service->stepDownAskedBy = message.from;
+    service->stepDownAskedAtUs = message.askedAtUs;
+    sendControlCommand(state, service->leader, command_kind::StepDown, service->term + 1, now);
+}
+
+void answerStepDownRequest(engine &state, service_state &service, const std::string &member,
+                           const member_status &status, core::time_point now)
+{
+    if (service.stepDownAskedBy.empty() || member != service.leader || status.leads)
+        return;
+    peer_message answer = makeMessage(state, peer_message_kind::StepDownAnswer);
+    answer.askedAtUs = service.stepDownAskedAtUs;
+    answer.subject = service.name;
+    answer.member = member;
+    leader_report log;
+    log.service = service.name;
+    log.member = member;
+    log.term = status.term;
+    log.position = status.received;
+    answer.leaders.push_back(std::move(log));
+    state.out.emplace_back(send_to_peer{ service.stepDownAskedBy, std::move(answer) });
+    service.stepDownAskedBy.clear();
+    loseLeader(state, service, member, now);
+}
+
+void onStepDownAnswer(engine &state, const peer_message &message, core::time_point now)
+{
+    service_state *service = findService(state, message.subject);
+    if (service == nullptr || message.leaders.empty())
+        return;
+    promotion_state &attempt = service->promotion;
+    const core::time_point asked{ core::duration(message.askedAtUs) };
+    if (attempt.phase != promotion_phase::Fencing || attempt.startedAt != asked
+        || attempt.oldPrimary != message.member || attempt.completesOrder)
+        return;
+    const leader_report &log = message.leaders.front();
+    if (log.term > attempt.oldTerm)
+        return; // another member was promoted meanwhile, so its log does not bound the commits
+    attempt.stepDownSent = true;
+    attempt.reports[attempt.oldPrimary] = { false, log.term, log.position, 0 };
+    attempt.peersStepDownUntil = now;
+    attempt.nextProbeAt = now;
+}
+
 bool isTransactionFenced(const engine &state, const session &caller, core::time_point now)
 {
     if (!caller.transaction || !caller.transaction->wrote || caller.transaction->link == 0)
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -100,6 +100,8 @@
         abortAttempt(state, service, "members_missing", now);
         return;
     }
+    if (now < attempt.peersStepDownUntil)
+        return;
     if (now - attempt.startedAt >= stepDownDelay + peerQueryTimeout)
         stepDownOldPrimary(state, service, now);
     if (now >= attempt.nextProbeAt) {
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -220,7 +220,10 @@
     enterPhase(attempt, promotion_phase::Fencing,
                std::min(now + fencingTimeout, attempt.leaseUntil));
     logPromotion(state, note_kind::PromotionStep, *service, "fencing", now);
-    pauseReplicas(state, *service, now);
+    if (askPeersForStepDown(state, *service, now))
+        attempt.nextProbeAt = attempt.peersStepDownUntil;
+    else
+        pauseReplicas(state, *service, now);
 }
 
 void onTokenHeldElsewhere(engine &state, const std::string &serviceName, core::time_point until,
@@ -286,6 +289,7 @@
     if (service == nullptr || !answer.status)
         return;
     const member_status &status = *answer.status;
+    answerStepDownRequest(state, *service, memberId, status, now);
     learnRole(state, *service, memberId, status, sentAt, now);
     trackPause(state, *service, memberId, status, now);
     watchReceiver(state, *service, memberId, status, sentAt, now);
--- a/src/proxy/promotion_steps.cpp
+++ b/src/proxy/promotion_steps.cpp
@@ -18,6 +18,18 @@
 /// Daemons of a higher rank start together with the daemon of this rank.
 constexpr std::size_t maxStartRank = 12;
 
+/// Time in which replicas receive the last commits of a primary that has stepped down.
+constexpr milliseconds catchUpTimeout{ 200 };
+
+/// @return whether no replica has received the last commits of an old primary that a peer has
+/// ordered to step down
+bool lacksStepDownCommits(engine &state, const promotion_state &attempt, core::time_point now)
+{
+    const member_state *old = findMember(state, attempt.oldPrimary);
+    return attempt.peersStepDownUntil != core::time_point{} && old != nullptr && old->listed
+           && !old->entry.draining && now - attempt.peersStepDownUntil >= catchUpTimeout;
+}
+
 core::duration randomBelow(engine &state, core::duration bound)
 {
     return core::duration(static_cast<std::int64_t>(
@@ -138,6 +150,11 @@
         attempt.mayElectEvacuated = true;
         choice = chooseNewPrimary(attempt, electableMembers(state, service), witnesses);
     }
+    if (choice.waitsForCatchUp && lacksStepDownCommits(state, attempt, now)) {
+        // Only the old primary has all commits that were acknowledged, so it leads again.
+        attempt.cause = promotion_cause::ReplicaPaused;
+        choice = { attempt.oldPrimary, false };
+    }
     if (choice.member.empty() || choice.waitsForCatchUp)
         return;
     attempt.chosen = choice.member;
--- a/tests/directed-schedule.hpp
+++ b/tests/directed-schedule.hpp
@@ -104,6 +104,16 @@
     cluster.advance(directedDuration);
 }
 
+/// A member joins that no daemon lists, and the primary is hidden from two daemons: the third one
+/// goes on giving it writes until the order is under way.
+inline void playPartlyHidden(schedule_cluster &cluster)
+{
+    cluster.join(std::chrono::seconds(6));
+    cluster.advance(milliseconds(100 + cluster.below(300)));
+    cluster.hide("m1", { "n1", "n2" }, std::chrono::seconds(4));
+    cluster.advance(directedDuration);
+}
+
 /// A member joins before the primary is hidden from two daemons, and is in no list when one of them
 /// pauses the replicas.
 inline void playMissingEntry(schedule_cluster &cluster, ordered_member course)
--- a/tests/unit-unpaused-members.cpp
+++ b/tests/unit-unpaused-members.cpp
@@ -50,3 +50,16 @@
 {
     play([](schedule_cluster &cluster) { playJoinAfterLoss(cluster); });
 }
+
+// Guards against an order beside a primary that some daemons reach: between the pauses of the
+// replicas and the order, a replica that no daemon knows acknowledges what they write.
+TEST(unpaused_members, primaryThatOneDaemonReachesStepsDownBeforeTheOrder)
+{
+    constexpr std::uint64_t seeds = 60;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        schedule_cluster cluster(seed);
+        playPartlyHidden(cluster);
+        CHECK_EQUAL_TEXT(0U, cluster.lostCommits, cluster.describe(seed).c_str());
+        CHECK(cluster.promotions > 0);
+    }
+}
