--- a/tests/directed-schedule.hpp
+++ b/tests/directed-schedule.hpp
@@ -114,6 +114,19 @@
     cluster.advance(directedDuration);
 }
 
+/// The network splits: the primary, one daemon and a member that no daemon lists on one side, the
+/// other members, the other daemons and the store on the other side.
+inline void playSplit(schedule_cluster &cluster)
+{
+    const std::string joined = cluster.join(directedDuration);
+    cluster.advance(milliseconds(200));
+    for (const std::string &here : { std::string("m1"), std::string("n3"), joined }) {
+        for (const char *there : { "store", "n1", "n2", "m2", "m3" })
+            cluster.cut(here, there, std::chrono::seconds(5));
+    }
+    cluster.advance(directedDuration);
+}
+
 /// A member joins before the primary is hidden from two daemons, and is in no list when one of them
 /// pauses the replicas.
 inline void playMissingEntry(schedule_cluster &cluster, ordered_member course)
--- a/tests/unit-primary-fence.cpp
+++ b/tests/unit-primary-fence.cpp
@@ -55,6 +55,33 @@
         onPeerMessage(fixture.state, notice, fixture.now);
     }
 
+    /// A peer that reaches m1 answers that it has stepped down at a position.
+    void awaitStepDown(fuchsiagw::core::log_position position)
+    {
+        attempt() = {};
+        attempt().phase = promotion_phase::DrawingToken;
+        attempt().oldPrimary = "m1";
+        attempt().oldTerm = 1;
+        attempt().startedAt = fixture.now;
+        attempt().leaseUntil = fixture.now + milliseconds(2'700);
+        attempt().peersReaching = { "node-2" };
+        onTokenAcquired(fixture.state, proxy_fixture::service, 9, fixture.now);
+        CHECK_EQUAL(0U, countCommands("m2", command_kind::PauseReceiving));
+        peer_message answer;
+        answer.kind = peer_message_kind::StepDownAnswer;
+        answer.from = "node-2";
+        answer.subject = proxy_fixture::service;
+        answer.member = "m1";
+        answer.askedAtUs = fixture.now.time_since_epoch().count();
+        leader_report log;
+        log.service = proxy_fixture::service;
+        log.member = "m1";
+        log.term = 1;
+        log.position = position;
+        answer.leaders.push_back(log);
+        onPeerMessage(fixture.state, answer, fixture.now);
+    }
+
     /// Orders a planned replacement of m1 by m2, which receives.
     void orderPlannedReplacement()
     {
@@ -231,3 +258,52 @@
     CHECK_EQUAL(1U, orders.size());
     STRCMP_EQUAL("m2", orders.front().member.c_str());
 }
+
+// Guards against an order beside a primary that only some daemons reach: they would go on giving it
+// writes.
+TEST(primary_fence, peerThatReachesThePrimaryOrdersItToStepDown)
+{
+    fixture.provePrimary({ 1, 7 });
+    peer_message request;
+    request.kind = peer_message_kind::StepDownRequest;
+    request.from = "node-2";
+    request.subject = proxy_fixture::service;
+    request.member = "m1";
+    request.askedAtUs = 5;
+    onPeerMessage(fixture.state, request, fixture.now);
+    CHECK_EQUAL(1U, countCommands("m1", command_kind::StepDown));
+    report("m1", { false, 1, { 1, 9 }, 0 });
+    const auto sent = proxy_fixture::actionsOf<send_to_peer>(fixture.takeActions());
+    CHECK_EQUAL(1U, sent.size());
+    CHECK(sent.front().message.kind == peer_message_kind::StepDownAnswer);
+    CHECK(sent.front().message.leaders.front().position == fuchsiagw::core::log_position({ 1, 9 }));
+    STRCMP_EQUAL("", service().leader.c_str());
+}
+
+// Guards against a successor without the last commits of a primary that a peer has stepped down.
+TEST(primary_fence, successorHasTheLastPositionOfTheSteppedDownPrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    awaitStepDown({ 1, 9 });
+    report("m2", { false, 1, { 1, 8 }, 0 });
+    CHECK(fixture.takeOrders().empty());
+    report("m3", { false, 1, { 1, 9 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m3", orders.front().member.c_str());
+}
+
+// Guards against the loss of commits that only the stepped-down primary and an unknown replica
+// have.
+TEST(primary_fence, primaryLeadsAgainIfNoReplicaHasItsLastPosition)
+{
+    fixture.provePrimary({ 1, 7 });
+    awaitStepDown({ 1, 9 });
+    report("m2", { false, 1, { 1, 8 }, 0 });
+    report("m3", { false, 1, { 1, 8 }, 0 });
+    fixture.advanceTime(milliseconds(250));
+    report("m2", { false, 1, { 1, 8 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m1", orders.front().member.c_str());
+}
