Move closed links and the shared steps of answers out of engine_answers.cpp

Change: engine_link_loss.cpp has the handling of closed links and lost answers, answer_steps.cpp what both need. No behaviour changes.

--- a/src/proxy/engine_answers.cpp
+++ b/src/proxy/engine_answers.cpp
@@ -1,7 +1,7 @@
 /// @file
-/// @brief Handles answers of members and closed links: results for callers and retries.
+/// @brief Handles answers of members: results for callers and retries.
 
-#include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/detail/answer_steps.hpp>
 
 #include <algorithm>
 
@@ -14,17 +14,11 @@
 /// Limit, from the opening of a link, for answers that no request waits for any more.
 constexpr milliseconds orphanedAnswerTimeout{ 4'000 };
 constexpr milliseconds laggingBackoff{ 120 };
-/// A relay that can't be reached is replaced by the next daemon for this long.
-constexpr milliseconds unreachableRelayBackoff{ 1'000 };
 /// A relay that is stopping or does not know the member is replaced for this long.
 constexpr milliseconds refusingRelayBackoff{ 3'000 };
-constexpr milliseconds busyBackoff{ 15 };
 constexpr milliseconds connectionLimitBackoff{ 20 };
 constexpr int maxBusyDoublings = 4;
-constexpr int maxBusyBackoffFactor = 6;
 constexpr int maxConnectionLimitDoublings = 4;
-constexpr milliseconds failureBackoff{ 100 }; // doubled with each consecutive failure
-constexpr int maxFailureDoublings = 4;
 
 void smooth(double &value, core::duration sample)
 {
@@ -32,13 +26,6 @@
     value = value > 0 ? value + smoothing * (micros - value) : micros;
 }
 
-core::duration withJitter(engine &state, core::duration base)
-{
-    const auto whole = static_cast<std::uint64_t>(base.count());
-    return core::duration(
-            static_cast<std::int64_t>(whole / 2 + core::drawBelow(state.random, whole)));
-}
-
 /// Updates the failure rate of a member, which may fail some statements and answer others normally.
 void recordResult(member_state &member, reply_code code, core::time_point now)
 {
@@ -55,64 +42,6 @@
     member.consecutiveFailures = 0;
 }
 
-void avoidMember(engine &state, member_state &member, std::string_view reason, core::time_point now)
-{
-    const int doublings = std::min(member.consecutiveFailures, maxFailureDoublings);
-    ++member.consecutiveFailures;
-    member.avoidUntil = now + withJitter(state, failureBackoff * (1 << doublings));
-    if (member.unresponsiveSince == core::noDeadline)
-        member.unresponsiveSince = now;
-    decision_note note;
-    note.kind = note_kind::MemberAvoided;
-    note.service = member.entry.service;
-    note.member = member.entry.id;
-    note.reason = reason;
-    note.number = member.consecutiveFailures;
-    state.out.emplace_back(std::move(note));
-}
-
-request *findPendingRequest(engine &state, const expected_answer &expected, session *&caller)
-{
-    caller = findSession(state, expected.session);
-    if (caller == nullptr || !caller->current || caller->current->serial != expected.serial)
-        return nullptr;
-    return &*caller->current;
-}
-
-void removeOutstanding(request &pending, link_id link)
-{
-    std::erase(pending.outstandingLinks, link);
-}
-
-/// Detaches a transaction from a link on which it has not run its first statement.
-void unpinTransaction(session &caller, upstream_link *link)
-{
-    if (caller.transaction)
-        caller.transaction->link = 0;
-    if (link != nullptr)
-        link->pinnedTo = 0;
-}
-
-void retryRequest(engine &state, session &caller, const std::string &member, reply_code code,
-                  core::time_point now)
-{
-    request &pending = *caller.current;
-    if (!pending.outstandingLinks.empty())
-        return; // another member is still working on it
-    noteRequest(state, note_kind::StatementRetried, caller, member, toString(code),
-                now - pending.arrived, pending.tries);
-    ++state.counters.retried;
-    if (code == reply_code::Lagging || code == reply_code::Failed)
-        pending.excludedMembers.push_back(member);
-    if (code == reply_code::Busy) {
-        pending.excludedMembers.push_back(member);
-        pending.retryAt =
-                now
-                + withJitter(state, busyBackoff * std::min(pending.tries, maxBusyBackoffFactor));
-    }
-    placeRequest(state, caller, now);
-}
-
 /// Drops the session's position if the leader lacks it: a promotion has rolled it back.
 void dropRolledBackPosition(engine &state, session &caller, const std::string &member)
 {
@@ -145,15 +74,6 @@
     }
 }
 
-/// @return whether the statement may be sent to another member although it may already have run
-bool isSafeToResend(const session &caller, const request &pending)
-{
-    if (caller.state == transaction_state::Idle)
-        return !pending.writes;
-    // A member discards an open transaction when its connection ends.
-    return pending.startsOperation && pending.statement.kind != statement_kind::Commit;
-}
-
 /// Answers a commit that its primary has acknowledged, but that an open promotion order may not
 /// keep: the second copy may be at another replica than the ordered one.
 void withholdCommit(engine &state, session &caller, upstream_link &link, core::time_point now)
@@ -407,69 +327,6 @@
     avoidMember(state, *member, toString(answer.code), now);
 }
 
-/// Handles a relay that can't lend a connection in time: a read goes to another member, if there is
-/// one; everything else is refused at once, with the time that the relay has named.
-void retryElsewhere(engine &state, session &caller, const upstream_link &link, core::time_point now)
-{
-    request &pending = *caller.current;
-    pending.excludedMembers.push_back(link.member);
-    const bool hasOther = !pending.where.needsPrimary && hasUntriedMember(state, caller, now);
-    if (hasOther) {
-        retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
-        return;
-    }
-    const core::time_point useful = pending.arrived + 2 * pending.effectiveRoute.latencyObjective;
-    if (now + link.retryAfter < std::min(useful, pending.deadline)) {
-        pending.retryAt = now + link.retryAfter;
-        retryRequest(state, caller, link.member, reply_code::ConnectionLimit, now);
-        return;
-    }
-    refuseRequest(state, caller, refusal_reason::Overloaded, now, link.retryAfter);
-}
-
-/// Handles an answer that is lost because its link was closed.
-void onAnswerLost(engine &state, const upstream_link &link, const expected_answer &expected,
-                  core::time_point now)
-{
-    session *caller = nullptr;
-    request *pending = findPendingRequest(state, expected, caller);
-    if (pending == nullptr)
-        return;
-    removeOutstanding(*pending, link.id);
-    if (!pending->outstandingLinks.empty())
-        return;
-    if (link.refused) {
-        unpinTransaction(*caller, nullptr);
-        pending->wasSent = pending->tries > 1;
-        if (link.retryAfter > core::duration::zero())
-            retryElsewhere(state, *caller, link, now);
-        else
-            retryRequest(state, *caller, link.member, reply_code::ConnectionLimit, now);
-        return;
-    }
-    if (isSafeToResend(*caller, *pending)) {
-        unpinTransaction(*caller, nullptr);
-        pending->excludedMembers.push_back(link.member);
-        noteRequest(state, note_kind::StatementRetried, *caller, link.member, "connection_lost",
-                    now - pending->arrived, pending->tries);
-        ++state.counters.retried;
-        placeRequest(state, *caller, now);
-        return;
-    }
-    if (caller->state == transaction_state::Idle) {
-        refuseRequest(state, *caller, refusal_reason::AnswerLost, now);
-        return;
-    }
-    const bool commits = pending->statement.kind == statement_kind::Commit;
-    caller->state = commits ? transaction_state::Idle : transaction_state::Failed;
-    if (commits)
-        caller->transaction.reset();
-    else
-        caller->transaction->link = 0;
-    refuseRequest(state, *caller,
-                  commits ? refusal_reason::AnswerLost : refusal_reason::TransactionLost, now);
-}
-
 } // namespace
 
 void onMemberAnswer(engine &state, link_id id, reply answer, core::time_point now)
@@ -543,46 +400,4 @@
     releaseLink(state, *link, now);
 }
 
-void onLinkClosed(engine &state, link_id id, core::time_point now)
-{
-    const auto found = state.links.find(id);
-    if (found == state.links.end())
-        return;
-    const upstream_link link = std::move(found->second);
-    state.links.erase(found);
-    member_state *member = findMember(state, link.member);
-    if (member != nullptr) {
-        member->links.erase(id);
-        forgetEvidenceQuestion(*member, link);
-        const bool unfinished = !link.expected.empty();
-        if (link.control && unfinished)
-            forgetReport(state, link.member);
-        const bool opening = unfinished && link.expected.front().role == answer_role::Startup;
-        const auto statements = static_cast<std::uint32_t>(
-                std::count_if(link.expected.begin(), link.expected.end(), [](const auto &each) {
-                    return each.role == answer_role::Statement;
-                }));
-        member->outstanding -=
-                std::min(member->outstanding, statements + (link.awaitsBegin ? 1 : 0));
-        if (opening && !link.tainted && link.relay.empty())
-            avoidMember(state, *member, "no_connection", now);
-        const auto relay = state.peers.find(link.relay);
-        if (opening && !link.tainted && relay != state.peers.end())
-            relay->second.relayAvoidedUntil = now + unreachableRelayBackoff;
-    }
-    if (link.pinnedTo != 0) {
-        session *caller = findSession(state, link.pinnedTo);
-        if (caller != nullptr && caller->transaction && caller->transaction->link == id
-            && !caller->current) {
-            caller->transaction->link = 0;
-            caller->transaction->lost = true;
-        }
-    }
-    for (const expected_answer &each : link.expected) {
-        const bool beginsTransaction = each.role == answer_role::Confirmation && link.pinnedTo != 0;
-        if (each.role == answer_role::Statement || beginsTransaction)
-            onAnswerLost(state, link, each, now);
-    }
-}
-
 } // namespace fuchsiagw::proxy
