Refuse requests that need a primary at once while its promotion is late

Callers saw requests held for a quarter of their objective and then refused, again and again, while a group had no primary because the order of its successor was late.

Cause: a fenced primary gets no writes from the order on. That lasts a second if the platform is in time, and the queue bridges it; a late order takes seconds, and nobody knows how many.

Change: 1.5 s after the fence a request that needs the primary is refused at once, with 500 ms in retry-after-ms.

Measured: requestsAreRefusedAtOnceWhileTheOrderIsLate fails without the change; the tests of the fence, the session engine and the random faults pass.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -224,6 +224,9 @@
 /// @return whether a member would be replaced by an open order, and is to acknowledge nothing
 [[nodiscard]] bool isFenced(const service_state &service, const std::string &member,
                             core::time_point now);
+/// @return whether the primary is fenced for longer than a promotion takes, so that nothing can be
+/// served that needs a primary
+[[nodiscard]] bool isPromotionLate(const service_state &service, core::time_point now);
 /// @return whether a session's transaction writes at a fenced primary
 [[nodiscard]] bool isTransactionFenced(const engine &state, const session &caller,
                                        core::time_point now);
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -440,8 +440,8 @@
                    core::duration retryAfter)
 {
     ++state.counters.refused.at(static_cast<std::size_t>(reason));
-    const bool outcomeUnknown =
-            reason == refusal_reason::AnswerLost || reason == refusal_reason::NoAnswerInTime;
+    const bool outcomeUnknown = rowOf(reason).code == reply_code::OutcomeUnknown
+                                || reason == refusal_reason::NoAnswerInTime;
     noteRequest(state, outcomeUnknown ? note_kind::StatementUncertain : note_kind::StatementRefused,
                 caller, {}, toString(reason), now - caller.current->arrived, caller.current->tries);
     // A single statement that was never sent returns its token to the workspace's rate limit.
--- a/src/proxy/engine_placement.cpp
+++ b/src/proxy/engine_placement.cpp
@@ -37,6 +37,8 @@
 constexpr int maxTries = 12; // per statement
 /// A primary outside of the evacuated zone leads within about this time.
 constexpr milliseconds evacuationRetryDelay{ 400 };
+/// An order that is late takes effect seconds later, at a time that nobody knows.
+constexpr milliseconds latePromotionRetryDelay{ 500 };
 
 bool isAvailable(const member_state &member, core::time_point now)
 {
@@ -281,6 +283,10 @@
         refuseRequest(state, caller, refusal_reason::ZoneEvacuated, now, evacuationRetryDelay);
         return;
     }
+    if (member == nullptr && pending.where.needsPrimary && isPromotionLate(*service, now)) {
+        refuseRequest(state, caller, refusal_reason::NoPrimary, now, latePromotionRetryDelay);
+        return;
+    }
     if (member == nullptr) {
         enqueueRequest(state, caller,
                        pending.where.needsPrimary ? refusal_reason::NoPrimary
--- a/src/proxy/engine_primary_fence.cpp
+++ b/src/proxy/engine_primary_fence.cpp
@@ -63,6 +63,12 @@
     return now >= service.fenceFrom && mayBeReplaced(service, member);
 }
 
+bool isPromotionLate(const service_state &service, core::time_point now)
+{
+    return isFenced(service, service.leader, now)
+           && now - service.fenceFrom >= promotionEffectTimeout;
+}
+
 std::string deposedPrimary(const service_state &service)
 {
     const bool isDeposed = service.leader.empty() && service.lastLeaderTerm == service.term;
--- a/tests/unit-primary-fence.cpp
+++ b/tests/unit-primary-fence.cpp
@@ -307,3 +307,19 @@
     CHECK_EQUAL(1U, orders.size());
     STRCMP_EQUAL("m1", orders.front().member.c_str());
 }
+
+// Guards against requests that are held although the order is late: nothing can serve them for
+// seconds.
+TEST(primary_fence, requestsAreRefusedAtOnceWhileTheOrderIsLate)
+{
+    fixture.provePrimary({ 1, 7 });
+    tell(peer_message_kind::PrimaryFenced, "m2");
+    fixture.advanceTime(milliseconds(1'600));
+    fixture.takeActions();
+    const session_id id = fixture.openSession("current");
+    fixture.sendWrite(id);
+    const auto answers = proxy_fixture::answersTo(id, fixture.takeActions());
+    CHECK_EQUAL(1U, answers.size());
+    CHECK(answers.front().code == reply_code::Busy);
+    STRCMP_CONTAINS("retry-after-ms=500", answers.front().message.c_str());
+}
