End the fence of a primary with a newer term

Cause: a daemon keeps what it knows of open orders until it reads the store again. When another member leads meanwhile, by an order that has voided them, such a daemon would fence the new primary, order it to step down and refuse its writes; so would a late notice of a daemon that does not know of the new term.

Change: a newer term ends the fence, unless an attempt of this daemon is under way. Notices and requests to step down carry the sender's newest term, and are ignored if it is older.

--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -310,9 +310,15 @@
                        std::uint64_t token, bool isFenced);
 /// @brief Handles that another daemon guards an open order. If it stops to tell so and the member
 /// does not lead, this daemon asks the store.
-/// @param isFenced whether the present primary has to step down
-void onOpenOrderNotice(engine &state, const std::string &service, const std::string &member,
-                       std::uint64_t token, bool isFenced, core::time_point now);
+void onOpenOrderNotice(engine &state, const peer_message &message, core::time_point now);
+/// @brief Records a term that a member has reached. Unless an attempt of this daemon is under way,
+/// its knowledge of open orders may be older than the new primary, so the fence ends; a daemon that
+/// knows of an order in the new term tells of it again.
+void adoptTerm(service_state &service, core::term_number term);
+/// @return a report of the newest known term, without a position
+[[nodiscard]] leader_report termReport(const service_state &service);
+/// @return whether a message of another daemon is about an earlier term than the newest known one
+[[nodiscard]] bool isOfEarlierTerm(const service_state &service, const peer_message &message);
 /// @brief Orders a primary to step down on behalf of a daemon that does not reach it.
 void onStepDownRequest(engine &state, const peer_message &message, core::time_point now);
 void onStepDownAnswer(engine &state, const peer_message &message, core::time_point now);
--- a/src/proxy/engine_control.cpp
+++ b/src/proxy/engine_control.cpp
@@ -259,7 +259,7 @@
     // Positions of the previous leader may have been rolled back.
     if (!same && service.leaderProvenAt != core::time_point{})
         service.positions = {};
-    service.term = std::max(service.term, term);
+    adoptTerm(service, term);
     if (position || changed)
         service.leaderProvenAt = std::max(service.leaderProvenAt, since);
     if (position)
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -236,12 +236,15 @@
                       isFenced(service, service.leader, now));
 }
 
-void onOpenOrderNotice(engine &state, const std::string &serviceName, const std::string &member,
-                       std::uint64_t token, bool isFenced, core::time_point now)
+void onOpenOrderNotice(engine &state, const peer_message &message, core::time_point now)
 {
-    service_state *service = findService(state, serviceName);
-    if (service == nullptr)
+    service_state *service = findService(state, message.subject);
+    // The sender may not know yet that a member leads which its order would not replace.
+    if (service == nullptr || isOfEarlierTerm(*service, message))
         return;
+    const std::string &member = message.member;
+    const auto token = static_cast<std::uint64_t>(std::max<std::int64_t>(message.amount, 0));
+    const bool isFenced = message.kind == peer_message_kind::PrimaryFenced;
     // The daemon with the later token decides which replicas are paused. One whose order is for the
     // present primary resumes them when it is done.
     if (token > service->guardToken || member == service->leader)
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -103,7 +103,7 @@
     if (service == nullptr || report.term <= service->term
         || findMember(state, report.member) == nullptr)
         return;
-    service->term = report.term;
+    adoptTerm(*service, report.term);
     service->leader = report.member;
     service->positions = {};
     service->leadershipDenials.clear();
@@ -247,6 +247,7 @@
     message.subject = service.name;
     message.member = member;
     message.amount = static_cast<std::int64_t>(token);
+    message.leaders.push_back(termReport(service));
     for (const std::string &peer : samplePeers(state, announcementPeers))
         state.out.emplace_back(send_to_peer{ peer, message });
 }
@@ -319,9 +320,7 @@
         break;
     case peer_message_kind::OpenOrder:
     case peer_message_kind::PrimaryFenced:
-        onOpenOrderNotice(state, message.subject, message.member,
-                          static_cast<std::uint64_t>(std::max<std::int64_t>(message.amount, 0)),
-                          message.kind == peer_message_kind::PrimaryFenced, now);
+        onOpenOrderNotice(state, message, now);
         break;
     case peer_message_kind::StepDownRequest:
         onStepDownRequest(state, message, now);
--- a/src/proxy/engine_primary_fence.cpp
+++ b/src/proxy/engine_primary_fence.cpp
@@ -69,6 +69,29 @@
            && now - service.fenceFrom >= promotionEffectTimeout;
 }
 
+void adoptTerm(service_state &service, core::term_number term)
+{
+    if (term <= service.term)
+        return;
+    service.term = term;
+    if (service.promotion.phase == promotion_phase::None)
+        service.fenceFrom = core::noDeadline;
+}
+
+leader_report termReport(const service_state &service)
+{
+    leader_report report;
+    report.service = service.name;
+    report.member = service.leader;
+    report.term = service.term;
+    return report;
+}
+
+bool isOfEarlierTerm(const service_state &service, const peer_message &message)
+{
+    return !message.leaders.empty() && message.leaders.front().term < service.term;
+}
+
 std::string deposedPrimary(const service_state &service)
 {
     const bool isDeposed = service.leader.empty() && service.lastLeaderTerm == service.term;
@@ -107,6 +130,7 @@
     request.askedAtUs = attempt.startedAt.time_since_epoch().count();
     request.subject = service.name;
     request.member = attempt.oldPrimary;
+    request.leaders.push_back(termReport(service));
     for (const std::string &peer : attempt.peersReaching)
         state.out.emplace_back(send_to_peer{ peer, request });
     return true;
@@ -116,7 +140,7 @@
 {
     service_state *service = findService(state, message.subject);
     if (service == nullptr || service->leader != message.member
-        || findMember(state, message.member) == nullptr)
+        || isOfEarlierTerm(*service, message) || findMember(state, message.member) == nullptr)
         return;
     service->stepDownAskedBy = message.from;
     service->stepDownAskedAtUs = message.askedAtUs;
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -82,8 +82,8 @@
     }
     if (!isOutdated(attempt, status))
         return false;
-    service.term = std::max(service.term, status.term);
     abortAttempt(state, service, "newer_term", now);
+    adoptTerm(service, status.term);
     loseLeader(state, service, attempt.oldPrimary, now);
     return true;
 }
--- a/tests/unit-order-completion.cpp
+++ b/tests/unit-order-completion.cpp
@@ -64,6 +64,18 @@
         return {};
     }
 
+    /// Another daemon tells of an open order.
+    void tellOfOrder(const std::string &member, std::int64_t token)
+    {
+        peer_message notice;
+        notice.kind = peer_message_kind::OpenOrder;
+        notice.from = "node-2";
+        notice.subject = proxy_fixture::service;
+        notice.member = member;
+        notice.amount = token;
+        onPeerMessage(fixture.state, notice, fixture.now);
+    }
+
     std::size_t count(const std::vector<action> &actions, command_kind kind)
     {
         const auto commands = proxy_fixture::commandsOf(actions);
@@ -412,7 +424,7 @@
 TEST(order_completion, noticeIsForgottenOnceItsMemberLeads)
 {
     service().leader = "m2";
-    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, false, fixture.now);
+    tellOfOrder("m2", 7);
     fixture.advanceTime(milliseconds(300));
     service().leader = "m3";
     CHECK_FALSE(isOrderUnguarded(service(), fixture.now + std::chrono::seconds(10)));
@@ -422,7 +434,7 @@
 // ask what is open.
 TEST(order_completion, rowTellsMoreThanANotice)
 {
-    onOpenOrderNotice(fixture.state, proxy_fixture::service, "m2", 7, false, fixture.now);
+    tellOfOrder("m2", 7);
     attempt() = {};
     attempt().phase = promotion_phase::DrawingToken;
     onTokenHeldElsewhere(fixture.state, proxy_fixture::service, fixture.now + milliseconds(2'000),
--- a/tests/unit-primary-fence.cpp
+++ b/tests/unit-primary-fence.cpp
@@ -44,7 +44,9 @@
     }
 
     /// Another daemon tells of an open order.
-    void tell(peer_message_kind kind, const std::string &member)
+    /// @param term newest one that the other daemon knows
+    void tell(peer_message_kind kind, const std::string &member,
+              fuchsiagw::core::term_number term = 1)
     {
         peer_message notice;
         notice.kind = kind;
@@ -52,6 +54,10 @@
         notice.subject = proxy_fixture::service;
         notice.member = member;
         notice.amount = 7;
+        leader_report known;
+        known.service = proxy_fixture::service;
+        known.term = term;
+        notice.leaders.push_back(known);
         onPeerMessage(fixture.state, notice, fixture.now);
     }
 
@@ -198,7 +204,7 @@
     STRCMP_EQUAL("m2", service().leader.c_str());
     CHECK_FALSE(isFenced(service(), "m2", fixture.now));
     // A notice of a later order that does not fence starts anew.
-    tell(peer_message_kind::OpenOrder, "m3");
+    tell(peer_message_kind::OpenOrder, "m3", 2);
     CHECK_FALSE(isFenced(service(), "m2", fixture.now));
 }
 
@@ -323,3 +329,21 @@
     CHECK(answers.front().code == reply_code::Busy);
     STRCMP_CONTAINS("retry-after-ms=500", answers.front().message.c_str());
 }
+
+// Guards against a later primary that is fenced because of an order of an earlier term: a daemon
+// that has missed the end of the order, or hears of it late, would step it down.
+TEST(primary_fence, orderOfAnEarlierTermDoesNotFenceALaterPrimary)
+{
+    fixture.provePrimary({ 1, 7 });
+    tell(peer_message_kind::PrimaryFenced, "m2");
+    CHECK(isFenced(service(), "m1", fixture.now));
+    report("m3", { true, 2, { 1, 7 }, 0 });
+    STRCMP_EQUAL("m3", service().leader.c_str());
+    CHECK_FALSE(isFenced(service(), "m3", fixture.now));
+    tell(peer_message_kind::PrimaryFenced, "m2", 1);
+    CHECK_FALSE(isFenced(service(), "m3", fixture.now));
+    fixture.advanceTime(milliseconds(300));
+    CHECK_EQUAL(0U, countCommands("m3", command_kind::StepDown));
+    tell(peer_message_kind::PrimaryFenced, "m2", 2);
+    CHECK(isFenced(service(), "m3", fixture.now));
+}
