Keep what is known of a stepped-down primary across attempts

Cause: the position of a primary that has stepped down was known to one attempt only, and the primary was an ordinary member to the next one.

Change: each daemon keeps the member, term and position for 5 s, tells them to a daemon that asks whether it reaches that primary, and an attempt takes them over: a successor needs the position, and if no replica has it the primary leads again. The request to a peer is repeated at 50 ms for 300 ms. An order for a primary that has stepped down counts as open.

--- a/include/fuchsiagw/detail/promotion_steps.hpp
+++ b/include/fuchsiagw/detail/promotion_steps.hpp
@@ -50,6 +50,23 @@
                      core::time_point now);
 /// @brief Fences the primary that an open order would replace, from @p from on.
 void fencePrimary(service_state &service, core::time_point from);
+/// @brief Records that a member has stepped down, if it led the newest known term.
+void recordDeposed(service_state &service, const std::string &member, core::term_number term,
+                   core::log_position received, core::time_point now);
+/// @brief Takes over what another daemon knows of a primary that has stepped down.
+void learnDeposed(engine &state, service_state &service, const leader_report &log,
+                  core::time_point now);
+/// @return service_state::deposed, which is set, for a message to another daemon
+[[nodiscard]] leader_report deposedReport(const service_state &service);
+/// @return what is known of a member that has stepped down; nullptr if it may lead, or another one
+/// may have led since
+[[nodiscard]] const deposed_primary *findDeposed(const service_state &service,
+                                                 const std::string &member, core::time_point now);
+/// @brief Bounds the choice of a successor by the log of the old primary, if it has stepped down.
+/// @return whether it has
+bool applyDeposed(service_state &service, core::time_point now);
+/// @brief Repeats the request to the peers to order the old primary to step down, at intervals.
+void repeatStepDownRequest(engine &state, service_state &service, core::time_point now);
 /// @brief Asks the peers that reach the old primary to order it to step down, before the replicas
 /// are paused: what it acknowledges in between might be at a replica that no daemon knows.
 /// @return whether there are such peers
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -5,6 +5,7 @@
 
 #include <fuchsiagw/core/log_position.hpp>
 #include <fuchsiagw/core/time.hpp>
+#include <fuchsiagw/proxy/deposed_primary.hpp>
 #include <fuchsiagw/proxy/leadership_evidence.hpp>
 #include <fuchsiagw/proxy/position_history.hpp>
 #include <fuchsiagw/proxy/promotion.hpp>
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,6 +42,7 @@
     promotion_state promotion;
     open_orders openOrders; ///< as recorded in the store when last known
     core::time_point openOrdersKnownAt{}; ///< when `openOrders` was last changed
+    std::optional<deposed_primary> deposed; ///< valid while no newer term is known
     /// From then on, a primary that an open order would replace is fenced: it is ordered to step
     /// down, and gets no writes. Valid while an order is open.
     core::time_point fenceFrom = core::noDeadline;
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -99,7 +99,8 @@
     service.noticedOrder.clear();
     setOpenOrders(service, orders, now);
     logOpenOrders(state, service, note_kind::PromotionOrderOpen, "recorded", now);
-    const bool isOpen = mayReplace(orders, attempt.oldPrimary);
+    // A primary that has stepped down is no leader, so an order for it changes something.
+    const bool isOpen = mayReplace(orders, service.leader);
     if (!isOpen && attempt.cause == promotion_cause::OrderOpen) {
         endWithoutOpenOrder(state, service, now);
         return false;
@@ -108,7 +109,7 @@
         return true;
     // The order is older than a lease, so it is late.
     fencePrimary(service, now);
-    if (orders.back().member != attempt.oldPrimary) {
+    if (orders.back().member != service.leader) {
         attempt.completesOrder = true;
         attempt.chosen = orders.back().member;
     } else if (attempt.cause == promotion_cause::OrderOpen) {
@@ -159,7 +160,8 @@
     attempt.reports.clear();
     enterPhase(attempt, promotion_phase::Fencing,
                std::min(now + fencingTimeout, attempt.leaseUntil));
-    pauseReplicas(state, service, now);
+    if (!applyDeposed(service, now))
+        pauseReplicas(state, service, now);
 }
 
 void onOrdersRecorded(engine &state, const std::string &serviceName, std::uint64_t token,
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -122,7 +122,13 @@
 {
     const member_state *member = findMember(state, memberId);
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
-    if (service != nullptr && service->promotion.phase == promotion_phase::Fencing)
+    if (service == nullptr || service->promotion.phase != promotion_phase::Fencing)
+        return;
+    // A peer has reported for an old primary that this daemon does not reach.
+    const promotion_state &attempt = service->promotion;
+    const bool isOfPeer =
+            memberId == attempt.oldPrimary && attempt.peersStepDownUntil != core::time_point{};
+    if (!isOfPeer)
         service->promotion.reports.erase(memberId);
 }
 
--- a/src/proxy/engine_peers.cpp
+++ b/src/proxy/engine_peers.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// @brief Datagrams to and from other daemons: log positions, leaders, rate-limit tokens.
 
-#include <fuchsiagw/detail/engine_steps.hpp>
+#include <fuchsiagw/detail/promotion_steps.hpp>
 
 #include <algorithm>
 #include <numeric>
@@ -159,7 +159,12 @@
     answer.subject = message.subject;
     answer.member = message.member;
     answer.amount = -1;
-    if (const member_state *member = findMember(state, message.member)) {
+    const service_state *service = findService(state, message.subject);
+    const deposed_primary *deposed =
+            service == nullptr ? nullptr : findDeposed(*service, message.member, now);
+    if (deposed != nullptr) {
+        answer.leaders.push_back(deposedReport(*service));
+    } else if (const member_state *member = findMember(state, message.member)) {
         if (member->unresponsiveSince != core::noDeadline)
             answer.amount = 0;
         else if (now - member->lastAnswerAt < maxContactAge)
@@ -168,14 +173,16 @@
     state.out.emplace_back(send_to_peer{ message.from, std::move(answer) });
 }
 
-void onReachabilityAnswer(engine &state, const peer_message &message)
+void onReachabilityAnswer(engine &state, const peer_message &message, core::time_point now)
 {
     service_state *service = findService(state, message.subject);
     const core::time_point asked{ core::duration(message.askedAtUs) };
     if (service == nullptr || service->promotion.oldPrimary != message.member
         || service->promotion.startedAt != asked)
         return;
-    if (message.amount == 1)
+    if (!message.leaders.empty())
+        learnDeposed(state, *service, message.leaders.front(), now);
+    else if (message.amount == 1)
         service->promotion.peersReaching.insert(message.from);
     else if (message.amount == 0)
         service->promotion.peersNotReaching.insert(message.from);
@@ -292,7 +299,7 @@
         answerReachabilityRequest(state, message, now);
         break;
     case peer_message_kind::ReachabilityAnswer:
-        onReachabilityAnswer(state, message);
+        onReachabilityAnswer(state, message, now);
         break;
     case peer_message_kind::LoanReturn:
         acceptReturnedTokens(state, message, now);
--- a/src/proxy/engine_primary_fence.cpp
+++ b/src/proxy/engine_primary_fence.cpp
@@ -17,7 +17,11 @@
 
 constexpr milliseconds stepDownInterval{ 100 };
 /// Time for the answer of a peer that orders the old primary to step down.
-constexpr milliseconds peersStepDownTimeout{ 150 };
+constexpr milliseconds peersStepDownTimeout{ 300 };
+/// A datagram may be lost.
+constexpr milliseconds requestInterval{ 50 };
+/// Longer than the pause between two attempts.
+constexpr std::chrono::seconds deposedValidity{ 5 };
 
 /// @return whether an open order, of this daemon or of another one, would replace a member
 bool mayBeReplaced(const service_state &service, const std::string &member)
@@ -120,12 +124,70 @@
     sendControlCommand(state, service.leader, command_kind::StepDown, service.term + 1, now);
 }
 
+void recordDeposed(service_state &service, const std::string &member, core::term_number term,
+                   core::log_position received, core::time_point now)
+{
+    if (term == service.term)
+        service.deposed = deposed_primary{ member, term, received, now + deposedValidity };
+}
+
+void learnDeposed(engine &state, service_state &service, const leader_report &log,
+                  core::time_point now)
+{
+    recordDeposed(service, log.member, log.term, log.position, now);
+    if (service.leader == log.member && findDeposed(service, log.member, now) != nullptr)
+        loseLeader(state, service, log.member, now);
+}
+
+leader_report deposedReport(const service_state &service)
+{
+    leader_report log;
+    log.service = service.name;
+    log.member = service.deposed->member;
+    log.term = service.deposed->term;
+    log.position = service.deposed->received;
+    return log;
+}
+
+const deposed_primary *findDeposed(const service_state &service, const std::string &member,
+                                   core::time_point now)
+{
+    const bool isKnown = service.deposed && service.deposed->member == member
+                         && service.deposed->term == service.term
+                         && now < service.deposed->validUntil;
+    return isKnown ? &*service.deposed : nullptr;
+}
+
+bool applyDeposed(service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    const deposed_primary *deposed = findDeposed(service, attempt.oldPrimary, now);
+    if (deposed == nullptr || attempt.completesOrder || isPlanned(attempt.cause))
+        return false;
+    attempt.stepDownSent = true;
+    attempt.reports[attempt.oldPrimary] = { false, deposed->term, deposed->received, 0 };
+    attempt.peersStepDownUntil = now;
+    attempt.nextProbeAt = now;
+    return true;
+}
+
 bool askPeersForStepDown(engine &state, service_state &service, core::time_point now)
 {
     promotion_state &attempt = service.promotion;
     if (attempt.peersReaching.empty() || attempt.completesOrder || isPlanned(attempt.cause))
         return false;
     attempt.peersStepDownUntil = now + peersStepDownTimeout;
+    attempt.nextProbeAt = now;
+    repeatStepDownRequest(state, service, now);
+    return true;
+}
+
+void repeatStepDownRequest(engine &state, service_state &service, core::time_point now)
+{
+    promotion_state &attempt = service.promotion;
+    if (now < attempt.nextProbeAt)
+        return;
+    attempt.nextProbeAt = std::min(now + requestInterval, attempt.peersStepDownUntil);
     peer_message request = makeMessage(state, peer_message_kind::StepDownRequest);
     request.askedAtUs = attempt.startedAt.time_since_epoch().count();
     request.subject = service.name;
@@ -133,35 +195,35 @@
     request.leaders.push_back(termReport(service));
     for (const std::string &peer : attempt.peersReaching)
         state.out.emplace_back(send_to_peer{ peer, request });
-    return true;
 }
 
 void onStepDownRequest(engine &state, const peer_message &message, core::time_point now)
 {
     service_state *service = findService(state, message.subject);
-    if (service == nullptr || service->leader != message.member
-        || isOfEarlierTerm(*service, message) || findMember(state, message.member) == nullptr)
+    if (service == nullptr || isOfEarlierTerm(*service, message)
+        || findMember(state, message.member) == nullptr)
+        return;
+    if (service->leader != message.member && deposedPrimary(*service) != message.member)
         return;
     service->stepDownAskedBy = message.from;
     service->stepDownAskedAtUs = message.askedAtUs;
-    sendControlCommand(state, service->leader, command_kind::StepDown, service->term + 1, now);
+    sendControlCommand(state, message.member, command_kind::StepDown, service->term + 1, now);
 }
 
 void answerStepDownRequest(engine &state, service_state &service, const std::string &member,
                            const member_status &status, core::time_point now)
 {
-    if (service.stepDownAskedBy.empty() || member != service.leader || status.leads)
+    const bool isAsked = member == service.leader || member == deposedPrimary(service);
+    if (service.stepDownAskedBy.empty() || !isAsked || status.leads)
         return;
     peer_message answer = makeMessage(state, peer_message_kind::StepDownAnswer);
     answer.askedAtUs = service.stepDownAskedAtUs;
     answer.subject = service.name;
     answer.member = member;
-    leader_report log;
-    log.service = service.name;
-    log.member = member;
-    log.term = status.term;
-    log.position = status.received;
-    answer.leaders.push_back(std::move(log));
+    recordDeposed(service, member, status.term, status.received, now);
+    if (findDeposed(service, member, now) == nullptr)
+        return; // another member leads a newer term
+    answer.leaders.push_back(deposedReport(service));
     state.out.emplace_back(send_to_peer{ service.stepDownAskedBy, std::move(answer) });
     service.stepDownAskedBy.clear();
     loseLeader(state, service, member, now);
@@ -178,12 +240,9 @@
         || attempt.oldPrimary != message.member || attempt.completesOrder)
         return;
     const leader_report &log = message.leaders.front();
-    if (log.term > attempt.oldTerm)
-        return; // another member was promoted meanwhile, so its log does not bound the commits
-    attempt.stepDownSent = true;
-    attempt.reports[attempt.oldPrimary] = { false, log.term, log.position, 0 };
-    attempt.peersStepDownUntil = now;
-    attempt.nextProbeAt = now;
+    // If another member was promoted meanwhile, this log does not bound the commits.
+    learnDeposed(state, *service, log, now);
+    applyDeposed(*service, now);
 }
 
 bool isTransactionFenced(const engine &state, const session &caller, core::time_point now)
--- a/src/proxy/engine_promotion.cpp
+++ b/src/proxy/engine_promotion.cpp
@@ -43,6 +43,8 @@
     attempt.cause = cause;
     attempt.startedAt = now;
     attempt.oldPrimary = service.leader;
+    if (service.leader.empty() && findDeposed(service, service.lastLeader, now) != nullptr)
+        attempt.oldPrimary = service.lastLeader;
     attempt.oldTerm = service.term;
     attempt.earliestStartAt = now;
     logPromotion(state, note_kind::PromotionStarted, service, toString(cause), now);
@@ -100,8 +102,10 @@
         abortAttempt(state, service, "members_missing", now);
         return;
     }
-    if (now < attempt.peersStepDownUntil)
+    if (now < attempt.peersStepDownUntil) {
+        repeatStepDownRequest(state, service, now);
         return;
+    }
     if (now - attempt.startedAt >= stepDownDelay + peerQueryTimeout)
         stepDownOldPrimary(state, service, now);
     if (now >= attempt.nextProbeAt) {
@@ -109,7 +113,9 @@
             attempt.nextProbeAt = now + probeInterval;
             for (const std::string &each : electableMembers(state, service))
                 sendControlCommand(state, each, command_kind::Status, 0, now);
-            if (!attempt.reports.contains(attempt.oldPrimary))
+            // An old primary that a peer has stepped down may follow another one since.
+            if (!attempt.reports.contains(attempt.oldPrimary)
+                || attempt.peersStepDownUntil != core::time_point{})
                 sendControlCommand(state, attempt.oldPrimary, command_kind::StepDown,
                                    attempt.fenceTerm, now);
         } else {
@@ -156,7 +162,8 @@
     case promotion_phase::QueryingPeers:
         if (now < attempt.phaseDeadline)
             return;
-        if (attempt.peersReaching.size() > attempt.peersNotReaching.size()) {
+        if (attempt.peersReaching.size() > attempt.peersNotReaching.size()
+            && !service.leader.empty()) {
             abortAttempt(state, service, "peers_reach_it", now);
             return;
         }
@@ -214,9 +221,12 @@
 core::time_point nextPromotionStep(const engine &state)
 {
     core::time_point due = core::noDeadline;
-    for (const auto &[name, service] : state.services)
+    for (const auto &[name, service] : state.services) {
+        if (service.fenceFrom > state.lastTimerAt)
+            due = std::min(due, service.fenceFrom);
         due = std::min({ due, service.promotion.phaseDeadline, service.promotion.nextProbeAt,
                          service.promotion.nextResumeAt, service.nextGuardAt });
+    }
     return due;
 }
 
--- a/src/proxy/engine_promotion_answers.cpp
+++ b/src/proxy/engine_promotion_answers.cpp
@@ -59,9 +59,12 @@
         return;
     }
     recordReplicaReport(state, service, memberId, { sentAt, status.received }, now);
+    if (memberId == deposedPrimary(service))
+        recordDeposed(service, memberId, status.term, status.received, now);
     if (service.leader != memberId || sentAt <= service.leaderProvenAt)
         return;
     if (proxy::isFenced(service, memberId, now)) {
+        recordDeposed(service, memberId, status.term, status.received, now);
         logPromotion(state, note_kind::PrimarySteppedDown, service, "order_open", now);
         loseLeader(state, service, memberId, now);
     } else if (!isFenced && service.promotion.phase == promotion_phase::None) {
@@ -220,9 +223,7 @@
     enterPhase(attempt, promotion_phase::Fencing,
                std::min(now + fencingTimeout, attempt.leaseUntil));
     logPromotion(state, note_kind::PromotionStep, *service, "fencing", now);
-    if (askPeersForStepDown(state, *service, now))
-        attempt.nextProbeAt = attempt.peersStepDownUntil;
-    else
+    if (!applyDeposed(*service, now) && !askPeersForStepDown(state, *service, now))
         pauseReplicas(state, *service, now);
 }
 
