--- a/tests/unit-standin-orders.cpp
+++ b/tests/unit-standin-orders.cpp
@@ -119,6 +119,28 @@
     CHECK_EQUAL(2U, fixture.history.inputs["promotions in effect"]);
 }
 
+// Guards against faults beside an open order that start too late or harm the wrong member: the
+// store names the ordered member when the order comes in, and says nothing of orders that it
+// answers.
+TEST(standin_orders, openOrderIsReportedBeforeItIsCarriedOut)
+{
+    order_fixture fixture;
+    std::string reported;
+    fixture.store.onOrderLate = [&](const std::string &service, const std::string &member) {
+        reported += service + "/" + member;
+    };
+    tcp::socket prompt = fixture.connectTo(fixture.store.address().port);
+    CHECK(fixture.order(prompt, "books-m2-1", 1).starts_with("HTTP/1.1 200"));
+    STRCMP_EQUAL("", reported.c_str());
+    fixture.store.faults.ordersLate = 100;
+    tcp::socket late = fixture.connectTo(fixture.store.address().port);
+    STRCMP_EQUAL("", fixture.order(late, "books-m3-1", 2).c_str());
+    STRCMP_EQUAL("books/books-m3-1", reported.c_str());
+    CHECK_EQUAL(1U, fixture.store.lateOrders());
+    CHECK_EQUAL(2U, fixture.group->indexOf("books-m3-1"));
+    CHECK_EQUAL(3U, fixture.group->indexOf("books-m4-1"));
+}
+
 // Guards against late commands that are answered, are never carried out, or reach a member that has
 // restarted since.
 TEST(standin_orders, lateCommandsAreCarriedOutUnlessTheMemberRestarts)
