Do not count the grants of members that were removed during an attempt

Callers of the HTTP interface could see acknowledged commits missing: a change of the configuration shrinks a group while a promotion collects grants, and a member is told to lead by grants of members that are no longer in the group.

Cause: choosePrimary took the number of grants from the attempt, where they stay, and the majority from the list of members as it is now. The remaining members that did not grant the term go on acknowledging with the old primary.

Change: only grants of present members count. A longer log of a removed member is still compared, so that it can't be passed over. Owners on different versions of the list may still have majorities that do not intersect.

--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -354,9 +354,14 @@
                                        acknowledgement_policy policy, bool isFinal)
 {
     const std::size_t needed = majorityOf(view.members.size());
-    const bool holdsExcluded = attempt.excluded && attempt.grants.contains(*attempt.excluded);
-    const bool isEnough = attempt.grants.size() - (holdsExcluded ? 1 : 0) >= needed;
-    if (!isEnough && (!isFinal || attempt.grants.size() < needed))
+    const bool holdsExcluded = attempt.excluded && attempt.grants.contains(*attempt.excluded)
+                               && view.members.contains(*attempt.excluded);
+    // Grants of members that were removed during the attempt do not count.
+    const auto granted = static_cast<std::size_t>(
+            std::count_if(attempt.grants.begin(), attempt.grants.end(),
+                          [&](const auto &each) { return view.members.contains(each.first); }));
+    const bool isEnough = granted - (holdsExcluded ? 1 : 0) >= needed;
+    if (!isEnough && (!isFinal || granted < needed))
         return std::nullopt;
     const member_status *best = nullptr;
     for (const auto &[id, status] : attempt.grants) {
--- a/tests/unit-failover.cpp
+++ b/tests/unit-failover.cpp
@@ -275,3 +275,26 @@
     attempt.grants[{ "b" }].last.index = 6;
     CHECK_TRUE(choose() == member_id{ "b" });
 }
+
+// Guards against a promotion by the grants of members that were removed during the attempt: the
+// primary goes on acknowledging with a majority of the remaining members, none of which is fenced.
+TEST(failover, grantOfARemovedMemberDoesNotCount)
+{
+    group_settings settings;
+    for (const char *id : { "a", "b", "c", "d", "e" })
+        settings.members[{ id }] = {};
+    applySettings(view, { "g" }, settings);
+    observeMembers({ "a", "b", "c", "d", "e" });
+    const failover_actions begun = promoteManually(state, view, now, random);
+    CHECK_EQUAL(5U, count(begun, failover_step::AcceptTerm));
+    grant("c", true, { term, 5 });
+    grant("d", true, { term, 5 });
+    settings.members.erase({ "d" });
+    settings.members.erase({ "e" });
+    applySettings(view, { "g" }, settings);
+    now += failoverTickInterval;
+    const failover_actions early = onTick(state, view, load, now, random);
+    CHECK_EQUAL(0U, count(early, failover_step::Lead));
+    const failover_actions granted = grant("b", true, { term, 5 });
+    CHECK_EQUAL(1U, count(granted, failover_step::Lead));
+}
