Keep a peer's report of a stepped-down primary when a connection to it closes

Cause: the daemon that replaces a primary which it does not reach gets the primary's last position from a peer. When its own control connection to the primary closed within the attempt, this report was dropped as well. The attempt ended with `members_missing`, and the next one, which knew nothing of the position, ordered a replica that lacked commits.

Change: forgetReport keeps a report that a peer has sent.

--- a/include/fuchsiagw/proxy/promotion.hpp
+++ b/include/fuchsiagw/proxy/promotion.hpp
@@ -115,6 +115,7 @@
     /// receiving meanwhile.
     core::time_point peersStepDownUntil{};
     bool stepDownSent = false; ///< the old primary was ordered to step down
+    bool peerReportedStepDown = false; ///< a peer has told with which log it stepped down
     core::time_point leaseUntil{}; ///< no other daemon gets a fencing token before then
     std::set<std::string> replicasToResume; ///< replicas that have not confirmed that they resumed
     /// Replicas are resumed only once they follow this term; 0: at once. A replica that resumed
--- a/src/proxy/engine_pause.cpp
+++ b/src/proxy/engine_pause.cpp
@@ -122,8 +122,12 @@
 {
     const member_state *member = findMember(state, memberId);
     service_state *service = member ? findService(state, member->entry.service) : nullptr;
-    if (service != nullptr && service->promotion.phase == promotion_phase::Fencing)
-        service->promotion.reports.erase(memberId);
+    if (service == nullptr || service->promotion.phase != promotion_phase::Fencing)
+        return;
+    promotion_state &attempt = service->promotion;
+    // The report of a peer does not rest on the connections of this daemon.
+    if (!attempt.peerReportedStepDown || memberId != attempt.oldPrimary)
+        attempt.reports.erase(memberId);
 }
 
 void scheduleResume(engine &state, service_state &service, std::string_view reason,
--- a/src/proxy/engine_primary_fence.cpp
+++ b/src/proxy/engine_primary_fence.cpp
@@ -151,6 +151,7 @@
     if (log.term > attempt.oldTerm)
         return; // another member was promoted meanwhile, so its log does not bound the commits
     attempt.stepDownSent = true;
+    attempt.peerReportedStepDown = true;
     attempt.reports[attempt.oldPrimary] = { false, log.term, log.position, 0 };
     attempt.peersStepDownUntil = now;
     attempt.nextProbeAt = now;
--- a/tests/unit-primary-fence.cpp
+++ b/tests/unit-primary-fence.cpp
@@ -307,3 +307,18 @@
     CHECK_EQUAL(1U, orders.size());
     STRCMP_EQUAL("m1", orders.front().member.c_str());
 }
+
+// Guards against forgetting what a peer has told of the stepped-down primary when a connection of
+// this daemon to it closes: the attempt ends, and the next one orders a replica that lacks commits.
+TEST(primary_fence, reportOfAPeerSurvivesALostConnection)
+{
+    fixture.provePrimary({ 1, 7 });
+    awaitStepDown({ 1, 9 });
+    forgetReport(fixture.state, "m1");
+    report("m2", { false, 1, { 1, 8 }, 0 });
+    CHECK(fixture.takeOrders().empty());
+    report("m3", { false, 1, { 1, 9 }, 0 });
+    const auto orders = fixture.takeOrders();
+    CHECK_EQUAL(1U, orders.size());
+    STRCMP_EQUAL("m3", orders.front().member.c_str());
+}
