Review case 8: a daemon uses a draining member for up to 28 s

Cause: the daemon follows the members with one long read of the store. When its response is lost and the connection stays open, nothing shows that, as a daemon that is no frequent reader of the manifest makes no other calls.

--- a/review/standin-2/lab.hpp
+++ b/review/standin-2/lab.hpp
@@ -365,6 +365,8 @@
     [[nodiscard]] std::size_t quietest(const std::vector<std::string> &daemons)
     {
         const std::lock_guard lock(mutex_);
+        for (const std::string &each : daemons)
+            record_.line("store: ", calls_[each], " calls of ", each);
         const auto found = std::min_element(
                 daemons.begin(), daemons.end(),
                 [&](const auto &left, const auto &right) { return calls_[left] < calls_[right]; });
@@ -375,6 +377,12 @@
         const std::lock_guard lock(mutex_);
         calls_.clear();
     }
+    /// @brief Records the calls of a daemon from now on.
+    void watch(const std::string &daemon)
+    {
+        const std::lock_guard lock(mutex_);
+        watched_ = daemon;
+    }
 
     void close()
     {
@@ -479,6 +487,8 @@
         {
             const std::lock_guard lock(mutex_);
             ++calls_[daemon];
+            if (daemon == watched_)
+                record_.line("store: ", daemon, " calls ", method, " ", target);
         }
         const auto query = queryOf(target);
         if (method == "POST" && path == "/promote") {
@@ -605,6 +615,7 @@
     std::map<std::string, std::map<std::string, row>> tables_;
     std::map<std::string, std::size_t> calls_; ///< by daemon
     std::string lastWriter_;
+    std::string watched_; ///< daemon whose calls are recorded
     std::vector<std::unique_ptr<server>> servers_;
 };
 
