Review case 7: a promotion passes over an unlisted replica that it can't reach

Cause: isCovered() bounds what a removed member may hold by the lowest position that the primary had after the removal, while that member goes on receiving.

--- a/review/standin-2/lab.hpp
+++ b/review/standin-2/lab.hpp
@@ -652,6 +652,7 @@
         std::string state = "ready";
         bool isListed = true;
         bool isDeaf = false; ///< receives nothing
+        std::string hiddenFrom; ///< daemon that is partitioned from the member
         std::int64_t born = 0;
         std::uint64_t term = 1;
         std::uint64_t pausedTerm = 0;
@@ -742,6 +743,15 @@
         list(self);
     }
 
+    /// @brief Partitions a member from one daemon, silently; that daemon's own connections to it
+    /// carry the daemon's name.
+    void hide(member &self, const std::string &daemon)
+    {
+        const std::lock_guard lock(mutex_);
+        self.hiddenFrom = daemon;
+        record_.line("member ", self.id, ": is partitioned from ", daemon);
+    }
+
     void setDeaf(member &self, bool isDeaf)
     {
         const std::lock_guard lock(mutex_);
@@ -832,6 +842,10 @@
         std::string name;
         std::string id;
         words >> verb >> name >> client.who >> id;
+        if (isHidden(self, client.who)) {
+            connection.readLine();
+            return;
+        }
         const bool isRight = verb == "STARTUP" && name == service && (id.empty() || id == self.id);
         if (!isRight) {
             connection.send("ERROR MISROUTED " + self.id + "\r\n");
@@ -841,6 +855,8 @@
         while (const auto line = connection.readLine()) {
             if (line->rfind("QUERY ", 0) != 0)
                 return;
+            if (isHidden(self, client.who))
+                continue;
             const std::size_t end = line->find(' ', 6);
             const std::string answer =
                     handle(self, client, line->substr(6, end - 6), line->substr(end + 1));
@@ -850,6 +866,12 @@
         }
     }
 
+    [[nodiscard]] bool isHidden(const member &self, const std::string &who)
+    {
+        const std::lock_guard lock(mutex_);
+        return !self.hiddenFrom.empty() && self.hiddenFrom == who;
+    }
+
     std::string textOf(const member &self)
     {
         const std::lock_guard lock(mutex_);
