Review case 9: after a return of the store from a copy two holders share a token

Cause: the fencing token is the version of the row in the store, and versions are given out again when the store comes back from an older copy.

Change: the case, and a store that comes back from a copy in the stand-ins.

--- a/review/standin-2/lab.hpp
+++ b/review/standin-2/lab.hpp
@@ -377,6 +377,53 @@
         const std::lock_guard lock(mutex_);
         calls_.clear();
     }
+    /// An order to promote a member.
+    struct order
+    {
+        std::int64_t atMs = 0;
+        std::string service;
+        std::string member;
+        std::string holder;
+        std::uint64_t token = 0;
+        int status = 0;
+    };
+    [[nodiscard]] std::vector<order> orders()
+    {
+        const std::lock_guard lock(mutex_);
+        return orders_;
+    }
+
+    /// @brief Keeps a copy from which the store can come back.
+    void keepCopy()
+    {
+        const std::lock_guard lock(mutex_);
+        copy_ = tables_;
+        copyVersion_ = version_;
+        record_.line("store: a copy is kept, at version ", version_);
+    }
+    /// @brief Is away for a moment and comes back from the copy. Versions go back.
+    void comeBackFromCopy(std::int64_t awayMs)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            ++era_;
+            isAway_ = true;
+            changed_.notify_all();
+        }
+        for (const auto &each : servers_)
+            each->close();
+        pause(awayMs);
+        {
+            const std::lock_guard lock(mutex_);
+            record_.line("store: comes back from the copy, at version ", copyVersion_,
+                         " in place of ", version_);
+            tables_ = copy_;
+            version_ = copyVersion_;
+            isAway_ = false;
+        }
+        for (const auto &each : servers_)
+            each->open();
+    }
     /// @brief Records the calls of a daemon from now on.
     void watch(const std::string &daemon)
     {
@@ -446,11 +493,18 @@
             }
             const std::string text = answer.body.dump();
             connection.send("HTTP/1.1 " + std::to_string(answer.status)
-                            + " X\r\nContent-Type: application/json\r\nContent-Length: "
+                            + " X\r\nStore-Era: " + std::to_string(era())
+                            + "\r\nContent-Type: application/json\r\nContent-Length: "
                             + std::to_string(text.size()) + "\r\n\r\n" + text);
         }
     }
 
+    [[nodiscard]] int era()
+    {
+        const std::lock_guard lock(mutex_);
+        return era_;
+    }
+
     static std::string decode(const std::string &text)
     {
         std::string result;
@@ -496,6 +550,10 @@
             const std::string service = order.at("service");
             const std::string id = order.at("id");
             const int status = onPromote ? onPromote(service, id, token) : 503;
+            {
+                const std::lock_guard lock(mutex_);
+                orders_.push_back({ nowMs(), service, id, daemon, token, status });
+            }
             record_.line("platform: ", daemon, " orders ", id, " with token ", token, ": ", status);
             return { status, json::object() };
         }
@@ -550,6 +608,8 @@
         const std::uint64_t after = std::stoull(query.at("after"));
         const std::int64_t waitMs = std::stoll(query.at("wait-ms"));
         std::unique_lock lock(mutex_);
+        if (after > version_)
+            return { 410, json::object() }; // a version that the store doesn't have
         json rows = json::array();
         const auto collect = [&] {
             std::vector<std::pair<std::uint64_t, json>> found;
@@ -561,7 +621,7 @@
                       [](const auto &left, const auto &right) { return left.first < right.first; });
             for (auto &each : found)
                 rows.push_back(std::move(each.second));
-            return !rows.empty() || isClosed_;
+            return !rows.empty() || isClosed_ || isAway_;
         };
         changed_.wait_for(lock, milliseconds(waitMs), collect);
         response answer;
@@ -615,6 +675,11 @@
     std::map<std::string, std::map<std::string, row>> tables_;
     std::map<std::string, std::size_t> calls_; ///< by daemon
     std::string lastWriter_;
+    std::vector<order> orders_;
+    int era_ = 1;
+    bool isAway_ = false;
+    std::map<std::string, std::map<std::string, row>> copy_;
+    std::uint64_t copyVersion_ = 0;
     std::string watched_; ///< daemon whose calls are recorded
     std::vector<std::unique_ptr<server>> servers_;
 };
@@ -1015,6 +1080,7 @@
         if (isClosed_ || !members_.at(index)->isRunning)
             return;
         const std::uint64_t term = primary()->term + 1;
+        member &previous = *primary();
         primary_ = index;
         isDeposed_ = false;
         member &next = *primary();
@@ -1026,10 +1092,9 @@
         record_.line("member ", next.id, ": leads term ", term, ", its log ends at ",
                      received(next).text());
         promotions_.push_back(std::move(made));
-        for (const auto &each : members_) {
-            if (each->isListed && each->isRunning)
-                list(*each);
-        }
+        list(next);
+        if (&previous != &next && previous.isListed && previous.isRunning)
+            list(previous);
         replicate();
     }
 
