--- a/review/10/trial.cpp
+++ b/review/10/trial.cpp
@@ -9,7 +9,7 @@
 constexpr std::int64_t stabilityWindowMs = 4'000;
 constexpr std::int64_t silenceMs = 2'000;
 constexpr std::int64_t drainMarginMs = 8'000; // the member exits so long after drain-timeout-ms
-constexpr std::size_t sessionsPerDaemon = 4;
+constexpr std::size_t sessionsPerDaemon = 12;
 
 struct sent_request
 {
@@ -68,6 +68,9 @@
     const std::vector<std::string> zones{ "alajuela", "heredia", "cartago", "heredia" };
     lab::group group(out, store, trial.network, zones);
     group.statementMs = 10;
+    group.slots = 2;
+    for (std::size_t i = 0; i < 3; ++i)
+        group.list(group.at(i));
     // The fourth member is the new one that replaces the second one; it has not started yet.
     store.remove("servers", group.at(3).id);
     const lab::route route{ "consulta", "bounded_staleness", 300, 1'200, 1'500 };
