--- a/review/7/trial.cpp
+++ b/review/7/trial.cpp
@@ -90,7 +90,7 @@
         group.setDeaf(deaf, false);
         lab::waitUntil(returnMs, [&] { return !group.promotions().empty(); });
         unlisted.isListed = true;
-        group.hide(unlisted, "");
+        group.show(unlisted);
         group.list(unlisted); // the partition ends
         if (group.promotions().empty())
             group.restart(primary);
--- a/review/standin-2/lab.hpp
+++ b/review/standin-2/lab.hpp
@@ -181,6 +181,14 @@
         return bytes;
     }
 
+    /// @return what has come, which is empty if nothing came in time; none at the end
+    std::optional<std::string> readSome(std::int64_t limitMs)
+    {
+        if (input_.empty() && !fill(nowMs() + limitMs) && isEnded_)
+            return std::nullopt;
+        return std::exchange(input_, {});
+    }
+
     [[nodiscard]] bool isEnded() const { return isEnded_; }
     /// @brief Wakes a thread that reads.
     void shutDown() { ::shutdown(descriptor_, SHUT_RDWR); }
@@ -220,10 +228,11 @@
 public:
     using handler = std::function<void(const std::shared_ptr<stream> &)>;
 
-    server(const std::string &ip, handler handle)
+    /// @param port 0: any
+    server(const std::string &ip, handler handle, std::uint16_t port = 0)
         : handle_(std::move(handle))
     {
-        address_.ip = ip;
+        address_ = { ip, port };
         open();
     }
     ~server() { close(); }
@@ -330,6 +339,11 @@
         return false;
     };
 
+    /// Daemons that are partitioned from the store: their calls don't reach it either.
+    std::function<bool(const std::string &daemon)> isCutOff = [](const std::string &) {
+        return false;
+    };
+
     /// @brief Opens an address for a daemon.
     address openFor(const std::string &daemon, const std::string &ip)
     {
@@ -482,9 +496,13 @@
             const auto body = connection.readBytes(length, 10'000);
             if (!body)
                 return;
+            if (isCutOff(daemon)) {
+                isDead = true;
+                continue;
+            }
             // A call that gets no response may have been performed.
             const response answer = handle(method, target, *body, token, daemon);
-            if (isDead || isSilentFor(daemon)) {
+            if (isDead || isCutOff(daemon) || isSilentFor(daemon)) {
                 if (!isDead)
                     record_.line("store: a response to ", daemon, " is lost: ", method, " ",
                                  target);
@@ -717,7 +735,7 @@
         std::string state = "ready";
         bool isListed = true;
         bool isDeaf = false; ///< receives nothing
-        std::string hiddenFrom; ///< daemon that is partitioned from the member
+        std::set<std::string> hiddenFrom; ///< daemons that are partitioned from the member
         std::int64_t born = 0;
         std::uint64_t term = 1;
         std::uint64_t pausedTerm = 0;
@@ -796,7 +814,8 @@
     }
 
     /// @brief Starts a member again with its log, as a replica if another one was promoted.
-    void restart(member &self)
+    /// @param reachesStore whether it can write its entry
+    void restart(member &self, bool reachesStore = true)
     {
         self.listener->open();
         {
@@ -805,7 +824,8 @@
             record_.line("member ", self.id, ": runs again");
             replicate();
         }
-        list(self);
+        if (reachesStore)
+            list(self);
     }
 
     /// @brief Partitions a member from one daemon, silently; that daemon's own connections to it
@@ -813,9 +833,15 @@
     void hide(member &self, const std::string &daemon)
     {
         const std::lock_guard lock(mutex_);
-        self.hiddenFrom = daemon;
+        self.hiddenFrom.insert(daemon);
         record_.line("member ", self.id, ": is partitioned from ", daemon);
     }
+    void show(member &self)
+    {
+        const std::lock_guard lock(mutex_);
+        self.hiddenFrom.clear();
+        record_.line("member ", self.id, ": is reached by all daemons");
+    }
 
     void setDeaf(member &self, bool isDeaf)
     {
@@ -934,7 +960,7 @@
     [[nodiscard]] bool isHidden(const member &self, const std::string &who)
     {
         const std::lock_guard lock(mutex_);
-        return !self.hiddenFrom.empty() && self.hiddenFrom == who;
+        return self.hiddenFrom.contains(who);
     }
 
     std::string textOf(const member &self)
@@ -1142,6 +1168,7 @@
         std::string ip;
         address storeAt;
         int memoryMb = 260;
+        std::uint16_t peerPort = 7'560;
     };
 
     daemon(record &out, const std::filesystem::path &root, const std::filesystem::path &folder,
@@ -1255,7 +1282,7 @@
             { "ip-address", options_.ip },
             { "listen-addrs.frontend", options_.ip + ":8465" },
             { "listen-addrs.ready", options_.ip + ":8460" },
-            { "internal-port-range.0", "7560" },
+            { "internal-port-range.0", std::to_string(options_.peerPort) },
             { "platform.address", options_.storeAt.text() },
             { "cloud-api.address", options_.storeAt.text() },
             { "limits.max-open-files", "4200" },
@@ -1309,6 +1336,100 @@
     int endSignal_ = 0;
 };
 
+/// The network between one daemon and the others, which can be cut silently. The daemon has another
+/// peer port than the others, as each daemon reaches its peers at the port of its own settings;
+/// both ends are proxies.
+class peer_link
+{
+public:
+    /// @param one address of the daemon
+    /// @param others addresses of the others
+    peer_link(const std::string &one, std::uint16_t onePort, const std::vector<std::string> &others,
+              std::uint16_t othersPort)
+    {
+        join({ one, othersPort }, { one, onePort });
+        for (const std::string &each : others)
+            join({ each, onePort }, { each, othersPort });
+    }
+    ~peer_link()
+    {
+        isCut_ = false;
+        isClosed_ = true;
+        for (std::thread &each : threads_)
+            each.join();
+        for (const auto &each : servers_)
+            each->close();
+    }
+
+    void setCut(bool isCut) { isCut_ = isCut; }
+
+private:
+    /// Passes on what comes to one address to the other one.
+    void join(const address &from, const address &to)
+    {
+        threads_.emplace_back([this, from, to] { passDatagrams(from, to); });
+        servers_.push_back(std::make_unique<server>(
+                from.ip,
+                [this, to](const std::shared_ptr<stream> &near) {
+                    awaitLink();
+                    const auto far = stream::connect(to);
+                    if (!far)
+                        return;
+                    std::thread back([&] { pass(*far, *near); });
+                    pass(*near, *far);
+                    back.join();
+                },
+                from.port));
+    }
+
+    void awaitLink() const
+    {
+        while (isCut_)
+            pause(5);
+    }
+
+    void pass(stream &from, stream &to)
+    {
+        while (!isClosed_) {
+            const auto bytes = from.readSome(100);
+            if (!bytes)
+                break;
+            awaitLink();
+            if (!bytes->empty() && !to.send(*bytes))
+                break;
+        }
+        from.shutDown();
+        to.shutDown();
+    }
+
+    void passDatagrams(const address &from, const address &to)
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in local = toSocketAddress(from);
+        const sockaddr_in target = toSocketAddress(to);
+        if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0) {
+            std::perror("bind");
+            std::exit(couldNotRun);
+        }
+        std::vector<char> bytes(65'536);
+        while (!isClosed_) {
+            pollfd waiting{ descriptor, POLLIN, 0 };
+            if (::poll(&waiting, 1, 100) <= 0)
+                continue;
+            const ssize_t count = ::recv(descriptor, bytes.data(), bytes.size(), 0);
+            if (count > 0 && !isCut_)
+                ::sendto(descriptor, bytes.data(), static_cast<std::size_t>(count), 0,
+                         reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+        }
+        ::close(descriptor);
+    }
+
+    std::atomic<bool> isCut_{ false };
+    std::atomic<bool> isClosed_{ false };
+    std::vector<std::thread> threads_;
+    std::vector<std::unique_ptr<server>> servers_;
+};
+
 /// What a consumer gets for a statement.
 struct answer
 {
