Name who ended a session, and log input behind its close

A line that is held back for memory no longer stops the reading of a connection that closes, so the end of the caller's side is seen.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -67,6 +67,8 @@
     void startAccepting();
     void accept();
     void onCallerLine(proxy::session_id id, std::string_view line);
+    /// @brief Counts and logs input of a caller that arrived behind the close of its session.
+    void onInputDropped(proxy::session_id id, std::size_t bytes, core::time_point closedAt);
     void onUpstreamReply(proxy::link_id id, proxy::reply &&received);
     void onReplyFault(const std::string &member, proxy::reply_fault fault);
     void onDatagram(std::string_view bytes);
@@ -127,6 +129,7 @@
             0; ///< connections closed for their memory, as of the last log line
     core::time_point nextPressureLogAt_{};
     std::uint64_t droppedEvents_ = 0;
+    std::uint64_t inputsDropped_ = 0; ///< reads of input behind the close of a session
     std::uint64_t unreadableDatagrams_ = 0;
     std::uint64_t repeatedDatagrams_ = 0;
     std::uint64_t lastDatagram_ = 0; ///< sequence number
--- a/include/fuchsiagw/net/line_connection.hpp
+++ b/include/fuchsiagw/net/line_connection.hpp
@@ -35,6 +35,8 @@
 public:
     using line_handler = std::function<void(std::string_view line)>;
     using closed_handler = std::function<void()>;
+    /// @param bytes of input that are dropped because a graceful close has begun
+    using dropped_handler = std::function<void(std::size_t bytes)>;
     /// @param bytes of a line
     /// @return whether the line may be handled now; if not, resumeInput() must follow
     using line_gate = std::function<bool(std::size_t bytes)>;
@@ -50,6 +52,10 @@
     line_connection &operator=(const line_connection &) = delete;
 
     void setHandlers(line_handler onLine, closed_handler onClosed);
+    /// @brief Reports input that a graceful close drops: what was read before it without being
+    /// handled, and what arrives after it. Unlike the other handlers, it is called after
+    /// closeGracefully().
+    void setDroppedHandler(dropped_handler onDropped) { onDropped_ = std::move(onDropped); }
 
     /// @brief Counts the bytes that this connection keeps in a budget. While there is no room, a
     /// long line is not read on; after a time the connection is closed. Must precede start() and
@@ -87,9 +93,12 @@
     /// @brief Updates the budget after a change of a buffer.
     void account();
     void handleInput(std::size_t length);
-    /// @brief Passes on the complete lines of the input.
+    void dropInput(std::size_t length);
+    /// @brief Passes on the complete lines of the input and keeps the rest.
+    /// @param length bytes of the input that are new
+    void handleLines(std::size_t length);
     /// @return bytes of the input that were handled
-    std::size_t handleLines();
+    std::size_t passOnLines();
     void write();
     void fail();
     void reset();
@@ -109,9 +118,11 @@
     bool open_ = false;
     bool closed_ = false;
     bool closing_ = false; ///< graceful close in progress: input is discarded
+    bool isHandlingLines_ = false;
     bool wasIdleAtClose_ = false; ///< nothing was queued when the graceful close began
     line_handler onLine_;
     closed_handler onClosed_;
+    dropped_handler onDropped_;
 };
 
 } // namespace fuchsiagw::net
--- a/include/fuchsiagw/proxy/decision_note.hpp
+++ b/include/fuchsiagw/proxy/decision_note.hpp
@@ -51,9 +51,10 @@
     CommitDelayed,
     PrimaryFenced,
     PrimarySteppedDown,
+    InputDropped,
 };
 
-inline constexpr std::array<std::string_view, 37> noteKindNames{
+inline constexpr std::array<std::string_view, 38> noteKindNames{
     "statement_placed",
     "statement_refused",
     "statement_retried",
@@ -91,6 +92,7 @@
     "commit_delayed",
     "primary_fenced",
     "primary_stepped_down",
+    "input_dropped",
 };
 
 [[nodiscard]] constexpr std::string_view toString(note_kind kind)
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -18,6 +18,7 @@
 #include <fuchsiagw/proxy/refusal.hpp>
 #include <fuchsiagw/proxy/service_state.hpp>
 #include <fuchsiagw/proxy/session.hpp>
+#include <fuchsiagw/proxy/session_end.hpp>
 #include <fuchsiagw/proxy/upstream_link.hpp>
 #include <fuchsiagw/proxy/zone_evacuation.hpp>
 
@@ -104,6 +105,8 @@
     std::uint64_t linksOpened = 0;
     std::uint64_t linksReused = 0;
     std::array<std::uint64_t, refusalRows.size()> refused{};
+    std::array<std::uint64_t, sessionEndNames.size()> sessionsEnded{}; ///< by session_end
+    std::uint64_t statementsUnanswered = 0; ///< accepted and outstanding at the end of a session
     std::uint64_t promotionsOrdered = 0;
     std::uint64_t commitsHeld = 0; ///< successes that waited for the report of a replica
     std::uint64_t commitsDelayed = 0; ///< writes whose answer took longer than replication does
@@ -197,7 +200,8 @@
 void onCallerStatement(engine &state, session_id id, caller_statement statement,
                        core::time_point now);
 /// @brief Handles the end of a caller's connection.
-void onCallerDisconnected(engine &state, session_id id, core::time_point now);
+void onCallerDisconnected(engine &state, session_id id, core::time_point now,
+                          session_end reason = session_end::ConnectionLost);
 
 /// @brief Handles a member's answer to the oldest outstanding command of a link.
 void onMemberAnswer(engine &state, link_id id, reply answer, core::time_point now);
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <random>
 #include <string>
@@ -32,6 +34,7 @@
 constexpr int storeEventNumber = 930;
 constexpr int socketEventNumber = 931;
 constexpr int droppedEventNumber = 932;
+constexpr int stopEventNumber = 934;
 /// Lent connections are returned this long before the end of the grace period.
 constexpr std::chrono::milliseconds lendMargin{ 1'000 };
 /// Pause after a timer handler that failed, which is then due again at once.
@@ -239,9 +242,11 @@
     }
     auto *statement = std::get_if<adapter::statement_line>(&decoded);
     if (statement == nullptr || !source.isOpen) {
-        // The caller ended the session or violated the protocol.
+        const bool isTermination = std::holds_alternative<adapter::terminate_line>(decoded);
         perform(proxy::close_caller{ id });
-        proxy::onCallerDisconnected(engine_, id, now);
+        proxy::onCallerDisconnected(engine_, id, now,
+                                    isTermination ? proxy::session_end::Terminated
+                                                  : proxy::session_end::Unreadable);
         perform();
         return;
     }
@@ -253,7 +258,7 @@
     if (!handled) {
         // The caller learns from the end of its connection that the outcome is unknown.
         perform(proxy::close_caller{ id });
-        proxy::onCallerDisconnected(engine_, id, now);
+        proxy::onCallerDisconnected(engine_, id, now, proxy::session_end::Failed);
     }
     perform();
 }
@@ -359,7 +364,8 @@
         log_.write(socketEventNumber, "caller_does_not_read", {});
         recipient.connection->close();
         callers_.erase(found);
-        proxy::onCallerDisconnected(engine_, id, net::currentBootTime());
+        proxy::onCallerDisconnected(engine_, id, net::currentBootTime(),
+                                    proxy::session_end::NotReading);
     }
 }
 
@@ -368,12 +374,30 @@
     const auto found = callers_.find(action.session);
     if (found == callers_.end())
         return;
-    found->second->connection->closeGracefully();
+    const auto connection = found->second->connection;
+    const core::time_point closedAt = net::currentBootTime();
+    connection->setDroppedHandler([this, id = action.session, closedAt](std::size_t bytes) {
+        onInputDropped(id, bytes, closedAt);
+    });
+    connection->closeGracefully();
     callers_.erase(found);
     release(statementMemory_, action.session);
     resumeHeldStatements();
 }
 
+void session_gateway::onInputDropped(proxy::session_id id, std::size_t bytes,
+                                     core::time_point closedAt)
+{
+    ++inputsDropped_;
+    const core::time_point now = net::currentBootTime();
+    proxy::decision_note note;
+    note.kind = proxy::note_kind::InputDropped;
+    note.session = id;
+    note.number = static_cast<std::int64_t>(bytes);
+    note.age = now - closedAt;
+    log_.write(note, now);
+}
+
 void session_gateway::perform(const proxy::refresh_directory &)
 {
     store_.refreshMembers();
@@ -469,6 +493,8 @@
     if (!isIdle && now < engine_.stopDeadline - stopMargin)
         return;
     const auto done = std::exchange(onStopped_, nullptr);
+    log_.write(stopEventNumber, "stop_finished",
+               fmt::format("sessions={}", engine_.sessions.size()));
     store_.stop();
     done();
 }
--- a/src/daemon/session_log.cpp
+++ b/src/daemon/session_log.cpp
@@ -33,6 +33,7 @@
     case proxy::note_kind::QuotaPartChanged:
     case proxy::note_kind::ReplyRejected:
     case proxy::note_kind::CommitDelayed:
+    case proxy::note_kind::InputDropped:
         return true;
     default:
         return false;
--- a/src/daemon/session_report.cpp
+++ b/src/daemon/session_report.cpp
@@ -98,6 +98,12 @@
                         "fuchsiagw_connections_closed_total{{reason=\"relay_memory\"}} {}\n"
                         "fuchsiagw_connections_closed_total{{reason=\"no_session\"}} {}\n",
                         callerBytes_->closedHolders, relay_.memory().closedHolders, closedSilent_);
+    add("inputs_dropped_total", "counter", inputsDropped_);
+    add("statements_unanswered_total", "counter", counts.statementsUnanswered);
+    text += "# TYPE fuchsiagw_sessions_ended_total counter\n";
+    for (std::size_t i = 0; i < counts.sessionsEnded.size(); ++i)
+        text += fmt::format("fuchsiagw_sessions_ended_total{{reason=\"{}\"}} {}\n",
+                            proxy::sessionEndNames[i], counts.sessionsEnded[i]);
     add("sessions", "gauge", engine_.sessions.size());
     add("links", "gauge", engine_.links.size());
     add("instances", "gauge", engine_.instances);
--- a/src/net/line_connection.cpp
+++ b/src/net/line_connection.cpp
@@ -218,8 +218,17 @@
             });
 }
 
+void line_connection::dropInput(std::size_t length)
+{
+    receivedBytes_ = 0;
+    if (length > 0 && onDropped_)
+        onDropped_(length);
+}
+
 void line_connection::handleInput(std::size_t length)
 {
+    if (closing_)
+        dropInput(length);
     // The peer sent this input before it received the FIN, which may have been lost and await
     // retransmission. A reset informs the peer without that delay that the request will not be
     // answered.
@@ -227,12 +236,10 @@
         reset();
         return;
     }
-    receivedBytes_ = closing_ ? 0 : receivedBytes_ + length;
-    const std::size_t handled = handleLines();
+    if (!closing_)
+        handleLines(length);
     if (closed_)
         return;
-    receivedBytes_ = closing_ ? 0 : receivedBytes_ - handled;
-    std::memmove(input_.data(), input_.data() + handled, receivedBytes_);
     if (isHeldBack_) {
         scannedBytes_ = 0;
         return;
@@ -247,7 +254,22 @@
     read();
 }
 
-std::size_t line_connection::handleLines()
+void line_connection::handleLines(std::size_t length)
+{
+    receivedBytes_ += length;
+    isHandlingLines_ = true;
+    const std::size_t handled = passOnLines();
+    isHandlingLines_ = false;
+    const std::size_t left = receivedBytes_ - handled;
+    if (closing_) {
+        dropInput(left);
+        return;
+    }
+    receivedBytes_ = left;
+    std::memmove(input_.data(), input_.data() + handled, left);
+}
+
+std::size_t line_connection::passOnLines()
 {
     std::size_t begin = 0;
     while (!closed_ && !closing_) {
@@ -339,7 +361,12 @@
     }
     closing_ = true;
     wasIdleAtClose_ = queue_.empty() && writing_.empty();
+    if (!isHandlingLines_)
+        dropInput(receivedBytes_);
     write();
+    // Nothing is being read while a line is held back, but the end of the peer's side must be.
+    if (std::exchange(isHeldBack_, false))
+        read();
     const auto timer = std::make_shared<boost::asio::steady_timer>(socket_.get_executor(),
                                                                    gracefulCloseTimeout);
     timer->async_wait([timer, weak = weak_from_this()](const boost::system::error_code &) {
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -384,10 +384,10 @@
         return;
     }
     state.out.emplace_back(close_caller{ id });
-    onCallerDisconnected(state, id, now);
+    onCallerDisconnected(state, id, now, session_end::TooManyWaiting);
 }
 
-void onCallerDisconnected(engine &state, session_id id, core::time_point now)
+void onCallerDisconnected(engine &state, session_id id, core::time_point now, session_end reason)
 {
     session *caller = findSession(state, id);
     if (caller == nullptr)
@@ -402,7 +402,11 @@
     note.kind = note_kind::SessionClosed;
     note.session = id;
     note.workspace = caller->workspace;
-    note.reason = caller->closing ? "by_proxy" : "ended";
+    note.reason = toString(reason);
+    const std::size_t unanswered = caller->waiting.size() + (caller->current ? 1 : 0);
+    note.number = static_cast<std::int64_t>(unanswered);
+    ++state.counters.sessionsEnded.at(static_cast<std::size_t>(reason));
+    state.counters.statementsUnanswered += unanswered;
     state.out.emplace_back(std::move(note));
     state.stateBytes -= caller->stateBytes;
     state.sessions.erase(id);
@@ -426,7 +430,7 @@
     const session_id id = caller.id;
     if (caller.closing) {
         state.out.emplace_back(close_caller{ id });
-        onCallerDisconnected(state, id, now);
+        onCallerDisconnected(state, id, now, session_end::Refused);
         return;
     }
     if (caller.waiting.empty())
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -173,7 +173,7 @@
     idleSessions.resize(std::min(idleSessions.size(), share));
     for (const session_id id : idleSessions) {
         state.out.emplace_back(close_caller{ id });
-        onCallerDisconnected(state, id, now);
+        onCallerDisconnected(state, id, now, session_end::Stopping);
     }
 }
 
--- a/tests/unit-line-connection.cpp
+++ b/tests/unit-line-connection.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Tests of closing a line connection, over loopback.
 
+#include <fuchsiagw/net/byte_budget.hpp>
 #include <fuchsiagw/net/line_connection.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -30,10 +31,10 @@
     std::vector<std::string> lines;
     bool isClosed = false;
 
-    connected_pair()
+    explicit connected_pair(std::size_t longest = maxLine)
     {
         caller.connect(acceptor.local_endpoint());
-        daemon = net::line_connection::create(acceptor.accept(), maxLine);
+        daemon = net::line_connection::create(acceptor.accept(), longest);
         daemon->setHandlers([this](std::string_view line) { lines.emplace_back(line); },
                             [this] { isClosed = true; });
         daemon->start(net::keepalive_profile::Long);
@@ -150,3 +151,49 @@
     STRCMP_EQUAL("ERROR NOAUTH\r\n", pair.readToEnd().c_str());
     CHECK_TRUE(pair.lines.empty());
 }
+
+// Guards against input that a close drops without a trace: nothing told whether the caller or the
+// close came first.
+TEST(line_connection, inputDroppedByACloseIsReported)
+{
+    std::size_t dropped = 0;
+    const auto count = [&](std::size_t bytes) { dropped += bytes; };
+    connected_pair late;
+    late.daemon->setDroppedHandler(count);
+    late.daemon->send("ERROR NOAUTH\r\n");
+    late.daemon->closeGracefully();
+    CHECK_EQUAL(0U, dropped);
+    late.sendPart("QUERY 1 READ a\r\n");
+    CHECK_EQUAL(16U, dropped);
+
+    connected_pair halfRead;
+    halfRead.daemon->setDroppedHandler(count);
+    halfRead.sendPart("QUERY 1 R");
+    halfRead.daemon->closeGracefully();
+    CHECK_EQUAL(16U + 9U, dropped);
+
+    connected_pair ahead;
+    ahead.daemon->setDroppedHandler(count);
+    ahead.daemon->setHandlers([&](std::string_view) { ahead.daemon->closeGracefully(); }, [] {});
+    ahead.sendPart("TERMINATE\r\nQUERY 2\r\n");
+    CHECK_EQUAL(16U + 9U + 9U, dropped);
+}
+
+// Guards against a request that is held back for memory when its connection is closed: it stayed in
+// the buffer, and the end of the caller's side was not read.
+TEST(line_connection, lineHeldBackAtTheCloseIsDropped)
+{
+    std::size_t dropped = 0;
+    connected_pair pair(net::largeHolding * 4);
+    pair.daemon->setLineGate([](std::size_t) { return false; });
+    pair.daemon->setDroppedHandler([&](std::size_t bytes) { dropped += bytes; });
+    const std::string line(net::largeHolding + 1, 'x');
+    for (int i = 0; i < 40; ++i)
+        pair.sendPart(i == 0 ? line + "\r\n" : "");
+    CHECK_TRUE(pair.lines.empty());
+    pair.daemon->send("ERROR ABORTED stopping\r\n");
+    pair.daemon->closeGracefully();
+    CHECK_EQUAL(line.size() + 2, dropped);
+    CHECK_FALSE(pair.isReset());
+    STRCMP_EQUAL("ERROR ABORTED stopping\r\n", pair.readToEnd().c_str());
+}
