--- /dev/null
+++ b/tests/unit-session-end.cpp
@@ -0,0 +1,171 @@
+/// @file
+/// @brief Tests that a request never ends without an answer because the proxy closes its session.
+
+#include "gateway-fixture.hpp"
+#include "proxy-fixture.hpp"
+
+#include <fuchsiagw/detail/engine_steps.hpp>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace fuchsiagw;
+using namespace fuchsiagw::proxy;
+using boost::asio::ip::tcp;
+using fuchsiagw::testing::gateway_fixture;
+
+namespace {
+
+/// A caller that reads nothing until the gateway has closed its session.
+struct slow_caller
+{
+    gateway_fixture &fixture;
+    tcp::socket socket;
+
+    explicit slow_caller(gateway_fixture &gateway)
+        : fixture(gateway)
+        , socket(gateway.context)
+    {
+        socket.connect({ fixture.values.callerAddress.address, fixture.values.callerAddress.port });
+        send("STARTUP d k\r\n");
+        CHECK_TRUE(fixture.runUntil([this] { return fixture.metric("sessions") == 1; }));
+    }
+
+    void send(const std::string &text)
+    {
+        boost::asio::write(socket, boost::asio::buffer(text));
+        fixture.context.run_for(std::chrono::milliseconds(2));
+    }
+
+    /// @return what the caller got, up to the end of the connection or its reset
+    std::string readAll()
+    {
+        std::string text;
+        boost::system::error_code ignored;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ignored);
+        return text;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(session_end_on_sockets)
+{
+    gateway_fixture fixture;
+};
+
+// Guards against a request without an answer (LOST): at a planned stop it arrives just after its
+// idle session was closed, because its packet was lost and sent again.
+TEST(session_end_on_sockets, requestThatCrossesTheCloseAtAStopIsRefused)
+{
+    slow_caller caller(fixture);
+    fixture.gateway->stop([] {});
+    CHECK_TRUE(fixture.runUntil([this] { return fixture.metric("sessions") == 0; },
+                                std::chrono::seconds(5)));
+    caller.send("QUERY 1 READ a\r\n");
+    STRCMP_EQUAL("READY I -\r\nERROR ABORTED stopping\r\n", caller.readAll().c_str());
+    DOUBLES_EQUAL(1, fixture.metric("inputs_dropped_total"), 0);
+}
+
+TEST_GROUP(session_end)
+{
+    proxy_fixture fixture;
+
+    void setup() override
+    {
+        manifest slow = proxy_fixture::makeManifest(2);
+        for (auto &[database, each] : slow.routes)
+            each.statementTimeout = std::chrono::seconds(8);
+        fixture.applyManifest(slow);
+    }
+
+    /// Answers the oldest command of a transaction.
+    void answerInTransaction()
+    {
+        fixture.answer(fixture.busyLink(),
+                       proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    }
+
+    /// Answers a single read, which is sent inside a transaction of the proxy.
+    void answerRead()
+    {
+        const link_id link = fixture.busyLink();
+        fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+        fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+        fixture.answer(link, proxy_fixture::success({ 1, 7 }));
+    }
+
+    std::size_t countAnswers(session_id id)
+    {
+        return proxy_fixture::answersTo(id, fixture.takeActions()).size();
+    }
+};
+
+// Guards against statements without an answer (LOST): they were sent ahead behind one whose refusal
+// ends the session at a planned stop.
+TEST(session_end, statementsSentAheadOfAStopAreRefused)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    fixture.sendRead(id);
+    fixture.acceptLinks();
+    answerInTransaction();
+    answerInTransaction();
+    onStop(fixture.state, fixture.now);
+    fixture.advanceTime(std::chrono::milliseconds(2'000));
+    fixture.sendRead(id);
+    fixture.sendStatement(id, statement_kind::Rollback, "ROLLBACK");
+    fixture.sendStatement(id, statement_kind::Begin, "BEGIN");
+    fixture.sendRead(id);
+    fixture.sendStatement(id, statement_kind::Commit, "COMMIT");
+    fixture.takeActions();
+    fixture.advanceTime(std::chrono::milliseconds(2'100));
+    answerInTransaction();
+    const auto answers = proxy_fixture::answersTo(id, fixture.takeActions());
+    CHECK_EQUAL(5U, answers.size());
+    for (std::size_t i = 2; i < answers.size(); ++i)
+        CHECK(answers.at(i).code == reply_code::Aborted);
+    CHECK_EQUAL(0U, fixture.state.sessions.count(id));
+    CHECK_EQUAL(0U, fixture.state.counters.statementsUnanswered);
+}
+
+// Guards against statements without an answer: they were sent ahead behind one that is refused
+// because the caller's key has been withdrawn.
+TEST(session_end, statementsSentAheadOfAWithdrawnKeyAreRefused)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendRead(id);
+    fixture.sendRead(id);
+    fixture.sendRead(id);
+    fixture.acceptLinks();
+    manifest withdrawn = proxy_fixture::makeManifest(3);
+    withdrawn.workspaceByKey.clear();
+    fixture.applyManifest(withdrawn);
+    fixture.takeActions();
+    answerRead();
+    const auto answers = proxy_fixture::answersTo(id, fixture.takeActions());
+    CHECK_EQUAL(3U, answers.size());
+    CHECK(answers.at(2).code == reply_code::Unauthorized);
+    CHECK_EQUAL(0U, fixture.state.sessions.count(id));
+}
+
+// Guards against the loss of every accepted statement of a caller that sends too many ahead.
+TEST(session_end, statementsBeforeTooManyAreAnswered)
+{
+    constexpr std::size_t accepted = 65;
+    const session_id id = fixture.openSession("current");
+    for (std::size_t i = 0; i < accepted + 10; ++i)
+        fixture.sendRead(id);
+    std::size_t answers = 0;
+    for (std::size_t i = 0; i < accepted; ++i) {
+        fixture.acceptLinks();
+        answerRead();
+        answers += countAnswers(id);
+    }
+    CHECK_EQUAL(accepted, answers);
+    CHECK_EQUAL(0U, fixture.state.sessions.count(id));
+}
