Refuse what crosses the close of a session

Cause: a close said nothing about requests that the process had not read. A stopping instance closed idle sessions with a bare FIN. A request that was retransmitted, or that crossed a lost FIN, was read behind the close, dropped and answered with a reset, which has no effect before the lost FIN is sent again, and is no promise. Statements that had been read were dropped too: behind one whose refusal ends the session, all of a caller with more than 65 outstanding, and those before a line that is no message.

Each close by the proxy now answers every accepted statement and ends with an ERROR without READY, which refuses what is on its way.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -25,6 +25,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace fuchsiagw::daemon {
 
@@ -71,6 +72,8 @@
     void onInputDropped(proxy::session_id id, std::size_t bytes, core::time_point closedAt);
     void onUpstreamReply(proxy::link_id id, proxy::reply &&received);
     void onReplyFault(const std::string &member, proxy::reply_fault fault);
+    /// @brief Ends a session whose caller has sent a line that is no statement.
+    void endByLine(proxy::session_id id, bool isTermination, core::time_point now);
     void onDatagram(std::string_view bytes);
     /// @brief Runs the handler of one event. An unexpected error drops this event alone; it is
     /// counted and logged.
@@ -116,6 +119,8 @@
     bool isAccepting_ = false;
     proxy::session_id lastSession_ = 0;
     std::map<proxy::session_id, std::unique_ptr<caller_connection>> callers_;
+    /// Connections that a shutdown closes gracefully.
+    std::vector<std::weak_ptr<net::line_connection>> closingCallers_;
     std::map<proxy::link_id, std::unique_ptr<upstream_connection>> upstreams_;
     std::map<std::string, net::endpoint> peerAddresses_;
     /// Unused connections to the relays of other daemons, by node.
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -81,6 +81,10 @@
 void noteRequest(engine &state, note_kind kind, const session &caller, const std::string &member,
                  std::string_view reason, core::duration age = {}, std::int64_t number = 0);
 
+/// @brief Ends a session as its member `ending` says. Accepted statements are refused, and the
+/// notice answers those that have not been read. No statement of the session is current.
+void closeSession(engine &state, session &caller, core::time_point now);
+
 /// @brief Answers the current request and starts the session's next waiting statement.
 void finishRequest(engine &state, session &caller, reply answer, core::time_point now);
 /// @brief Answers the current request with a refusal by the proxy itself.
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -11,6 +11,7 @@
 #include <fuchsiagw/proxy/upstream_command.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +29,9 @@
 struct close_caller
 {
     session_id session = 0;
+    /// Sent last. It answers a statement that crosses the close and is therefore dropped; a caller
+    /// without an outstanding statement ends its session. None: the caller expects no answer.
+    std::optional<reply> notice;
 };
 
 struct open_link
--- a/include/fuchsiagw/proxy/refusal.hpp
+++ b/include/fuchsiagw/proxy/refusal.hpp
@@ -40,6 +40,7 @@
     /// Committed, but a promotion that may take effect at any time may not keep it.
     CommitUnproven,
     NoReceiver, ///< no listed replica answers, so that a commit could not be proven
+    TooManyStatements, ///< the caller has sent too many ahead
 };
 
 /// Maps a reason to its name and reply code.
@@ -50,7 +51,7 @@
     reply_code code;
 };
 
-inline constexpr std::array<refusal_row, 24> refusalRows{ {
+inline constexpr std::array<refusal_row, 25> refusalRows{ {
         { refusal_reason::UnknownDatabase, "unknown_database", reply_code::NoDatabase },
         { refusal_reason::KeyNotAccepted, "key_not_accepted", reply_code::Unauthorized },
         { refusal_reason::NotConfigured, "not_configured", reply_code::Busy },
@@ -75,6 +76,7 @@
         { refusal_reason::ManifestUnproven, "manifest_unproven", reply_code::Busy },
         { refusal_reason::CommitUnproven, "commit_unproven", reply_code::OutcomeUnknown },
         { refusal_reason::NoReceiver, "no_receiver", reply_code::Busy },
+        { refusal_reason::TooManyStatements, "too_many_statements", reply_code::Busy },
 } };
 
 [[nodiscard]] constexpr const refusal_row &rowOf(refusal_reason reason)
--- a/include/fuchsiagw/proxy/session.hpp
+++ b/include/fuchsiagw/proxy/session.hpp
@@ -9,6 +9,7 @@
 #include <fuchsiagw/proxy/manifest.hpp>
 #include <fuchsiagw/proxy/refusal.hpp>
 #include <fuchsiagw/proxy/reply.hpp>
+#include <fuchsiagw/proxy/session_close.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -110,7 +111,8 @@
             ownPosition; ///< position of the session's latest acknowledged commit
     std::optional<request> current;
     std::deque<caller_statement> waiting; ///< statements that arrived before the current answer
-    bool closing = false; ///< closed after the answer to the current request
+    /// How the session will end; statements that arrive from then on are not accepted.
+    std::optional<session_close> ending;
 };
 
 } // namespace fuchsiagw::proxy
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -237,17 +237,12 @@
                 proxy::onSessionOpened(engine_, id, startup->database, startup->key, now);
         perform();
         if (!accepted)
-            perform(proxy::close_caller{ id });
+            perform(proxy::close_caller{ id, {} });
         return;
     }
     auto *statement = std::get_if<adapter::statement_line>(&decoded);
     if (statement == nullptr || !source.isOpen) {
-        const bool isTermination = std::holds_alternative<adapter::terminate_line>(decoded);
-        perform(proxy::close_caller{ id });
-        proxy::onCallerDisconnected(engine_, id, now,
-                                    isTermination ? proxy::session_end::Terminated
-                                                  : proxy::session_end::Unreadable);
-        perform();
+        endByLine(id, std::holds_alternative<adapter::terminate_line>(decoded), now);
         return;
     }
     source.statementReceivedAt = now;
@@ -256,13 +251,25 @@
         proxy::onCallerStatement(engine_, id, std::move(statement->statement), now);
     });
     if (!handled) {
-        // The caller learns from the end of its connection that the outcome is unknown.
-        perform(proxy::close_caller{ id });
+        // Nothing is known of the outcome of the session's statements.
+        perform(proxy::close_caller{ id, proxy::refuse(proxy::refusal_reason::AnswerLost,
+                                                       proxy::transaction_state::Idle) });
         proxy::onCallerDisconnected(engine_, id, now, proxy::session_end::Failed);
     }
     perform();
 }
 
+void session_gateway::endByLine(proxy::session_id id, bool isTermination, core::time_point now)
+{
+    if (isTermination || !engine_.sessions.contains(id)) {
+        perform(proxy::close_caller{ id, {} });
+        proxy::onCallerDisconnected(engine_, id, now, proxy::session_end::Terminated);
+    } else {
+        proxy::onCallerUnreadable(engine_, id, now);
+    }
+    perform();
+}
+
 void session_gateway::onDatagram(std::string_view bytes)
 {
     const core::time_point now = net::currentBootTime();
@@ -379,7 +386,11 @@
     connection->setDroppedHandler([this, id = action.session, closedAt](std::size_t bytes) {
         onInputDropped(id, bytes, closedAt);
     });
+    if (action.notice)
+        connection->send(adapter::encodeReply(*action.notice, true));
     connection->closeGracefully();
+    if (engine_.stopping)
+        closingCallers_.push_back(connection);
     callers_.erase(found);
     release(statementMemory_, action.session);
     resumeHeldStatements();
@@ -488,8 +499,10 @@
     constexpr std::chrono::milliseconds stopMargin{ 400 };
     const core::time_point now = net::currentBootTime();
     // Until the drain deadline the load balancer may still send new callers to this instance.
-    const bool isIdle =
-            engine_.sessions.empty() && !relay_.isBusy() && now >= engine_.transactionDrainDeadline;
+    // The end of the process would reset connections whose last answer is still on its way.
+    std::erase_if(closingCallers_, [](const auto &each) { return each.expired(); });
+    const bool isIdle = engine_.sessions.empty() && closingCallers_.empty() && !relay_.isBusy()
+                        && now >= engine_.transactionDrainDeadline;
     if (!isIdle && now < engine_.stopDeadline - stopMargin)
         return;
     const auto done = std::exchange(onStopped_, nullptr);
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -268,7 +268,7 @@
 {
     if (!startsTooLate(state, caller, now))
         return false;
-    caller.closing = true;
+    caller.ending = session_close{ session_end::Stopping, refusal_reason::Stopping };
     refuseRequest(state, caller, refusal_reason::Stopping, now);
     return true;
 }
@@ -324,8 +324,10 @@
         return;
     if (caller.state == transaction_state::Idle) {
         if (const auto refused = checkAccess(state, caller, now)) {
-            caller.closing = *refused != refusal_reason::NotConfigured;
-            refuseRequest(state, caller, *refused, now, retryDelayOf(*refused));
+            const core::duration retryAfter = retryDelayOf(*refused);
+            if (*refused != refusal_reason::NotConfigured)
+                caller.ending = session_close{ session_end::Refused, *refused, retryAfter };
+            refuseRequest(state, caller, *refused, now, retryAfter);
             return;
         }
     }
@@ -373,7 +375,7 @@
                        core::time_point now)
 {
     session *caller = findSession(state, id);
-    if (caller == nullptr || caller->closing)
+    if (caller == nullptr || caller->ending)
         return;
     if (!caller->current) {
         startStatement(state, *caller, std::move(statement), now);
@@ -383,35 +385,10 @@
         caller->waiting.push_back(std::move(statement));
         return;
     }
-    state.out.emplace_back(close_caller{ id });
-    onCallerDisconnected(state, id, now, session_end::TooManyWaiting);
-}
-
-void onCallerDisconnected(engine &state, session_id id, core::time_point now, session_end reason)
-{
-    session *caller = findSession(state, id);
-    if (caller == nullptr)
-        return;
-    state.active.erase(id);
-    link_id pinnedLink = caller->transaction ? caller->transaction->link : 0;
-    const bool neverSent =
-            caller->current && caller->current->admitted && !caller->current->wasSent;
-    if (neverSent && caller->state == transaction_state::Idle)
-        refundToken(state.quota, caller->workspace, now);
-    decision_note note;
-    note.kind = note_kind::SessionClosed;
-    note.session = id;
-    note.workspace = caller->workspace;
-    note.reason = toString(reason);
-    const std::size_t unanswered = caller->waiting.size() + (caller->current ? 1 : 0);
-    note.number = static_cast<std::int64_t>(unanswered);
-    ++state.counters.sessionsEnded.at(static_cast<std::size_t>(reason));
-    state.counters.statementsUnanswered += unanswered;
-    state.out.emplace_back(std::move(note));
-    state.stateBytes -= caller->stateBytes;
-    state.sessions.erase(id);
-    if (upstream_link *link = findLink(state, pinnedLink))
-        rollBack(state, *link, now);
+    caller->ending = session_close{ session_end::TooManyWaiting,
+                                    refusal_reason::TooManyStatements,
+                                    {},
+                                    accepted_statements::AreRun };
 }
 
 void finishRequest(engine &state, session &caller, reply answer, core::time_point now)
@@ -427,10 +404,10 @@
     }
     answer.state = caller.state;
     state.out.emplace_back(send_to_caller{ caller.id, std::move(answer) });
-    const session_id id = caller.id;
-    if (caller.closing) {
-        state.out.emplace_back(close_caller{ id });
-        onCallerDisconnected(state, id, now, session_end::Refused);
+    const bool runsAccepted =
+            caller.ending && caller.ending->accepted == accepted_statements::AreRun;
+    if (caller.ending && (!runsAccepted || caller.waiting.empty())) {
+        closeSession(state, caller, now);
         return;
     }
     if (caller.waiting.empty())
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -153,8 +153,8 @@
 }
 
 /// Closes idle sessions in batches. A request that arrives while its connection is being closed is
-/// lost without an answer, so each close must leave the process immediately, even on a slow
-/// instance.
+/// refused by the notice of the close, so each close must leave the process immediately, even on a
+/// slow instance.
 void closeIdleSessions(engine &state, core::time_point now)
 {
     if (now < state.nextSessionCloseAt)
@@ -172,8 +172,9 @@
     const std::size_t share = state.sessionsAtStop / intervals + minClosedPerInterval;
     idleSessions.resize(std::min(idleSessions.size(), share));
     for (const session_id id : idleSessions) {
-        state.out.emplace_back(close_caller{ id });
-        onCallerDisconnected(state, id, now, session_end::Stopping);
+        session &caller = state.sessions.at(id);
+        caller.ending = session_close{ session_end::Stopping, refusal_reason::Stopping };
+        closeSession(state, caller, now);
     }
 }
 
--- a/tests/unit-session-end.cpp
+++ b/tests/unit-session-end.cpp
@@ -11,7 +11,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <string>
+#include <vector>
 
 using namespace fuchsiagw;
 using namespace fuchsiagw::proxy;
@@ -169,3 +171,57 @@
     CHECK_EQUAL(accepted, answers);
     CHECK_EQUAL(0U, fixture.state.sessions.count(id));
 }
+
+// Guards against a moment around the close of an idle session in which a request gets no answer.
+TEST(session_end, requestsAtEachMomentOfTheCloseAreAnswered)
+{
+    constexpr std::size_t sessions = 200;
+    std::vector<session_id> ids;
+    for (std::size_t i = 0; i < sessions; ++i)
+        ids.push_back(fixture.openSession("current"));
+    onStop(fixture.state, fixture.now);
+    fixture.takeActions();
+    std::map<session_id, std::size_t> answers;
+    std::map<session_id, std::size_t> notices;
+    std::map<session_id, std::size_t> accepted;
+    for (std::size_t step = 0; step < 5'600; ++step) {
+        const session_id id = ids.at(step % sessions);
+        if (fixture.state.sessions.contains(id)) {
+            fixture.sendStatement(id, statement_kind::SetValue, "SET a b", "a", "b");
+            ++accepted[id];
+        }
+        fixture.advanceTime(std::chrono::milliseconds(1));
+        const auto actions = fixture.takeActions();
+        for (const auto &each : proxy_fixture::actionsOf<send_to_caller>(actions))
+            ++answers[each.session];
+        for (const auto &each : proxy_fixture::actionsOf<close_caller>(actions)) {
+            CHECK_TRUE(each.notice.has_value());
+            CHECK(each.notice->code == reply_code::Aborted);
+            ++notices[each.session];
+        }
+    }
+    for (const session_id id : ids) {
+        CHECK_EQUAL(accepted[id], answers[id]);
+        CHECK_EQUAL(1U, notices[id]);
+    }
+}
+
+// Guards against the loss of the statements before a line that is no message.
+TEST(session_end, statementsBeforeAnUnreadableLineAreAnswered)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendRead(id);
+    fixture.sendRead(id);
+    fixture.acceptLinks();
+    fixture.takeActions();
+    onCallerUnreadable(fixture.state, id, fixture.now);
+    fixture.sendRead(id);
+    answerRead();
+    fixture.acceptLinks();
+    answerRead();
+    const auto actions = fixture.takeActions();
+    CHECK_EQUAL(2U, proxy_fixture::answersTo(id, actions).size());
+    const auto closed = proxy_fixture::actionsOf<close_caller>(actions);
+    CHECK_EQUAL(1U, closed.size());
+    CHECK(closed.at(0).notice->code == reply_code::Malformed);
+}
