Close the sessions that are opened during a shutdown in time

Cause: the batch in which idle sessions are closed was computed from the number of sessions at SIGTERM (3 to 5 there), while the load balancer went on sending callers for 2.3 s. Two sessions in 20 ms close 100 in the second that is meant for all of them.

Each batch is now computed from the idle sessions that are left and the time until the deadline of their closing. What is left at the end of the process is answered: refused if it was not sent to a member, unknown if it was, and told.

--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -142,7 +142,8 @@
     core::time_point transactionDrainDeadline = core::noDeadline;
     core::time_point nextSessionCloseAt =
             core::noDeadline; ///< next batch of idle sessions to close
-    std::size_t sessionsAtStop = 0;
+    core::time_point sessionCloseDeadline =
+            core::noDeadline; ///< idle sessions are closed at once from then on
     core::time_point lastTimerAt{}; ///< time of the latest call of onTimer()
     core::time_point nextExchangeAt{};
     core::time_point nextMaintenanceAt{};
@@ -252,6 +253,9 @@
 
 /// @brief Starts the graceful shutdown.
 void onStop(engine &state, core::time_point now);
+/// @brief Ends the sessions that are left at the end of a shutdown, with an answer to each
+/// statement.
+void closeRemainingSessions(engine &state, core::time_point now);
 
 /// @return this daemon's place among those that read the store to prove the manifest, from 0
 /// @complexity linear in the daemons
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -508,6 +508,8 @@
     const auto done = std::exchange(onStopped_, nullptr);
     log_.write(stopEventNumber, "stop_finished",
                fmt::format("sessions={}", engine_.sessions.size()));
+    proxy::closeRemainingSessions(engine_, now);
+    perform();
     store_.stop();
     done();
 }
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -15,7 +15,6 @@
 constexpr milliseconds sessionCloseInterval{ 20 };
 /// Period over which idle sessions are closed at shutdown.
 constexpr milliseconds sessionClosePeriod{ 1'000 };
-constexpr std::size_t minClosedPerInterval = 2; // sessions
 /// A write takes tens of milliseconds; one that takes longer waits for a second copy.
 constexpr milliseconds commitDelayLimit{ 400 };
 
@@ -152,6 +151,17 @@
         closeLink(state, id, false, now);
 }
 
+/// @return how many sessions are closed now, so that all are closed by the deadline, regardless of
+/// their number. Sessions that were opened after the shutdown began count too.
+std::size_t closesPerInterval(const engine &state, std::size_t idleSessions, core::time_point now)
+{
+    if (now >= state.sessionCloseDeadline)
+        return idleSessions;
+    const core::duration left = state.sessionCloseDeadline - now;
+    const auto intervalsLeft = static_cast<std::size_t>(left / sessionCloseInterval) + 1;
+    return idleSessions / intervalsLeft + (idleSessions % intervalsLeft == 0 ? 0 : 1);
+}
+
 /// Closes idle sessions in batches. A request that arrives while its connection is being closed is
 /// refused by the notice of the close, so each close must leave the process immediately, even on a
 /// slow instance.
@@ -167,10 +177,7 @@
                 || now >= state.stopDeadline - lastAnswerMargin))
             idleSessions.push_back(id);
     }
-    // All sessions are closed within sessionClosePeriod, regardless of their number.
-    const std::size_t intervals = sessionClosePeriod / sessionCloseInterval;
-    const std::size_t share = state.sessionsAtStop / intervals + minClosedPerInterval;
-    idleSessions.resize(std::min(idleSessions.size(), share));
+    idleSessions.resize(closesPerInterval(state, idleSessions.size(), now));
     for (const session_id id : idleSessions) {
         session &caller = state.sessions.at(id);
         caller.ending = session_close{ session_end::Stopping, refusal_reason::Stopping };
@@ -217,7 +224,7 @@
     state.stopDeadline = now + state.settings.gracePeriod;
     state.transactionDrainDeadline = now + state.settings.gracePeriod / 2;
     state.nextSessionCloseAt = now + idleSessionCloseDelay;
-    state.sessionsAtStop = state.sessions.size();
+    state.sessionCloseDeadline = state.nextSessionCloseAt + sessionClosePeriod;
     for (const session_id id : state.active) {
         auto &current = state.sessions.at(id).current;
         if (current)
@@ -229,6 +236,24 @@
     state.out.emplace_back(std::move(note));
 }
 
+void closeRemainingSessions(engine &state, core::time_point now)
+{
+    std::vector<session_id> remaining;
+    for (const auto &[id, caller] : state.sessions)
+        remaining.push_back(id);
+    for (const session_id id : remaining) {
+        session &caller = state.sessions.at(id);
+        caller.ending = session_close{ session_end::Stopping, refusal_reason::Stopping };
+        if (!caller.current) {
+            closeSession(state, caller, now);
+            continue;
+        }
+        const bool mayHaveRun = caller.current->wasSent || caller.current->heldCommit;
+        refuseRequest(state, caller,
+                      mayHaveRun ? refusal_reason::AnswerLost : refusal_reason::Stopping, now);
+    }
+}
+
 void onTimer(engine &state, core::time_point now)
 {
     state.lastTimerAt = now;
--- a/tests/unit-session-end.cpp
+++ b/tests/unit-session-end.cpp
@@ -225,3 +225,40 @@
     CHECK_EQUAL(1U, closed.size());
     CHECK(closed.at(0).notice->code == reply_code::Malformed);
 }
+
+// Guards against sessions that are cut by the end of the process: the batches of their closing were
+// as large as the number of sessions at SIGTERM demands, and most were opened after it.
+TEST(session_end, sessionsOpenedDuringAStopAreClosedInTime)
+{
+    constexpr std::size_t sessions = 600;
+    onStop(fixture.state, fixture.now);
+    for (std::size_t i = 0; i < sessions; ++i)
+        fixture.openSession("current");
+    fixture.advanceTime(std::chrono::milliseconds(3'400));
+    CHECK_EQUAL(0U, fixture.state.sessions.size());
+}
+
+// Guards against an accepted statement without an answer, or with a false promise, in a session
+// that is left when the process ends.
+TEST(session_end, sessionsLeftAtTheEndOfAStopAreAnswered)
+{
+    const session_id sent = fixture.openSession("current");
+    fixture.sendRead(sent);
+    fixture.acceptLinks();
+    const session_id unsent = fixture.openSession("current");
+    fixture.sendRead(unsent);
+    fixture.sendRead(unsent);
+    fixture.state.sessions.at(unsent).current->wasSent = false;
+    const session_id idle = fixture.openSession("current");
+    onStop(fixture.state, fixture.now);
+    fixture.takeActions();
+    closeRemainingSessions(fixture.state, fixture.now);
+    const auto actions = fixture.takeActions();
+    CHECK(proxy_fixture::answersTo(sent, actions).at(0).code == reply_code::OutcomeUnknown);
+    const auto refused = proxy_fixture::answersTo(unsent, actions);
+    CHECK_EQUAL(2U, refused.size());
+    CHECK(refused.at(0).code == reply_code::Aborted);
+    CHECK_EQUAL(0U, proxy_fixture::answersTo(idle, actions).size());
+    CHECK_EQUAL(3U, proxy_fixture::actionsOf<close_caller>(actions).size());
+    CHECK_EQUAL(0U, fixture.state.sessions.size());
+}
