Close every session before a stopping process ends

Callers whose session was still open when the process ended got a bare reset, and a request on its way no answer. Sessions in transactions can be closed only in the last 300 ms; with a grace period of 1 s, idle sessions were left as well. The moment from which new sessions are refused was computed from the settings, which a SIGHUP may change during the stop.

The start and the deadline of the closes are stored and come no later than the last answers; from the deadline on, all idle sessions are closed at once.

--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -142,6 +142,9 @@
     core::time_point transactionDrainDeadline = core::noDeadline;
     core::time_point nextSessionCloseAt =
             core::noDeadline; ///< next batch of idle sessions to close
+    /// From here on a shutdown closes idle sessions and refuses new ones. Stored, because the grace
+    /// period in the settings may change while the shutdown runs.
+    core::time_point sessionCloseFrom = core::noDeadline;
     core::time_point sessionCloseDeadline =
             core::noDeadline; ///< idle sessions are closed at once from then on
     core::time_point lastTimerAt{}; ///< time of the latest call of onTimer()
--- a/src/proxy/engine_callers.cpp
+++ b/src/proxy/engine_callers.cpp
@@ -345,8 +345,7 @@
     auto refused = checkAccess(state, caller, now);
     if (!refused && state.sessions.size() >= state.settings.maxSessions)
         refused = refusal_reason::TooManySessions;
-    if (state.stopping
-        && now >= state.stopDeadline - state.settings.gracePeriod + idleSessionCloseDelay)
+    if (state.stopping && now >= state.sessionCloseFrom)
         refused = refusal_reason::Stopping;
     if (refused) {
         ++state.counters.refused.at(static_cast<std::size_t>(*refused));
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -223,8 +223,11 @@
     state.stopping = true;
     state.stopDeadline = now + state.settings.gracePeriod;
     state.transactionDrainDeadline = now + state.settings.gracePeriod / 2;
-    state.nextSessionCloseAt = now + idleSessionCloseDelay;
-    state.sessionCloseDeadline = state.nextSessionCloseAt + sessionClosePeriod;
+    const core::time_point lastAnswerAt = state.stopDeadline - lastAnswerMargin;
+    state.sessionCloseFrom = std::min(now + idleSessionCloseDelay, lastAnswerAt);
+    state.sessionCloseDeadline =
+            std::min(state.sessionCloseFrom + sessionClosePeriod, lastAnswerAt);
+    state.nextSessionCloseAt = state.sessionCloseFrom;
     for (const session_id id : state.active) {
         auto &current = state.sessions.at(id).current;
         if (current)
