Answer operations that wait for a token before a stopping process ends

An operation that waits for a token of the rate limit got no answer when the process ended. Its wait is a fifth of the route's latency objective and was the only one that the stop did not limit, so a route with a long objective waits past the end. It is now refused 0.7 s before the end of the grace period, like every other statement; it was never sent, so the refusal holds.

operationThatAwaitsATokenIsAnsweredBeforeTheEndOfTheProcess (objective of 60 s) failed before: sessions left 400 ms before the end, expected <0> but was <3>. It passes now, as do unit-waiting-operations and unit-planned-stop.

--- a/src/proxy/engine_quota.cpp
+++ b/src/proxy/engine_quota.cpp
@@ -216,7 +216,8 @@
     }
     const auto routeEntry = state.config->routes.find(who.database);
     what.awaitsToken = true;
-    what.waitUntil = now + routeEntry->second.latencyObjective / tokenWaitDivisor;
+    what.waitUntil =
+            limitToShutdown(state, now + routeEntry->second.latencyObjective / tokenWaitDivisor);
     core::queued_statement waiting;
     waiting.handle = what.serial;
     waiting.session = who.id;
--- a/src/proxy/engine_time.cpp
+++ b/src/proxy/engine_time.cpp
@@ -230,8 +230,11 @@
     state.nextSessionCloseAt = state.sessionCloseFrom;
     for (const session_id id : state.active) {
         auto &current = state.sessions.at(id).current;
-        if (current)
-            current->deadline = limitToShutdown(state, current->deadline);
+        if (!current)
+            continue;
+        current->deadline = limitToShutdown(state, current->deadline);
+        if (current->awaitsToken)
+            current->waitUntil = limitToShutdown(state, current->waitUntil);
     }
     decision_note note;
     note.kind = note_kind::StopStarted;
--- a/tests/unit-session-end-review.cpp
+++ b/tests/unit-session-end-review.cpp
@@ -26,13 +26,17 @@
 {
     proxy_fixture fixture;
 
-    void applySlowRoutes()
+    void applySlowRoutes(std::uint64_t version, bool isLimited)
     {
-        manifest next = proxy_fixture::makeManifest(2);
+        manifest next = proxy_fixture::makeManifest(version);
         for (auto &[database, each] : next.routes) {
             each.statementTimeout = std::chrono::seconds(20);
             each.latencyObjective = std::chrono::seconds(60);
         }
+        if (isLimited) {
+            next.workspaces[0].ratePerSecond = 0.01;
+            next.workspaces[0].burst = 0.01;
+        }
         fixture.applyManifest(next);
     }
 
@@ -109,10 +113,35 @@
     }
 }
 
+// Guards against an operation without an answer: it waits for a token of the rate limit beyond the
+// end of the process.
+TEST(session_end_review, operationThatAwaitsATokenIsAnsweredBeforeTheEndOfTheProcess)
+{
+    applySlowRoutes(2, true);
+    std::vector<session_id> ids;
+    for (int i = 0; i < 3; ++i) {
+        ids.push_back(fixture.openSession("current"));
+        fixture.sendRead(ids.back());
+    }
+    fixture.advanceTime(milliseconds(20));
+    fixture.takeActions();
+    std::size_t waiting = 0;
+    for (const session_id id : ids) {
+        const auto &current = fixture.state.sessions.at(id).current;
+        waiting += current && current->awaitsToken ? 1 : 0;
+    }
+    CHECK_TRUE(waiting > 0);
+    stopAndReachEndOfProcess();
+    CHECK_EQUAL(0U, fixture.state.sessions.size());
+    CHECK_EQUAL(0U, fixture.state.counters.statementsUnanswered);
+    for (const auto &each : proxy_fixture::actionsOf<send_to_caller>(fixture.takeActions()))
+        CHECK(each.answer.code != reply_code::Success);
+}
+
 // Guards against an operation that is at its member, or in line for it, when the process ends.
 TEST(session_end_review, operationAtASilentMemberIsAnsweredBeforeTheEndOfTheProcess)
 {
-    applySlowRoutes();
+    applySlowRoutes(2, false);
     std::vector<session_id> ids;
     for (int i = 0; i < 60; ++i) {
         ids.push_back(fixture.openSession("current"));
@@ -131,7 +160,7 @@
 TEST(session_end_review, heldCommitAtAStopIsNoPromise)
 {
     fixture.state.settings.commitsNeedReceipts = true;
-    applySlowRoutes();
+    applySlowRoutes(2, false);
     fixture.state.services.at(proxy_fixture::service).receipts.contactAt = fixture.now;
     const session_id id = fixture.openSession("current");
     fixture.sendWrite(id);
