Answer the statements before a TERMINATE

A caller that sends statements and a TERMINATE behind them, without waiting, got no answer to any statement that was still at a member or waiting: the gateway closed the connection as soon as it read TERMINATE, although the messages of a session are handled in their order. The session now ends after the answer to the last statement before TERMINATE, and at once if there is none. A caller that closes its connection ends its session at once, as before.

--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -206,6 +206,8 @@
 /// @brief A line of the caller is no message, so that later ones can't be interpreted either. The
 /// statements before it are answered, then the session ends.
 void onCallerUnreadable(engine &state, session_id id, core::time_point now);
+/// @brief The caller sends nothing more. Its statements before are answered, then the session ends.
+void onCallerTerminated(engine &state, session_id id, core::time_point now);
 /// @brief Handles the end of a caller's connection.
 void onCallerDisconnected(engine &state, session_id id, core::time_point now,
                           session_end reason = session_end::ConnectionLost);
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -261,12 +261,12 @@
 
 void session_gateway::endByLine(proxy::session_id id, bool isTermination, core::time_point now)
 {
-    if (isTermination || !engine_.sessions.contains(id)) {
+    if (!engine_.sessions.contains(id))
         perform(proxy::close_caller{ id, {} });
-        proxy::onCallerDisconnected(engine_, id, now, proxy::session_end::Terminated);
-    } else {
+    else if (isTermination)
+        proxy::onCallerTerminated(engine_, id, now);
+    else
         proxy::onCallerUnreadable(engine_, id, now);
-    }
     perform();
 }
 
--- a/src/proxy/engine_session_end.cpp
+++ b/src/proxy/engine_session_end.cpp
@@ -32,23 +32,39 @@
     for (const caller_statement &each : caller.waiting)
         refuseWaiting(state, caller, each, close);
     caller.waiting.clear();
-    state.out.emplace_back(
-            close_caller{ caller.id, refuse(close.refusal, caller.state, close.retryAfter) });
+    close_caller ended{ caller.id, {} };
+    if (close.why != session_end::Terminated)
+        ended.notice = refuse(close.refusal, caller.state, close.retryAfter);
+    state.out.emplace_back(std::move(ended));
     onCallerDisconnected(state, caller.id, now, close.why);
 }
 
-void onCallerUnreadable(engine &state, session_id id, core::time_point now)
+namespace {
+
+/// Ends a session once its accepted statements are answered.
+void endAfterAccepted(engine &state, session_id id, session_end why, core::time_point now)
 {
     session *caller = findSession(state, id);
     if (caller == nullptr || caller->ending)
         return;
-    caller->ending = session_close{
-        session_end::Unreadable, refusal_reason::OutOfPlace, {}, accepted_statements::AreRun
-    };
+    caller->ending =
+            session_close{ why, refusal_reason::OutOfPlace, {}, accepted_statements::AreRun };
     if (!caller->current)
         closeSession(state, *caller, now);
 }
 
+} // namespace
+
+void onCallerUnreadable(engine &state, session_id id, core::time_point now)
+{
+    endAfterAccepted(state, id, session_end::Unreadable, now);
+}
+
+void onCallerTerminated(engine &state, session_id id, core::time_point now)
+{
+    endAfterAccepted(state, id, session_end::Terminated, now);
+}
+
 void onCallerDisconnected(engine &state, session_id id, core::time_point now, session_end reason)
 {
     session *caller = findSession(state, id);
--- a/tests/unit-session-end-review.cpp
+++ b/tests/unit-session-end-review.cpp
@@ -176,11 +176,40 @@
     CHECK_EQUAL(0U, fixture.state.sessions.count(id));
 }
 
+// Guards against statements without an answer: a TERMINATE behind them drops them, though the
+// messages of a session are handled in their order. The close itself tells the caller nothing.
+TEST(session_end_review, statementsBeforeATerminationAreAnswered)
+{
+    const session_id id = fixture.openSession("current");
+    fixture.sendRead(id);
+    fixture.sendStatement(id, statement_kind::SetValue, "SET a b", "a", "b");
+    fixture.acceptLinks();
+    fixture.takeActions();
+    onCallerTerminated(fixture.state, id, fixture.now);
+    const link_id link = fixture.busyLink();
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }, transaction_state::Open));
+    fixture.answer(link, proxy_fixture::success({ 1, 7 }));
+    const auto actions = fixture.takeActions();
+    CHECK_EQUAL(2U, proxy_fixture::answersTo(id, actions).size());
+    CHECK_EQUAL(1U, countSilentCloses(actions));
+    CHECK_EQUAL(0U, fixture.state.sessions.count(id));
+}
+
 TEST_GROUP(session_end_review_on_sockets)
 {
     gateway_fixture fixture;
 };
 
+// Guards against the same over the wire. There is no member, so the read waits for its refusal.
+TEST(session_end_review_on_sockets, terminationBehindStatementsDropsNone)
+{
+    const std::string received = fixture.transcriptOf(
+            "STARTUP d k\r\nQUERY 1 READ a\r\nQUERY 2 SET b c\r\nTERMINATE\r\n");
+    CHECK_TRUE(received.starts_with("READY I -\r\nERROR BUSY"));
+    CHECK_TRUE(received.ends_with("READY I -\r\nCOMPLETE -\r\nREADY I -\r\nclosed"));
+}
+
 // Guards against a silent close of a caller that sends its first statement with its STARTUP while
 // the process stops.
 TEST(session_end_review_on_sockets, statementBehindARefusedStartupReadsTheRefusal)
