Failing test of a restart of all daemons beside an open order

Callers lost commits that they had been told of: all daemons start again while a promotion order is open that takes effect late. The new processes know of no order, the primary that it would replace is back and is given writes, and a replica that has restarted, so is no longer paused, reports them as received. The order then promotes a member that lacks them.

Daemons in the simulation number their links anew in each process, so that a late answer to an ended process reaches no link of its successor.

--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -63,6 +63,7 @@
     std::map<std::pair<std::string, std::string>, std::set<std::uint64_t>>
             rowsRead; ///< by daemon and statement
     std::uint64_t lastStatement = 0;
+    link_id starts = 0; ///< processes of daemons that have started
     std::string leaseHolder;
     core::time_point leaseUntil{};
     std::uint64_t lastToken = 0;
@@ -105,6 +106,9 @@
         state->settings.commitsNeedReceipts = assumesFencing;
         state->random.seed(random());
         state->incarnation = random();
+        // A late answer to a process that has ended must not reach a link of its successor.
+        constexpr link_id linksOfProcess = 1'000'000;
+        state->lastLink = linksOfProcess * starts++;
         onManifest(*state, makeManifest(), now);
         onMemberList(*state, list, now);
         std::vector<peer_state> peers;
--- a/tests/unit-commit-receipts.cpp
+++ b/tests/unit-commit-receipts.cpp
@@ -246,3 +246,24 @@
         CHECK_EQUAL_TEXT(0U, cluster.lostSuccesses, cluster.describe(seed).c_str());
     }
 }
+
+// Guards against losing what callers were told of when all daemons start again while an order is
+// open that takes effect late: the new processes are told of it by no peer, and a replica that is
+// not paused reports commits that the ordered member lacks.
+TEST(commit_receipts, restartOfAllDaemonsBesideAnOpenOrderLosesNoSuccess)
+{
+    constexpr std::uint64_t seeds = 40;
+    std::size_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        schedule_cluster cluster(seed);
+        const std::string ordered = openOrder(cluster, ordered_member::ReceivesNothing);
+        for (const char *daemon : { "n1", "n2", "n3" })
+            cluster.restartDaemon(daemon);
+        cluster.show("m1", { "n1", "n2", "n3" });
+        cluster.restart(otherReplica(ordered));
+        cluster.advance(directedDuration);
+        CHECK_EQUAL_TEXT(0U, cluster.lostSuccesses, cluster.describe(seed).c_str());
+        promotions += cluster.promotions;
+    }
+    CHECK(promotions > 0);
+}
