Read the open orders before the first write

Daemons knew of open orders from the token's draw and from notices of their peers, so the new processes knew of none, wrote to the primary that the order would replace, and took the report of a replica that was no longer paused for a receipt. The order's member lacked these commits.

A daemon now reads a group's promotion row before it sends the first write and tells of the first commit, again each 500 ms until the store answers. Open orders are treated as those of a token that another daemon holds.

Cost: one read of the store for each group at the start of a daemon.

--- a/include/fuchsiagw/daemon/session_gateway.hpp
+++ b/include/fuchsiagw/daemon/session_gateway.hpp
@@ -92,6 +92,7 @@
     void perform(const proxy::refresh_manifest &action);
     void perform(const proxy::confirm_manifest &action);
     void perform(const proxy::acquire_fencing_token &action);
+    void perform(const proxy::read_open_orders &action);
     void perform(const proxy::record_open_orders &action);
     void perform(const proxy::order_promotion &action);
     void perform(const proxy::send_to_peer &action);
--- a/include/fuchsiagw/daemon/store_client.hpp
+++ b/include/fuchsiagw/daemon/store_client.hpp
@@ -54,6 +54,11 @@
     /// The list of members that onMembers got last is as of a moment after the token.
     std::function<void(const std::string &service, std::uint64_t token, const proxy::open_orders &)>
             onTokenAcquired;
+    /// Called with the open orders in a service's row and the version of the store as of which they
+    /// are open; not called if the row could not be read.
+    std::function<void(const std::string &service, const proxy::open_orders &,
+                       std::uint64_t version)>
+            onOpenOrdersRead;
     /// Called with false if another daemon has acquired a token since, or if no answer came.
     std::function<void(const std::string &service, std::uint64_t token, bool isRecorded)>
             onOrdersRecorded;
@@ -150,6 +155,7 @@
     /// @brief Sets this daemon's place among those that read the store to prove its manifest.
     void setReaderRank(std::size_t rank) { readerRank_ = rank; }
     void acquireFencingToken(const std::string &service);
+    void readOpenOrders(const std::string &service);
     /// @brief Records the open orders of a service, if its row is as this daemon wrote it last.
     void recordOrders(const std::string &service, std::uint64_t token,
                       const proxy::open_orders &orders);
--- a/include/fuchsiagw/detail/engine_steps.hpp
+++ b/include/fuchsiagw/detail/engine_steps.hpp
@@ -276,7 +276,8 @@
                    std::size_t skipped);
 /// @return whether the commits of a service have to be reported by a listed replica
 [[nodiscard]] bool needsReceipt(const engine &state, const service_state &service);
-/// @return whether a listed replica has reported that it has received a commit of @p leader
+/// @return whether a listed replica has reported that it has received a commit of @p leader, and
+/// the store has answered which orders are open
 [[nodiscard]] bool isReceived(const engine &state, const service_state &service,
                               const std::string &leader, core::log_position position);
 /// @brief Holds the success of the current request until a listed replica has reported its
@@ -285,7 +286,10 @@
                 core::time_point now);
 /// @brief Records that the statements on a link were lost with it.
 void noteUnansweredStatements(engine &state, const upstream_link &link);
-/// @return whether this daemon is in contact with a listed replica; else one is asked
+/// @brief Delivers the held successes that are proven.
+void deliverReceivedCommits(engine &state, service_state &service, core::time_point now);
+/// @return whether this daemon knows the open orders and is in contact with a listed replica; else
+/// one is asked
 [[nodiscard]] bool mayStartWrite(engine &state, service_state &service, core::time_point now);
 /// @brief Handles that a replica has shown a position of its log.
 /// @param sentAt it has answered what was sent then
--- a/include/fuchsiagw/proxy/action.hpp
+++ b/include/fuchsiagw/proxy/action.hpp
@@ -78,6 +78,12 @@
     std::string service;
 };
 
+/// Reads the open orders in the service's promotion row; answered with onOpenOrdersRead().
+struct read_open_orders
+{
+    std::string service;
+};
+
 /// Records the open orders of a service in its promotion row, unless another daemon has acquired a
 /// token since; answered with onOrdersRecorded().
 struct record_open_orders
@@ -108,9 +114,9 @@
     limit_part part = 0; ///< claimed part of every limit; 0 only registers this daemon
 };
 
-using action =
-        std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
-                     refresh_directory, refresh_manifest, confirm_manifest, acquire_fencing_token,
-                     record_open_orders, order_promotion, send_to_peer, claim_part, decision_note>;
+using action = std::variant<send_to_caller, close_caller, open_link, send_to_member, close_link,
+                            refresh_directory, refresh_manifest, confirm_manifest,
+                            acquire_fencing_token, read_open_orders, record_open_orders,
+                            order_promotion, send_to_peer, claim_part, decision_note>;
 
 } // namespace fuchsiagw::proxy
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -225,6 +225,11 @@
 void onTokenAcquired(engine &state, const std::string &service, std::uint64_t token,
                      core::time_point now, const open_orders &orders = {});
 
+/// @brief Handles the store's answer to read_open_orders; without an answer it is asked again.
+/// @param version of the store, as of which the orders are open
+void onOpenOrdersRead(engine &state, const std::string &service, const open_orders &orders,
+                      std::uint64_t version, core::time_point now);
+
 /// @brief Handles the store's answer to record_open_orders.
 /// @param isRecorded false if another daemon has acquired a token since or the outcome is unknown
 void onOrdersRecorded(engine &state, const std::string &service, std::uint64_t token,
--- a/include/fuchsiagw/proxy/service_state.hpp
+++ b/include/fuchsiagw/proxy/service_state.hpp
@@ -44,6 +44,10 @@
     promotion_state promotion;
     open_orders openOrders; ///< as recorded in the store when last known
     core::time_point openOrdersKnownAt{}; ///< when `openOrders` was last changed
+    /// The store has answered which orders are open. A process that has just started knows of none,
+    /// and peers that have started as well tell it of none.
+    bool areOrdersKnown = false;
+    core::time_point nextOrderReadAt{}; ///< next question to the store; valid until it has answered
     std::optional<deposed_primary> deposed; ///< valid while no newer term is known
     /// From then on, a primary that an open order would replace is fenced: it is ordered to step
     /// down, and gets no writes. Valid while an order is open.
--- a/src/daemon/session_gateway.cpp
+++ b/src/daemon/session_gateway.cpp
@@ -98,6 +98,12 @@
                    proxy::onTokenAcquired(engine_, service, token, net::currentBootTime(), orders);
                    perform();
                },
+               [this](const std::string &service, const proxy::open_orders &orders,
+                      std::uint64_t version) {
+                   proxy::onOpenOrdersRead(engine_, service, orders, version,
+                                           net::currentBootTime());
+                   perform();
+               },
                [this](const std::string &service, std::uint64_t token, bool isRecorded) {
                    proxy::onOrdersRecorded(engine_, service, token, isRecorded,
                                            net::currentBootTime());
@@ -429,6 +435,11 @@
     store_.acquireFencingToken(action.service);
 }
 
+void session_gateway::perform(const proxy::read_open_orders &action)
+{
+    store_.readOpenOrders(action.service);
+}
+
 void session_gateway::perform(const proxy::record_open_orders &action)
 {
     store_.recordOrders(action.service, action.token, action.orders);
--- a/src/daemon/store_promotion.cpp
+++ b/src/daemon/store_promotion.cpp
@@ -79,6 +79,21 @@
          });
 }
 
+void store_client::readOpenOrders(const std::string &service)
+{
+    call(store_purpose::Promotion, adapter::readRow(promotionTable, service), callTimeout,
+         [this, service](const store_answer &answer) {
+             const auto rows = rowsOf(answer);
+             if (!rows)
+                 return;
+             const adapter::store_row *row = findRow(*rows, promotionTable, service);
+             callbacks_.onOpenOrdersRead(service,
+                                         row == nullptr ? proxy::open_orders{}
+                                                        : wire::readPromotionRow(row->value).orders,
+                                         row == nullptr ? 0 : row->version);
+         });
+}
+
 /// @return how long a lease may still last that another daemon drew before the store returned from
 /// an older copy, and that its row may not show
 std::int64_t store_client::unprovenLeaseMs(const std::string &service,
--- a/src/proxy/engine_open_orders.cpp
+++ b/src/proxy/engine_open_orders.cpp
@@ -30,6 +30,7 @@
 {
     service.openOrders = orders;
     service.openOrdersKnownAt = now;
+    service.areOrdersKnown = true;
 }
 
 void logOpenOrders(engine &state, const service_state &service, note_kind kind,
@@ -164,6 +165,19 @@
         pauseReplicas(state, service, now);
 }
 
+void onOpenOrdersRead(engine &state, const std::string &serviceName, const open_orders &orders,
+                      std::uint64_t version, core::time_point now)
+{
+    service_state *service = findService(state, serviceName);
+    // An attempt of this daemon may have read the row, and added its order, since the question.
+    if (service == nullptr || service->areOrdersKnown)
+        return;
+    helpGuard(state, *service, orders, version, now, now);
+    deliverReceivedCommits(state, *service, now);
+    if (!service->queue.empty())
+        serveQueue(state, *service, now);
+}
+
 void onOrdersRecorded(engine &state, const std::string &serviceName, std::uint64_t token,
                       bool isRecorded, core::time_point now)
 {
--- a/src/proxy/engine_receipts.cpp
+++ b/src/proxy/engine_receipts.cpp
@@ -28,6 +28,8 @@
 /// From this number of repeated questions on this daemon asks the replicas itself.
 constexpr std::size_t maxRelayedQuestions = 2;
 constexpr milliseconds commitQueryInterval{ 50 }; // a datagram may be lost
+/// Time for the store's answer to a question for the open orders.
+constexpr milliseconds orderReadInterval{ 500 };
 /// Peers that were not heard for this long are down or cut off; an attempt does not wait for them.
 constexpr std::chrono::seconds maxPeerSilence{ 2 };
 
@@ -190,6 +192,13 @@
            || (now - receipts.contactAt > contactTimeout && !isZoneHeard(state, replicas, now));
 }
 
+/// @return whether the store has to be asked which orders are open
+bool mustReadOrders(const engine &state, const service_state &service)
+{
+    return !service.areOrdersKnown && !service.members.empty() && state.settings.commitsNeedReceipts
+           && synchronousReplicas(state, service) > 0;
+}
+
 bool awaitsContact(const engine &state, const service_state &service)
 {
     return std::any_of(service.queue.begin(), service.queue.end(), [&](session_id id) {
@@ -210,7 +219,9 @@
 bool isReceived(const engine &state, const service_state &service, const std::string &leader,
                 core::log_position position)
 {
-    return hasReceipt(service.receipts, position, receiptReplicas(state, service, leader));
+    // The member of an open order may lack what another replica has received.
+    return service.areOrdersKnown
+           && hasReceipt(service.receipts, position, receiptReplicas(state, service, leader));
 }
 
 void noteUnansweredStatements(engine &state, const upstream_link &link)
@@ -244,6 +255,8 @@
 {
     if (!needsReceipt(state, service))
         return true;
+    if (!service.areOrdersKnown)
+        return false;
     checkUnproven(state, service, now);
     if (!hasLostContact(state, service, now))
         return true;
@@ -251,6 +264,12 @@
     return false;
 }
 
+void deliverReceivedCommits(engine &state, service_state &service, core::time_point now)
+{
+    checkUnproven(state, service, now);
+    stepHeldCommits(state, service, now);
+}
+
 void onReplicaPosition(engine &state, service_state &service, const std::string &replica,
                        core::log_position position, core::time_point sentAt, core::time_point now)
 {
@@ -262,8 +281,7 @@
     receipts.contactAt = std::max(receipts.contactAt, sentAt);
     recordReceipt(receipts, replica, position);
     receipts.repeatedAsks = 0;
-    checkUnproven(state, service, now);
-    stepHeldCommits(state, service, now);
+    deliverReceivedCommits(state, service, now);
 }
 
 void askPeersForCommits(engine &state, service_state &service, core::time_point now)
@@ -324,6 +342,10 @@
         return;
     for (auto &[name, service] : state.services) {
         commit_receipts &receipts = service.receipts;
+        if (mustReadOrders(state, service) && now >= service.nextOrderReadAt) {
+            service.nextOrderReadAt = now + orderReadInterval;
+            state.out.emplace_back(read_open_orders{ name });
+        }
         if (now < receipts.nextAskAt)
             continue;
         if (receipts.waiting.empty() && !awaitsContact(state, service)) {
@@ -339,8 +361,11 @@
 core::time_point nextReceiptStep(const engine &state)
 {
     core::time_point due = core::noDeadline;
-    for (const auto &[name, service] : state.services)
+    for (const auto &[name, service] : state.services) {
         due = std::min(due, service.receipts.nextAskAt);
+        if (mustReadOrders(state, service))
+            due = std::min(due, service.nextOrderReadAt);
+    }
     return due;
 }
 
--- a/tests/leader-cluster.hpp
+++ b/tests/leader-cluster.hpp
@@ -436,6 +436,20 @@
             });
         });
     }
+    void perform(const std::string &daemon, engine &, const read_open_orders &each)
+    {
+        after(milliseconds(8), [=, this] {
+            if (!reaches(daemon, "store"))
+                return;
+            const std::uint64_t version = lastToken;
+            const open_orders orders = recordedOrders;
+            after(milliseconds(4), [=, this] {
+                handle(daemon, [=, this](engine &state) {
+                    onOpenOrdersRead(state, each.service, orders, version, now);
+                });
+            });
+        });
+    }
     void perform(const std::string &daemon, engine &, const record_open_orders &each)
     {
         after(milliseconds(8), [=, this] {
--- a/tests/unit-commit-receipts.cpp
+++ b/tests/unit-commit-receipts.cpp
@@ -22,6 +22,7 @@
     receipt_fixture()
     {
         state.settings.commitsNeedReceipts = true;
+        onOpenOrdersRead(state, service, {}, 0, now);
         state.services.at(service).receipts.contactAt = now; // a replica has just answered
         caller = openSession("own");
         takeActions();
@@ -167,6 +168,32 @@
     CHECK_FALSE(fixture.isQueued(other));
 }
 
+// Guards against writing before the store has told this process which orders are open.
+TEST(commit_receipts, writeWaitsForOpenOrders)
+{
+    auto &group = fixture.state.services.at(receipt_fixture::service);
+    group.areOrdersKnown = false;
+    fixture.now += milliseconds(600);
+    onTimer(fixture.state, fixture.now);
+    LONGS_EQUAL(1, proxy_fixture::actionsOf<read_open_orders>(fixture.takeActions()).size());
+    group.receipts.contactAt = fixture.now;
+    fixture.sendWrite(fixture.caller);
+    CHECK(fixture.isQueued(fixture.caller));
+    onOpenOrdersRead(fixture.state, receipt_fixture::service, {}, 0, fixture.now);
+    CHECK_FALSE(fixture.isQueued(fixture.caller));
+}
+
+// Guards against writing to a primary that an order of an earlier process may still replace.
+TEST(commit_receipts, writeIsHeldBesideRecordedOrder)
+{
+    auto &group = fixture.state.services.at(receipt_fixture::service);
+    group.areOrdersKnown = false;
+    onOpenOrdersRead(fixture.state, receipt_fixture::service, { { 7, "m2" } }, 8, fixture.now);
+    group.receipts.contactAt = fixture.now;
+    fixture.sendWrite(fixture.caller);
+    CHECK(fixture.isQueued(fixture.caller));
+}
+
 // Guards against refusing writes of a busy instance, whose newest commit is never proven before the
 // next one is held.
 TEST(commit_receipts, writesGoOnWhileCommitsAreBeingProven)
