Answer requests that cross a close of the HTTP server

Callers saw no answer to a request that crossed the idle timeout of its keep-alive connection, and an answer cut short by a reset if another request had arrived unread behind it.

Cause: RESTinio shuts down and closes a socket in one step. The kernel resets a connection that is closed with unread input, or that gets input afterwards, and nothing answers a request on its way.

--- a/include/fuchsiagw/net/http_server.hpp
+++ b/include/fuchsiagw/net/http_server.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <fuchsiagw/core/time.hpp>
 #include <fuchsiagw/net/endpoint.hpp>
 #include <fuchsiagw/net/http_message.hpp>
 
@@ -76,7 +77,14 @@
     [[nodiscard]] std::uint16_t port() const;
 
     /// @brief Stops accepting; open connections stay open. Call it on the context's thread.
-    void stopAccepting();
+    /// @param notice the only response on connections that have not been accepted yet
+    void stopAccepting(const http_response &notice);
+
+    /// @brief Stops accepting, and closes each connection as soon as it waits for a request. Call
+    /// it on the context's thread.
+    /// @param notice the last response on each connection; requests on their way take it as theirs
+    /// @param done called when the peers have closed all connections, at the latest at @p deadline
+    void close(const http_response &notice, core::time_point deadline, std::function<void()> done);
 
 private:
     struct implementation;
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -294,7 +294,7 @@
 void caller_server::drain()
 {
     isDraining_ = true;
-    server_.stopAccepting();
+    server_.stopAccepting({ 503, {}, {} });
 }
 
 } // namespace fuchsiagw::daemon
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,7 +5,11 @@
 
 #include <restinio/all.hpp>
 
+#include <fuchsiagw/net/clock.hpp>
 #include <fuchsiagw/net/http_server.hpp>
+#include <fuchsiagw/net/lingering_socket.hpp>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include <optional>
 
@@ -37,6 +41,7 @@
     using request_handler_t =
             std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     using connection_state_listener_t = connection_listener;
+    using stream_socket_t = lingering_socket;
     static constexpr bool use_connection_count_limiter = true; // NOLINT
 };
 
@@ -50,6 +55,16 @@
     return headers;
 }
 
+/// @return the bytes of a response behind which the connection is closed
+std::string closingResponse(const http_response &response)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " \r\nConnection: close\r\n";
+    for (const auto &[name, value] : response.headers)
+        text += name + ": " + value + "\r\n";
+    return text + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n"
+           + response.body;
+}
+
 void writeResponse(const restinio::request_handle_t &request, const http_response &response,
                    bool close)
 {
@@ -72,6 +87,8 @@
     request_handler onRequest;
     std::shared_ptr<connection_listener> listener;
     std::uint16_t boundPort = 0;
+    boost::asio::ip::tcp::acceptor *acceptor = nullptr; ///< of the server, while it accepts
+    boost::asio::steady_timer closeTimer;
     std::optional<server_type> server;
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &request) const
@@ -92,9 +109,10 @@
 
 http_server::http_server(boost::asio::io_context &context, http_server_options options,
                          request_handler onRequest, closed_handler onClosed)
-    : implementation_(new implementation{
-            context, std::move(options), std::move(onRequest),
-            std::make_shared<connection_listener>(std::move(onClosed)), 0, std::nullopt })
+    : implementation_(
+            new implementation{ context, std::move(options), std::move(onRequest),
+                                std::make_shared<connection_listener>(std::move(onClosed)), 0,
+                                nullptr, boost::asio::steady_timer(context), std::nullopt })
 { }
 
 http_server::~http_server() = default;
@@ -133,6 +151,7 @@
                         })
                         .acceptor_post_bind_hook([&self](auto &acceptor) {
                             self.boundPort = acceptor.local_endpoint().port();
+                            self.acceptor = &acceptor;
                         })
                         .request_handler([&self](const restinio::request_handle_t &request) {
                             return self.handle(request);
@@ -151,10 +170,43 @@
     return implementation_->boundPort;
 }
 
-void http_server::stopAccepting()
+void http_server::stopAccepting(const http_response &notice)
+{
+    implementation &self = *implementation_;
+    if (!self.server || self.acceptor == nullptr)
+        return;
+    // A close of the listening socket resets the connections that wait to be accepted.
+    const std::string text = closingResponse(notice);
+    boost::system::error_code error;
+    self.acceptor->non_blocking(true, error);
+    while (!error) {
+        boost::asio::ip::tcp::socket waiting(self.context);
+        self.acceptor->accept(waiting, error);
+        if (!error)
+            refuseConnection(std::move(waiting), text);
+    }
+    self.acceptor = nullptr;
+    self.server->close_sync();
+}
+
+void http_server::close(const http_response &notice, core::time_point deadline,
+                        std::function<void()> done)
 {
-    if (implementation_->server)
-        implementation_->server->close_sync();
+    constexpr std::chrono::milliseconds checkInterval{ 10 };
+    implementation &self = *implementation_;
+    stopAccepting(notice);
+    const std::size_t left =
+            closeIdleConnections(self.context, self.boundPort, closingResponse(notice));
+    if (left == 0 || currentTime() >= deadline) {
+        done();
+        return;
+    }
+    self.closeTimer.expires_after(checkInterval);
+    self.closeTimer.async_wait([this, notice, deadline,
+                                done = std::move(done)](const boost::system::error_code &error) {
+        if (!error)
+            close(notice, deadline, done);
+    });
 }
 
 } // namespace fuchsiagw::net
