Answer or refuse each request at the end of the HTTP interface

Callers saw no answer to a request that crossed the end of a stopping process on an idle connection: the process ended 200 ms after its drain, whatever was on its way, and its connections closed without a word. Requests that came in these 200 ms were still accepted, and those without an answer at the drain deadline got none.

The caller server now has an orderly end: further statements get 503 "draining" with Retry-After, accepted ones are waited for until the drain deadline and then answered with 504 "outcome_unknown", and idle connections get the refusal before their close. The process ends when its callers have closed, at most 3.5 s behind the drain deadline.

--- a/include/fuchsiagw/daemon/caller_server.hpp
+++ b/include/fuchsiagw/daemon/caller_server.hpp
@@ -24,6 +24,9 @@
 class caller_server
 {
 public:
+    /// Time for callers to receive their last answers; several retransmissions of a lost packet.
+    static constexpr core::duration lastAnswerLimit = std::chrono::seconds(3);
+
     /// Passes a request to the gateway's thread; returns false if its queue is full.
     using request_sink = std::function<bool(core::caller_request &&)>;
 
@@ -40,6 +43,12 @@
     /// @brief Stops accepting connections; an open one is closed after its next answer.
     void drain();
 
+    /// @brief Refuses further statements, waits until @p answersDue for the answers to the accepted
+    /// ones, and ends all connections.
+    /// @param done receives the number of statements whose answer did not come; it is called when
+    /// the callers have their answers, at the latest lastAnswerLimit after @p answersDue
+    void close(core::time_point answersDue, std::function<void(std::size_t)> done);
+
     /// @return whether the instance is ready and not draining; any thread may call it
     [[nodiscard]] bool isReady() const { return isReady_ && !isDraining_; }
 
@@ -62,6 +71,7 @@
     };
 
     void publish();
+    void awaitAnswers();
     void count(const open_request &request, const core::caller_reply &reply);
     void onRequest(net::http_request &&request, net::http_responder &&reply);
     void handleStatement(const net::http_request &request, net::http_responder &&reply);
@@ -74,6 +84,10 @@
     request_sink requestSink_;
     net::http_server server_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer closeTimer_;
+    core::time_point answersDue_ = core::noDeadline;
+    std::function<void(std::size_t)> onClosed_; ///< set from close() until the last answer
+    bool isClosing_ = false;
     core::random_engine random_;
     metrics counts_;
     snapshot_buffer<metrics> published_;
--- a/include/fuchsiagw/testing/process_harness.hpp
+++ b/include/fuchsiagw/testing/process_harness.hpp
@@ -80,6 +80,12 @@
 
     void startDaemon(std::size_t index);
 
+    /// @return the port of a daemon's HTTP interface for callers
+    [[nodiscard]] std::uint16_t callerPort(std::size_t daemon) const
+    {
+        return callerPorts_[daemon];
+    }
+
     /// @brief Sends a caller's request with the workspace's key.
     call_result call(std::size_t daemon, const std::string &path, const std::string &body,
                      const std::string &session = {}) const;
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -122,6 +122,16 @@
     return { status, { { "Content-Type", "application/json" } }, std::move(body) };
 }
 
+/// @return the answer to requests that were not accepted because the instance stops
+net::http_response drainingResponse(const core::request_id &id)
+{
+    net::http_response response = jsonResponse(core::answerOf(error_kind::Draining).httpStatus,
+                                               wire::errorBody(error_kind::Draining, {}, id));
+    // Other instances are ready at once; this is the shortest time in seconds.
+    response.headers.emplace_back("Retry-After", "1");
+    return response;
+}
+
 } // namespace
 
 caller_server::caller_server(boost::asio::io_context &context, const settings &values,
@@ -147,6 +157,7 @@
               },
               [this](net::connection_number connection) { connections_.erase(connection); })
     , timer_(context)
+    , closeTimer_(context)
     , random_(randomSeed())
 { }
 
@@ -228,6 +239,11 @@
 void caller_server::handleStatement(const net::http_request &request, net::http_responder &&reply)
 {
     const core::request_id id{ random_(), random_() };
+    if (isClosing_) {
+        ++counts_.errors[error_kind::Draining];
+        answer(reply, drainingResponse(id));
+        return;
+    }
     route_match match;
     if (const auto problem = matchRoute(request, match)) {
         refuse(reply, *problem, {}, id);
@@ -294,7 +310,38 @@
 void caller_server::drain()
 {
     isDraining_ = true;
-    server_.stopAccepting({ 503, {}, {} });
+    server_.stopAccepting(drainingResponse({ random_(), random_() }));
+}
+
+void caller_server::close(core::time_point answersDue, std::function<void(std::size_t)> done)
+{
+    isDraining_ = true;
+    isClosing_ = true;
+    answersDue_ = answersDue;
+    onClosed_ = std::move(done);
+    awaitAnswers();
+}
+
+void caller_server::awaitAnswers()
+{
+    constexpr std::chrono::milliseconds checkInterval{ 10 };
+    const core::time_point now = net::currentTime();
+    if (!openRequests_.empty() && now < answersDue_) {
+        closeTimer_.expires_after(checkInterval);
+        closeTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                awaitAnswers();
+        });
+        return;
+    }
+    const std::size_t interrupted = openRequests_.size();
+    for (auto &[ticket, open] : openRequests_)
+        refuse(open.reply, error_kind::OutcomeUnknown, "the instance stopped",
+               { random_(), random_() });
+    openRequests_.clear();
+    openRequestCount_ = 0;
+    server_.close(drainingResponse({ random_(), random_() }), now + lastAnswerLimit,
+                  [done = std::move(onClosed_), interrupted] { done(interrupted); });
 }
 
 } // namespace fuchsiagw::daemon
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -18,6 +18,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <optional>
 
@@ -27,8 +28,8 @@
 
 constexpr std::size_t channelCapacity = 65536;
 constexpr core::duration drainPollInterval = std::chrono::milliseconds(50);
-/// Time for the caller server to write the last answers to their sockets.
-constexpr core::duration finalWriteDelay = std::chrono::milliseconds(200);
+/// Time for the caller server's thread to report its end, beside lastAnswerLimit.
+constexpr core::duration closeReportLimit = std::chrono::milliseconds(500);
 
 void logThreadFailure(log_sink &log, const std::string &thread)
 {
@@ -53,6 +54,10 @@
     boost::asio::signal_set signals;
     exit_code exitCode = exit_code::Stopped;
     bool isStopping = false;
+    bool isFinishing = false;
+    core::time_point drainDeadline = core::noDeadline;
+    std::size_t interruptedCount = 0; ///< accepted requests whose answer did not come
+    boost::asio::steady_timer exitTimer{ control };
 
     supervisor threads;
     boost::asio::io_context &frontContext;
@@ -213,6 +218,7 @@
     // Further signals are ignored and do not shorten the drain.
     signals.async_wait([](const boost::system::error_code &, int) {});
     isStopping = true;
+    drainDeadline = net::currentTime() + values.drainLimit;
     logEvent(log, log_event::DrainStarted,
              { field::number(log_key::Queued, callerServer->openRequestCount()),
                field::duration(log_key::Remaining, values.drainLimit) });
@@ -224,16 +230,42 @@
     const auto drainTimer = std::make_shared<boost::asio::steady_timer>(control, values.drainLimit);
     drainTimer->async_wait([this, drainTimer](const boost::system::error_code &error) {
         if (!error)
-            finish(callerServer->openRequestCount() == 0 ? exit_code::Stopped
-                                                         : exit_code::Interrupted);
+            finish(exit_code::Stopped);
     });
 }
 
+// The other threads run until the caller server has closed, since a request that was accepted just
+// before still needs its answer.
 void daemon_process::finish(exit_code code)
 {
+    if (isFinishing)
+        return;
+    isFinishing = true;
     exitCode = code;
-    const auto exitTimer = std::make_shared<boost::asio::steady_timer>(control, finalWriteDelay);
-    exitTimer->async_wait([this, exitTimer](const boost::system::error_code &) { control.stop(); });
+    const core::time_point now = net::currentTime();
+    const bool waitsForAnswers = code == exit_code::Stopped && drainDeadline != core::noDeadline;
+    const core::time_point answersDue = waitsForAnswers ? std::max(now, drainDeadline) : now;
+    boost::asio::post(frontContext, [this, answersDue] {
+        callerServer->close(answersDue, [this](std::size_t interrupted) {
+            boost::asio::post(control, [this, interrupted] {
+                interruptedCount = interrupted;
+                if (interrupted > 0 && exitCode == exit_code::Stopped)
+                    exitCode = exit_code::Interrupted;
+                control.stop();
+            });
+        });
+    });
+    // Ends the process also if the thread of the caller server has failed.
+    exitTimer.expires_at(
+            net::toSteady(answersDue + caller_server::lastAnswerLimit + closeReportLimit));
+    exitTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        interruptedCount = callerServer->openRequestCount();
+        if (interruptedCount > 0 && exitCode == exit_code::Stopped)
+            exitCode = exit_code::Interrupted;
+        control.stop();
+    });
 }
 
 } // namespace
@@ -251,7 +283,7 @@
     process.threads.stop();
     logEvent(log, log_event::ProcessStopped,
              { field::duration(log_key::Elapsed, net::currentTime() - startedAt),
-               field::number(log_key::Count, process.callerServer->openRequestCount()) });
+               field::number(log_key::Count, process.interruptedCount) });
     return process.exitCode;
 }
 
