--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,7 +60,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " \r\nConnection: close\r\n";
     for (const auto &[name, value] : response.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     return text + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n"
            + response.body;
 }
