Tell borrowers what the close of a lent connection leaves unsent

Callers saw UNKNOWN for a COMMIT or a single write that crossed the recall of a lent connection, or the loss of a member's connection at rest, although no member had received it.

Cause: the relay closed such connections with a bare end, which looks to the borrower like the loss of a command that was forwarded. It reset spare connections at the end of its process, and no longer counted a connection as in use while its last reply was on its way.

Change: a relay that owes no reply sends TERMINATE before the close; no member can cause this line. The borrower sends a single statement and the first one of a transaction again, and answers a COMMIT with ABORTED. Behind a reply that the borrower has dropped, the notice proves nothing and counts as a loss. At the end of lending, connections without a STARTUP get the notice too. The process waits until borrowers have closed their side, and answers new ones until its end.

Three tests of unit-relay-server count all lines that a borrower receives: they expect one more, and that it is the notice.

--- a/include/fuchsiagw/daemon/member_connection.hpp
+++ b/include/fuchsiagw/daemon/member_connection.hpp
@@ -23,7 +23,8 @@
 namespace fuchsiagw::daemon {
 
 /// Not thread-safe: used only on the thread of the connection's context.
-/// Invariant: no handler is called after close(), closeGracefully() or onClosed.
+/// Invariant: no handler is called after close(), closeGracefully() onClosed or
+/// onRecalled.
 class member_connection : public std::enable_shared_from_this<member_connection>
 {
 public:
@@ -34,6 +35,9 @@
         std::function<void()> onClosed;
         /// A reply was dropped, or made the connection unusable.
         std::function<void(proxy::reply_fault)> onFault;
+        /// The relay has closed the connection and forwards no command that has no reply yet.
+        /// Empty for direct connections: a member sends no such notice.
+        std::function<void()> onRecalled = nullptr;
     };
 
     /// @param connection not connected yet, or connected and without input
@@ -58,6 +62,7 @@
 
     void onLine(std::string_view line);
     void onReply(proxy::reply &&received);
+    void onRecall();
     /// @brief Closes the connection and reports it to the owner.
     void fail();
 
--- a/include/fuchsiagw/daemon/relay_server.hpp
+++ b/include/fuchsiagw/daemon/relay_server.hpp
@@ -6,6 +6,9 @@
 /// assigns it a pooled connection for them. Commands and complete replies are forwarded unchanged.
 /// When the borrower disconnects, an open transaction is rolled back, the session state is
 /// discarded and the connection returns to the pool, unless one of its replies may come again.
+///
+/// When the relay closes the connection of a borrower on which it owes no reply, it sends TERMINATE
+/// first: what it has not replied to by then is not forwarded.
 
 #pragma once
 
@@ -33,6 +36,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 namespace fuchsiagw::daemon {
 
@@ -79,8 +83,8 @@
     /// @brief Refuses new borrowers and closes idle connections; a second call has no effect.
     /// @param lendUntil from then on, a lent connection is closed as soon as no reply is pending
     void stop(core::time_point lendUntil);
-    /// @return whether any borrower is connected
-    [[nodiscard]] bool isBusy() const { return !borrowers_.empty(); }
+    /// @return whether any borrower is connected, or has not closed its side yet
+    [[nodiscard]] bool isBusy() const;
     [[nodiscard]] const relay_counters &counters() const { return counters_; }
     /// @return metrics of the members whose relay this is
     [[nodiscard]] std::string metricsText() const;
@@ -100,6 +104,13 @@
     void open(const std::string &memberId, const std::string &workspace);
     void lend(proxy::borrower_id borrowerId, proxy::pooled_id pooledId);
     void resetConnection(proxy::pooled_id id);
+    /// @brief Closes a borrower's connection behind the last message to it.
+    void closeInOrder(const std::shared_ptr<net::line_connection> &connection);
+    /// @brief Tells a borrower that no further command is forwarded, and closes its connection.
+    void recall(const borrower &client);
+    /// @brief Recalls the connections on which nothing was asked for: the end of the process would
+    /// reset them, and leave open what became of commands on their way.
+    void recallUnassigned();
     /// @brief Closes a pooled connection and that of its borrower, if any.
     void closePooled(proxy::pooled_id id, bool isGraceful);
     /// @param code ConnectionLimit: no connection is free; Misrouted: the startup command is
@@ -130,9 +141,13 @@
     relay_counters counters_;
     core::time_point nextTickAt_{}; ///< when the scheduled tick is due
     bool isStopping_ = false;
+    bool mayBeAsked_ = false; ///< borrowers had spare connections, and may ask until the end
     core::time_point lendUntil_ = core::noDeadline;
     std::uint64_t lastId_ = 0;
     std::map<proxy::borrower_id, std::unique_ptr<borrower>> borrowers_;
+    /// Connections of borrowers that have not closed their side yet, during a shutdown. The end of
+    /// the process would discard the last message to them.
+    std::vector<std::weak_ptr<net::line_connection>> closing_;
     std::map<proxy::pooled_id, std::unique_ptr<pooled>> pooled_;
     std::map<std::string, proxy::relay_pool> pools_; ///< by member
     std::shared_ptr<net::byte_budget> borrowerBytes_ = std::make_shared<net::byte_budget>();
--- a/include/fuchsiagw/proxy/engine.hpp
+++ b/include/fuchsiagw/proxy/engine.hpp
@@ -216,6 +216,9 @@
 void onMemberAnswer(engine &state, link_id id, reply answer, core::time_point now);
 /// @brief Handles a link that could not be opened or that was closed.
 void onLinkClosed(engine &state, link_id id, core::time_point now);
+/// @brief Handles a link that its relay has closed without forwarding any command that has no
+/// answer yet.
+void onLinkRecalled(engine &state, link_id id, core::time_point now);
 
 void onPeerMessage(engine &state, const peer_message &message, core::time_point now);
 
--- a/include/fuchsiagw/proxy/upstream_link.hpp
+++ b/include/fuchsiagw/proxy/upstream_link.hpp
@@ -72,6 +72,8 @@
     reply_code beginCode = reply_code::Success; ///< answer to the refused begin
     core::duration retryAfter{ 0 }; ///< from a relay that refused; 0: unknown
     bool refused = false; ///< Startup and the commands sent after it were refused
+    bool recalled =
+            false; ///< closed by the relay; no command without an answer has reached a member
     bool tainted = false; ///< the connection can't be reused
     /// The member has answered a statement with an error, which may come a second time: no further
     /// operation starts on the link.
--- a/src/daemon/member_connection.cpp
+++ b/src/daemon/member_connection.cpp
@@ -69,6 +69,10 @@
 {
     if (closed_)
         return;
+    if (handlers_.onRecalled && text_.empty() && line == adapter::terminateKeyword()) {
+        onRecall();
+        return;
+    }
     const bool opens = hasOutstanding() && pairing_.expected.front() == proxy::reply_shape::Startup;
     text_.append(line).append(adapter::lineEnd());
     auto received = decoder_.feed(line, opens);
@@ -83,6 +87,17 @@
     }
 }
 
+void member_connection::onRecall()
+{
+    // A reply that was dropped here may have been the one to an outstanding command.
+    if (pairing_.hasSurplus) {
+        fail();
+        return;
+    }
+    close();
+    handlers_.onRecalled();
+}
+
 void member_connection::onReply(proxy::reply &&received)
 {
     const proxy::paired_reply paired = pairReply(pairing_, received);
--- a/src/daemon/relay_server.cpp
+++ b/src/daemon/relay_server.cpp
@@ -361,72 +361,6 @@
     closePooled(id, false);
 }
 
-void relay_server::closePooled(proxy::pooled_id id, bool isGraceful)
-{
-    const auto found = pooled_.find(id);
-    if (found == pooled_.end())
-        return;
-    const proxy::borrower_id borrowerId = found->second->lentTo;
-    const std::string member = found->second->member;
-    const auto connection = found->second->connection;
-    pooled_.erase(found);
-    pools_[member].connections.erase(id);
-    // The borrower's connection is closed as well, so that the borrower detects the loss of the
-    // member connection. The last reply may not have been sent completely yet.
-    const auto client = borrowers_.find(borrowerId);
-    if (client != borrowers_.end()) {
-        if (connection->hasOutstanding())
-            client->second->connection->close();
-        else
-            client->second->connection->closeGracefully();
-        borrowers_.erase(client);
-    }
-    if (isGraceful)
-        connection->closeGracefully();
-    else
-        connection->close();
-}
-
-void relay_server::refuse(proxy::borrower_id id, proxy::reply_code code, core::duration retryAfter)
-{
-    const auto found = borrowers_.find(id);
-    if (found == borrowers_.end())
-        return;
-    ++counters_.refused;
-    proxy::reply answer;
-    answer.code = code;
-    answer.retryAfter = retryAfter;
-    found->second->connection->send(adapter::encodeReply(answer, true));
-    found->second->connection->closeGracefully();
-    borrowers_.erase(found);
-}
-
-bool relay_server::isRecallDue(const pooled &connection) const
-{
-    return connection.lentTo != 0 && !connection.connection->hasOutstanding()
-           && net::currentBootTime() >= lendUntil_;
-}
-
-void relay_server::stop(core::time_point lendUntil)
-{
-    if (std::exchange(isStopping_, true))
-        return;
-    lendUntil_ = lendUntil;
-    for (const auto &[member, pool] : pools_)
-        closeIdle(member);
-}
-
-void relay_server::closeIdle(const std::string &memberId)
-{
-    std::vector<proxy::pooled_id> idle;
-    for (const auto &[id, each] : pools_.at(memberId).connections) {
-        if (each.state == proxy::pooled_state::Idle)
-            idle.push_back(id);
-    }
-    for (const proxy::pooled_id id : idle)
-        closePooled(id, true);
-}
-
 void relay_server::scheduleTick()
 {
     const bool hasWaiting = std::any_of(pools_.begin(), pools_.end(), [](const auto &each) {
@@ -482,6 +416,9 @@
     }
     for (const proxy::pooled_id id : toRecall)
         closePooled(id, true);
+    if (now >= lendUntil_)
+        recallUnassigned();
+    std::erase_if(closing_, [](const auto &each) { return each.expired(); });
     for (const proxy::pooled_id id : toClose) {
         const auto found = pooled_.find(id);
         if (found != pooled_.end())
--- a/src/daemon/session_links.cpp
+++ b/src/daemon/session_links.cpp
@@ -60,6 +60,11 @@
         proxy::onLinkClosed(engine_, id, net::currentBootTime());
         perform();
     };
+    const auto onRecalled = [this, id] {
+        upstreams_.erase(id);
+        proxy::onLinkRecalled(engine_, id, net::currentBootTime());
+        perform();
+    };
     auto entry = std::make_unique<upstream_connection>();
     entry->connection = member_connection::create(
             isRelayed ? relayConnectionTo(action.relay, relay->second)
@@ -72,7 +77,8 @@
                   const auto link = engine_.links.find(id);
                   onReplyFault(link == engine_.links.end() ? std::string() : link->second.member,
                                fault);
-              } });
+              },
+              isRelayed ? std::function<void()>(onRecalled) : nullptr });
     const auto connection = entry->connection;
     entry->isRelayed = isRelayed;
     upstreams_.emplace(id, std::move(entry));
@@ -109,7 +115,12 @@
         std::erase_if(spareConnections_[node],
                       [raw](const auto &each) { return each.get() == raw; });
     };
-    spare->setHandlers([](std::string_view) {}, removeSpare);
+    // The relay sends nothing but the notice of a close.
+    const auto onLine = [removeSpare, raw = spare.get()](std::string_view) {
+        raw->close();
+        removeSpare();
+    };
+    spare->setHandlers(onLine, removeSpare);
     spare->connect(tcp::endpoint(peer.address, peer.port), net::keepalive_profile::Short);
     spareConnections_[node].push_back(spare);
 }
--- a/src/proxy/engine_link_loss.cpp
+++ b/src/proxy/engine_link_loss.cpp
@@ -61,6 +61,13 @@
             retryRequest(state, *caller, link.member, reply_code::ConnectionLimit, now);
         return;
     }
+    const bool isFirst = caller->state == transaction_state::Idle || pending->startsOperation;
+    if (link.recalled && isFirst) {
+        unpinTransaction(*caller, nullptr);
+        pending->wasSent = pending->tries > 1;
+        retryRequest(state, *caller, link.member, reply_code::ConnectionLimit, now);
+        return;
+    }
     if (isSafeToResend(*caller, *pending)) {
         unpinTransaction(*caller, nullptr);
         pending->excludedMembers.push_back(link.member);
@@ -80,12 +87,21 @@
         caller->transaction.reset();
     else
         caller->transaction->link = 0;
+    // A member that has received no COMMIT rolls back when its connection ends.
+    const bool isUnknown = commits && !link.recalled;
     refuseRequest(state, *caller,
-                  commits ? refusal_reason::AnswerLost : refusal_reason::TransactionLost, now);
+                  isUnknown ? refusal_reason::AnswerLost : refusal_reason::TransactionLost, now);
 }
 
 } // namespace
 
+void onLinkRecalled(engine &state, link_id id, core::time_point now)
+{
+    if (upstream_link *link = findLink(state, id))
+        link->recalled = true;
+    onLinkClosed(state, id, now);
+}
+
 void onLinkClosed(engine &state, link_id id, core::time_point now)
 {
     const auto found = state.links.find(id);
@@ -93,7 +109,8 @@
         return;
     const upstream_link link = std::move(found->second);
     state.links.erase(found);
-    noteUnansweredStatements(state, link);
+    if (!link.recalled)
+        noteUnansweredStatements(state, link);
     member_state *member = findMember(state, link.member);
     if (member != nullptr) {
         member->links.erase(id);
--- a/tests/unit-relay-server.cpp
+++ b/tests/unit-relay-server.cpp
@@ -148,7 +148,8 @@
     CHECK_FALSE(fixture.runUntil([&] { return fixture.borrower.isClosed; }, 600ms));
     fixture.member.connection->send(firstRun);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
-    CHECK_EQUAL(6U, fixture.borrower.lines.size());
+    CHECK_EQUAL(7U, fixture.borrower.lines.size());
+    STRCMP_EQUAL("TERMINATE", fixture.borrower.lines.back().c_str());
 }
 
 // Guards against a second shutdown signal that keeps connections lent beyond the end of the
@@ -175,7 +176,8 @@
     fixture.sendToMember("QUERY s2 READ b\r\n");
     fixture.member.connection->send(std::string(firstRun) + secondRun);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
-    CHECK_EQUAL(9U, fixture.borrower.lines.size());
+    CHECK_EQUAL(10U, fixture.borrower.lines.size());
+    STRCMP_EQUAL("TERMINATE", fixture.borrower.lines.back().c_str());
     STRCMP_EQUAL("DATAROW y", fixture.borrower.lines.at(6).c_str());
     CHECK(fixture.faults == std::vector{ proxy::reply_fault::RepeatedDigest });
     CHECK_TRUE(fixture.runUntil([&] { return fixture.member.isClosed; }));
@@ -188,7 +190,8 @@
     fixture.sendToMember(beginLine);
     fixture.member.connection->send(std::string(openAnswer) + openAnswer);
     CHECK_TRUE(fixture.runUntil([&] { return fixture.borrower.isClosed; }));
-    CHECK_EQUAL(3U, fixture.borrower.lines.size());
+    CHECK_EQUAL(4U, fixture.borrower.lines.size());
+    STRCMP_EQUAL("TERMINATE", fixture.borrower.lines.back().c_str());
     CHECK(fixture.faults == std::vector{ proxy::reply_fault::Unsolicited });
 }
 
