Send a write again whose relay accepts no connection

Callers saw UNKNOWN (answer_lost) for a single write whose relay had ended and was still listed: the write goes out together with the STARTUP, and the refused connection counted as a lost answer.

Nothing is sent before a connection is open, so the link counts as recalled, and the statement goes through the next relay in order.

Measured: unit-relay-unreachable failed before ("ERROR UNKNOWN answer_lost") and passes now.

--- a/include/fuchsiagw/daemon/member_connection.hpp
+++ b/include/fuchsiagw/daemon/member_connection.hpp
@@ -35,7 +35,8 @@
         std::function<void()> onClosed;
         /// A reply was dropped, or made the connection unusable.
         std::function<void(proxy::reply_fault)> onFault;
-        /// The relay has closed the connection and forwards no command that has no reply yet.
+        /// The relay has closed the connection, or accepted none, and forwards no command that has
+        /// no reply yet.
         /// Empty for direct connections: a member sends no such notice.
         std::function<void()> onRecalled = nullptr;
     };
--- a/include/fuchsiagw/net/line_connection.hpp
+++ b/include/fuchsiagw/net/line_connection.hpp
@@ -78,6 +78,8 @@
     /// @brief Sends the queued text, shuts down the sending side and closes after the peer has
     /// closed its side. If nothing is queued at the call, later input is answered with a reset.
     void closeGracefully();
+    /// @return whether the connection was ever open; before that, nothing is sent
+    [[nodiscard]] bool wasOpened() const { return open_; }
 
     [[nodiscard]] std::size_t queuedBytes() const { return queue_.size() + writing_.size(); }
 
--- a/src/daemon/member_connection.cpp
+++ b/src/daemon/member_connection.cpp
@@ -62,7 +62,10 @@
     if (closed_)
         return;
     close();
-    handlers_.onClosed();
+    if (handlers_.onRecalled && !connection_->wasOpened())
+        handlers_.onRecalled();
+    else
+        handlers_.onClosed();
 }
 
 void member_connection::onLine(std::string_view line)
