--- a/tests/unit-session-end-review.cpp
+++ b/tests/unit-session-end-review.cpp
@@ -161,6 +161,7 @@
 {
     fixture.state.settings.commitsNeedReceipts = true;
     applySlowRoutes(2, false);
+    onOpenOrdersRead(fixture.state, proxy_fixture::service, {}, 0, fixture.now);
     fixture.state.services.at(proxy_fixture::service).receipts.contactAt = fixture.now;
     const session_id id = fixture.openSession("current");
     fixture.sendWrite(id);
