--- a/include/fuchsiagw/daemon/member_connection.hpp
+++ b/include/fuchsiagw/daemon/member_connection.hpp
@@ -23,7 +23,7 @@
 namespace fuchsiagw::daemon {
 
 /// Not thread-safe: used only on the thread of the connection's context.
-/// Invariant: no handler is called after close(), closeGracefully() onClosed or
+/// Invariant: no handler is called after close(), closeGracefully(), onClosed or
 /// onRecalled.
 class member_connection : public std::enable_shared_from_this<member_connection>
 {
--- a/include/fuchsiagw/detail/session_connections.hpp
+++ b/include/fuchsiagw/detail/session_connections.hpp
@@ -16,6 +16,9 @@
 /// Memory of the process for everything except sessions and what callers send and get, in bytes.
 inline constexpr std::size_t reservedMemory = 48 * 1024 * 1024;
 
+/// Log event of a socket that was given up, or of a datagram that was dropped.
+inline constexpr int socketEventNumber = 931;
+
 struct session_gateway::caller_connection
 {
     std::shared_ptr<net::line_connection> connection;
--- a/src/proxy/engine_session_end.cpp
+++ b/src/proxy/engine_session_end.cpp
@@ -24,6 +24,18 @@
             send_to_caller{ caller.id, refuse(close.refusal, caller.state, close.retryAfter) });
 }
 
+/// Ends a session once its accepted statements are answered.
+void endAfterAccepted(engine &state, session_id id, session_end why, core::time_point now)
+{
+    session *caller = findSession(state, id);
+    if (caller == nullptr || caller->ending)
+        return;
+    caller->ending =
+            session_close{ why, refusal_reason::OutOfPlace, {}, accepted_statements::AreRun };
+    if (!caller->current)
+        closeSession(state, *caller, now);
+}
+
 } // namespace
 
 void closeSession(engine &state, session &caller, core::time_point now)
@@ -39,22 +51,6 @@
     onCallerDisconnected(state, caller.id, now, close.why);
 }
 
-namespace {
-
-/// Ends a session once its accepted statements are answered.
-void endAfterAccepted(engine &state, session_id id, session_end why, core::time_point now)
-{
-    session *caller = findSession(state, id);
-    if (caller == nullptr || caller->ending)
-        return;
-    caller->ending =
-            session_close{ why, refusal_reason::OutOfPlace, {}, accepted_statements::AreRun };
-    if (!caller->current)
-        closeSession(state, *caller, now);
-}
-
-} // namespace
-
 void onCallerUnreadable(engine &state, session_id id, core::time_point now)
 {
     endAfterAccepted(state, id, session_end::Unreadable, now);
